Set down the design page, the workspace and the core types

Cause: the repository was empty; every later part needs ids, units, work specifications and numbered result codes that can't be mixed up. Conclusion: newtypes with Display and FromStr come from three private macros.

--- /dev/null
+++ b/crates/core/src/id/failure_domain.rs
@@ -0,0 +1,5 @@
+name_type!(
+    /// Name of a failure domain.
+    FailureDomain,
+    "failure domain"
+);
--- /dev/null
+++ b/crates/core/src/id/host_id.rs
@@ -0,0 +1,5 @@
+name_type!(
+    /// Name of a host.
+    HostId,
+    "host"
+);
--- /dev/null
+++ b/crates/core/src/id/member_index.rs
@@ -0,0 +1,6 @@
+counter_type!(
+    /// Position of a task within its piece of work.
+    MemberIndex,
+    u32,
+    "member index"
+);
--- /dev/null
+++ b/crates/core/src/id/mod.rs
@@ -0,0 +1,44 @@
+//! Identifiers. Each is a newtype, so that ids of unlike things can't be mixed up.
+//!
+//! Composite ids name their shard, so that every process finds the owner without a directory:
+//!
+//! ```
+//! use lagoon_core::id::WorkId;
+//!
+//! let work: WorkId = "w:cluj:3:7:15".parse().unwrap();
+//! assert_eq!(work.shard().to_string(), "cluj:3");
+//! assert_eq!(work.to_string(), "w:cluj:3:7:15");
+//! ```
+
+mod caller_id;
+mod command_id;
+mod epoch;
+mod executor_id;
+mod failure_domain;
+mod host_id;
+mod incarnation;
+mod member_index;
+mod parse_id_error;
+mod policy_version;
+mod process_id;
+mod rack_id;
+mod request_key;
+mod sequence;
+mod service_name;
+mod shard_id;
+mod shard_number;
+mod task_id;
+mod team_id;
+mod ticket;
+mod work_id;
+mod worker_id;
+
+pub(crate) use self::parse_id_error::is_name;
+pub use self::{
+    caller_id::CallerId, command_id::CommandId, epoch::Epoch, executor_id::ExecutorId,
+    failure_domain::FailureDomain, host_id::HostId, incarnation::Incarnation,
+    member_index::MemberIndex, parse_id_error::ParseIdError, policy_version::PolicyVersion,
+    process_id::ProcessId, rack_id::RackId, request_key::RequestKey, sequence::Sequence,
+    service_name::ServiceName, shard_id::ShardId, shard_number::ShardNumber, task_id::TaskId,
+    team_id::TeamId, ticket::Ticket, work_id::WorkId, worker_id::WorkerId,
+};
--- /dev/null
+++ b/crates/core/src/id/policy_version.rs
@@ -0,0 +1,6 @@
+counter_type!(
+    /// Version of the policy document; only grows.
+    PolicyVersion,
+    u64,
+    "policy version"
+);
--- /dev/null
+++ b/crates/core/src/id/rack_id.rs
@@ -0,0 +1,5 @@
+name_type!(
+    /// Name of a rack of workers.
+    RackId,
+    "rack"
+);
--- /dev/null
+++ b/crates/core/src/id/sequence.rs
@@ -0,0 +1,6 @@
+counter_type!(
+    /// Position in a sequence of one owner: work, tickets or journal segments.
+    Sequence,
+    u64,
+    "sequence"
+);
--- /dev/null
+++ b/crates/core/src/id/service_name.rs
@@ -0,0 +1,5 @@
+name_type!(
+    /// Name of a service whose executors answer requests.
+    ServiceName,
+    "service"
+);
--- /dev/null
+++ b/crates/core/src/id/worker_id.rs
@@ -0,0 +1,5 @@
+name_type!(
+    /// Name of a worker, which runs tasks.
+    WorkerId,
+    "worker"
+);
--- /dev/null
+++ b/crates/core/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/core/src/util/counter.rs
@@ -0,0 +1,45 @@
+/// Defines a newtype over an integer that identifies or orders things.
+macro_rules! counter_type {
+    ($(#[$meta:meta])* $name:ident, $int:ty, $what:literal) => {
+        $(#[$meta])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name($int);
+
+        impl $name {
+            /// Wraps a raw number.
+            pub const fn new(value: $int) -> Self {
+                Self(value)
+            }
+
+            /// Returns the raw number.
+            pub const fn get(self) -> $int {
+                self.0
+            }
+
+            /// Returns the number that follows.
+            pub const fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = $crate::id::ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                match text.parse() {
+                    Ok(value) => Ok(Self(value)),
+                    Err(_) => Err($crate::id::ParseIdError::new($what, text)),
+                }
+            }
+        }
+    };
+}
--- /dev/null
+++ b/crates/core/src/util/mod.rs
@@ -0,0 +1,9 @@
+//! Private helpers: macros that define the newtypes of this crate.
+
+#[macro_use]
+mod name;
+#[macro_use]
+mod counter;
+#[macro_use]
+mod quantity;
+pub(crate) mod parse;
--- /dev/null
+++ b/crates/core/src/util/name.rs
@@ -0,0 +1,47 @@
+/// Defines a newtype over a checked name: 1 to 64 characters of `a-z A-Z 0-9 . _ -`.
+macro_rules! name_type {
+    ($(#[$meta:meta])* $name:ident, $what:literal) => {
+        $(#[$meta])*
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(std::sync::Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = $crate::id::ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                if !$crate::id::is_name(text) {
+                    return Err($crate::id::ParseIdError::new($what, text));
+                }
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = $crate::id::ParseIdError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.as_ref().to_owned()
+            }
+        }
+    };
+}
--- /dev/null
+++ b/crates/core/src/work/work_spec.rs
@@ -0,0 +1,50 @@
+use serde::{Deserialize, Serialize};
+
+use crate::id::{ServiceName, TeamId};
+use crate::unit::{Bytes, Millis, Priority, Resources, Timestamp};
+use crate::work::{PlacementPolicy, Repeatability, WorkKind};
+
+/// Specification of a piece of work, as accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkSpec {
+    /// Kind of work.
+    pub kind: WorkKind,
+    /// Team that is charged.
+    pub team: TeamId,
+    /// Urgency.
+    #[serde(default)]
+    pub priority: Priority,
+    /// Time by which the work must have started; none means that it may wait.
+    #[serde(default)]
+    pub deadline: Option<Timestamp>,
+    /// Resources of each task; zero for a service request, which takes one executor slot.
+    pub resources: Resources,
+    /// Number of tasks; one unless the work is a gang job.
+    pub members: u32,
+    /// Declared run time of each task.
+    pub run_time: Millis,
+    /// Whether a lost run may be started again.
+    pub repeatability: Repeatability,
+    /// Where tasks may run.
+    #[serde(default)]
+    pub placement: PlacementPolicy,
+    /// Service that answers; set only for service requests.
+    #[serde(default)]
+    pub service: Option<ServiceName>,
+    /// What the task or executor is given.
+    #[serde(default)]
+    pub payload: String,
+}
+
+impl WorkSpec {
+    /// Returns the resources of all members together; `None` on overflow.
+    pub fn total_resources(&self) -> Option<Resources> {
+        self.resources.checked_mul(self.members)
+    }
+
+    /// Returns the memory that the specification itself takes in a queue.
+    pub fn queue_bytes(&self) -> Bytes {
+        Bytes::new((size_of::<Self>() + self.payload.len()) as u64)
+    }
+}
--- /dev/null
+++ b/src/bin/lagoon-dev.rs
@@ -0,0 +1,3 @@
+//! Development cluster in one process.
+
+fn main() {}
