--- /dev/null
+++ b/crates/wire-codegen/src/lib.rs
@@ -0,0 +1,38 @@
+//! Generates the code of `lagoon-wire` from its protobuf files, without a `protoc` program.
+//!
+//! `cargo run -p lagoon-wire-codegen` rewrites the committed code; a test of `lagoon-wire` compares both.
+
+use std::error::Error;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+const FILES: [&str; 4] = [
+    "common.proto",
+    "operator.proto",
+    "peer.proto",
+    "scheduler.proto",
+];
+const PACKAGE_FILE: &str = "lagoon.v1.rs";
+
+/// Returns the path of the committed code.
+pub fn committed_path() -> PathBuf {
+    wire_dir().join("src/generated").join(PACKAGE_FILE)
+}
+
+/// Generates the code and returns it as text.
+///
+/// # Errors
+///
+/// Protobuf files that don't compile, or a failed write to the temporary directory.
+pub fn generate() -> Result<String, Box<dyn Error>> {
+    let descriptors = protox::compile(FILES, [wire_dir().join("proto")])?;
+    let out = tempfile::tempdir()?;
+    tonic_prost_build::configure()
+        .out_dir(out.path())
+        .compile_fds(descriptors)?;
+    Ok(fs::read_to_string(out.path().join(PACKAGE_FILE))?)
+}
+
+fn wire_dir() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../wire")
+}
