--- /dev/null
+++ b/crates/core/src/admission/queue_load.rs
@@ -0,0 +1,28 @@
+use crate::unit::Bytes;
+use crate::work::WorkKind;
+
+/// Items and bytes in the queue for each kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct QueueLoad {
+    items: [u64; 3],
+    bytes: [Bytes; 3],
+}
+
+impl QueueLoad {
+    /// Sets the load of one kind.
+    pub fn with(mut self, kind: WorkKind, items: u64, bytes: Bytes) -> Self {
+        self.items[kind as usize] = items;
+        self.bytes[kind as usize] = bytes;
+        self
+    }
+
+    /// Returns the items of a kind.
+    pub fn items(&self, kind: WorkKind) -> u64 {
+        self.items[kind as usize]
+    }
+
+    /// Returns the bytes of a kind.
+    pub fn bytes(&self, kind: WorkKind) -> Bytes {
+        self.bytes[kind as usize]
+    }
+}
--- /dev/null
+++ b/crates/core/src/order/accounting.rs
@@ -0,0 +1,174 @@
+//! Shares, capacity and limits of the queue, and its sizes.
+
+use crate::id::{TeamId, WorkId};
+use crate::order::team_lane::LaneKey;
+use crate::order::team_state::TeamState;
+use crate::order::{FairQueue, QueueEntry};
+use crate::policy::Policy;
+use crate::unit::{Bytes, Priority, Resources};
+use crate::work::WorkKind;
+
+impl FairQueue {
+    /// Counts `resources` as running for the kind and the team.
+    pub fn charge(&mut self, kind: WorkKind, team: &TeamId, resources: Resources) {
+        let number = self.team_number(team);
+        self.recount(kind, number, |in_use| in_use.saturating_add(resources));
+    }
+
+    /// Reverses `charge` when the work has ended. The team's work that waited for its quota is tried again.
+    pub fn discharge(&mut self, kind: WorkKind, team: &TeamId, resources: Resources) {
+        let number = self.team_number(team);
+        self.recount(kind, number, |in_use| in_use.saturating_sub(resources));
+        self.teams[number as usize].clear_over_quota();
+        for kind in WorkKind::ALL {
+            self.refresh_lane(*kind, number);
+        }
+    }
+
+    /// Sets the capacity by which shares are measured.
+    pub fn set_totals(&mut self, totals: Resources) {
+        if totals != self.totals {
+            self.totals = totals;
+            self.refresh_all();
+        }
+    }
+
+    /// Takes weights, quotas and shares from a new version of the policy.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+        for team in &mut self.teams {
+            team.apply(&self.policy);
+        }
+        self.refresh_all();
+    }
+
+    /// Stops or resumes the selection of a kind, such as service requests while all executor slots are in use.
+    pub fn set_paused(&mut self, kind: WorkKind, paused: bool) {
+        self.kinds[kind as usize].paused = paused;
+    }
+
+    /// Returns the number of waiting entries.
+    pub fn len(&self) -> usize {
+        self.by_work.len()
+    }
+
+    /// Tells whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.by_work.is_empty()
+    }
+
+    /// Returns the number of waiting entries of a kind.
+    pub fn len_of(&self, kind: WorkKind) -> u64 {
+        self.kind(kind).len
+    }
+
+    /// Returns the size of the waiting entries of a kind.
+    pub fn bytes_of(&self, kind: WorkKind) -> Bytes {
+        self.kind(kind).bytes
+    }
+
+    /// Returns a waiting entry.
+    pub fn get(&self, work: &WorkId) -> Option<&QueueEntry> {
+        let slot = *self.by_work.get(work)?;
+        self.slots[slot as usize].as_ref().map(|slot| &slot.entry)
+    }
+
+    /// Returns what runs of a kind.
+    pub fn in_use_of(&self, kind: WorkKind) -> Resources {
+        self.kind(kind).in_use
+    }
+
+    /// Returns what runs of a team.
+    pub fn team_in_use(&self, team: &TeamId) -> Resources {
+        let state = self.team_state(team);
+        state.map_or(Resources::ZERO, |state| state.in_use)
+    }
+
+    /// Returns the number of a team's entries that are ready, over all kinds.
+    pub fn team_ready(&self, team: &TeamId) -> u64 {
+        let Some(state) = self.team_state(team) else {
+            return 0;
+        };
+        let lanes = WorkKind::ALL.iter().map(|kind| state.lane(*kind));
+        let live = lanes.map(|lane| lane.urgent.live() + lane.regular.live());
+        live.sum::<usize>() as u64
+    }
+
+    /// Estimates how many entries of the kind start before a new entry of the team: the team's own entries of at least
+    /// that urgency, times the number of teams that take turns, and at most all entries of the kind.
+    pub fn ahead(&self, kind: WorkKind, team: &TeamId, priority: Priority) -> u64 {
+        let lane = self.team_state(team).map(|state| state.lane(kind));
+        let (own, turns) = match priority.is_urgent() {
+            true => (
+                lane.map_or(0, |lane| lane.urgent.live()),
+                self.kind(kind).urgent.len(),
+            ),
+            false => (
+                lane.map_or(0, |lane| lane.urgent.live() + lane.regular.live()),
+                self.kind(kind).ready.len(),
+            ),
+        };
+        let turns = turns.max(1) as u64;
+        (own as u64).saturating_mul(turns).min(self.kind(kind).len)
+    }
+
+    pub(super) fn team_number(&mut self, team: &TeamId) -> u32 {
+        if let Some(number) = self.team_numbers.get(team) {
+            return *number;
+        }
+        let number = self.teams.len() as u32;
+        self.teams.push(TeamState::new(team.clone(), &self.policy));
+        self.team_numbers.insert(team.clone(), number);
+        number
+    }
+
+    /// Updates the position of a lane after a change of its share, its work or its quota.
+    pub(super) fn refresh_lane(&mut self, kind: WorkKind, number: u32) {
+        let totals = &self.totals;
+        let team = &mut self.teams[number as usize];
+        let weight = f64::from(team.weight.get());
+        let lane = team.lane_mut(kind);
+        let share = lane.in_use.dominant_share(totals) / weight;
+        let key: LaneKey = (share.to_bits(), lane.last_turn, number);
+        let urgent = !lane.over_quota && !lane.urgent.is_empty();
+        let ready = !lane.over_quota && (urgent || !lane.regular.is_empty());
+        let queue = &mut self.kinds[kind as usize];
+        let sets = [
+            (&mut queue.ready, &mut lane.ready_key, ready),
+            (&mut queue.urgent, &mut lane.urgent_key, urgent),
+        ];
+        for (set, current, wanted) in sets {
+            let wanted = wanted.then_some(key);
+            if *current != wanted {
+                if let Some(old) = current.take() {
+                    set.remove(&old);
+                }
+                set.extend(wanted);
+                *current = wanted;
+            }
+        }
+    }
+
+    fn refresh_all(&mut self) {
+        for number in 0..self.teams.len() as u32 {
+            for kind in WorkKind::ALL {
+                self.refresh_lane(*kind, number);
+            }
+        }
+    }
+
+    fn team_state(&self, team: &TeamId) -> Option<&TeamState> {
+        let number = *self.team_numbers.get(team)?;
+        self.teams.get(number as usize)
+    }
+
+    fn recount(&mut self, kind: WorkKind, number: u32, change: impl Fn(Resources) -> Resources) {
+        let queue = &mut self.kinds[kind as usize];
+        queue.in_use = change(queue.in_use);
+        let team = &mut self.teams[number as usize];
+        team.in_use = change(team.in_use);
+        let lane = team.lane_mut(kind);
+        lane.in_use = change(lane.in_use);
+        self.refresh_lane(kind, number);
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/fleet.rs
@@ -0,0 +1,281 @@
+use std::collections::HashMap;
+
+use crate::id::{RackId, WorkerId};
+use crate::placement::dimension::Dimension;
+use crate::placement::free_index::FreeIndex;
+use crate::placement::{CapacityExceeded, ClosedReason, WorkerSlot};
+use crate::policy::Percent;
+use crate::unit::Resources;
+use crate::work::PlacementPolicy;
+
+/// The workers of a shard, with an index for placement.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub(super) slots: Vec<Option<WorkerSlot>>,
+    vacant: Vec<u32>,
+    by_id: HashMap<WorkerId, u32>,
+    pub(super) racks: HashMap<RackId, Vec<u32>>,
+    pub(super) shapes: HashMap<Resources, u64>,
+    index: FreeIndex,
+    totals: Resources,
+    in_use: Resources,
+    reclaim_margin: Option<Percent>,
+}
+
+impl Fleet {
+    /// Starts without workers and without reclaiming.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Starts without workers; declared processors that covered tasks don't use are given to others, except for a
+    /// `margin` of the declared amount.
+    pub fn with_reclaim(margin: Percent) -> Self {
+        Self {
+            reclaim_margin: Some(margin),
+            ..Self::default()
+        }
+    }
+
+    /// Adds a worker, open for new work, or changes the rack and capacity of a known one. Claims, use and reasons stay.
+    pub fn upsert_worker(&mut self, id: WorkerId, rack: RackId, capacity: Resources) {
+        let known = self.by_id.get(&id).copied();
+        let slot = match known {
+            Some(slot) => {
+                self.detach(slot);
+                slot
+            }
+            None => self.vacant.pop().unwrap_or_else(|| {
+                self.slots.push(None);
+                (self.slots.len() - 1) as u32
+            }),
+        };
+        let entry = &mut self.slots[slot as usize];
+        match entry {
+            Some(worker) => {
+                worker.rack = rack;
+                worker.capacity = capacity;
+            }
+            None => {
+                *entry = Some(WorkerSlot::new(id.clone(), rack, capacity));
+                self.by_id.insert(id, slot);
+            }
+        }
+        self.attach(slot);
+    }
+
+    /// Removes a worker together with its claims; returns whether it was known.
+    pub fn remove_worker(&mut self, id: &WorkerId) -> bool {
+        let Some(slot) = self.by_id.remove(id) else {
+            return false;
+        };
+        self.detach(slot);
+        if let Some(worker) = self.slots[slot as usize].take() {
+            self.in_use = self.in_use.saturating_sub(worker.claimed);
+        }
+        self.vacant.push(slot);
+        true
+    }
+
+    /// Adds a reason why the worker receives no new work; returns whether it is known.
+    pub fn close(&mut self, id: &WorkerId, reason: ClosedReason) -> bool {
+        self.change(id, |worker| worker.closed.insert(reason))
+    }
+
+    /// Removes a reason why the worker receives no new work; returns whether it is known.
+    pub fn open(&mut self, id: &WorkerId, reason: ClosedReason) -> bool {
+        self.change(id, |worker| worker.closed.remove(reason))
+    }
+
+    /// Claims resources for work that already runs or was reserved, also on a closed worker.
+    ///
+    /// # Errors
+    ///
+    /// Changes nothing if the worker is unknown or would hold more than its capacity.
+    pub fn claim(&mut self, id: &WorkerId, need: Resources) -> Result<(), CapacityExceeded> {
+        let margin = self.reclaim_margin;
+        let worker = self.get(id);
+        let unreserved = worker.map_or(Resources::ZERO, |worker| {
+            worker.capacity.saturating_sub(worker.reserved(margin))
+        });
+        let claimed = worker.and_then(|worker| worker.claimed.checked_add(need));
+        match claimed {
+            Some(claimed) if need.fits_in(&unreserved) => {
+                self.change(id, |worker| worker.claimed = claimed);
+                self.in_use = self.in_use.saturating_add(need);
+                Ok(())
+            }
+            _ => Err(CapacityExceeded {
+                worker: id.clone(),
+                need,
+                unreserved,
+            }),
+        }
+    }
+
+    /// Gives back a claim; returns whether the worker is known and held as much.
+    pub fn release(&mut self, id: &WorkerId, need: Resources) -> bool {
+        let Some(worker) = self.get(id) else {
+            return false;
+        };
+        let Some(claimed) = worker.claimed.checked_sub(need) else {
+            return false;
+        };
+        self.change(id, |worker| {
+            worker.claimed = claimed;
+            worker.covered = worker.covered.saturating_sub(need);
+        });
+        self.in_use = self.in_use.saturating_sub(need);
+        true
+    }
+
+    /// Claims `need` on the best fit; `None` if no open worker fits now.
+    pub fn place(&mut self, need: &Resources, policy: &PlacementPolicy) -> Option<WorkerId> {
+        let slot = self.find(need, policy)?;
+        self.claim_slot(slot, need)
+    }
+
+    /// Returns the capacity of all known workers.
+    pub fn totals(&self) -> Resources {
+        self.totals
+    }
+
+    /// Returns the claims on all known workers.
+    pub fn in_use(&self) -> Resources {
+        self.in_use
+    }
+
+    /// Returns the number of known workers.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Tells whether no worker is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    /// Returns the state of a worker.
+    pub fn get(&self, id: &WorkerId) -> Option<&WorkerSlot> {
+        let slot = *self.by_id.get(id)?;
+        self.slots[slot as usize].as_ref()
+    }
+
+    /// Returns what new work may take on a worker; closed workers are not excluded.
+    pub fn free(&self, id: &WorkerId) -> Option<Resources> {
+        self.get(id).map(|worker| worker.free(self.reclaim_margin))
+    }
+
+    /// Iterates over the known workers in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &WorkerSlot> {
+        self.slots.iter().flatten()
+    }
+
+    pub(super) fn find(&self, need: &Resources, policy: &PlacementPolicy) -> Option<u32> {
+        let dimension = Dimension::dominant(need, &self.totals);
+        if policy.racks.is_empty() {
+            return self.index.find(need, dimension);
+        }
+        let racks = policy.racks.iter().filter_map(|rack| self.racks.get(rack));
+        let fits = |slot: &u32| {
+            let worker = self.slots[*slot as usize].as_ref()?;
+            let free = worker.free(self.reclaim_margin);
+            let open = worker.accepts_work() && need.fits_in(&free);
+            let rest = match dimension {
+                Dimension::Cpu => free.cpu.get(),
+                Dimension::Memory => free.memory.get(),
+            };
+            open.then_some((free.accelerators, rest, *slot))
+        };
+        let best = racks.flatten().filter_map(fits).min();
+        best.map(|(_, _, slot)| slot)
+    }
+
+    pub(super) fn claim_slot(&mut self, slot: u32, need: &Resources) -> Option<WorkerId> {
+        let id = self.slots[slot as usize].as_ref()?.id.clone();
+        self.claim(&id, *need).ok()?;
+        Some(id)
+    }
+
+    /// Reverses a claim that no report can have covered yet.
+    pub(super) fn undo_claim(&mut self, id: &WorkerId, need: &Resources) {
+        self.change(id, |worker| {
+            worker.claimed = worker.claimed.saturating_sub(*need);
+        });
+        self.in_use = self.in_use.saturating_sub(*need);
+    }
+
+    pub(super) fn set_skipped(&mut self, slot: u32, skipped: bool) {
+        self.withdraw(slot);
+        if let Some(worker) = &mut self.slots[slot as usize] {
+            worker.skipped = skipped;
+        }
+        self.restore(slot);
+    }
+
+    pub(super) fn reclaims(&self) -> bool {
+        self.reclaim_margin.is_some()
+    }
+
+    /// Takes a worker out of the index before its state changes.
+    fn withdraw(&mut self, slot: u32) {
+        if let Some(worker) = &self.slots[slot as usize]
+            && worker.accepts_work()
+        {
+            self.index.remove(slot, &worker.free(self.reclaim_margin));
+        }
+    }
+
+    /// Puts a withdrawn worker back into the index.
+    fn restore(&mut self, slot: u32) {
+        if let Some(worker) = &self.slots[slot as usize]
+            && worker.accepts_work()
+        {
+            self.index.insert(slot, &worker.free(self.reclaim_margin));
+        }
+    }
+
+    pub(super) fn change(&mut self, id: &WorkerId, change: impl FnOnce(&mut WorkerSlot)) -> bool {
+        let Some(slot) = self.by_id.get(id).copied() else {
+            return false;
+        };
+        self.withdraw(slot);
+        if let Some(worker) = &mut self.slots[slot as usize] {
+            change(worker);
+        }
+        self.restore(slot);
+        true
+    }
+
+    fn attach(&mut self, slot: u32) {
+        if let Some(worker) = &self.slots[slot as usize] {
+            self.totals = self.totals.saturating_add(worker.capacity);
+            *self.shapes.entry(worker.capacity).or_default() += 1;
+            self.racks
+                .entry(worker.rack.clone())
+                .or_default()
+                .push(slot);
+        }
+        self.restore(slot);
+    }
+
+    fn detach(&mut self, slot: u32) {
+        self.withdraw(slot);
+        let Some(worker) = &self.slots[slot as usize] else {
+            return;
+        };
+        self.totals = self.totals.saturating_sub(worker.capacity);
+        if let Some(count) = self.shapes.get_mut(&worker.capacity) {
+            *count -= 1;
+            if *count == 0 {
+                self.shapes.remove(&worker.capacity);
+            }
+        }
+        if let Some(members) = self.racks.get_mut(&worker.rack) {
+            members.retain(|member| *member != slot);
+            if members.is_empty() {
+                self.racks.remove(&worker.rack);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/worker_slot.rs
@@ -0,0 +1,96 @@
+use crate::id::{RackId, WorkerId};
+use crate::placement::ClosedReasons;
+use crate::policy::Percent;
+use crate::unit::{Millicores, Resources};
+
+/// State of one worker in the fleet.
+#[derive(Debug, Clone)]
+pub struct WorkerSlot {
+    pub(super) id: WorkerId,
+    pub(super) rack: RackId,
+    pub(super) capacity: Resources,
+    pub(super) claimed: Resources,
+    pub(super) observed: Resources,
+    pub(super) covered: Resources,
+    pub(super) closed: ClosedReasons,
+    /// Set only while a gang is placed: the worker's rack already holds a member.
+    pub(super) skipped: bool,
+}
+
+impl WorkerSlot {
+    pub(super) fn new(id: WorkerId, rack: RackId, capacity: Resources) -> Self {
+        Self {
+            id,
+            rack,
+            capacity,
+            claimed: Resources::ZERO,
+            observed: Resources::ZERO,
+            covered: Resources::ZERO,
+            closed: ClosedReasons::default(),
+            skipped: false,
+        }
+    }
+
+    /// Returns the id.
+    pub fn id(&self) -> &WorkerId {
+        &self.id
+    }
+
+    /// Returns the rack.
+    pub fn rack(&self) -> &RackId {
+        &self.rack
+    }
+
+    /// Returns everything that the worker holds.
+    pub fn capacity(&self) -> Resources {
+        self.capacity
+    }
+
+    /// Returns the sum of the declared sizes.
+    pub fn claimed(&self) -> Resources {
+        self.claimed
+    }
+
+    /// Returns the use last reported.
+    pub fn observed(&self) -> Resources {
+        self.observed
+    }
+
+    /// Returns the reasons why it receives no new work.
+    pub fn closed(&self) -> ClosedReasons {
+        self.closed
+    }
+
+    /// Tells whether new work may be placed on it now.
+    pub(super) fn accepts_work(&self) -> bool {
+        self.closed.is_empty() && !self.skipped
+    }
+
+    /// Returns the declared sizes less the reclaimed processors. Only processors are reclaimed, because memory and
+    /// accelerators can't be taken back from a running task.
+    pub(super) fn reserved(&self, margin: Option<Percent>) -> Resources {
+        let Some(margin) = margin else {
+            return self.claimed;
+        };
+        let used = self.observed.cpu.get();
+        let with_margin = used.saturating_add(margin.of(self.covered.cpu.get()));
+        let covered = self.covered.cpu.min(Millicores::new(with_margin));
+        let unobserved = self.claimed.cpu.saturating_sub(self.covered.cpu);
+        Resources {
+            cpu: covered.saturating_add(unobserved),
+            ..self.claimed
+        }
+    }
+
+    /// Returns what new work may take: the capacity less the larger of what is reserved and what is in use, where
+    /// claims that the report does not cover count in full.
+    pub(super) fn free(&self, margin: Option<Percent>) -> Resources {
+        let unobserved = match self.covered == Resources::ZERO {
+            true => Resources::ZERO,
+            false => self.claimed.saturating_sub(self.covered),
+        };
+        let in_use = self.observed.saturating_add(unobserved);
+        self.capacity
+            .saturating_sub(self.reserved(margin).max(in_use))
+    }
+}
