--- /dev/null
+++ b/crates/core/src/journal/claim.rs
@@ -0,0 +1,95 @@
+use std::sync::Arc;
+
+use crate::id::{Epoch, ProcessId, Sequence, ShardId};
+use crate::journal::{ClaimResult, Head, JournalKeys, JournalWrite, StoreVersion};
+
+/// A claim to own a shard, built from the current head.
+///
+/// Read the keys for the replay only after the claim took effect: until then the previous owner may delete them.
+#[derive(Debug, Clone)]
+pub struct Claim {
+    shard: ShardId,
+    head: Arc<Head>,
+    base: Option<u64>,
+    expect: StoreVersion,
+}
+
+impl Claim {
+    /// Claims `shard` for `owner` with the epoch that follows the current one.
+    pub fn new(
+        shard: ShardId,
+        owner: ProcessId,
+        address: String,
+        current: Option<(Head, StoreVersion)>,
+    ) -> Self {
+        let base = current.as_ref().map(|(head, _)| head.commit);
+        let (head, expect) = match current {
+            Some((head, version)) => {
+                let head = Head {
+                    owner,
+                    address,
+                    epoch: head.epoch.next(),
+                    commit: head.commit + 1,
+                    ..head
+                };
+                (head, version)
+            }
+            None => {
+                let head = Head {
+                    owner,
+                    address,
+                    epoch: Epoch::new(1),
+                    next_segment: Sequence::new(0),
+                    snapshot: None,
+                    segments: Vec::new(),
+                    next_work: Sequence::new(0),
+                    tail: Vec::new(),
+                    commit: 1,
+                };
+                (head, StoreVersion::new(0))
+            }
+        };
+        let head = Arc::new(head);
+        Self {
+            shard,
+            head,
+            base,
+            expect,
+        }
+    }
+
+    /// Returns the head that the claim writes.
+    pub fn head(&self) -> &Head {
+        &self.head
+    }
+
+    /// Returns the write.
+    pub fn write(&self) -> JournalWrite {
+        JournalWrite::SwapHead {
+            key: JournalKeys::new(&self.shard).head(),
+            value: self.head.clone(),
+            expect_version: self.expect,
+        }
+    }
+
+    /// Returns the keys to read for the replay.
+    pub fn read_keys(&self) -> Vec<String> {
+        self.head.keys(&self.shard)
+    }
+
+    /// Judges the claim by a head that was read after a conflict or a lost answer.
+    pub fn judge(&self, current: Option<(&Head, StoreVersion)>) -> ClaimResult {
+        match current {
+            Some((head, version)) if *head == *self.head => ClaimResult::Won(version),
+            Some((head, version)) if Some(head.commit) == self.base && version == self.expect => {
+                ClaimResult::Pending
+            }
+            Some((head, _)) => ClaimResult::Superseded {
+                owner: head.owner.clone(),
+                epoch: head.epoch,
+            },
+            None if self.base.is_none() => ClaimResult::Pending,
+            None => ClaimResult::Missing,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/journal/journal_keys.rs
@@ -0,0 +1,46 @@
+use crate::id::{Epoch, Sequence, ShardId};
+use crate::journal::SegmentRef;
+
+/// Names of the store keys of a shard's journal.
+#[derive(Debug, Clone)]
+pub struct JournalKeys {
+    prefix: String,
+}
+
+impl JournalKeys {
+    /// Names the keys of `shard`.
+    pub fn new(shard: &ShardId) -> Self {
+        Self {
+            prefix: format!("shards/{}/{}", shard.domain(), shard.number()),
+        }
+    }
+
+    /// Returns the key of the head.
+    pub fn head(&self) -> String {
+        format!("{}/head", self.prefix)
+    }
+
+    /// Returns the key of a segment.
+    pub fn segment(&self, epoch: Epoch, sequence: Sequence) -> String {
+        format!("{}/segment/{epoch}-{sequence}", self.prefix)
+    }
+
+    /// Returns the key of one part of a snapshot.
+    pub fn snapshot(&self, epoch: Epoch, sequence: Sequence) -> String {
+        format!("{}/snapshot/{epoch}-{sequence}", self.prefix)
+    }
+
+    pub(super) fn segments(&self, segment: &SegmentRef) -> impl Iterator<Item = String> {
+        let epoch = segment.epoch;
+        segment
+            .sequences()
+            .map(move |sequence| self.segment(epoch, sequence))
+    }
+
+    pub(super) fn snapshots(&self, snapshot: &SegmentRef) -> impl Iterator<Item = String> {
+        let epoch = snapshot.epoch;
+        snapshot
+            .sequences()
+            .map(move |sequence| self.snapshot(epoch, sequence))
+    }
+}
--- /dev/null
+++ b/crates/core/src/journal/journal_state.rs
@@ -0,0 +1,222 @@
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use crate::id::{HostId, RequestKey, TeamId, WorkId};
+use crate::journal::{EndedWork, JournalEntry, LiveWork, Retention};
+use crate::unit::Timestamp;
+use crate::work::Outcome;
+
+/// What the entries of a journal add up to.
+///
+/// Keys are distinct for each team, so that two teams may choose the same key.
+#[derive(Debug, Clone)]
+pub struct JournalState {
+    retention: Retention,
+    live: BTreeMap<WorkId, LiveWork>,
+    ended: HashMap<WorkId, EndedWork>,
+    ended_order: VecDeque<WorkId>,
+    keys: HashMap<(TeamId, RequestKey), WorkId>,
+    dead_hosts: BTreeSet<HostId>,
+    commands: VecDeque<JournalEntry>,
+}
+
+impl JournalState {
+    /// Starts empty.
+    pub fn new(retention: Retention) -> Self {
+        Self {
+            retention,
+            live: BTreeMap::new(),
+            ended: HashMap::new(),
+            ended_order: VecDeque::new(),
+            keys: HashMap::new(),
+            dead_hosts: BTreeSet::new(),
+            commands: VecDeque::new(),
+        }
+    }
+
+    /// Returns the work that has not ended.
+    pub fn live(&self) -> &BTreeMap<WorkId, LiveWork> {
+        &self.live
+    }
+
+    /// Returns work that ended, if it is still kept.
+    pub fn ended(&self, work: &WorkId) -> Option<&EndedWork> {
+        self.ended.get(work)
+    }
+
+    /// Returns the number of ended pieces of work that are kept.
+    pub fn ended_count(&self) -> usize {
+        self.ended.len()
+    }
+
+    /// Returns the ended work that is kept, oldest first.
+    pub fn ended_in_order(&self) -> impl Iterator<Item = (&WorkId, &EndedWork)> {
+        let order = self.ended_order.iter();
+        order.filter_map(|work| self.ended.get_key_value(work))
+    }
+
+    /// Returns the work that a team submitted under a key.
+    pub fn find(&self, team: &TeamId, key: &RequestKey) -> Option<&WorkId> {
+        self.keys.get(&(team.clone(), key.clone()))
+    }
+
+    /// Returns the fingerprint with which work was accepted.
+    pub fn fingerprint(&self, work: &WorkId) -> Option<u64> {
+        let live = self.live.get(work).map(|live| live.fingerprint);
+        live.or_else(|| self.ended.get(work).map(|ended| ended.fingerprint))
+    }
+
+    /// Returns the hosts confirmed dead.
+    pub fn dead_hosts(&self) -> &BTreeSet<HostId> {
+        &self.dead_hosts
+    }
+
+    /// Returns the audit trail, oldest first.
+    pub fn commands(&self) -> &VecDeque<JournalEntry> {
+        &self.commands
+    }
+
+    /// Applies an entry. One that repeats or contradicts an earlier one has no effect; the first outcome stays.
+    pub fn apply(&mut self, entry: &JournalEntry) {
+        match entry {
+            JournalEntry::Accepted {
+                work,
+                key,
+                fingerprint,
+                spec,
+                accepted_at,
+            } => {
+                if self.live.contains_key(work) || self.ended.contains_key(work) {
+                    return;
+                }
+                self.index_key(&spec.team, key.as_ref(), work);
+                let live = LiveWork {
+                    key: key.clone(),
+                    fingerprint: *fingerprint,
+                    spec: spec.clone(),
+                    accepted_at: *accepted_at,
+                    held: false,
+                    delegated: None,
+                };
+                self.live.insert(work.clone(), live);
+            }
+            JournalEntry::Ended { work, outcome, at } => self.end(work, outcome, *at),
+            JournalEntry::Kept { work, ended } => {
+                if !self.live.contains_key(work) && !self.ended.contains_key(work) {
+                    self.index_key(&ended.team, ended.key.as_ref(), work);
+                    self.keep(work.clone(), ended.clone());
+                }
+            }
+            JournalEntry::Held { work } => self.update(work, |live| live.held = true),
+            JournalEntry::Released { work } => self.update(work, |live| live.held = false),
+            JournalEntry::Delegated { work, domain } => {
+                self.update(work, |live| live.delegated = Some(domain.clone()));
+            }
+            JournalEntry::TakenBack { work } => self.update(work, |live| live.delegated = None),
+            JournalEntry::HostDead { host } => {
+                self.dead_hosts.insert(host.clone());
+            }
+            JournalEntry::Command { .. } => {
+                self.commands.push_back(entry.clone());
+                if self.commands.len() > self.retention.commands {
+                    self.commands.pop_front();
+                }
+            }
+        }
+    }
+
+    /// Drops ended work past its time.
+    pub fn prune(&mut self, now: Timestamp) {
+        while let Some(work) = self.ended_order.front() {
+            let fresh = |ended: &EndedWork| ended.at.after(self.retention.ended_for) > now;
+            if self.ended.get(work).is_some_and(fresh) {
+                break;
+            }
+            self.drop_oldest();
+        }
+    }
+
+    /// Returns entries that build the same state, for a snapshot.
+    pub fn to_entries(&self) -> impl Iterator<Item = JournalEntry> {
+        let kept = self.ended_in_order().map(|(work, ended)| {
+            let (work, ended) = (work.clone(), ended.clone());
+            JournalEntry::Kept { work, ended }
+        });
+        let live = self
+            .live
+            .iter()
+            .flat_map(|(work, live)| live_entries(work, live));
+        let dead = self.dead_hosts.iter();
+        let dead = dead.map(|host| JournalEntry::HostDead { host: host.clone() });
+        kept.chain(live)
+            .chain(dead)
+            .chain(self.commands.iter().cloned())
+    }
+
+    fn update(&mut self, work: &WorkId, change: impl FnOnce(&mut LiveWork)) {
+        if let Some(live) = self.live.get_mut(work) {
+            change(live);
+        }
+    }
+
+    fn end(&mut self, work: &WorkId, outcome: &Outcome, at: Timestamp) {
+        if let Some(live) = self.live.remove(work) {
+            let ended = EndedWork {
+                team: live.spec.team.clone(),
+                key: live.key,
+                fingerprint: live.fingerprint,
+                outcome: outcome.clone(),
+                at,
+            };
+            self.keep(work.clone(), ended);
+        }
+    }
+
+    fn keep(&mut self, work: WorkId, ended: EndedWork) {
+        self.ended_order.push_back(work.clone());
+        self.ended.insert(work, ended);
+        if self.ended.len() > self.retention.ended {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some(work) = self.ended_order.pop_front() else {
+            return;
+        };
+        if let Some(EndedWork {
+            team,
+            key: Some(key),
+            ..
+        }) = self.ended.remove(&work)
+        {
+            // The key may have been used again since.
+            let place = (team, key);
+            if self.keys.get(&place) == Some(&work) {
+                self.keys.remove(&place);
+            }
+        }
+    }
+
+    fn index_key(&mut self, team: &TeamId, key: Option<&RequestKey>, work: &WorkId) {
+        if let Some(key) = key {
+            self.keys.insert((team.clone(), key.clone()), work.clone());
+        }
+    }
+}
+
+fn live_entries(work: &WorkId, live: &LiveWork) -> impl Iterator<Item = JournalEntry> + use<> {
+    let accepted = JournalEntry::Accepted {
+        work: work.clone(),
+        key: live.key.clone(),
+        fingerprint: live.fingerprint,
+        spec: live.spec.clone(),
+        accepted_at: live.accepted_at,
+    };
+    let held = live.held.then(|| JournalEntry::Held { work: work.clone() });
+    let delegated = live.delegated.clone();
+    let delegated = delegated.map(|domain| JournalEntry::Delegated {
+        work: work.clone(),
+        domain,
+    });
+    [Some(accepted), held, delegated].into_iter().flatten()
+}
--- /dev/null
+++ b/crates/core/src/journal/json_size.rs
@@ -0,0 +1,305 @@
+//! Size of a value as compact JSON, without encoding it. The callers encode; the limits of the store are checked here.
+
+use std::fmt::{self, Display};
+
+use serde::ser::{self, Serialize};
+
+/// Returns the number of bytes that `value` takes as compact JSON.
+pub fn json_size<T: Serialize + ?Sized>(value: &T) -> u64 {
+    let mut counter = Counter { bytes: 0 };
+    // The counter itself never fails, and the journal's types have no failing implementation.
+    match value.serialize(&mut counter) {
+        Ok(()) => counter.bytes,
+        Err(Unsupported) => u64::MAX,
+    }
+}
+
+struct Counter {
+    bytes: u64,
+}
+
+/// The value can't be written as JSON.
+#[derive(Debug)]
+struct Unsupported;
+
+impl Display for Unsupported {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("value has no JSON form")
+    }
+}
+
+impl std::error::Error for Unsupported {}
+
+impl ser::Error for Unsupported {
+    fn custom<T: Display>(_: T) -> Self {
+        Self
+    }
+}
+
+impl Counter {
+    fn add(&mut self, bytes: usize) -> Result<(), Unsupported> {
+        self.bytes += bytes as u64;
+        Ok(())
+    }
+
+    fn text(&mut self, text: &str) -> Result<(), Unsupported> {
+        let escaped = |byte: u8| match byte {
+            b'"' | b'\\' | b'\n' | b'\r' | b'\t' | 0x08 | 0x0c => 2,
+            0..0x20 => 6,
+            _ => 1,
+        };
+        self.add(2 + text.bytes().map(escaped).sum::<usize>())
+    }
+
+    fn number(&mut self, number: impl Display) -> Result<(), Unsupported> {
+        self.add(number.to_string().len())
+    }
+
+    /// Opens `{"name":` of a variant; its closing brace is counted too.
+    fn variant(&mut self, name: &str) -> Result<(), Unsupported> {
+        self.text(name)?;
+        self.add(3)
+    }
+}
+
+/// Counts the items of a sequence or map, with their commas and brackets.
+struct Items<'a> {
+    counter: &'a mut Counter,
+    any: bool,
+}
+
+impl<'a> Items<'a> {
+    fn open(counter: &'a mut Counter) -> Result<Self, Unsupported> {
+        counter.add(2)?;
+        Ok(Self {
+            counter,
+            any: false,
+        })
+    }
+
+    fn item<T: Serialize + ?Sized>(&mut self, value: &T) -> Result<(), Unsupported> {
+        self.comma()?;
+        value.serialize(&mut *self.counter)
+    }
+
+    fn field<T: Serialize + ?Sized>(&mut self, name: &str, value: &T) -> Result<(), Unsupported> {
+        self.comma()?;
+        self.counter.text(name)?;
+        self.counter.add(1)?;
+        value.serialize(&mut *self.counter)
+    }
+
+    fn comma(&mut self) -> Result<(), Unsupported> {
+        let comma = usize::from(std::mem::replace(&mut self.any, true));
+        self.counter.add(comma)
+    }
+}
+
+macro_rules! numbers {
+    ($($method:ident: $ty:ty,)*) => {
+        $(fn $method(self, value: $ty) -> Result<(), Unsupported> {
+            self.number(value)
+        })*
+    };
+}
+
+impl<'a> ser::Serializer for &'a mut Counter {
+    type Ok = ();
+    type Error = Unsupported;
+    type SerializeSeq = Items<'a>;
+    type SerializeTuple = Items<'a>;
+    type SerializeTupleStruct = Items<'a>;
+    type SerializeTupleVariant = Items<'a>;
+    type SerializeMap = Items<'a>;
+    type SerializeStruct = Items<'a>;
+    type SerializeStructVariant = Items<'a>;
+
+    numbers! {
+        serialize_i8: i8,
+        serialize_i16: i16,
+        serialize_i32: i32,
+        serialize_i64: i64,
+        serialize_u8: u8,
+        serialize_u16: u16,
+        serialize_u32: u32,
+        serialize_u64: u64,
+    }
+
+    fn serialize_bool(self, value: bool) -> Result<(), Unsupported> {
+        self.number(value)
+    }
+
+    fn serialize_f32(self, _: f32) -> Result<(), Unsupported> {
+        Err(Unsupported)
+    }
+
+    fn serialize_f64(self, _: f64) -> Result<(), Unsupported> {
+        Err(Unsupported)
+    }
+
+    fn serialize_char(self, value: char) -> Result<(), Unsupported> {
+        self.text(value.encode_utf8(&mut [0; 4]))
+    }
+
+    fn serialize_str(self, value: &str) -> Result<(), Unsupported> {
+        self.text(value)
+    }
+
+    fn serialize_bytes(self, _: &[u8]) -> Result<(), Unsupported> {
+        Err(Unsupported)
+    }
+
+    fn serialize_none(self) -> Result<(), Unsupported> {
+        self.add(4)
+    }
+
+    fn serialize_some<T: Serialize + ?Sized>(self, value: &T) -> Result<(), Unsupported> {
+        value.serialize(self)
+    }
+
+    fn serialize_unit(self) -> Result<(), Unsupported> {
+        self.add(4)
+    }
+
+    fn serialize_unit_struct(self, _: &'static str) -> Result<(), Unsupported> {
+        self.add(4)
+    }
+
+    fn serialize_unit_variant(
+        self,
+        _: &'static str,
+        _: u32,
+        name: &'static str,
+    ) -> Result<(), Unsupported> {
+        self.text(name)
+    }
+
+    fn serialize_newtype_struct<T: Serialize + ?Sized>(
+        self,
+        _: &'static str,
+        value: &T,
+    ) -> Result<(), Unsupported> {
+        value.serialize(self)
+    }
+
+    fn serialize_newtype_variant<T: Serialize + ?Sized>(
+        self,
+        _: &'static str,
+        _: u32,
+        name: &'static str,
+        value: &T,
+    ) -> Result<(), Unsupported> {
+        self.variant(name)?;
+        value.serialize(self)
+    }
+
+    fn serialize_seq(self, _: Option<usize>) -> Result<Items<'a>, Unsupported> {
+        Items::open(self)
+    }
+
+    fn serialize_tuple(self, _: usize) -> Result<Items<'a>, Unsupported> {
+        Items::open(self)
+    }
+
+    fn serialize_tuple_struct(self, _: &'static str, _: usize) -> Result<Items<'a>, Unsupported> {
+        Items::open(self)
+    }
+
+    fn serialize_tuple_variant(
+        self,
+        _: &'static str,
+        _: u32,
+        name: &'static str,
+        _: usize,
+    ) -> Result<Items<'a>, Unsupported> {
+        self.variant(name)?;
+        Items::open(self)
+    }
+
+    fn serialize_map(self, _: Option<usize>) -> Result<Items<'a>, Unsupported> {
+        Items::open(self)
+    }
+
+    fn serialize_struct(self, _: &'static str, _: usize) -> Result<Items<'a>, Unsupported> {
+        Items::open(self)
+    }
+
+    fn serialize_struct_variant(
+        self,
+        _: &'static str,
+        _: u32,
+        name: &'static str,
+        _: usize,
+    ) -> Result<Items<'a>, Unsupported> {
+        self.variant(name)?;
+        Items::open(self)
+    }
+}
+
+macro_rules! items {
+    ($($trait:ident::$method:ident,)*) => {
+        $(impl ser::$trait for Items<'_> {
+            type Ok = ();
+            type Error = Unsupported;
+
+            fn $method<T: Serialize + ?Sized>(&mut self, value: &T) -> Result<(), Unsupported> {
+                self.item(value)
+            }
+
+            fn end(self) -> Result<(), Unsupported> {
+                Ok(())
+            }
+        })*
+    };
+}
+
+macro_rules! fields {
+    ($($trait:ident,)*) => {
+        $(impl ser::$trait for Items<'_> {
+            type Ok = ();
+            type Error = Unsupported;
+
+            fn serialize_field<T: Serialize + ?Sized>(
+                &mut self,
+                name: &'static str,
+                value: &T,
+            ) -> Result<(), Unsupported> {
+                self.field(name, value)
+            }
+
+            fn end(self) -> Result<(), Unsupported> {
+                Ok(())
+            }
+        })*
+    };
+}
+
+items! {
+    SerializeSeq::serialize_element,
+    SerializeTuple::serialize_element,
+    SerializeTupleStruct::serialize_field,
+    SerializeTupleVariant::serialize_field,
+}
+
+fields! {
+    SerializeStruct,
+    SerializeStructVariant,
+}
+
+impl ser::SerializeMap for Items<'_> {
+    type Ok = ();
+    type Error = Unsupported;
+
+    fn serialize_key<T: Serialize + ?Sized>(&mut self, key: &T) -> Result<(), Unsupported> {
+        self.item(key)
+    }
+
+    fn serialize_value<T: Serialize + ?Sized>(&mut self, value: &T) -> Result<(), Unsupported> {
+        self.counter.add(1)?;
+        value.serialize(&mut *self.counter)
+    }
+
+    fn end(self) -> Result<(), Unsupported> {
+        Ok(())
+    }
+}
--- a/crates/core/src/journal/mod.rs
+++ b/crates/core/src/journal/mod.rs
@@ -1,1 +1,58 @@
-//! Placeholder.
+//! The journal of a shard: what must survive the loss of its owner.
+//!
+//! One key of the store, the head, names the owner and carries the newest entries. Each commit replaces it by
+//! compare-and-swap, so an owner that was superseded can't commit. The types here decide what to write next and what an
+//! answer means; the caller performs the writes and encodes the values.
+//!
+//! ```
+//! use lagoon_core::id::ShardId;
+//! use lagoon_core::journal::{Claim, Journal, JournalEntry, JournalEvent, JournalLimits, Replay, StoreVersion};
+//! use lagoon_core::unit::Timestamp;
+//!
+//! let now = Timestamp::from_millis(0);
+//! let shard: ShardId = "cluj:3".parse().unwrap();
+//! let claim = Claim::new(shard.clone(), "s1".parse().unwrap(), "127.0.0.1:7001".to_owned(), None);
+//! let head = claim.head().clone();
+//! let limits = JournalLimits::default();
+//! let state = Replay::new(shard.clone(), head.clone(), limits.retention).finish().unwrap();
+//! let mut journal = Journal::new(shard, head, StoreVersion::new(1), state, limits);
+//!
+//! let position = journal.append(JournalEntry::HostDead { host: "h1".parse().unwrap() }).unwrap();
+//! let write = journal.next_write(now).unwrap();
+//! assert!(journal.next_write(now).is_none());
+//! let events = journal.on_written(StoreVersion::new(2));
+//! assert_eq!(events, [JournalEvent::Committed { up_to: position }]);
+//! # let _ = write;
+//! ```
+
+mod claim;
+mod claim_result;
+mod commit_pace;
+mod ended_work;
+mod group;
+mod head;
+mod journal_core;
+mod journal_entry;
+mod journal_event;
+mod journal_keys;
+mod journal_limits;
+mod journal_state;
+mod journal_write;
+mod json_size;
+mod live_work;
+mod position;
+mod proposal;
+mod replay;
+mod retention;
+mod segment;
+mod segment_ref;
+mod store_version;
+
+pub use self::{
+    claim::Claim, claim_result::ClaimResult, commit_pace::CommitPace, ended_work::EndedWork,
+    head::Head, journal_core::Journal, journal_entry::JournalEntry, journal_event::JournalEvent,
+    journal_keys::JournalKeys, journal_limits::JournalLimits, journal_state::JournalState,
+    journal_write::JournalWrite, json_size::json_size, live_work::LiveWork, position::Position,
+    replay::Replay, retention::Retention, segment::Segment, segment_ref::SegmentRef,
+    store_version::StoreVersion,
+};
--- /dev/null
+++ b/crates/core/src/journal/segment.rs
@@ -0,0 +1,10 @@
+use serde::{Deserialize, Serialize};
+
+use crate::journal::JournalEntry;
+
+/// Value of a segment, or of one part of a snapshot. It is never changed after it is written.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Segment {
+    /// Entries in the order in which they apply.
+    pub entries: Vec<JournalEntry>,
+}
--- /dev/null
+++ b/crates/core/src/journal/store_version.rs
@@ -0,0 +1,6 @@
+counter_type!(
+    /// Version of a key in the store; zero stands for a key that does not exist.
+    StoreVersion,
+    u64,
+    "store version"
+);
--- /dev/null
+++ b/crates/core/src/ticket/epoch_table.rs
@@ -0,0 +1,159 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::id::{Epoch, Sequence};
+use crate::ticket::{EpochSnapshot, Slot};
+use crate::unit::{Millis, Timestamp};
+
+/// Tickets that one epoch issued.
+#[derive(Debug)]
+pub(super) struct EpochTable {
+    epoch: Epoch,
+    first: u64,
+    ring: VecDeque<Slot>,
+    // A long-lived ticket at the front of the ring moves here, so that the used-up ones behind it can be freed.
+    older: BTreeMap<u64, Slot>,
+    issued: VecDeque<(Timestamp, u64)>,
+    live: usize,
+}
+
+impl EpochTable {
+    pub(super) fn new(epoch: Epoch) -> Self {
+        Self {
+            epoch,
+            first: 0,
+            ring: VecDeque::new(),
+            older: BTreeMap::new(),
+            issued: VecDeque::new(),
+            live: 0,
+        }
+    }
+
+    pub(super) fn from_snapshot(snapshot: EpochSnapshot) -> Self {
+        let raw = |(sequence, slot): (Sequence, Slot)| (sequence.get(), slot);
+        let older: BTreeMap<_, _> = snapshot.older.into_iter().map(raw).collect();
+        let kept = |slot: &&Slot| **slot != Slot::Gone;
+        let live = snapshot.slots.iter().filter(kept).count() + older.values().filter(kept).count();
+        let batches = snapshot.issued.into_iter();
+        Self {
+            epoch: snapshot.epoch,
+            first: snapshot.first.get(),
+            ring: snapshot.slots,
+            older,
+            issued: batches.map(|(at, end)| (at, end.get())).collect(),
+            live,
+        }
+    }
+
+    pub(super) fn to_snapshot(&self) -> EpochSnapshot {
+        let older = self.older.iter();
+        let issued = self.issued.iter();
+        EpochSnapshot {
+            epoch: self.epoch,
+            first: Sequence::new(self.first),
+            slots: self.ring.clone(),
+            older: older
+                .map(|(n, slot)| (Sequence::new(*n), slot.clone()))
+                .collect(),
+            issued: issued.map(|(at, end)| (*at, Sequence::new(*end))).collect(),
+        }
+    }
+
+    pub(super) fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Returns the number of tickets that are not gone.
+    pub(super) fn live(&self) -> usize {
+        self.live
+    }
+
+    fn end(&self) -> u64 {
+        self.first + self.ring.len() as u64
+    }
+
+    pub(super) fn issue(&mut self, count: usize, now: Timestamp) -> std::ops::Range<u64> {
+        let start = self.end();
+        let end = start + count as u64;
+        self.ring.extend(std::iter::repeat_n(Slot::Unused, count));
+        self.live += count;
+        match self.issued.back_mut() {
+            Some((at, last)) if *at == now => *last = end,
+            _ => self.issued.push_back((now, end)),
+        }
+        start..end
+    }
+
+    /// Returns the slot, `Gone` for a ticket that has left the ring, `None` for one that was never issued.
+    pub(super) fn get(&self, sequence: Sequence) -> Option<&Slot> {
+        let n = sequence.get();
+        if n >= self.end() {
+            return None;
+        }
+        if n < self.first {
+            return Some(self.older.get(&n).unwrap_or(&Slot::Gone));
+        }
+        self.ring.get((n - self.first) as usize)
+    }
+
+    /// Replaces a slot that exists and is not gone; returns the previous one.
+    pub(super) fn replace(&mut self, sequence: Sequence, slot: Slot) -> Option<Slot> {
+        let n = sequence.get();
+        let place = match n.checked_sub(self.first) {
+            Some(index) => self.ring.get_mut(index as usize)?,
+            None => self.older.get_mut(&n)?,
+        };
+        if *place == Slot::Gone {
+            return None;
+        }
+        let gone = slot == Slot::Gone;
+        let previous = std::mem::replace(place, slot);
+        if gone {
+            self.live -= 1;
+            self.older.remove(&n);
+        }
+        Some(previous)
+    }
+
+    /// Ends unused tickets that were issued `lifetime` or longer ago.
+    pub(super) fn expire_unused(&mut self, lifetime: Millis, now: Timestamp) {
+        while let Some((at, end)) = self.issued.front().copied() {
+            if at.after(lifetime) > now {
+                break;
+            }
+            self.issued.pop_front();
+            let unused = |slot: &Slot| *slot == Slot::Unused;
+            let before = self.older.len();
+            self.older.retain(|n, slot| *n >= end || !unused(slot));
+            self.live -= before - self.older.len();
+            let count = end.saturating_sub(self.first) as usize;
+            for slot in self.ring.iter_mut().take(count).filter(|slot| unused(slot)) {
+                *slot = Slot::Gone;
+                self.live -= 1;
+            }
+            self.compact();
+        }
+    }
+
+    /// Lets used-up slots leave the ring, which keeps it at no more than twice the number of live tickets.
+    pub(super) fn compact(&mut self) {
+        while let Some(front) = self.ring.front() {
+            if *front != Slot::Gone && self.ring.len() <= 2 * self.live {
+                break;
+            }
+            if let Some(slot) = self.ring.pop_front().filter(|slot| *slot != Slot::Gone) {
+                self.older.insert(self.first, slot);
+            }
+            self.first += 1;
+        }
+    }
+
+    /// Visits every ticket that is not gone.
+    pub(super) fn for_each(&mut self, mut visit: impl FnMut(Sequence, &mut Slot)) {
+        for (n, slot) in &mut self.older {
+            visit(Sequence::new(*n), slot);
+        }
+        for (n, slot) in (self.first..).zip(&mut self.ring) {
+            visit(Sequence::new(n), slot);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/ticket/slot.rs
@@ -0,0 +1,28 @@
+use serde::{Deserialize, Serialize};
+
+use crate::unit::Timestamp;
+use crate::work::Outcome;
+
+/// What the table knows about one ticket.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Slot {
+    /// Issued and not used yet.
+    Unused,
+    /// Its request was let through and has not ended.
+    InFlight {
+        /// Fingerprint of the request.
+        fingerprint: u64,
+    },
+    /// Its request ended and the answer is kept.
+    Done {
+        /// Fingerprint of the request.
+        fingerprint: u64,
+        /// The answer.
+        outcome: Box<Outcome>,
+        /// When the request ended.
+        at: Timestamp,
+    },
+    /// Confirmed, expired or dropped; never run again.
+    Gone,
+}
