--- /dev/null
+++ b/crates/platform/src/error/effect.rs
@@ -0,0 +1,8 @@
+/// What a failed call may have changed at the callee.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// Certainly nothing.
+    None,
+    /// Possibly everything that was asked for.
+    Unknown,
+}
--- /dev/null
+++ b/crates/platform/src/executor/executor_client.rs
@@ -0,0 +1,55 @@
+use std::sync::Arc;
+
+use hyper::Method;
+use tokio::sync::Semaphore;
+
+use crate::error::{ErrorKind, PlatformError};
+use crate::executor::{RunRequest, StatusAnswer};
+use crate::transport::{Answer, Call, Endpoint, Transport};
+
+/// Client of an executor. At most a given number of calls is open at a time; clones share the limit.
+#[derive(Debug, Clone)]
+pub struct ExecutorClient {
+    endpoint: Endpoint,
+    transport: Transport,
+    permits: Arc<Semaphore>,
+}
+
+impl ExecutorClient {
+    /// Addresses the executor at `endpoint` over at most `connections` open calls.
+    pub fn new(endpoint: Endpoint, transport: Transport, connections: usize) -> Self {
+        Self {
+            endpoint,
+            transport,
+            permits: Arc::new(Semaphore::new(connections)),
+        }
+    }
+
+    /// Runs a request and returns the whole answer.
+    ///
+    /// An error with status 503 says that all slots were in use and the request did not run.
+    pub async fn run(&self, req: &RunRequest) -> Result<String, PlatformError> {
+        let call = Call::new(Method::POST, &self.endpoint, "/run").json(req);
+        let answer = self.send(call).await?;
+        match answer.status {
+            200 => answer.text(),
+            _ => Err(answer.refusal()),
+        }
+    }
+
+    /// Asks how many slots are in use.
+    pub async fn status(&self) -> Result<StatusAnswer, PlatformError> {
+        let call = Call::new(Method::GET, &self.endpoint, "/status");
+        self.send(call).await?.success()
+    }
+
+    async fn send(&self, call: Call) -> Result<Answer, PlatformError> {
+        let limit = self.transport.settings().request_timeout.to_duration();
+        let unsent = ErrorKind::Timeout { sent: false };
+        let Ok(permit) = tokio::time::timeout(limit, self.permits.acquire()).await else {
+            return Err(PlatformError::new(call.describe(), unsent));
+        };
+        let _permit = permit.expect("the semaphore is never closed");
+        self.transport.send(call).await
+    }
+}
--- /dev/null
+++ b/crates/platform/src/executor/mod.rs
@@ -0,0 +1,9 @@
+//! Client of an executor and its JSON types.
+
+mod executor_client;
+mod run_request;
+mod status_answer;
+
+pub use self::{
+    executor_client::ExecutorClient, run_request::RunRequest, status_answer::StatusAnswer,
+};
--- /dev/null
+++ b/crates/platform/src/transport/mod.rs
@@ -0,0 +1,17 @@
+//! HTTP/1 calls over pooled connections, with a time limit and counters.
+
+mod answer;
+mod call;
+mod call_counter;
+mod client_settings;
+mod endpoint;
+#[expect(clippy::module_inception, reason = "one type per file")]
+mod transport;
+
+pub(crate) use self::{answer::Answer, call::Call};
+pub use self::{
+    call_counter::CallCounter,
+    client_settings::{ClientSettings, PROCESS_HEADER},
+    endpoint::Endpoint,
+    transport::Transport,
+};
--- /dev/null
+++ b/crates/platform/src/transport/transport.rs
@@ -0,0 +1,113 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::Request;
+use hyper::header::CONTENT_TYPE;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+use crate::error::{ErrorKind, PlatformError};
+use crate::transport::{Answer, Call, CallCounter, ClientSettings, PROCESS_HEADER};
+
+/// Pooled connections with their settings and counter; clones share all of it.
+#[derive(Debug, Clone)]
+pub struct Transport(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    client: Client<HttpConnector, Full<Bytes>>,
+    settings: ClientSettings,
+    counter: CallCounter,
+}
+
+impl Transport {
+    /// Sets up an empty pool. Connections are made by the first calls.
+    pub fn new(settings: ClientSettings) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(settings.connect_timeout.to_duration()));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(settings.idle_connections)
+            .build(connector);
+        let counter = CallCounter::default();
+        Self(Arc::new(Inner {
+            client,
+            settings,
+            counter,
+        }))
+    }
+
+    /// Returns the counter of all calls over this transport.
+    pub fn counter(&self) -> &CallCounter {
+        &self.0.counter
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &ClientSettings {
+        &self.0.settings
+    }
+
+    /// Sends `call` and reads the whole answer. Every status is an answer.
+    pub(crate) async fn send(&self, call: Call) -> Result<Answer, PlatformError> {
+        let Inner {
+            settings, counter, ..
+        } = &*self.0;
+        counter.begin(call.uri.len() + call.body.len());
+        let limit = settings.request_timeout.saturating_add(call.extra_time);
+        let name = call.describe();
+        let result = tokio::time::timeout(limit.to_duration(), self.exchange(call)).await;
+        let result = result.unwrap_or(Err(ErrorKind::Timeout { sent: true }));
+        match result {
+            Ok((status, body)) => {
+                counter.answered(body.len());
+                let call = name;
+                Ok(Answer { call, status, body })
+            }
+            Err(kind) => {
+                counter.failed();
+                Err(PlatformError::new(name, kind))
+            }
+        }
+    }
+
+    async fn exchange(&self, call: Call) -> Result<(u16, Bytes), ErrorKind> {
+        let Inner {
+            client, settings, ..
+        } = &*self.0;
+        let mut req = Request::builder().method(call.method).uri(call.uri);
+        if let Some(process) = &settings.process {
+            req = req.header(PROCESS_HEADER, process.as_str());
+        }
+        if !call.body.is_empty() {
+            req = req.header(CONTENT_TYPE, "application/json");
+        }
+        let req = req
+            .body(Full::new(call.body))
+            .map_err(|e| ErrorKind::Unreachable(e.to_string()))?;
+        let answer = client
+            .request(req)
+            .await
+            .map_err(|e| match e.is_connect() {
+                true => ErrorKind::Unreachable(with_source(&e)),
+                false => ErrorKind::Lost(with_source(&e)),
+            })?;
+        let status = answer.status().as_u16();
+        let limit = usize::try_from(settings.max_answer.get()).unwrap_or(usize::MAX);
+        let body = Limited::new(answer.into_body(), limit).collect().await;
+        let body = body.map_err(|e| match e.is::<LengthLimitError>() {
+            true => ErrorKind::BadAnswer(format!("larger than {}", settings.max_answer)),
+            false => ErrorKind::Lost(e.to_string()),
+        })?;
+        Ok((status, body.to_bytes()))
+    }
+}
+
+fn with_source(error: &dyn std::error::Error) -> String {
+    match error.source() {
+        Some(source) => format!("{error}: {}", with_source(source)),
+        None => error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/worker/control_answer.rs
@@ -0,0 +1,11 @@
+use serde::{Deserialize, Serialize};
+
+use crate::worker::TaskState;
+
+/// Answer to a stop or throttle request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlAnswer {
+    /// State of the task after the request.
+    pub state: TaskState,
+}
--- /dev/null
+++ b/crates/platform/src/worker/lease_refusal_reason.rs
@@ -0,0 +1,11 @@
+use serde::{Deserialize, Serialize};
+
+/// Why a worker refused a lease request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LeaseRefusalReason {
+    /// Another holder's lease is valid.
+    Held,
+    /// The worker has seen a higher epoch of the shard.
+    LowerShardEpoch,
+}
--- /dev/null
+++ b/crates/platform/src/worker/start_outcome.rs
@@ -0,0 +1,12 @@
+use crate::worker::{StartRefusal, TaskState};
+
+/// Result of a start request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StartOutcome {
+    /// This request started the task.
+    Started,
+    /// The worker knew the task before; this request started nothing.
+    AlreadyKnown(TaskState),
+    /// The task did not start.
+    Refused(StartRefusal),
+}
--- /dev/null
+++ b/crates/platform/src/worker/worker_client.rs
@@ -0,0 +1,122 @@
+use hyper::Method;
+use lagoon_core::id::TaskId;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::PlatformError;
+use crate::transport::{Answer, Call, Endpoint, Transport};
+use crate::worker::{
+    AcknowledgeAnswer, AcknowledgeRequest, CheckpointAnswer, ControlAnswer, ControlRequest,
+    LeaseOutcome, LeaseRequest, ReleaseAnswer, ReleaseRequest, StartAnswer, StartOutcome,
+    StartRequest, ThrottleRequest,
+};
+
+/// Client of one worker.
+#[derive(Debug, Clone)]
+pub struct WorkerClient {
+    endpoint: Endpoint,
+    transport: Transport,
+}
+
+impl WorkerClient {
+    /// Addresses the worker at `endpoint`.
+    pub fn new(endpoint: Endpoint, transport: Transport) -> Self {
+        Self {
+            endpoint,
+            transport,
+        }
+    }
+
+    /// Returns the address of the worker.
+    pub fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
+    }
+
+    /// Asks for the lease or renews it.
+    pub async fn lease(&self, req: &LeaseRequest) -> Result<LeaseOutcome, PlatformError> {
+        let answer = self.send(Method::POST, "/lease", req).await?;
+        match answer.status {
+            409 => answer.json().map(LeaseOutcome::Refused),
+            _ => answer.success().map(LeaseOutcome::Granted),
+        }
+    }
+
+    /// Gives the lease up; false if the caller did not hold it.
+    pub async fn release(&self, req: &ReleaseRequest) -> Result<bool, PlatformError> {
+        let answer = self.send(Method::DELETE, "/lease", req).await?;
+        let ReleaseAnswer { released } = answer.success()?;
+        Ok(released)
+    }
+
+    /// Starts a task, unless the worker knows it already.
+    pub async fn start(&self, req: &StartRequest) -> Result<StartOutcome, PlatformError> {
+        let answer = self.send(Method::POST, "/tasks", req).await?;
+        if matches!(answer.status, 409 | 424 | 507) {
+            return answer.json().map(StartOutcome::Refused);
+        }
+        let StartAnswer {
+            already_known,
+            state,
+        } = answer.success()?;
+        Ok(match already_known {
+            true => StartOutcome::AlreadyKnown(state),
+            false => StartOutcome::Started,
+        })
+    }
+
+    /// Stops a task. A task that the worker doesn't know yet can't start any more.
+    pub async fn stop(
+        &self,
+        task: &TaskId,
+        req: &ControlRequest,
+    ) -> Result<ControlAnswer, PlatformError> {
+        self.control(task, "stop", req).await
+    }
+
+    /// Limits the processors of a running task.
+    pub async fn throttle(
+        &self,
+        task: &TaskId,
+        req: &ThrottleRequest,
+    ) -> Result<ControlAnswer, PlatformError> {
+        self.control(task, "throttle", req).await
+    }
+
+    /// Writes a checkpoint of a running task.
+    pub async fn checkpoint(
+        &self,
+        task: &TaskId,
+        req: &ControlRequest,
+    ) -> Result<CheckpointAnswer, PlatformError> {
+        self.control(task, "checkpoint", req).await
+    }
+
+    /// Lets the worker forget finished tasks.
+    pub async fn acknowledge(
+        &self,
+        req: &AcknowledgeRequest,
+    ) -> Result<AcknowledgeAnswer, PlatformError> {
+        let answer = self.send(Method::POST, "/tasks/acknowledge", req).await?;
+        answer.success()
+    }
+
+    async fn control<T: DeserializeOwned>(
+        &self,
+        task: &TaskId,
+        verb: &str,
+        req: &impl Serialize,
+    ) -> Result<T, PlatformError> {
+        let target = format!("/tasks/{task}/{verb}");
+        self.send(Method::POST, &target, req).await?.success()
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        target: &str,
+        body: &impl Serialize,
+    ) -> Result<Answer, PlatformError> {
+        let call = Call::new(method, &self.endpoint, target).json(body);
+        self.transport.send(call).await
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/errors.rs
@@ -0,0 +1,92 @@
+//! What an error says about the effect of a call.
+
+use std::net::SocketAddr;
+
+use axum::Router;
+use axum::http::StatusCode;
+use axum::routing::post;
+use lagoon_core::unit::Millis;
+use lagoon_platform::executor::RunRequest;
+use lagoon_platform::{ClientSettings, Effect, Endpoint, ErrorKind, ExecutorClient, Transport};
+use tokio::net::{TcpListener, TcpSocket};
+
+async fn serve(app: Router) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move { axum::serve(listener, app).await });
+    address
+}
+
+/// Keeps the port bound without listening, because a parallel test could get a released port.
+async fn closed_port() -> SocketAddr {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    tokio::spawn(async move {
+        std::future::pending::<()>().await;
+        drop(socket);
+    });
+    address
+}
+
+async fn closes_connections() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            stream.readable().await.unwrap();
+            drop(stream);
+        }
+    });
+    address
+}
+
+async fn answers(status: StatusCode) -> SocketAddr {
+    serve(Router::new().route("/run", post(async move || (status, "text")))).await
+}
+
+async fn never_answers() -> SocketAddr {
+    serve(Router::new().route("/run", post(std::future::pending::<String>))).await
+}
+
+async fn run(address: SocketAddr) -> Result<String, lagoon_platform::PlatformError> {
+    let settings = ClientSettings {
+        request_timeout: Millis::new(300),
+        ..ClientSettings::default()
+    };
+    let client = ExecutorClient::new(Endpoint::from(address), Transport::new(settings), 1);
+    let req = RunRequest {
+        request: "r1".into(),
+        payload: String::new(),
+    };
+    client.run(&req).await
+}
+
+macro_rules! failed_calls {
+    ($($name:ident: $server:expr => $kind:pat, $effect:expr;)*) => {
+        $(
+            /// Guards against a repeated call after an effect, and against a lost chance to repeat.
+            #[tokio::test]
+            async fn $name() {
+                let error = run($server.await).await.unwrap_err();
+                assert!(matches!(error.kind(), $kind), "{error}");
+                assert_eq!(error.effect(), $effect);
+            }
+        )*
+    };
+}
+
+failed_calls! {
+    no_listener: closed_port() => ErrorKind::Unreachable(_), Effect::None;
+    connection_closed: closes_connections() => ErrorKind::Lost(_), Effect::Unknown;
+    busy: answers(StatusCode::SERVICE_UNAVAILABLE) => ErrorKind::Refused { status: 503, .. }, Effect::None;
+    internal_error: answers(StatusCode::INTERNAL_SERVER_ERROR) => ErrorKind::Refused { status: 500, .. }, Effect::Unknown;
+    no_answer: never_answers() => ErrorKind::Timeout { sent: true }, Effect::Unknown;
+}
+
+/// Guards against an answer that is cut or changed.
+#[tokio::test]
+async fn whole_answer() {
+    let answer = run(answers(StatusCode::OK).await).await;
+    assert_eq!(answer.unwrap(), "text");
+}
