--- a/crates/core/src/admission/admission_check.rs
+++ b/crates/core/src/admission/admission_check.rs
@@ -3,7 +3,7 @@
 use crate::admission::{AdmissionView, Feasibility};
 use crate::code::{Refusal, ResultCode};
 use crate::policy::{Policy, TeamPolicy};
-use crate::unit::{Millis, Rate};
+use crate::unit::{Bytes, Millicores, Millis, Rate};
 use crate::work::{WorkKind, WorkSpec};
 
 /// Shortest and longest wait that a refusal asks for.
@@ -11,6 +11,9 @@
 /// Wait asked for while the rate of starts is not known.
 const RETRY_AFTER_UNKNOWN: Millis = Millis::new(1_000);
 
+/// Largest number of members. A gang job is placed under the shard's lock, so this bounds how long others wait for it.
+const MAX_MEMBERS: u32 = 25_000;
+
 /// Decides whether work is accepted into the queue.
 #[derive(Debug, Clone)]
 pub struct Admission {
@@ -35,6 +38,7 @@
     /// Returns the reason if the work must not be queued.
     pub fn check(&self, spec: &WorkSpec, view: &AdmissionView) -> Result<(), Refusal> {
         let team = self.check_names(spec)?;
+        check_shape(spec)?;
         check_size(spec, team, view)?;
         check_deadline(spec, view)?;
         self.check_queue(spec, team, view)
@@ -70,7 +74,10 @@
         };
         if view.team_queued >= team.queue_limit {
             let limit = team.queue_limit;
-            return full(format!("team {} has {limit} items waiting", spec.team));
+            let (name, usage) = (&spec.team, view.team_usage);
+            return full(format!(
+                "team {name} has {limit} items waiting and runs {usage}"
+            ));
         }
         let service = spec.service.as_ref();
         let limits = service.and_then(|name| Some((name, self.policy.services.get(name)?)));
@@ -98,6 +105,26 @@
     }
 }
 
+/// Checks the number of members and that tasks on workers declare a size, without which their number is unbounded.
+fn check_shape(spec: &WorkSpec) -> Result<(), Refusal> {
+    let invalid = |message: String| Err(Refusal::new(ResultCode::InvalidValue, message));
+    let most = match spec.kind {
+        WorkKind::Service | WorkKind::Batch => 1,
+        WorkKind::Gang => MAX_MEMBERS,
+    };
+    let (kind, members) = (spec.kind, spec.members);
+    if !(1..=most).contains(&members) {
+        return invalid(format!(
+            "{kind} work has 1 to {most} members, not {members}"
+        ));
+    }
+    let sized = spec.resources.cpu > Millicores::ZERO && spec.resources.memory > Bytes::ZERO;
+    if kind != WorkKind::Service && !sized {
+        return invalid(format!("{kind} work must need processors and memory"));
+    }
+    Ok(())
+}
+
 fn check_size(spec: &WorkSpec, team: &TeamPolicy, view: &AdmissionView) -> Result<(), Refusal> {
     let never_fits = || {
         let (members, need) = (spec.members, spec.resources);
--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -95,12 +95,11 @@
     pub fn claim(&mut self, id: &WorkerId, need: Resources) -> Result<(), CapacityExceeded> {
         let margin = self.reclaim_margin;
         let worker = self.get(id);
-        let unreserved = worker.map_or(Resources::ZERO, |worker| {
-            worker.capacity.saturating_sub(worker.reserved(margin))
-        });
+        let unreserved = worker.and_then(|worker| worker.unreserved(margin));
+        let fits = unreserved.is_some_and(|unreserved| need.fits_in(&unreserved));
         let claimed = worker.and_then(|worker| worker.claimed.checked_add(need));
         match claimed {
-            Some(claimed) if need.fits_in(&unreserved) => {
+            Some(claimed) if fits => {
                 self.change(id, |worker| worker.claimed = claimed);
                 self.in_use = self.in_use.saturating_add(need);
                 Ok(())
@@ -108,7 +107,7 @@
             _ => Err(CapacityExceeded {
                 worker: id.clone(),
                 need,
-                unreserved,
+                unreserved: unreserved.unwrap_or_default(),
             }),
         }
     }
@@ -180,7 +179,7 @@
         let fits = |slot: &u32| {
             let worker = self.slots[*slot as usize].as_ref()?;
             let free = worker.free(self.reclaim_margin);
-            let open = worker.accepts_work() && need.fits_in(&free);
+            let open = worker.accepts_work(self.reclaim_margin) && need.fits_in(&free);
             let rest = match dimension {
                 Dimension::Cpu => free.cpu.get(),
                 Dimension::Memory => free.memory.get(),
@@ -220,7 +219,7 @@
     /// Takes a worker out of the index before its state changes.
     fn withdraw(&mut self, slot: u32) {
         if let Some(worker) = &self.slots[slot as usize]
-            && worker.accepts_work()
+            && worker.accepts_work(self.reclaim_margin)
         {
             self.index.remove(slot, &worker.free(self.reclaim_margin));
         }
@@ -229,7 +228,7 @@
     /// Puts a withdrawn worker back into the index.
     fn restore(&mut self, slot: u32) {
         if let Some(worker) = &self.slots[slot as usize]
-            && worker.accepts_work()
+            && worker.accepts_work(self.reclaim_margin)
         {
             self.index.insert(slot, &worker.free(self.reclaim_margin));
         }
--- a/crates/core/src/placement/worker_slot.rs
+++ b/crates/core/src/placement/worker_slot.rs
@@ -61,9 +61,15 @@
         self.closed
     }
 
-    /// Tells whether new work may be placed on it now.
-    pub(super) fn accepts_work(&self) -> bool {
-        self.closed.is_empty() && !self.skipped
+    /// Tells whether new work may be placed on it now. A worker whose capacity shrank below its claims takes none, not
+    /// even work that needs nothing of the exceeded dimension.
+    pub(super) fn accepts_work(&self, margin: Option<Percent>) -> bool {
+        self.closed.is_empty() && !self.skipped && self.unreserved(margin).is_some()
+    }
+
+    /// Returns the capacity less what is reserved; none if more is reserved than the worker holds.
+    pub(super) fn unreserved(&self, margin: Option<Percent>) -> Option<Resources> {
+        self.capacity.checked_sub(self.reserved(margin))
     }
 
     /// Returns the declared sizes less the reclaimed processors. Only processors are reclaimed, because memory and
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,204 @@
+//! Admission: each reason for a refusal, and the guaranteed parts of the queue.
+
+use lagoon_core::ResultCode;
+use lagoon_core::admission::{Admission, AdmissionView, Feasibility, QueueLoad, ServiceEstimator};
+use lagoon_core::policy::{Policy, ServicePolicy, TeamPolicy, Weight};
+use lagoon_core::unit::{Bytes, Millicores, Millis, Priority, Rate, Resources, Timestamp};
+use lagoon_core::work::{PlacementPolicy, Repeatability, WorkKind, WorkSpec};
+
+const NOW: Timestamp = Timestamp::from_millis(100_000);
+
+fn policy() -> Policy {
+    let mut policy = Policy::default();
+    let team = TeamPolicy {
+        weight: Weight::new(1),
+        quota: Resources::new(Millicores::new(100), Bytes::new(100)),
+        queue_limit: 500,
+    };
+    policy.teams.insert("crew".parse().unwrap(), team);
+    let service = ServicePolicy {
+        queue_limit: 50,
+        ..ServicePolicy::default()
+    };
+    policy.services.insert("planner".parse().unwrap(), service);
+    policy.queue.items = 100;
+    policy.queue.bytes = Bytes::new(100_000);
+    policy
+}
+
+fn spec() -> WorkSpec {
+    WorkSpec {
+        kind: WorkKind::Batch,
+        team: "crew".parse().unwrap(),
+        priority: Priority::NORMAL,
+        deadline: None,
+        resources: Resources::new(Millicores::new(10), Bytes::new(10)),
+        members: 1,
+        run_time: Millis::new(1_000),
+        repeatability: Repeatability::Restartable,
+        placement: PlacementPolicy::default(),
+        service: None,
+        payload: String::new(),
+    }
+}
+
+fn view() -> AdmissionView {
+    AdmissionView {
+        now: NOW,
+        queue: QueueLoad::default(),
+        team_queued: 0,
+        team_usage: Resources::ZERO,
+        service_queued: 0,
+        feasibility: Feasibility::Fits,
+        ahead: 0,
+        service_rate: None,
+    }
+}
+
+fn load(kind: WorkKind, items: u64, bytes: u64) -> QueueLoad {
+    QueueLoad::default().with(kind, items, Bytes::new(bytes))
+}
+
+macro_rules! decisions {
+    ($($(#[$meta:meta])* $name:ident($spec:ident, $view:ident) $change:block => $code:expr;)*) => {
+        $(
+            $(#[$meta])*
+            #[test]
+            fn $name() {
+                let (mut $spec, mut $view) = (spec(), view());
+                $change
+                let result = Admission::new(policy()).check(&$spec, &$view);
+                let code: Option<ResultCode> = $code;
+                assert_eq!(result.err().map(|refusal| refusal.code), code);
+                let _ = (&mut $spec, &mut $view);
+            }
+        )*
+    };
+}
+
+decisions! {
+    /// Guards against the refusal of valid work.
+    accepted(spec, view) {} => None;
+    /// Guards against work that no team is charged for.
+    unknown_team(spec, view) { spec.team = "nobody".parse().unwrap(); } => Some(ResultCode::UnknownTeam);
+    /// Guards against requests that no executor answers.
+    unknown_service(spec, view) { spec.service = "other".parse().ok(); } => Some(ResultCode::UnknownService);
+    /// Guards against a service request that names no service.
+    service_missing(spec, view) { spec.kind = WorkKind::Service; } => Some(ResultCode::UnknownService);
+    /// Guards against work without members, which would end without a run.
+    no_members(spec, view) { spec.members = 0; } => Some(ResultCode::InvalidValue);
+    /// Guards against a batch run with several members, of which only one would run.
+    batch_with_members(spec, view) { spec.members = 2; } => Some(ResultCode::InvalidValue);
+    /// Guards against a gang job so large that its placement blocks the shard.
+    too_many_members(spec, view) {
+        spec.kind = WorkKind::Gang;
+        spec.members = 25_001;
+    } => Some(ResultCode::InvalidValue);
+    /// Guards against tasks without a size, any number of which would fit on a worker.
+    no_size(spec, view) { spec.resources.cpu = Millicores::ZERO; } => Some(ResultCode::InvalidValue);
+    /// Guards against a job that its team's quota can never hold.
+    larger_than_quota(spec, view) {
+        spec.kind = WorkKind::Gang;
+        spec.members = 11;
+    } => Some(ResultCode::QuotaExceeded);
+    /// Guards against the refusal of a job that only has to wait for its team's quota.
+    quota_in_use_waits(spec, view) { view.team_usage = spec.resources.checked_mul(10).unwrap(); } => None;
+    /// Guards against an overflow that makes a huge job look small.
+    members_overflow(spec, view) {
+        spec.kind = WorkKind::Gang;
+        spec.resources.memory = Bytes::new(u64::MAX);
+        spec.members = 2;
+    } => Some(ResultCode::NeverFits);
+    /// Guards against work that waits forever because no host could hold it.
+    never_fits(spec, view) { view.feasibility = Feasibility::NeverFits; } => Some(ResultCode::NeverFits);
+    /// Guards against "never fits" while some hosts are not known yet.
+    unknown_fleet(spec, view) { view.feasibility = Feasibility::Unknown; } => None;
+    /// Guards against work that is queued only to expire.
+    deadline_infeasible(spec, view) {
+        spec.deadline = Some(NOW.after(Millis::new(9_000)));
+        view.ahead = 100;
+        view.service_rate = Some(Rate::per_second(10));
+    } => Some(ResultCode::DeadlineInfeasible);
+    /// Guards against the refusal of a deadline that can be met exactly.
+    deadline_feasible(spec, view) {
+        spec.deadline = Some(NOW.after(Millis::new(10_000)));
+        view.ahead = 100;
+        view.service_rate = Some(Rate::per_second(10));
+    } => None;
+    /// Guards against refusals by deadline before anything was measured.
+    deadline_without_measurement(spec, view) {
+        spec.deadline = Some(NOW);
+        view.ahead = 100;
+    } => None;
+    /// Guards against work whose deadline lies in the past.
+    deadline_passed(spec, view) {
+        spec.deadline = Some(Timestamp::from_millis(NOW.as_millis() - 1));
+    } => Some(ResultCode::DeadlinePassed);
+    /// Guards against one team that fills the queue.
+    team_queue_full(spec, view) { view.team_queued = 500; } => Some(ResultCode::QueueFull);
+    /// Guards against one service that fills the queue.
+    service_queue_full(spec, view) {
+        spec.kind = WorkKind::Service;
+        spec.service = "planner".parse().ok();
+        view.service_queued = 50;
+    } => Some(ResultCode::QueueFull);
+    /// Guards against a kind that takes the slots guaranteed to others: 20 of its own and 40 open ones.
+    flood_stops_at_its_part(spec, view) {
+        view.queue = load(WorkKind::Batch, 60, 0);
+    } => Some(ResultCode::Overloaded);
+    /// Guards against open slots that stay unused.
+    flood_may_use_open_slots(spec, view) { view.queue = load(WorkKind::Batch, 59, 0); } => None;
+    /// Guards against a flood of another kind that takes the guaranteed slots.
+    other_kinds_keep_their_slots(spec, view) { view.queue = load(WorkKind::Gang, 60, 0); } => None;
+    /// Guards against a queue that is bounded in items but not in bytes.
+    bytes_are_bounded(spec, view) {
+        view.queue = load(WorkKind::Batch, 1, 59_999);
+    } => Some(ResultCode::Overloaded);
+    /// Guards against a payload that could never be queued but is told to retry.
+    larger_than_the_queue(spec, view) {
+        spec.payload = "x".repeat(100_000);
+    } => Some(ResultCode::BodyTooLarge);
+}
+
+/// Guards against an overload refusal without a hint, or with one that ignores the measured rate.
+#[test]
+fn overload_carries_a_retry_hint() {
+    let mut view = view();
+    view.queue = load(WorkKind::Batch, 60, 0);
+    let admission = Admission::new(policy());
+    let hint = |view: &AdmissionView| admission.check(&spec(), view).unwrap_err().retry_after;
+    assert_eq!(hint(&view), Some(Millis::new(1_000)));
+    view.service_rate = Some(Rate::per_second(2));
+    assert_eq!(hint(&view), Some(Millis::new(3_000)));
+    view.service_rate = Some(Rate::ZERO);
+    assert_eq!(hint(&view), Some(Millis::new(60_000)));
+}
+
+/// Guards against a rate that includes idle time, and against estimates from too few measurements.
+#[test]
+fn estimator_measures_only_under_load() {
+    let mut estimator = ServiceEstimator::new();
+    let at = |millis| Timestamp::from_millis(millis);
+    for step in 0..=3 {
+        estimator.record(at(step * 500), 5, true);
+        assert_eq!(estimator.rate(), None);
+    }
+    estimator.record(at(2_000), 5, true);
+    assert_eq!(estimator.rate(), Some(Rate::per_second(10)));
+    estimator.record(at(2_100), 1, false);
+    estimator.record(at(90_000), 1, true);
+    estimator.record(at(90_500), 5, true);
+    assert_eq!(estimator.rate(), Some(Rate::per_second(10)));
+}
+
+/// Guards against an estimate that stays at an old rate after the service slowed down.
+#[test]
+fn estimator_follows_a_change() {
+    let mut estimator = ServiceEstimator::new();
+    for step in 0..200_u64 {
+        let starts = if step < 100 { 50 } else { 5 };
+        estimator.record(Timestamp::from_millis(step * 500), starts, true);
+    }
+    let rate = estimator.rate().unwrap().as_per_second();
+    assert!((9.9..10.2).contains(&rate), "{rate}");
+}
--- /dev/null
+++ b/crates/core/tests/order.rs
@@ -0,0 +1,370 @@
+//! Order of waiting work: shares, guarantees, urgency, quotas, deadlines and set-aside entries.
+
+use std::collections::{HashMap, HashSet};
+
+use lagoon_core::id::{TeamId, WorkId};
+use lagoon_core::order::{FairQueue, QueueEntry};
+use lagoon_core::policy::{Policy, TeamPolicy, Weight};
+use lagoon_core::unit::{Bytes, Millicores, Priority, Resources, Timestamp};
+use lagoon_core::work::WorkKind;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const START: Timestamp = Timestamp::from_millis(1_000);
+
+fn cpu(amount: u64) -> Resources {
+    Resources::new(Millicores::new(amount), Bytes::ZERO)
+}
+
+fn team(name: &str) -> TeamId {
+    name.parse().unwrap()
+}
+
+fn work(number: u64) -> WorkId {
+    format!("w:cluj:0:1:{number}").parse().unwrap()
+}
+
+fn at(millis: u64) -> Option<Timestamp> {
+    Some(Timestamp::from_millis(millis))
+}
+
+fn limits(weight: u32, quota: u64) -> TeamPolicy {
+    TeamPolicy {
+        weight: Weight::new(weight),
+        quota: cpu(quota),
+        queue_limit: 1_000,
+    }
+}
+
+/// A queue over 100 cores' worth of capacity; `heavy` has three times the weight, `small` a quota of 10.
+fn queue() -> FairQueue {
+    let mut policy = Policy {
+        default_team: Some(limits(1, 1_000)),
+        ..Policy::default()
+    };
+    policy.teams.insert(team("heavy"), limits(3, 1_000));
+    policy.teams.insert(team("small"), limits(1, 10));
+    let mut queue = FairQueue::new(policy);
+    queue.set_totals(cpu(100));
+    queue
+}
+
+fn entry(number: u64, kind: WorkKind, name: &str, priority: Priority) -> QueueEntry {
+    QueueEntry {
+        work: work(number),
+        kind,
+        team: team(name),
+        priority,
+        deadline: None,
+        need: cpu(1),
+        bytes: Bytes::new(10),
+        enqueued: START,
+    }
+}
+
+fn batch(number: u64, name: &str) -> QueueEntry {
+    entry(number, WorkKind::Batch, name, Priority::NORMAL)
+}
+
+/// Starts entries until nothing may start or `count` are started.
+fn start(queue: &mut FairQueue, count: usize) -> Vec<QueueEntry> {
+    let mut started = Vec::new();
+    while started.len() < count
+        && let Some(entry) = queue.next(START)
+    {
+        queue.charge(entry.kind, &entry.team, entry.need);
+        started.push(entry);
+    }
+    started
+}
+
+fn count(started: &[QueueEntry], of: impl Fn(&QueueEntry) -> bool) -> usize {
+    started.iter().filter(|entry| of(entry)).count()
+}
+
+macro_rules! cases {
+    ($($(#[$meta:meta])* $name:ident($queue:ident) $body:block)*) => {
+        $(
+            $(#[$meta])*
+            #[test]
+            fn $name() {
+                let mut $queue = queue();
+                $body
+            }
+        )*
+    };
+}
+
+cases! {
+    /// Guards against shares that ignore the teams' weights.
+    weights_divide_the_fleet(queue) {
+        for number in 0..100 {
+            queue.push(batch(number, "heavy"));
+            queue.push(batch(100 + number, "light"));
+        }
+        let started = start(&mut queue, 40);
+        assert_eq!(count(&started, |entry| entry.team == team("heavy")), 30);
+    }
+
+    /// Guards against a flood of one kind that takes the guaranteed share of another.
+    guarantee_holds_in_a_flood(queue) {
+        for number in 0..200 {
+            queue.push(batch(number, "flood"));
+        }
+        for number in 200..300 {
+            queue.push(entry(number, WorkKind::Gang, "other", Priority::NORMAL));
+        }
+        let started = start(&mut queue, 40);
+        assert_eq!(count(&started, |entry| entry.kind == WorkKind::Gang), 20);
+    }
+
+    /// Guards against unused share that stays idle, and against a kind above its ceiling.
+    unused_share_is_lent_up_to_the_ceiling(queue) {
+        for number in 0..200 {
+            queue.push(batch(number, "flood"));
+        }
+        assert_eq!(start(&mut queue, 200).len(), 90);
+    }
+
+    /// Guards against a flood of the most urgent work that takes the guarantees of other kinds.
+    urgent_flood_leaves_guarantees(queue) {
+        for number in 0..200 {
+            queue.push(entry(number, WorkKind::Batch, "flood", Priority::HIGHEST));
+        }
+        for number in 200..300 {
+            queue.push(entry(number, WorkKind::Gang, "other", Priority::NORMAL));
+        }
+        let started = start(&mut queue, 100);
+        assert!(count(&started, |entry| entry.kind == WorkKind::Gang) >= 20);
+    }
+
+    /// Guards against a flood of urgent work that starves other teams of the same kind.
+    urgent_flood_leaves_turns_to_other_teams(queue) {
+        for number in 0..200 {
+            queue.push(entry(number, WorkKind::Batch, "flood", Priority::HIGHEST));
+            queue.push(batch(1_000 + number, "other"));
+        }
+        let started = start(&mut queue, 50);
+        assert_eq!(count(&started, |entry| entry.team == team("other")), 10);
+    }
+
+    /// Guards against urgent work that waits behind a flood of regular work.
+    urgent_goes_first(queue) {
+        for number in 0..100 {
+            queue.push(batch(number, "flood"));
+        }
+        start(&mut queue, 30);
+        queue.charge(WorkKind::Batch, &team("late"), cpu(5));
+        queue.push(entry(500, WorkKind::Batch, "late", Priority::URGENT));
+        assert_eq!(queue.next(START).unwrap().work, work(500));
+    }
+
+    /// Guards against urgency as a way around the quota.
+    urgent_stays_within_quota(queue) {
+        for number in 0..20 {
+            queue.push(entry(number, WorkKind::Batch, "small", Priority::HIGHEST));
+        }
+        assert_eq!(start(&mut queue, 20).len(), 10);
+        queue.discharge(WorkKind::Batch, &team("small"), cpu(1));
+        assert_eq!(start(&mut queue, 20).len(), 1);
+    }
+
+    /// Guards against a team that stays blocked after the entry beyond its quota was cancelled.
+    cancelled_entry_unblocks_its_team(queue) {
+        queue.push(QueueEntry { need: cpu(11), ..batch(1, "small") });
+        queue.push(batch(2, "small"));
+        assert_eq!(queue.next(START), None);
+        queue.remove(&work(1));
+        assert_eq!(queue.next(START).unwrap().work, work(2));
+    }
+
+    /// Guards against a later deadline or a lower priority that goes first within a team.
+    priority_then_deadline(queue) {
+        queue.push(QueueEntry { deadline: at(9_000), ..batch(1, "a") });
+        queue.push(QueueEntry { deadline: at(8_000), ..batch(2, "a") });
+        queue.push(entry(3, WorkKind::Batch, "a", "60".parse().unwrap()));
+        let order: Vec<_> = start(&mut queue, 3).into_iter().map(|entry| entry.work).collect();
+        assert_eq!(order, [work(3), work(2), work(1)]);
+    }
+
+    /// Guards against a set-aside entry that blocks others, and against its loss of place behind later arrivals.
+    set_aside_does_not_block(queue) {
+        queue.push(QueueEntry { enqueued: Timestamp::from_millis(1), ..batch(1, "a") });
+        queue.push(batch(2, "a"));
+        let first = queue.next(START).unwrap();
+        assert!(queue.set_aside(first));
+        assert_eq!(queue.next(START).unwrap().work, work(2));
+        queue.push(batch(3, "a"));
+        assert_eq!(queue.retry(10), 1);
+        assert_eq!(queue.next(START).unwrap().work, work(1));
+    }
+
+    /// Guards against a held entry that starts.
+    held_entry_waits_for_release(queue) {
+        queue.push(batch(1, "a"));
+        assert!(queue.hold(&work(1)));
+        assert_eq!(queue.next(START), None);
+        assert!(queue.release(&work(1)));
+        assert!(!queue.release(&work(1)));
+        assert_eq!(queue.next(START).unwrap().work, work(1));
+    }
+
+    /// Guards against work that starts after its deadline, and against expired work that is never reported.
+    expired_work_is_reported_once(queue) {
+        queue.push(QueueEntry { deadline: at(2_000), ..batch(1, "a") });
+        queue.push(QueueEntry { deadline: at(2_001), ..batch(2, "a") });
+        queue.push(QueueEntry { deadline: at(1_500), ..batch(3, "a") });
+        queue.hold(&work(3));
+        let now = Timestamp::from_millis(2_001);
+        assert_eq!(queue.next(now).unwrap().work, work(2));
+        assert_eq!(queue.expired(now), [work(3), work(1)]);
+        assert_eq!(queue.expired(now), []);
+        assert!(queue.is_empty());
+    }
+
+    /// Guards against a second queue entry for the same work.
+    same_work_is_added_once(queue) {
+        assert!(queue.push(batch(1, "a")));
+        assert!(!queue.push(batch(1, "a")));
+        assert_eq!((queue.len_of(WorkKind::Batch), queue.bytes_of(WorkKind::Batch)), (1, Bytes::new(10)));
+    }
+
+    /// Guards against a paused kind that is selected, or that blocks other kinds.
+    paused_kind_is_passed_over(queue) {
+        queue.push(entry(1, WorkKind::Service, "a", Priority::HIGHEST));
+        queue.push(batch(2, "a"));
+        queue.set_paused(WorkKind::Service, true);
+        assert_eq!(queue.next(START).unwrap().work, work(2));
+        assert_eq!(queue.next(START), None);
+        queue.set_paused(WorkKind::Service, false);
+        assert_eq!(queue.next(START).unwrap().work, work(1));
+    }
+
+    /// Guards against estimates that count a whole flood ahead of a team that takes turns with it.
+    ahead_counts_turns(queue) {
+        for number in 0..1_000 {
+            queue.push(batch(number, "flood"));
+        }
+        queue.push(batch(2_000, "other"));
+        assert_eq!(queue.ahead(WorkKind::Batch, &team("other"), Priority::NORMAL), 2);
+        assert_eq!(queue.ahead(WorkKind::Batch, &team("flood"), Priority::NORMAL), 1_001);
+    }
+}
+
+/// Guards against lost, repeated or expired entries, starts beyond quota, and counters that drift.
+#[test]
+fn random_operations_lose_nothing() {
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut queue = queue();
+        let mut waiting: HashMap<WorkId, QueueEntry> = HashMap::new();
+        let mut held: HashSet<WorkId> = HashSet::new();
+        let mut running: Vec<QueueEntry> = Vec::new();
+        for step in 0..3_000_u64 {
+            let now = Timestamp::from_millis(step);
+            let known = waiting.keys().min().cloned();
+            match rng.random_range(0..12) {
+                0..5 => {
+                    let kind = WorkKind::ALL[rng.random_range(0..3)];
+                    let name = ["heavy", "small", "a", "b"][rng.random_range(0..4)];
+                    let priority = Priority::try_from(rng.random_range(0..=100)).unwrap();
+                    let mut added = entry(step, kind, name, priority);
+                    added.need = cpu(rng.random_range(0..10));
+                    added.enqueued = now;
+                    added.deadline = rng
+                        .random_bool(0.5)
+                        .then(|| Timestamp::from_millis(step + 200));
+                    waiting.insert(added.work.clone(), added.clone());
+                    assert!(queue.push(added));
+                }
+                5..8 => {
+                    if let Some(taken) = queue.next(now) {
+                        assert!(!taken.is_expired(now), "seed {seed}");
+                        assert!(!held.contains(&taken.work), "seed {seed}");
+                        assert_eq!(waiting.get(&taken.work), Some(&taken), "seed {seed}");
+                        if rng.random_bool(0.4) {
+                            assert!(queue.set_aside(taken));
+                        } else {
+                            waiting.remove(&taken.work);
+                            queue.charge(taken.kind, &taken.team, taken.need);
+                            running.push(taken);
+                        }
+                    }
+                }
+                8 => {
+                    if let Some(known) = known {
+                        assert_eq!(queue.remove(&known), waiting.remove(&known), "seed {seed}");
+                        held.remove(&known);
+                    }
+                }
+                9 => {
+                    if let Some(known) = known {
+                        assert_eq!(queue.release(&known), held.remove(&known), "seed {seed}");
+                        if rng.random_bool(0.5) {
+                            assert!(queue.hold(&known));
+                            held.insert(known);
+                        }
+                    }
+                }
+                10 => {
+                    queue.retry(3);
+                    for id in queue.expired(now) {
+                        let entry = waiting.remove(&id).expect("reported once");
+                        held.remove(&id);
+                        assert!(entry.is_expired(now), "seed {seed}");
+                    }
+                    assert!(
+                        waiting.values().all(|entry| !entry.is_expired(now)),
+                        "seed {seed}"
+                    );
+                }
+                _ if !running.is_empty() => {
+                    let ended = running.swap_remove(rng.random_range(0..running.len()));
+                    queue.discharge(ended.kind, &ended.team, ended.need);
+                }
+                _ => {}
+            }
+            check_totals(&queue, &waiting, &running, seed);
+        }
+        drain(&mut queue, waiting, held, running, seed);
+    }
+}
+
+fn check_totals(
+    queue: &FairQueue,
+    waiting: &HashMap<WorkId, QueueEntry>,
+    running: &[QueueEntry],
+    seed: u64,
+) {
+    assert_eq!(queue.len(), waiting.len(), "seed {seed}");
+    let small = running.iter().filter(|entry| entry.team == team("small"));
+    let used = small.fold(Resources::ZERO, |sum, entry| sum.saturating_add(entry.need));
+    assert_eq!(queue.team_in_use(&team("small")), used, "seed {seed}");
+    assert!(used.fits_in(&cpu(10)), "seed {seed}");
+    for kind in WorkKind::ALL {
+        let entries = waiting.values().filter(|entry| entry.kind == *kind);
+        let bytes = entries.map(|entry| entry.bytes.get()).sum();
+        assert_eq!(queue.bytes_of(*kind), Bytes::new(bytes), "seed {seed}");
+    }
+}
+
+/// Ends all running work and starts the rest one at a time, so that every entry must come out.
+fn drain(
+    queue: &mut FairQueue,
+    mut waiting: HashMap<WorkId, QueueEntry>,
+    held: HashSet<WorkId>,
+    running: Vec<QueueEntry>,
+    seed: u64,
+) {
+    for entry in running {
+        queue.discharge(entry.kind, &entry.team, entry.need);
+    }
+    for id in &held {
+        assert!(queue.release(id), "seed {seed}");
+    }
+    queue.retry(usize::MAX);
+    while let Some(taken) = queue.next(Timestamp::default()) {
+        assert!(waiting.remove(&taken.work).is_some(), "seed {seed}");
+    }
+    assert!(waiting.is_empty() && queue.is_empty(), "seed {seed}");
+}
--- /dev/null
+++ b/crates/core/tests/placement.rs
@@ -0,0 +1,304 @@
+//! Placement on a fleet: capacity, fit, racks, gangs and observed use.
+
+use std::collections::HashMap;
+
+use lagoon_core::id::WorkerId;
+use lagoon_core::placement::{ClosedReason, Fleet, WorkerSlot};
+use lagoon_core::policy::Percent;
+use lagoon_core::unit::{Accelerators, Bytes, Millicores, Resources};
+use lagoon_core::work::{PlacementPolicy, Spread};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+fn res(cpu: u64, memory: u64, accelerators: u32) -> Resources {
+    let amounts = Resources::new(Millicores::new(cpu), Bytes::new(memory));
+    amounts.with_accelerators(Accelerators::new(accelerators))
+}
+
+fn id(number: usize) -> WorkerId {
+    format!("w{number}").parse().unwrap()
+}
+
+fn add(fleet: &mut Fleet, number: usize, rack: usize, capacity: Resources) {
+    let rack = format!("r{rack}").parse().unwrap();
+    fleet.upsert_worker(id(number), rack, capacity);
+}
+
+/// Four workers of (10, 10), two in each of two racks.
+fn small_fleet() -> Fleet {
+    let mut fleet = Fleet::new();
+    for number in 0..4 {
+        add(&mut fleet, number, number / 2, res(10, 10, 0));
+    }
+    fleet
+}
+
+fn anywhere() -> PlacementPolicy {
+    PlacementPolicy::default()
+}
+
+fn over_racks() -> PlacementPolicy {
+    PlacementPolicy {
+        spread: Spread::Racks,
+        ..PlacementPolicy::default()
+    }
+}
+
+macro_rules! cases {
+    ($($(#[$meta:meta])* $name:ident($fleet:ident) $body:block)*) => {
+        $(
+            $(#[$meta])*
+            #[test]
+            fn $name() {
+                let mut $fleet = small_fleet();
+                $body
+            }
+        )*
+    };
+}
+
+cases! {
+    /// Guards against a worker that holds more than its capacity.
+    claim_beyond_capacity(fleet) {
+        fleet.claim(&id(0), res(8, 8, 0)).unwrap();
+        let error = fleet.claim(&id(0), res(3, 1, 0)).unwrap_err();
+        assert_eq!(error.code().number(), 6001);
+        assert_eq!(error.unreserved, res(2, 2, 0));
+        assert_eq!(fleet.in_use(), res(8, 8, 0));
+    }
+
+    /// Guards against a claim on a worker that was removed.
+    claim_on_unknown_worker(fleet) {
+        assert!(fleet.remove_worker(&id(0)));
+        assert!(fleet.claim(&id(0), res(1, 1, 0)).is_err());
+    }
+
+    /// Guards against large tasks that no longer fit because small ones were scattered.
+    best_fit_fills_used_workers_first(fleet) {
+        fleet.claim(&id(2), res(5, 1, 0)).unwrap();
+        assert_eq!(fleet.place(&res(4, 1, 0), &anywhere()), Some(id(2)));
+    }
+
+    /// Guards against a best fit by processors for a task that mainly needs memory.
+    best_fit_follows_the_dominant_dimension(fleet) {
+        fleet.claim(&id(1), res(5, 0, 0)).unwrap();
+        fleet.claim(&id(3), res(0, 5, 0)).unwrap();
+        assert_eq!(fleet.place(&res(1, 4, 0), &anywhere()), Some(id(3)));
+    }
+
+    /// Guards against accelerators that are blocked by tasks without need of them.
+    plain_tasks_leave_accelerators_free(fleet) {
+        add(&mut fleet, 9, 3, res(10, 10, 4));
+        for _ in 0..4 {
+            assert_ne!(fleet.place(&res(10, 10, 0), &anywhere()), Some(id(9)));
+        }
+        assert_eq!(fleet.place(&res(1, 1, 4), &anywhere()), Some(id(9)));
+    }
+
+    /// Guards against one reason's end that reopens a worker closed for another reason.
+    reasons_are_independent(fleet) {
+        for number in 1..4 {
+            fleet.remove_worker(&id(number));
+        }
+        fleet.close(&id(0), ClosedReason::Draining);
+        fleet.close(&id(0), ClosedReason::Rested);
+        fleet.open(&id(0), ClosedReason::Rested);
+        assert_eq!(fleet.place(&res(1, 1, 0), &anywhere()), None);
+        fleet.open(&id(0), ClosedReason::Draining);
+        assert_eq!(fleet.place(&res(1, 1, 0), &anywhere()), Some(id(0)));
+    }
+
+    /// Guards against a task outside the racks that its policy allows.
+    allowed_racks_only(fleet) {
+        let mut policy = anywhere();
+        policy.racks.push("r1".parse().unwrap());
+        let first = fleet.place(&res(10, 10, 0), &policy);
+        let second = fleet.place(&res(10, 10, 0), &policy);
+        assert!(first >= Some(id(2)) && second >= Some(id(2)));
+        assert_eq!(fleet.place(&res(1, 1, 0), &policy), None);
+    }
+
+    /// Guards against claims that remain after a gang job did not fit.
+    gang_claims_all_or_nothing(fleet) {
+        assert!(fleet.place_gang(5, &res(6, 6, 0), &anywhere()).is_none());
+        assert_eq!(fleet.in_use(), Resources::ZERO);
+        assert_eq!(fleet.place_gang(4, &res(6, 6, 0), &anywhere()).unwrap().len(), 4);
+        assert_eq!(fleet.in_use(), res(24, 24, 0));
+    }
+
+    /// Guards against a gang job in one rack although it asked for several.
+    gang_spreads_over_racks(fleet) {
+        let placed = fleet.place_gang(2, &res(2, 2, 0), &over_racks()).unwrap();
+        let racks = placed.iter().map(|worker| fleet.get(worker).unwrap().rack().clone());
+        let racks: Vec<_> = racks.collect();
+        assert_ne!(racks[0], racks[1]);
+    }
+
+    /// Guards against a spread gang job that is refused when it has more members than racks.
+    spread_gang_fills_the_fleet(fleet) {
+        assert_eq!(fleet.place_gang(8, &res(5, 5, 0), &over_racks()).unwrap().len(), 8);
+        assert_eq!(fleet.place(&res(1, 1, 0), &anywhere()), None);
+    }
+
+    /// Guards against racks that stay excluded after a spread gang job was placed.
+    spread_leaves_no_rack_excluded(fleet) {
+        fleet.place_gang(2, &res(1, 1, 0), &over_racks()).unwrap();
+        assert!(fleet.place_gang(2, &res(10, 10, 0), &anywhere()).is_some());
+    }
+
+    /// Guards against work that waits forever although no host could hold it, and against refusal of work that fits.
+    never_fits(fleet) {
+        fleet.claim(&id(0), res(10, 10, 0)).unwrap();
+        assert!(fleet.could_ever_hold(4, &res(10, 10, 0), &anywhere()));
+        assert!(!fleet.could_ever_hold(5, &res(10, 10, 0), &anywhere()));
+        assert!(!fleet.could_ever_hold(1, &res(11, 1, 0), &anywhere()));
+        assert!(!fleet.could_ever_hold(1, &res(1, 1, 1), &anywhere()));
+        let mut policy = anywhere();
+        policy.racks.push("r1".parse().unwrap());
+        assert!(!fleet.could_ever_hold(3, &res(10, 10, 0), &policy));
+    }
+
+    /// Guards against new work on a worker whose tasks use more than they declared.
+    use_above_the_declared_size_counts(fleet) {
+        fleet.claim(&id(0), res(2, 2, 0)).unwrap();
+        fleet.observe_usage(&id(0), res(9, 9, 0));
+        assert_eq!(fleet.free(&id(0)), Some(res(1, 1, 0)));
+        fleet.observe_usage(&id(0), res(1, 1, 0));
+        assert_eq!(fleet.free(&id(0)), Some(res(8, 8, 0)));
+    }
+
+    /// Guards against a changed capacity that drops the claims of running work.
+    upsert_keeps_claims(fleet) {
+        fleet.claim(&id(0), res(8, 8, 0)).unwrap();
+        add(&mut fleet, 0, 5, res(9, 9, 0));
+        assert_eq!(fleet.free(&id(0)), Some(res(1, 1, 0)));
+        assert_eq!(fleet.totals(), res(39, 39, 0));
+    }
+
+    /// Guards against further work on a worker that lost part of its capacity under running work.
+    shrunken_worker_takes_no_work(fleet) {
+        fleet.claim(&id(0), res(8, 2, 0)).unwrap();
+        add(&mut fleet, 0, 0, res(7, 10, 0));
+        assert!(fleet.claim(&id(0), res(0, 1, 0)).is_err());
+        for _ in 0..30 {
+            assert_ne!(fleet.place(&res(0, 1, 0), &anywhere()), Some(id(0)));
+        }
+    }
+
+    /// Guards against a release that makes room which was never claimed.
+    release_of_unclaimed_resources(fleet) {
+        fleet.claim(&id(0), res(2, 2, 0)).unwrap();
+        assert!(!fleet.release(&id(0), res(3, 2, 0)));
+        assert_eq!(fleet.in_use(), res(2, 2, 0));
+    }
+}
+
+/// Guards against reclaiming without a margin, of memory, or from tasks that no report covers yet.
+#[test]
+fn reclaiming_keeps_margin_memory_and_unobserved_claims() {
+    let mut fleet = Fleet::with_reclaim(Percent::new(20));
+    add(&mut fleet, 0, 0, res(100, 100, 0));
+    fleet.claim(&id(0), res(80, 50, 0)).unwrap();
+    assert_eq!(fleet.free(&id(0)), Some(res(20, 50, 0)));
+    fleet.observe_covered_usage(&id(0), res(10, 10, 0), res(80, 50, 0));
+    assert_eq!(fleet.free(&id(0)), Some(res(74, 50, 0)));
+    fleet.claim(&id(0), res(70, 10, 0)).unwrap();
+    assert_eq!(fleet.free(&id(0)), Some(res(4, 40, 0)));
+    assert!(fleet.claim(&id(0), res(5, 1, 0)).is_err());
+}
+
+/// Finds whether any open worker fits by a scan.
+fn any_fits(fleet: &Fleet, need: &Resources) -> bool {
+    let open = |worker: &&WorkerSlot| {
+        worker.closed().is_empty() && worker.claimed().fits_in(&worker.capacity())
+    };
+    let mut workers = fleet.iter().filter(open);
+    workers.any(|worker| need.fits_in(&fleet.free(worker.id()).unwrap()))
+}
+
+fn random_need(rng: &mut SmallRng) -> Resources {
+    let accelerators = if rng.random_bool(0.2) {
+        rng.random_range(1..4)
+    } else {
+        0
+    };
+    res(
+        rng.random_range(0..40),
+        rng.random_range(0..40),
+        accelerators,
+    )
+}
+
+/// Guards against an index that misses a fitting worker, claims above capacity, and totals that drift.
+#[test]
+fn random_operations_match_a_scan() {
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut fleet = Fleet::new();
+        let mut running: Vec<(WorkerId, Resources)> = Vec::new();
+        for _ in 0..2_000 {
+            let worker = rng.random_range(0..40);
+            let need = random_need(&mut rng);
+            match rng.random_range(0..12) {
+                0 => {
+                    let capacity = res(rng.random_range(50..100), rng.random_range(50..100), 4);
+                    add(&mut fleet, worker, worker / 4, capacity);
+                }
+                1 => {
+                    fleet.remove_worker(&id(worker));
+                    running.retain(|(at, _)| *at != id(worker));
+                }
+                2 => drop(fleet.close(&id(worker), ClosedReason::Rested)),
+                3 => drop(fleet.open(&id(worker), ClosedReason::Rested)),
+                4 => drop(fleet.observe_usage(&id(worker), need)),
+                5 => {
+                    let members = rng.random_range(1..6);
+                    let before = fleet.in_use();
+                    let policy = [anywhere(), over_racks()].choose(&mut rng).unwrap().clone();
+                    match fleet.place_gang(members, &need, &policy) {
+                        Some(placed) => running.extend(placed.into_iter().map(|at| (at, need))),
+                        None => assert_eq!(fleet.in_use(), before, "seed {seed}"),
+                    }
+                }
+                6..9 => {
+                    let expected = any_fits(&fleet, &need);
+                    let placed = fleet.place(&need, &anywhere());
+                    assert_eq!(placed.is_some(), expected, "seed {seed}");
+                    if let Some(worker) = placed.as_ref().and_then(|at| fleet.get(at)) {
+                        assert!(worker.closed().is_empty(), "seed {seed}");
+                        assert!(worker.claimed().fits_in(&worker.capacity()), "seed {seed}");
+                    }
+                    running.extend(placed.map(|at| (at, need)));
+                }
+                _ if !running.is_empty() => {
+                    let index = rng.random_range(0..running.len());
+                    let (at, size) = running.swap_remove(index);
+                    assert!(fleet.release(&at, size), "seed {seed}");
+                }
+                _ => {}
+            }
+            check_claims(&fleet, &running, seed);
+        }
+    }
+}
+
+fn check_claims(fleet: &Fleet, running: &[(WorkerId, Resources)], seed: u64) {
+    let mut claims: HashMap<&WorkerId, Resources> = HashMap::new();
+    for (at, size) in running {
+        let claim = claims.entry(at).or_default();
+        *claim = claim.checked_add(*size).unwrap();
+    }
+    let (mut totals, mut in_use) = (Resources::ZERO, Resources::ZERO);
+    for worker in fleet.iter() {
+        let claimed = claims.get(worker.id()).copied().unwrap_or_default();
+        assert_eq!(worker.claimed(), claimed, "seed {seed}");
+        totals = totals.saturating_add(worker.capacity());
+        in_use = in_use.saturating_add(claimed);
+    }
+    assert_eq!(
+        (fleet.totals(), fleet.in_use()),
+        (totals, in_use),
+        "seed {seed}"
+    );
+}
