--- a/crates/core/src/journal/json_size.rs
+++ b/crates/core/src/journal/json_size.rs
@@ -4,6 +4,8 @@
 
 use serde::ser::{self, Serialize};
 
+use crate::journal::json_items::Items;
+
 /// Returns the number of bytes that `value` takes as compact JSON.
 pub fn json_size<T: Serialize + ?Sized>(value: &T) -> u64 {
     let mut counter = Counter { bytes: 0 };
@@ -14,13 +16,14 @@
     }
 }
 
-struct Counter {
+/// Serializer that only counts.
+pub(super) struct Counter {
     bytes: u64,
 }
 
 /// The value can't be written as JSON.
 #[derive(Debug)]
-struct Unsupported;
+pub(super) struct Unsupported;
 
 impl Display for Unsupported {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -37,12 +40,12 @@
 }
 
 impl Counter {
-    fn add(&mut self, bytes: usize) -> Result<(), Unsupported> {
+    pub(super) fn add(&mut self, bytes: usize) -> Result<(), Unsupported> {
         self.bytes += bytes as u64;
         Ok(())
     }
 
-    fn text(&mut self, text: &str) -> Result<(), Unsupported> {
+    pub(super) fn text(&mut self, text: &str) -> Result<(), Unsupported> {
         let escaped = |byte: u8| match byte {
             b'"' | b'\\' | b'\n' | b'\r' | b'\t' | 0x08 | 0x0c => 2,
             0..0x20 => 6,
@@ -62,39 +65,6 @@
     }
 }
 
-/// Counts the items of a sequence or map, with their commas and brackets.
-struct Items<'a> {
-    counter: &'a mut Counter,
-    any: bool,
-}
-
-impl<'a> Items<'a> {
-    fn open(counter: &'a mut Counter) -> Result<Self, Unsupported> {
-        counter.add(2)?;
-        Ok(Self {
-            counter,
-            any: false,
-        })
-    }
-
-    fn item<T: Serialize + ?Sized>(&mut self, value: &T) -> Result<(), Unsupported> {
-        self.comma()?;
-        value.serialize(&mut *self.counter)
-    }
-
-    fn field<T: Serialize + ?Sized>(&mut self, name: &str, value: &T) -> Result<(), Unsupported> {
-        self.comma()?;
-        self.counter.text(name)?;
-        self.counter.add(1)?;
-        value.serialize(&mut *self.counter)
-    }
-
-    fn comma(&mut self) -> Result<(), Unsupported> {
-        let comma = usize::from(std::mem::replace(&mut self.any, true));
-        self.counter.add(comma)
-    }
-}
-
 macro_rules! numbers {
     ($($method:ident: $ty:ty,)*) => {
         $(fn $method(self, value: $ty) -> Result<(), Unsupported> {
@@ -235,71 +205,3 @@
         Items::open(self)
     }
 }
-
-macro_rules! items {
-    ($($trait:ident::$method:ident,)*) => {
-        $(impl ser::$trait for Items<'_> {
-            type Ok = ();
-            type Error = Unsupported;
-
-            fn $method<T: Serialize + ?Sized>(&mut self, value: &T) -> Result<(), Unsupported> {
-                self.item(value)
-            }
-
-            fn end(self) -> Result<(), Unsupported> {
-                Ok(())
-            }
-        })*
-    };
-}
-
-macro_rules! fields {
-    ($($trait:ident,)*) => {
-        $(impl ser::$trait for Items<'_> {
-            type Ok = ();
-            type Error = Unsupported;
-
-            fn serialize_field<T: Serialize + ?Sized>(
-                &mut self,
-                name: &'static str,
-                value: &T,
-            ) -> Result<(), Unsupported> {
-                self.field(name, value)
-            }
-
-            fn end(self) -> Result<(), Unsupported> {
-                Ok(())
-            }
-        })*
-    };
-}
-
-items! {
-    SerializeSeq::serialize_element,
-    SerializeTuple::serialize_element,
-    SerializeTupleStruct::serialize_field,
-    SerializeTupleVariant::serialize_field,
-}
-
-fields! {
-    SerializeStruct,
-    SerializeStructVariant,
-}
-
-impl ser::SerializeMap for Items<'_> {
-    type Ok = ();
-    type Error = Unsupported;
-
-    fn serialize_key<T: Serialize + ?Sized>(&mut self, key: &T) -> Result<(), Unsupported> {
-        self.item(key)
-    }
-
-    fn serialize_value<T: Serialize + ?Sized>(&mut self, value: &T) -> Result<(), Unsupported> {
-        self.counter.add(1)?;
-        value.serialize(&mut *self.counter)
-    }
-
-    fn end(self) -> Result<(), Unsupported> {
-        Ok(())
-    }
-}
--- a/crates/core/src/journal/mod.rs
+++ b/crates/core/src/journal/mod.rs
@@ -38,6 +38,7 @@
 mod journal_limits;
 mod journal_state;
 mod journal_write;
+mod json_items;
 mod json_size;
 mod live_work;
 mod position;
--- /dev/null
+++ b/crates/core/src/ticket/handover.rs
@@ -0,0 +1,81 @@
+//! Planned handover of a ticket table to the next owner of the shard.
+
+use crate::code::{Refusal, ResultCode};
+use crate::ticket::epoch_table::EpochTable;
+use crate::ticket::ticket_table::answer_bytes;
+use crate::ticket::{Slot, TicketSnapshot, TicketTable};
+use crate::unit::Timestamp;
+use crate::work::Outcome;
+
+impl TicketTable {
+    /// Returns the tickets for a successor; from now on this table starts no request.
+    pub fn export(&mut self) -> TicketSnapshot {
+        self.exported = true;
+        let epochs = self.epochs.iter().map(EpochTable::to_snapshot);
+        TicketSnapshot {
+            shard: self.shard.clone(),
+            taken_at: self.latest,
+            epochs: epochs.collect(),
+        }
+    }
+
+    /// Starts requests again after a handover that did not take place. The exported snapshot must never be imported.
+    pub fn resume(&mut self) {
+        self.exported = false;
+    }
+
+    /// Takes over the tickets of a predecessor. Requests that were in flight there end as `AnswerLost`.
+    ///
+    /// Refused with `EpochInvariant` for another shard, an epoch that is not older, or a second import.
+    pub fn import(&mut self, snapshot: TicketSnapshot) -> Result<(), Refusal> {
+        let ascending = snapshot.epochs.is_sorted_by(|a, b| a.epoch < b.epoch);
+        let own = self.epoch();
+        let older = snapshot.epochs.iter().all(|table| table.epoch < own);
+        if self.imported || snapshot.shard != self.shard || !ascending || !older {
+            let text = format!(
+                "tickets of {} can't be imported at epoch {own}",
+                snapshot.shard
+            );
+            return Err(Refusal::new(ResultCode::EpochInvariant, text));
+        }
+        self.imported = true;
+        let taken_at = snapshot.taken_at;
+        let tables = snapshot.epochs.into_iter().map(EpochTable::from_snapshot);
+        self.epochs.splice(0..0, tables);
+        self.count_imported(taken_at);
+        self.drop_over_limit();
+        Ok(())
+    }
+
+    fn count_imported(&mut self, taken_at: Timestamp) {
+        let own = self.epoch();
+        let mut done = Vec::new();
+        for table in self.epochs.iter_mut().filter(|table| table.epoch() != own) {
+            let epoch = table.epoch();
+            table.for_each(|sequence, slot| {
+                if let Slot::InFlight { fingerprint } = *slot {
+                    let text = "the request was in flight when the shard was handed over";
+                    let refusal = Refusal::new(ResultCode::AnswerLost, text);
+                    let outcome = Box::new(Outcome::Refused(refusal));
+                    let at = taken_at;
+                    *slot = Slot::Done {
+                        fingerprint,
+                        outcome,
+                        at,
+                    };
+                }
+                if let Slot::Done { outcome, at, .. } = slot {
+                    done.push((*at, epoch, sequence, answer_bytes(outcome)));
+                }
+            });
+        }
+        done.sort_by_key(|(at, ..)| *at);
+        self.kept_answers += done.len();
+        self.kept_bytes += done.iter().map(|(.., bytes)| bytes).sum::<u64>();
+        let own_completed = std::mem::take(&mut self.completed);
+        let imported = done
+            .into_iter()
+            .map(|(_, epoch, sequence, _)| (epoch, sequence));
+        self.completed = imported.chain(own_completed).collect();
+    }
+}
--- a/crates/core/src/ticket/mod.rs
+++ b/crates/core/src/ticket/mod.rs
@@ -17,6 +17,7 @@
 
 mod epoch_snapshot;
 mod epoch_table;
+mod handover;
 mod slot;
 mod ticket_decision;
 mod ticket_limits;
--- a/crates/core/src/ticket/ticket_table.rs
+++ b/crates/core/src/ticket/ticket_table.rs
@@ -3,7 +3,7 @@
 use crate::code::{Refusal, ResultCode};
 use crate::id::{Epoch, Sequence, ShardId, Ticket};
 use crate::ticket::epoch_table::EpochTable;
-use crate::ticket::{Slot, TicketDecision, TicketLimits, TicketSnapshot};
+use crate::ticket::{Slot, TicketDecision, TicketLimits};
 use crate::unit::{Bytes, Millis, Timestamp};
 use crate::work::Outcome;
 
@@ -16,17 +16,17 @@
 /// Tickets of a shard; each lets its request run at most once.
 #[derive(Debug)]
 pub struct TicketTable {
-    shard: ShardId,
-    limits: TicketLimits,
+    pub(super) shard: ShardId,
+    pub(super) limits: TicketLimits,
     // Ascending by epoch; the last one issues, the others were imported.
-    epochs: Vec<EpochTable>,
+    pub(super) epochs: Vec<EpochTable>,
     // Completed tickets, oldest first; may name tickets whose answer is gone.
-    completed: VecDeque<(Epoch, Sequence)>,
-    kept_answers: usize,
-    kept_bytes: u64,
-    latest: Timestamp,
-    exported: bool,
-    imported: bool,
+    pub(super) completed: VecDeque<(Epoch, Sequence)>,
+    pub(super) kept_answers: usize,
+    pub(super) kept_bytes: u64,
+    pub(super) latest: Timestamp,
+    pub(super) exported: bool,
+    pub(super) imported: bool,
 }
 
 impl TicketTable {
@@ -170,45 +170,6 @@
             .retain(|table| table.epoch() == own || table.live() > 0);
     }
 
-    /// Returns the tickets for a successor; from now on this table starts no request.
-    pub fn export(&mut self) -> TicketSnapshot {
-        self.exported = true;
-        let epochs = self.epochs.iter().map(EpochTable::to_snapshot);
-        TicketSnapshot {
-            shard: self.shard.clone(),
-            taken_at: self.latest,
-            epochs: epochs.collect(),
-        }
-    }
-
-    /// Starts requests again after a handover that did not take place. The exported snapshot must never be imported.
-    pub fn resume(&mut self) {
-        self.exported = false;
-    }
-
-    /// Takes over the tickets of a predecessor. Requests that were in flight there end as `AnswerLost`.
-    ///
-    /// Refused with `EpochInvariant` for another shard, an epoch that is not older, or a second import.
-    pub fn import(&mut self, snapshot: TicketSnapshot) -> Result<(), Refusal> {
-        let ascending = snapshot.epochs.is_sorted_by(|a, b| a.epoch < b.epoch);
-        let own = self.epoch();
-        let older = snapshot.epochs.iter().all(|table| table.epoch < own);
-        if self.imported || snapshot.shard != self.shard || !ascending || !older {
-            let text = format!(
-                "tickets of {} can't be imported at epoch {own}",
-                snapshot.shard
-            );
-            return Err(Refusal::new(ResultCode::EpochInvariant, text));
-        }
-        self.imported = true;
-        let taken_at = snapshot.taken_at;
-        let tables = snapshot.epochs.into_iter().map(EpochTable::from_snapshot);
-        self.epochs.splice(0..0, tables);
-        self.count_imported(taken_at);
-        self.drop_over_limit();
-        Ok(())
-    }
-
     /// Returns the number of tickets that are unused, in flight or answered.
     pub fn outstanding(&self) -> usize {
         self.epochs.iter().map(EpochTable::live).sum()
@@ -245,7 +206,7 @@
         }
     }
 
-    fn drop_over_limit(&mut self) {
+    pub(super) fn drop_over_limit(&mut self) {
         while self.kept_bytes > self.limits.answer_bytes.get() {
             let Some((epoch, sequence)) = self.completed.pop_front() else {
                 break;
@@ -262,41 +223,9 @@
             self.completed = completed;
         }
     }
-
-    fn count_imported(&mut self, taken_at: Timestamp) {
-        let own = self.epoch();
-        let mut done = Vec::new();
-        for table in self.epochs.iter_mut().filter(|table| table.epoch() != own) {
-            let epoch = table.epoch();
-            table.for_each(|sequence, slot| {
-                if let Slot::InFlight { fingerprint } = *slot {
-                    let text = "the request was in flight when the shard was handed over";
-                    let refusal = Refusal::new(ResultCode::AnswerLost, text);
-                    let outcome = Box::new(Outcome::Refused(refusal));
-                    let at = taken_at;
-                    *slot = Slot::Done {
-                        fingerprint,
-                        outcome,
-                        at,
-                    };
-                }
-                if let Slot::Done { outcome, at, .. } = slot {
-                    done.push((*at, epoch, sequence, answer_bytes(outcome)));
-                }
-            });
-        }
-        done.sort_by_key(|(at, ..)| *at);
-        self.kept_answers += done.len();
-        self.kept_bytes += done.iter().map(|(.., bytes)| bytes).sum::<u64>();
-        let own_completed = std::mem::take(&mut self.completed);
-        let imported = done
-            .into_iter()
-            .map(|(_, epoch, sequence, _)| (epoch, sequence));
-        self.completed = imported.chain(own_completed).collect();
-    }
 }
 
-fn answer_bytes(outcome: &Outcome) -> u64 {
+pub(super) fn answer_bytes(outcome: &Outcome) -> u64 {
     let text = match outcome {
         Outcome::Succeeded(text) | Outcome::Failed(text) => text.len(),
         Outcome::Refused(refusal) => refusal.message.len(),
