--- a/crates/core/src/journal/group.rs
+++ b/crates/core/src/journal/group.rs
@@ -26,7 +26,7 @@
             self.staged = Some(self.staged(parts, true, 0));
             return;
         }
-        let waiting: u64 = self.pending.iter().map(|(_, bytes)| bytes).sum();
+        let waiting = self.pending_bytes;
         if waiting == 0 || self.tail_bytes + waiting <= self.limits.tail.get() {
             return;
         }
@@ -172,7 +172,9 @@
         self.head = proposal.head;
         self.version = version;
         self.tail_bytes = proposal.tail_bytes;
-        for (entry, _) in self.pending.drain(..proposal.entries) {
+        self.delete_due = true;
+        for (entry, bytes) in self.pending.drain(..proposal.entries) {
+            self.pending_bytes -= bytes;
             self.state.apply(&entry);
         }
         self.committed += proposal.entries as u64;
--- a/crates/core/src/journal/journal_core.rs
+++ b/crates/core/src/journal/journal_core.rs
@@ -33,6 +33,7 @@
     pub(super) tail_bytes: u64,
     pub(super) state: JournalState,
     pub(super) pending: VecDeque<(JournalEntry, u64)>,
+    pub(super) pending_bytes: u64,
     pub(super) committed: u64,
     pub(super) staged: Option<Staged>,
     pub(super) proposal: Option<Proposal>,
@@ -40,6 +41,8 @@
     pub(super) read_needed: bool,
     pub(super) snapshot_wanted: bool,
     pub(super) unreferenced: Vec<String>,
+    // Set by each commit, so that deletions take turns with commits and neither starves the other.
+    pub(super) delete_due: bool,
     pub(super) deleting: Vec<String>,
     pub(super) latest: Timestamp,
     pub(super) blocked_until: Timestamp,
@@ -64,6 +67,7 @@
             version,
             state,
             pending: VecDeque::new(),
+            pending_bytes: 0,
             committed: 0,
             staged: None,
             proposal: None,
@@ -71,6 +75,7 @@
             read_needed: false,
             snapshot_wanted: false,
             unreferenced: Vec::new(),
+            delete_due: false,
             deleting: Vec::new(),
             latest: Timestamp::default(),
             blocked_until: Timestamp::default(),
@@ -88,6 +93,7 @@
             return Err(Refusal::new(ResultCode::BodyTooLarge, text));
         }
         self.pending.push_back((entry, bytes));
+        self.pending_bytes += bytes;
         Ok(Position::new(self.committed + self.pending.len() as u64))
     }
 
@@ -142,6 +148,9 @@
             return Some(JournalWrite::ReadHead { key });
         }
         if self.proposal.is_none() {
+            if self.delete_due && !self.unreferenced.is_empty() {
+                return Some(self.delete());
+            }
             self.stage();
             if let Some(write) = self.next_part() {
                 self.outstanding = Some(Call::Put);
@@ -157,13 +166,15 @@
                 expect_version: self.version,
             });
         }
-        if self.unreferenced.is_empty() {
-            return None;
-        }
+        (!self.unreferenced.is_empty()).then(|| self.delete())
+    }
+
+    fn delete(&mut self) -> JournalWrite {
         self.outstanding = Some(Call::Delete);
+        self.delete_due = false;
         self.deleting = std::mem::take(&mut self.unreferenced);
         let keys = self.deleting.clone();
-        Some(JournalWrite::DeleteKeys { keys })
+        JournalWrite::DeleteKeys { keys }
     }
 
     /// Takes the confirmation of the outstanding write.
--- /dev/null
+++ b/crates/core/tests/journal_model/mod.rs
@@ -0,0 +1,7 @@
+//! Model of a store and of processes that claim a shard, commit, pause and lose answers.
+
+mod process;
+mod store;
+mod world;
+
+pub(crate) use self::world::World;
--- /dev/null
+++ b/crates/core/tests/journal_model/store.rs
@@ -0,0 +1,70 @@
+use std::collections::BTreeMap;
+
+use lagoon_core::journal::{Head, JournalWrite, Segment, StoreVersion, json_size};
+
+/// Largest value, as the journal's limits in the model say.
+pub(crate) const VALUE_LIMIT: u64 = 4_096;
+
+/// Store that keeps one head and any number of segments.
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) head: Option<Head>,
+    revision: u64,
+    // Revision of the last swap of the head.
+    version: u64,
+    pub(crate) values: BTreeMap<String, Segment>,
+    pub(crate) snapshots: usize,
+    pub(crate) deleted: usize,
+}
+
+impl Store {
+    /// Applies a write; `None` is a conflict.
+    pub(crate) fn apply(&mut self, write: &JournalWrite) -> Option<StoreVersion> {
+        match write {
+            JournalWrite::PutSegment { key, value } => self.put(key, value),
+            JournalWrite::PutSnapshot { key, value } => {
+                self.snapshots += 1;
+                self.put(key, value);
+            }
+            JournalWrite::SwapHead {
+                value,
+                expect_version,
+                ..
+            } => {
+                let current = self.version;
+                if expect_version.get() != current {
+                    return None;
+                }
+                let epoch = self.head.as_ref().map(|head| head.epoch);
+                assert!(
+                    epoch <= Some(value.epoch),
+                    "the epoch went back from {epoch:?}"
+                );
+                assert!(json_size(&value.tail) <= VALUE_LIMIT);
+                self.head = Some(Head::clone(value));
+                self.version = self.revision + 1;
+            }
+            JournalWrite::DeleteKeys { keys } => {
+                self.deleted += keys.len();
+                keys.iter().for_each(|key| drop(self.values.remove(key)));
+            }
+            JournalWrite::ReadHead { .. } => unreachable!("a read changes nothing"),
+        }
+        self.revision += 1;
+        Some(StoreVersion::new(self.revision))
+    }
+
+    pub(crate) fn current(&self) -> Option<(Head, StoreVersion)> {
+        let head = self.head.clone()?;
+        Some((head, StoreVersion::new(self.version)))
+    }
+
+    fn put(&mut self, key: &str, value: &Segment) {
+        assert!(json_size(value) <= VALUE_LIMIT, "{key} is too large");
+        let previous = self.values.insert(key.to_owned(), value.clone());
+        assert!(
+            previous.is_none_or(|previous| previous == *value),
+            "{key} was changed"
+        );
+    }
+}
--- /dev/null
+++ b/crates/core/tests/journal_model/world.rs
@@ -0,0 +1,284 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use lagoon_core::id::ShardId;
+use lagoon_core::journal::{
+    Claim, ClaimResult, Head, Journal, JournalEntry, JournalEvent, JournalLimits, JournalState,
+    JournalWrite, Replay, StoreVersion,
+};
+use lagoon_core::unit::{Bytes, Millis, Timestamp};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::process::{Process, Role};
+use super::store::{Store, VALUE_LIMIT};
+
+pub(crate) struct World {
+    rng: SmallRng,
+    store: Store,
+    // Writes whose answer was lost and that may still take effect.
+    delayed: Vec<JournalWrite>,
+    processes: Vec<Process>,
+    next: u64,
+    committed: BTreeSet<u64>,
+    not_written: BTreeSet<u64>,
+    takeovers: usize,
+    now: Timestamp,
+}
+
+fn shard() -> ShardId {
+    "cluj:3".parse().unwrap()
+}
+
+fn limits() -> JournalLimits {
+    JournalLimits {
+        tail: Bytes::new(1_024),
+        value: Bytes::new(VALUE_LIMIT),
+        segments: 3,
+        refused_wait: Millis::new(5),
+        ..JournalLimits::default()
+    }
+}
+
+fn command(number: u64, bytes: usize) -> JournalEntry {
+    JournalEntry::Command {
+        command: number.to_string().parse().unwrap(),
+        caller: "op".parse().unwrap(),
+        text: "x".repeat(bytes),
+        result: String::new(),
+        at: Timestamp::default(),
+    }
+}
+
+impl World {
+    pub(crate) fn new(seed: u64) -> Self {
+        let process = |n| Process {
+            id: format!("s{n}").parse().unwrap(),
+            role: Role::Idle,
+        };
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            store: Store::default(),
+            delayed: Vec::new(),
+            processes: (0..3).map(process).collect(),
+            next: 0,
+            committed: BTreeSet::new(),
+            not_written: BTreeSet::new(),
+            takeovers: 0,
+            now: Timestamp::default(),
+        }
+    }
+
+    pub(crate) fn step(&mut self) {
+        self.now = self.now.after(Millis::new(1));
+        if !self.delayed.is_empty() && self.rng.random_bool(0.05) {
+            let index = self.rng.random_range(0..self.delayed.len());
+            let write = self.delayed.swap_remove(index);
+            // Its sender does not hear of it any more.
+            let _ = self.store.apply(&write);
+        }
+        let index = self.rng.random_range(0..self.processes.len());
+        let role = std::mem::replace(&mut self.processes[index].role, Role::Idle);
+        let role = match role {
+            Role::Idle if self.rng.random_bool(0.01) => {
+                let id = self.processes[index].id.clone();
+                let current = self.store.current();
+                let claim = Claim::new(shard(), id, "127.0.0.1:7001".to_owned(), current);
+                Role::Claiming { claim, sent: false }
+            }
+            Role::Idle => Role::Idle,
+            Role::Claiming { claim, sent } => self.step_claim(claim, sent),
+            Role::Owner {
+                journal,
+                call,
+                appended,
+                reported,
+            } => {
+                // A crash forgets everything that is not in the store.
+                if self.rng.random_bool(0.002) {
+                    Role::Idle
+                } else {
+                    self.step_owner(journal, call, appended, reported)
+                }
+            }
+        };
+        self.processes[index].role = role;
+    }
+
+    fn step_claim(&mut self, claim: Claim, sent: bool) -> Role {
+        if !sent {
+            return match self.send(&claim.write()) {
+                Answer::Written(version) => self.own(&claim, version),
+                Answer::Refused => Role::Claiming { claim, sent: false },
+                Answer::Conflict | Answer::Lost => Role::Claiming { claim, sent: true },
+            };
+        }
+        let current = self.store.current();
+        match claim.judge(current.as_ref().map(|(head, version)| (head, *version))) {
+            ClaimResult::Won(version) => self.own(&claim, version),
+            ClaimResult::Pending => Role::Claiming { claim, sent: false },
+            ClaimResult::Superseded { .. } => Role::Idle,
+            ClaimResult::Missing => unreachable!("no process deletes the head"),
+        }
+    }
+
+    fn own(&mut self, claim: &Claim, version: StoreVersion) -> Role {
+        // Another process may have claimed in between and deleted what this claim refers to.
+        if claim
+            .read_keys()
+            .iter()
+            .any(|key| !self.store.values.contains_key(key))
+        {
+            assert_ne!(self.store.head.as_ref(), Some(claim.head()));
+            return Role::Idle;
+        }
+        self.takeovers += 1;
+        let state = self.replay(claim.head());
+        let journal = Journal::new(shard(), claim.head().clone(), version, state, limits());
+        Role::Owner {
+            journal: Box::new(journal),
+            call: None,
+            appended: Vec::new(),
+            reported: 0,
+        }
+    }
+
+    fn replay(&self, head: &Head) -> JournalState {
+        let mut replay = Replay::new(shard(), head.clone(), limits().retention);
+        for key in replay.missing() {
+            let value = self.store.values.get(&key);
+            let value = value.unwrap_or_else(|| panic!("{key} is missing")).clone();
+            replay.add(key, value);
+        }
+        replay.finish().unwrap()
+    }
+
+    fn step_owner(
+        &mut self,
+        mut journal: Box<Journal>,
+        mut call: Option<JournalWrite>,
+        mut appended: Vec<u64>,
+        mut reported: usize,
+    ) -> Role {
+        if self.rng.random_bool(0.6) {
+            let bytes = self.rng.random_range(0..400);
+            let position = journal.append(command(self.next, bytes)).unwrap();
+            appended.push(self.next);
+            assert_eq!(position.get(), appended.len() as u64);
+            self.next += 1;
+        }
+        let events = match call.take() {
+            None => {
+                call = journal.next_write(self.now);
+                Vec::new()
+            }
+            Some(JournalWrite::ReadHead { .. }) => match self.rng.random_bool(0.8) {
+                true => journal.on_head(self.store.current()),
+                false => journal.on_unknown(),
+            },
+            Some(write) => match self.send(&write) {
+                Answer::Written(version) => journal.on_written(version),
+                Answer::Conflict => journal.on_conflict(StoreVersion::new(0)),
+                Answer::Lost => journal.on_unknown(),
+                Answer::Refused => journal.on_refused(),
+            },
+        };
+        for event in events {
+            match event {
+                JournalEvent::Committed { up_to } => {
+                    let up_to = up_to.get() as usize;
+                    self.committed.extend(&appended[reported..up_to]);
+                    reported = up_to;
+                }
+                JournalEvent::SnapshotNeeded => journal.begin_snapshot(),
+                JournalEvent::OwnershipLost { epoch, .. } => {
+                    assert!(epoch > journal.head().epoch);
+                    let possible = journal.possibly_written_up_to().get() as usize;
+                    self.not_written.extend(&appended[possible..]);
+                    return Role::Idle;
+                }
+                JournalEvent::HeadInvalid(refusal) => panic!("{refusal}"),
+            }
+        }
+        Role::Owner {
+            journal,
+            call,
+            appended,
+            reported,
+        }
+    }
+
+    fn send(&mut self, write: &JournalWrite) -> Answer {
+        match self.rng.random_range(0..100) {
+            0..80 => self
+                .store
+                .apply(write)
+                .map_or(Answer::Conflict, Answer::Written),
+            80..87 => {
+                let _ = self.store.apply(write);
+                Answer::Lost
+            }
+            87..90 => Answer::Lost,
+            90..95 => {
+                self.delayed.push(write.clone());
+                Answer::Lost
+            }
+            _ => Answer::Refused,
+        }
+    }
+
+    /// Compares what was reported with a replay of the final head.
+    pub(crate) fn check(&self) {
+        let mut counts = BTreeMap::new();
+        let state = self.replay(self.store.head.as_ref().unwrap());
+        for entry in state.commands() {
+            let JournalEntry::Command { command, .. } = entry else {
+                panic!("{entry:?} in the audit trail");
+            };
+            let number: u64 = command.as_str().parse().unwrap();
+            *counts.entry(number).or_insert(0) += 1;
+        }
+        assert!(
+            counts.values().all(|count| *count == 1),
+            "an entry is doubled"
+        );
+        let lost: Vec<_> = self
+            .committed
+            .iter()
+            .filter(|n| !counts.contains_key(n))
+            .collect();
+        assert!(lost.is_empty(), "reported as durable and missing: {lost:?}");
+        let revived: Vec<_> = self
+            .not_written
+            .iter()
+            .filter(|n| counts.contains_key(n))
+            .collect();
+        assert!(
+            revived.is_empty(),
+            "reported as not written and there: {revived:?}"
+        );
+        // The run must have met what it is meant to meet.
+        assert!(
+            self.committed.len() > 300,
+            "{} entries",
+            self.committed.len()
+        );
+        assert!(self.takeovers > 5, "{} takeovers", self.takeovers);
+        assert!(
+            self.store.snapshots > 5,
+            "{} snapshots",
+            self.store.snapshots
+        );
+        assert!(
+            self.store.deleted > 5,
+            "{} keys deleted",
+            self.store.deleted
+        );
+    }
+}
+
+enum Answer {
+    Written(StoreVersion),
+    Conflict,
+    Lost,
+    Refused,
+}
