--- /dev/null
+++ b/crates/core/tests/journal.rs
@@ -0,0 +1,269 @@
+//! Group commit, claims, replay and the pace of commits.
+
+#[path = "journal_model/entries.rs"]
+mod journal_entries;
+
+use journal_entries::{accepted, shard};
+use lagoon_core::code::ResultCode;
+use lagoon_core::id::{Epoch, Sequence};
+use lagoon_core::journal::{
+    Claim, ClaimResult, Head, Journal, JournalEvent, JournalKeys, JournalLimits, JournalState,
+    JournalWrite, Position, Replay, Retention, StoreVersion,
+};
+use lagoon_core::unit::{Bytes, Timestamp};
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn claim(owner: &str, current: Option<(Head, StoreVersion)>) -> Claim {
+    let owner = owner.parse().unwrap();
+    Claim::new(shard(), owner, "127.0.0.1:7001".to_owned(), current)
+}
+
+fn version(n: u64) -> StoreVersion {
+    StoreVersion::new(n)
+}
+
+/// The first owner of a new shard, with the head at version 1.
+fn journal() -> Journal {
+    let head = claim("s1", None).head().clone();
+    let limits = JournalLimits::default();
+    let state = JournalState::new(limits.retention);
+    Journal::new(shard(), head, version(1), state, limits)
+}
+
+/// A journal whose swap of one entry is outstanding.
+fn swapping() -> (Journal, Head) {
+    let mut journal = journal();
+    journal.append(accepted(0, "")).unwrap();
+    let Some(JournalWrite::SwapHead { value, .. }) = journal.next_write(at(0)) else {
+        panic!("expected a swap");
+    };
+    (journal, Head::clone(&value))
+}
+
+/// Names the next write, so that a case fits on one line.
+fn kind(write: Option<JournalWrite>) -> &'static str {
+    match write {
+        None => "none",
+        Some(JournalWrite::PutSegment { .. }) => "segment",
+        Some(JournalWrite::PutSnapshot { .. }) => "snapshot",
+        Some(JournalWrite::SwapHead { .. }) => "swap",
+        Some(JournalWrite::ReadHead { .. }) => "read",
+        Some(JournalWrite::DeleteKeys { .. }) => "delete",
+    }
+}
+
+macro_rules! next_writes {
+    ($($(#[$doc:meta])* $name:ident: $answer:expr, $at:literal => $expected:literal, $committed:literal;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let (mut journal, head) = swapping();
+                let answer: fn(&mut Journal, Head) = $answer;
+                answer(&mut journal, head);
+                assert_eq!(kind(journal.next_write(at($at))), $expected);
+                assert_eq!(journal.committed_up_to(), Position::new($committed));
+            }
+        )*
+    };
+}
+
+next_writes! {
+    /// Guards against two writes at once.
+    one_write_at_a_time: |_, _| {}, 0 => "none", 0;
+    /// Guards against a confirmed entry that is not reported.
+    written: |journal, _| drop(journal.on_written(version(2))), 0 => "none", 1;
+    /// Guards against an answer to callers before the lost one is read back.
+    lost_answer: |journal, _| drop(journal.on_unknown()), 0 => "read", 0;
+    /// Guards against a conflict that is taken for a loss of the ownership, or for success.
+    conflict: |journal, _| drop(journal.on_conflict(version(2))), 0 => "read", 0;
+    /// Guards against a store that is called again at once after it refused.
+    refused_waits: |journal, _| drop(journal.on_refused()), 99 => "none", 0;
+    /// Guards against entries that are lost with a refused write.
+    refused_retries: |journal, _| drop(journal.on_refused()), 100 => "swap", 0;
+    /// Guards against a commit that took effect and is written again.
+    lost_answer_took_effect: |journal, head| {
+        journal.on_unknown();
+        journal.next_write(at(0));
+        journal.on_head(Some((head, version(2))));
+    }, 0 => "none", 1;
+    /// Guards against a commit that had no effect and is reported as durable.
+    lost_answer_without_effect: |journal, _| {
+        let base = journal.head().clone();
+        journal.on_unknown();
+        journal.next_write(at(0));
+        journal.on_head(Some((base, version(1))));
+    }, 0 => "swap", 0;
+    /// Guards against a lost read after which nothing is read back.
+    lost_read: |journal, _| {
+        journal.on_unknown();
+        journal.next_write(at(0));
+        journal.on_unknown();
+    }, 0 => "read", 0;
+    /// Guards against a superseded owner that goes on.
+    ownership_lost: |journal, head| {
+        journal.on_unknown();
+        journal.next_write(at(0));
+        let successor = claim("s2", Some((head, version(2)))).head().clone();
+        let events = journal.on_head(Some((successor, version(3))));
+        let owner = "s2".parse().unwrap();
+        assert_eq!(events, [JournalEvent::OwnershipLost { owner, epoch: Epoch::new(2) }]);
+    }, 0 => "none", 0;
+    /// Guards against an owner that recreates a deleted head.
+    missing_head: |journal, _| {
+        journal.on_unknown();
+        journal.next_write(at(0));
+        assert!(matches!(journal.on_head(None)[..], [JournalEvent::HeadInvalid(_)]));
+    }, 0 => "none", 0;
+}
+
+/// Guards against a repeat that differs from a try that may still take effect: its entries would be told apart wrongly.
+#[test]
+fn write_in_doubt_is_repeated_unchanged() {
+    let (mut journal, head) = swapping();
+    let base = journal.head().clone();
+    journal.on_unknown();
+    journal.next_write(at(0));
+    journal.on_head(Some((base, version(1))));
+    journal.append(accepted(1, "")).unwrap();
+    for now in [0, 1_000] {
+        let Some(JournalWrite::SwapHead { value, .. }) = journal.next_write(at(now)) else {
+            panic!("expected a swap");
+        };
+        assert_eq!(*value, head);
+        journal.on_refused();
+    }
+}
+
+/// Guards against a head that grows beyond its limit, and against a head that refers to a segment not yet written.
+#[test]
+fn long_tail_goes_to_a_segment_first() {
+    let mut journal = journal();
+    for n in 0..40 {
+        journal.append(accepted(n, &"x".repeat(1_000))).unwrap();
+    }
+    let Some(JournalWrite::PutSegment { key, value }) = journal.next_write(at(0)) else {
+        panic!("expected a segment");
+    };
+    assert_eq!(key, "shards/cluj/3/segment/1-0");
+    assert_eq!(value.entries.len(), 40);
+    journal.on_written(version(2));
+    let Some(JournalWrite::SwapHead { value, .. }) = journal.next_write(at(0)) else {
+        panic!("expected a swap");
+    };
+    assert!(value.tail.is_empty());
+    assert_eq!(value.keys(&shard()), [key]);
+    assert_eq!(value.next_work, Sequence::new(40));
+    assert_eq!(journal.committed_up_to(), Position::new(0));
+    journal.on_written(version(3));
+    assert_eq!(journal.committed_up_to(), Position::new(40));
+}
+
+/// Guards against values over the store's limit of 1 MB, and against a snapshot that is not cut into parts.
+#[test]
+fn values_stay_below_the_limit() {
+    let mut journal = journal();
+    let (mut parts, mut writes) = (0, 0);
+    for n in 0..200 {
+        journal.append(accepted(n, &"\"".repeat(10_000))).unwrap();
+    }
+    journal.begin_snapshot();
+    for n in 200..300 {
+        while let Some(write) = journal.next_write(at(0)) {
+            let size = match &write {
+                JournalWrite::PutSegment { value, .. } => serde_json::to_string(value),
+                JournalWrite::PutSnapshot { value, .. } => serde_json::to_string(value),
+                JournalWrite::SwapHead { value, .. } => serde_json::to_string(value),
+                _ => Ok(String::new()),
+            };
+            assert!(size.unwrap().len() < 1_000_000);
+            parts += usize::from(kind(Some(write)) == "snapshot");
+            writes += 1;
+            let events = journal.on_written(version(2 + writes));
+            if events.contains(&JournalEvent::SnapshotNeeded) {
+                journal.begin_snapshot();
+            }
+        }
+        journal.append(accepted(n, &"\"".repeat(20_000))).unwrap();
+    }
+    assert!(parts > 4, "{parts} parts");
+    assert!(journal.head().segments.len() < 16);
+}
+
+/// Guards against an entry that no segment can hold and that blocks the journal.
+#[test]
+fn oversized_entry_is_refused() {
+    let refusal = journal()
+        .append(accepted(0, &"x".repeat(900_000)))
+        .unwrap_err();
+    assert_eq!(refusal.code, ResultCode::BodyTooLarge);
+}
+
+macro_rules! judgements {
+    ($($(#[$doc:meta])* $name:ident: $current:expr => $expected:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let base = claim("s1", None).head().clone();
+                let claimed = claim("s2", Some((base.clone(), version(4))));
+                let current: fn(Head, Head) -> Option<(Head, u64)> = $current;
+                let current = current(base, claimed.head().clone());
+                let current = current.as_ref().map(|(head, n)| (head, version(*n)));
+                assert_eq!(claimed.judge(current), $expected);
+            }
+        )*
+    };
+}
+
+judgements! {
+    /// Guards against a claim that took effect and is given up.
+    claim_took_effect: |_, claimed| Some((claimed, 5)) => ClaimResult::Won(version(5));
+    /// Guards against a claim without effect that counts as won.
+    claim_without_effect: |base, _| Some((base, 4)) => ClaimResult::Pending;
+    /// Guards against two winners.
+    other_claim_won: |base, _| Some((claim("s3", Some((base, version(4)))).head().clone(), 5))
+        => ClaimResult::Superseded { owner: "s3".parse().unwrap(), epoch: Epoch::new(2) };
+    /// Guards against a new first epoch after the head was deleted.
+    head_deleted: |_, _| None => ClaimResult::Missing;
+}
+
+/// Guards against a replay that skips a segment that was not read.
+#[test]
+fn replay_needs_every_segment() {
+    let mut journal = journal();
+    for n in 0..40 {
+        journal.append(accepted(n, &"x".repeat(1_000))).unwrap();
+    }
+    journal.next_write(at(0));
+    journal.on_written(version(2));
+    journal.next_write(at(0));
+    journal.on_written(version(3));
+    let replay = Replay::new(shard(), journal.head().clone(), Retention::default());
+    assert_eq!(replay.missing().len(), 1);
+    assert_eq!(replay.finish().unwrap_err().code, ResultCode::ShardStopped);
+}
+
+/// Guards against key names that differ from the documented ones.
+#[test]
+fn key_names() {
+    let keys = JournalKeys::new(&shard());
+    let (epoch, sequence) = (Epoch::new(7), Sequence::new(15));
+    assert_eq!(keys.head(), "shards/cluj/3/head");
+    assert_eq!(keys.segment(epoch, sequence), "shards/cluj/3/segment/7-15");
+    assert_eq!(
+        keys.snapshot(epoch, sequence),
+        "shards/cluj/3/snapshot/7-15"
+    );
+}
+
+/// Guards against an entry limit that leaves no room behind a full tail.
+#[test]
+fn entry_limit_leaves_room() {
+    let limits = JournalLimits::default();
+    let sum = limits.entry().get() + limits.tail.get();
+    assert!(Bytes::new(sum) < limits.value);
+}
