--- a/crates/platform/src/executor/executor_client.rs
+++ b/crates/platform/src/executor/executor_client.rs
@@ -8,6 +8,8 @@
 use crate::transport::{Answer, Call, Endpoint, Transport};
 
 /// Client of an executor. At most a given number of calls is open at a time; clones share the limit.
+///
+/// The transport may keep up to `idle_connections` further connections open between calls.
 #[derive(Debug, Clone)]
 pub struct ExecutorClient {
     endpoint: Endpoint,
--- /dev/null
+++ b/crates/standin/src/executors/run_directive.rs
@@ -0,0 +1,22 @@
+use lagoon_core::unit::Millis;
+
+/// What the payload of a request asks a fake executor to do, written `sleep:MS;echo:TEXT`, both parts optional.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct RunDirective {
+    pub(crate) sleep: Millis,
+    pub(crate) echo: Option<String>,
+}
+
+impl RunDirective {
+    pub(crate) fn parse(payload: &str) -> Self {
+        let (sleep, rest) = match payload.strip_prefix("sleep:") {
+            Some(rest) => {
+                let (time, rest) = rest.split_once(';').unwrap_or((rest, ""));
+                (Millis::new(time.parse().unwrap_or_default()), rest)
+            }
+            None => (Millis::ZERO, payload),
+        };
+        let echo = rest.strip_prefix("echo:").map(str::to_owned);
+        Self { sleep, echo }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/hosts/mod.rs
@@ -0,0 +1,7 @@
+//! Fake of the host list, which shows each change only after a lag.
+
+mod host_list_handle;
+mod host_list_settings;
+mod host_list_state;
+
+pub use self::{host_list_handle::HostListHandle, host_list_settings::HostListSettings};
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,10 @@
+//! A whole platform in one process: store, host list, workers and executors over several failure domains.
+
+mod addresses;
+mod layout;
+mod platform_handle;
+mod platform_settings;
+
+pub use self::{
+    addresses::Addresses, platform_handle::PlatformHandle, platform_settings::PlatformSettings,
+};
--- /dev/null
+++ b/crates/standin/src/workers/placements.rs
@@ -0,0 +1,24 @@
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::{Arc, Mutex};
+
+use lagoon_core::id::TaskId;
+
+use crate::util::lock;
+use crate::workers::worker::Worker;
+
+const SHARDS: usize = 16;
+
+/// Worker that last started each task, in shards by task id.
+#[derive(Debug, Default)]
+pub(crate) struct Placements([Mutex<HashMap<TaskId, Arc<Worker>>>; SHARDS]);
+
+impl Placements {
+    /// Notes a start and returns the worker of the start before it.
+    pub(crate) fn replace(&self, task: &TaskId, worker: Arc<Worker>) -> Option<Arc<Worker>> {
+        let mut hasher = DefaultHasher::new();
+        task.hash(&mut hasher);
+        let index = hasher.finish() as usize % SHARDS;
+        lock(&self.0[index]).insert(task.clone(), worker)
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/workers.rs
@@ -0,0 +1,204 @@
+//! Rules of the fake workers: leases, epochs, capacity and idempotent starts.
+
+mod util;
+
+use std::time::Duration;
+
+use lagoon_core::id::Epoch;
+use lagoon_core::unit::Millis;
+use lagoon_platform::worker::{
+    AcknowledgeRequest, LeaseOutcome, LeaseRefusalReason, ReleaseRequest, ShardEpoch, StartOutcome,
+    StartRefusalReason, TaskState,
+};
+use tokio::time::sleep;
+
+use util::{Fleet, control, cores, granted, lease, start, task, worker};
+
+macro_rules! worker_cases {
+    ($($(#[$doc:meta])* $name:ident: $fleet:ident => $body:block)*) => {
+        $(
+            $(#[$doc])*
+            #[tokio::test]
+            async fn $name() {
+                let $fleet = Fleet::bind().await;
+                $body
+                $fleet.handle.stop().await;
+            }
+        )*
+    };
+}
+
+fn reason(outcome: StartOutcome) -> StartRefusalReason {
+    match outcome {
+        StartOutcome::Refused(refusal) => refusal.reason,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+worker_cases! {
+    /// Guards against two holders of one worker.
+    lease_is_exclusive: fleet => {
+        let first = fleet.lease(0).await;
+        let outcome = fleet.clients[0].lease(&lease("p2")).await.unwrap();
+        let LeaseOutcome::Refused(refusal) = outcome else {
+            panic!("a second holder got the lease");
+        };
+        assert_eq!(refusal.reason, LeaseRefusalReason::Held);
+        assert_eq!(refusal.holder, Some("p1".parse().unwrap()));
+        assert!(refusal.remaining_ms > Millis::ZERO);
+        assert_eq!(refusal.epoch, first.epoch);
+    }
+
+    /// Guards against a released or lapsed lease that blocks the next holder, and against a repeated epoch.
+    next_holder_gets_a_higher_epoch: fleet => {
+        let first = fleet.lease(0).await;
+        let release = ReleaseRequest { holder: "p1".parse().unwrap(), epoch: first.epoch };
+        assert!(fleet.clients[0].release(&release).await.unwrap());
+        assert!(!fleet.clients[0].release(&release).await.unwrap());
+        let mut short = lease("p2");
+        short.ttl_ms = Millis::new(20);
+        let second = granted(fleet.clients[0].lease(&short).await.unwrap());
+        assert!(second.epoch > first.epoch);
+        sleep(Duration::from_millis(30)).await;
+        assert!(fleet.lease(0).await.epoch > second.epoch);
+    }
+
+    /// Guards against a renewal that makes the holder's own starts outdated.
+    renewal_keeps_the_epoch: fleet => {
+        let first = fleet.lease(0).await;
+        let mut renewal = lease("p1");
+        renewal.known_epoch = Some(first.epoch);
+        let second = granted(fleet.clients[0].lease(&renewal).await.unwrap());
+        assert_eq!(second.epoch, first.epoch);
+    }
+
+    /// Guards against a start by a former holder of the lease.
+    lower_epoch_is_refused: fleet => {
+        let old = fleet.lease(0).await.epoch;
+        let new = fleet.lease(0).await.epoch;
+        assert!(old < new);
+        let outcome = fleet.start(0, &start(old, 1)).await;
+        assert_eq!(reason(outcome), StartRefusalReason::WrongEpoch);
+        assert_eq!(fleet.start(0, &start(new, 1)).await, StartOutcome::Started);
+    }
+
+    /// Guards against a start by a former owner of the shard that still shares the lease.
+    lower_shard_epoch_is_refused: fleet => {
+        let epoch = fleet.lease(0).await.epoch;
+        let mut newer = start(epoch, 1);
+        newer.shard_epoch = Epoch::new(2);
+        assert_eq!(fleet.start(0, &newer).await, StartOutcome::Started);
+        let outcome = fleet.start(0, &start(epoch, 2)).await;
+        assert_eq!(reason(outcome), StartRefusalReason::LowerShardEpoch);
+        let outcome = fleet.clients[0].lease(&lease("p1")).await.unwrap();
+        let LeaseOutcome::Refused(refusal) = outcome else {
+            panic!("a former owner of the shard got the lease");
+        };
+        assert_eq!(refusal.reason, LeaseRefusalReason::LowerShardEpoch);
+    }
+
+    /// Guards against more work than a worker holds, and against an excess that no test notices.
+    excess_is_refused_and_reported: fleet => {
+        let epoch = fleet.lease(0).await.epoch;
+        let mut large = start(epoch, 1);
+        large.resources = cores(3);
+        assert_eq!(fleet.start(0, &large).await, StartOutcome::Started);
+        assert_eq!(fleet.handle.violations().count, 0);
+        large.task = task(2);
+        let outcome = fleet.start(0, &large).await;
+        assert_eq!(reason(outcome), StartRefusalReason::DoesNotFit);
+        assert_eq!(fleet.handle.violations().count, 1);
+        assert_eq!(fleet.lease(0).await.usage.assigned, cores(3));
+    }
+
+    /// Guards against a repeated start request that runs the task twice.
+    start_is_idempotent: fleet => {
+        let epoch = fleet.lease(0).await.epoch;
+        assert_eq!(fleet.start(0, &start(epoch, 1)).await, StartOutcome::Started);
+        let known = StartOutcome::AlreadyKnown(TaskState::Running);
+        assert_eq!(fleet.start(0, &start(epoch, 1)).await, known);
+        assert_eq!(fleet.lease(0).await.usage.assigned, cores(1));
+        assert_eq!(fleet.handle.violations().count, 0);
+    }
+
+    /// Guards against a task that starts after it was reported as cancelled.
+    stop_before_start: fleet => {
+        let epoch = fleet.lease(0).await.epoch;
+        let stopped = TaskState::Stopped { started: false };
+        let answer = fleet.clients[0].stop(&task(1), &control(epoch)).await.unwrap();
+        assert_eq!(answer.state, stopped);
+        let known = StartOutcome::AlreadyKnown(stopped);
+        assert_eq!(fleet.start(0, &start(epoch, 1)).await, known);
+    }
+
+    /// Guards against a second run that no test notices, on the same worker or on another one.
+    second_run_is_reported: fleet => {
+        let epoch = fleet.lease(0).await.epoch;
+        let other = fleet.lease(1).await.epoch;
+        assert_eq!(fleet.start(0, &start(epoch, 1)).await, StartOutcome::Started);
+        assert_eq!(fleet.start(1, &start(other, 1)).await, StartOutcome::Started);
+        assert_eq!(fleet.handle.violations().count, 1);
+        fleet.clients[0].stop(&task(1), &control(epoch)).await.unwrap();
+        let tasks = vec![task(1)];
+        let forget = AcknowledgeRequest { epoch, tasks };
+        assert_eq!(fleet.clients[0].acknowledge(&forget).await.unwrap().forgotten, 1);
+        assert_eq!(fleet.start(0, &start(epoch, 1)).await, StartOutcome::Started);
+        assert_eq!(fleet.handle.violations().count, 3);
+    }
+
+    /// Guards against an outcome that is lost, and against one that is kept for ever.
+    outcome_is_kept_until_acknowledged: fleet => {
+        let granted_lease = fleet.lease(0).await;
+        let epoch = granted_lease.epoch;
+        let mut short = start(epoch, 1);
+        short.run_ms = Millis::ZERO;
+        assert_eq!(fleet.start(0, &short).await, StartOutcome::Started);
+        let mut renewal = lease("p1");
+        renewal.known_epoch = Some(epoch);
+        renewal.known_sequence = granted_lease.inventory.sequence;
+        let delta = granted(fleet.clients[0].lease(&renewal).await.unwrap()).inventory;
+        assert!(!delta.full);
+        let output = "text".to_owned();
+        assert_eq!(delta.tasks[0].state, TaskState::Succeeded { output });
+        let forget = AcknowledgeRequest { epoch, tasks: vec![task(1)] };
+        fleet.clients[0].acknowledge(&forget).await.unwrap();
+        renewal.known_sequence = delta.sequence;
+        let delta = granted(fleet.clients[0].lease(&renewal).await.unwrap()).inventory;
+        assert_eq!((delta.tasks.len(), delta.forgotten), (0, vec![task(1)]));
+    }
+
+    /// Guards against tasks that outlive the owner of their shard, and against a renewal that is ignored.
+    tasks_stop_without_renewal: fleet => {
+        let mut short = lease("p1");
+        short.task_ttl_ms = Millis::new(600);
+        let epoch = granted(fleet.clients[0].lease(&short).await.unwrap()).epoch;
+        assert_eq!(fleet.start(0, &start(epoch, 1)).await, StartOutcome::Started);
+        let mut other_shard = short.clone();
+        other_shard.known_epoch = Some(epoch);
+        other_shard.shard = "cluj:1".parse().unwrap();
+        other_shard.renew_tasks_of = vec![ShardEpoch {
+            shard: util::shard(),
+            shard_epoch: Epoch::new(1),
+        }];
+        sleep(Duration::from_millis(50)).await;
+        let answer = granted(fleet.clients[0].lease(&other_shard).await.unwrap());
+        assert_eq!(answer.inventory.tasks[0].state, TaskState::Running);
+        other_shard.renew_tasks_of.clear();
+        sleep(Duration::from_millis(700)).await;
+        let answer = granted(fleet.clients[0].lease(&other_shard).await.unwrap());
+        let stopped = TaskState::Stopped { started: true };
+        assert_eq!(answer.inventory.tasks[0].state, stopped);
+    }
+
+    /// Guards against tasks or leases that survive the crash of their worker.
+    crash_loses_tasks: fleet => {
+        let before = fleet.lease(0).await;
+        assert_eq!(fleet.start(0, &start(before.epoch, 1)).await, StartOutcome::Started);
+        assert!(fleet.handle.crash(&worker(0)));
+        assert!(fleet.clients[0].lease(&lease("p1")).await.is_err());
+        assert!(fleet.handle.restart(&worker(0)));
+        let after = fleet.lease(0).await;
+        assert!(after.incarnation > before.incarnation && after.epoch > before.epoch);
+        assert!(after.inventory.full && after.inventory.tasks.is_empty());
+    }
+}
