--- /dev/null
+++ b/crates/process/src/command_line.rs
@@ -0,0 +1,94 @@
+//! The command line that all daemons share.
+
+use std::future::Future;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::{EarlyExit, FromArgs};
+use serde::de::DeserializeOwned;
+
+use crate::settings::{self, Checked};
+use crate::shutdown::Signal;
+use crate::{RunError, exit};
+
+/// Daemon of the lagoonspindle cluster scheduler.
+#[derive(Debug, FromArgs)]
+struct DaemonArgs {
+    /// settings file (YAML)
+    #[argh(option, arg_name = "file")]
+    settings: Option<PathBuf>,
+    /// check the settings file and exit
+    #[argh(switch)]
+    check: bool,
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
+}
+
+/// Parses the arguments of this process; `Err` holds the exit code after help or an error was printed.
+pub fn parse<A: FromArgs>(program: &str) -> Result<A, ExitCode> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    A::from_args(&[program], &args).map_err(|exit| print_early_exit(program, &exit))
+}
+
+fn print_early_exit(program: &str, exit: &EarlyExit) -> ExitCode {
+    match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            ExitCode::from(exit::DONE)
+        }
+        Err(()) => {
+            eprintln!(
+                "{}\nRun {program} --help for more information.",
+                exit.output
+            );
+            ExitCode::from(exit::USAGE)
+        }
+    }
+}
+
+/// Runs a daemon: loads its settings, then runs `start` until it returns.
+pub fn run<T, F, Fut>(program: &str, start: F) -> ExitCode
+where
+    T: DeserializeOwned + Checked,
+    F: FnOnce(T, Signal) -> Fut,
+    Fut: Future<Output = Result<(), RunError>>,
+{
+    let args: DaemonArgs = match parse(program) {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
+    match run_with(program, args, start) {
+        Ok(()) => ExitCode::from(exit::DONE),
+        Err(e) => {
+            eprintln!("{program}: {e}");
+            ExitCode::from(e.exit_code())
+        }
+    }
+}
+
+fn run_with<T, F, Fut>(program: &str, args: DaemonArgs, start: F) -> Result<(), RunError>
+where
+    T: DeserializeOwned + Checked,
+    F: FnOnce(T, Signal) -> Fut,
+    Fut: Future<Output = Result<(), RunError>>,
+{
+    if args.version {
+        println!("{program} {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let path = args
+        .settings
+        .ok_or_else(settings::SettingsErrors::no_file)?;
+    let settings = settings::load::<T>(&path)?;
+    if args.check {
+        println!("{}: valid", path.display());
+        return Ok(());
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| RunError::new("process: can't start the runtime", e))?;
+    runtime.block_on(async { start(settings, Signal::install()?).await })
+}
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -1,1 +1,44 @@
-//! Placeholder.
+//! What every process of lagoonspindle needs: settings, logging, metrics, health endpoints, an HTTP server that drains,
+//! a clock and a common way to start and end.
+//!
+//! A daemon is a settings type and one asynchronous function. Everything around them is the same in each program, so
+//! that operators find the same command line, the same exit codes and the same endpoints everywhere:
+//!
+//! ```no_run
+//! use lagoon_process::settings::{Checked, Problems};
+//! use lagoon_process::{RunError, command_line};
+//!
+//! #[derive(serde::Deserialize)]
+//! #[serde(deny_unknown_fields)]
+//! struct Settings {
+//!     shards: u16,
+//! }
+//!
+//! impl Checked for Settings {
+//!     fn check(&self, problems: &mut Problems) {
+//!         problems.require(self.shards > 0, "shards", "a number from 1 on");
+//!     }
+//! }
+//!
+//! fn main() -> std::process::ExitCode {
+//!     command_line::run("lagoon-example", async |_settings: Settings, mut signal| {
+//!         signal.wait().await;
+//!         Ok::<(), RunError>(())
+//!     })
+//! }
+//! ```
+
+pub mod answer;
+pub mod command_line;
+pub mod exit;
+pub mod health;
+pub mod logging;
+pub mod metrics;
+pub mod server;
+pub mod settings;
+pub mod shutdown;
+
+mod clock;
+mod run_error;
+
+pub use crate::{clock::Clock, metrics::Metrics, run_error::RunError};
--- /dev/null
+++ b/crates/process/src/logging.rs
@@ -0,0 +1,63 @@
+//! Logs on standard error, as text or as one JSON object a line.
+
+use serde::Deserialize;
+use tracing_subscriber::EnvFilter;
+
+use crate::settings::{Checked, Problems};
+
+/// Form of a log line.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// For collectors.
+    Json,
+}
+
+/// Settings of the log.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Form of a line.
+    pub format: LogFormat,
+    /// Least level to write, or a filter such as `info,lagoon_gateway=debug`.
+    pub level: String,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            format: LogFormat::Text,
+            level: "info".to_owned(),
+        }
+    }
+}
+
+impl Checked for LogSettings {
+    fn check(&self, problems: &mut Problems) {
+        let valid = EnvFilter::try_new(&self.level).is_ok();
+        problems.require(
+            valid,
+            "level",
+            "error, warn, info, debug, trace or a filter",
+        );
+    }
+}
+
+/// Starts the log of this process. A second call changes nothing, so that several roles can run in one process.
+pub fn start(settings: &LogSettings, part: &str) {
+    let filter = EnvFilter::try_new(&settings.level).unwrap_or_else(|_| EnvFilter::new("info"));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_target(false)
+        .with_writer(std::io::stderr);
+    let started = match settings.format {
+        LogFormat::Text => builder.try_init(),
+        LogFormat::Json => builder.json().try_init(),
+    };
+    if started.is_ok() {
+        tracing::info!("process: {part} {} starts", env!("CARGO_PKG_VERSION"));
+    }
+}
--- /dev/null
+++ b/crates/process/src/server/connections.rs
@@ -0,0 +1,65 @@
+use std::time::Duration;
+
+use axum::Router;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::server::Limits;
+use crate::shutdown::Signal;
+
+/// Wait after a failed accept, which mostly means that file descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Open connections of a server.
+pub(super) struct Connections {
+    router: Router,
+    limits: Limits,
+    graceful: GracefulShutdown,
+}
+
+impl Connections {
+    pub(super) fn new(router: Router, limits: Limits) -> Self {
+        Self {
+            router,
+            limits,
+            graceful: GracefulShutdown::new(),
+        }
+    }
+
+    /// Accepts until `stop` is set, then waits until every request in flight is answered.
+    pub(super) async fn run(self, listener: TcpListener, mut stop: Signal) {
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => self.open(stream),
+                    Err(e) => {
+                        tracing::warn!("process: can't accept a connection: {e}");
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                    }
+                },
+                () = stop.wait() => break,
+            }
+        }
+        drop(listener);
+        self.graceful.shutdown().await;
+    }
+
+    fn open(&self, stream: TcpStream) {
+        // Answers are small and complete, so waiting to fill a segment only adds latency.
+        let _ = stream.set_nodelay(true);
+        let service = TowerToHyperService::new(self.router.clone());
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.read_timeout.to_duration())
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = self.graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                tracing::debug!("process: connection ended early: {e}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/process/src/settings/load.rs
@@ -0,0 +1,127 @@
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::settings::placeholder::{candidates, put};
+use crate::settings::tracked::{Trace, Tracked};
+use crate::settings::{Checked, Problem, Problems, SettingsErrors};
+
+/// Bounds the work on a file that is wrong throughout.
+const MAX_PROBLEMS: usize = 100;
+
+/// An error of one reading: the path of the key and the message.
+struct ReadError {
+    path: Vec<String>,
+    message: String,
+}
+
+/// Loads and checks a settings file.
+///
+/// # Errors
+///
+/// Every problem of the file.
+pub fn load<T: DeserializeOwned + Checked>(path: &Path) -> Result<T, SettingsErrors> {
+    let whole = |message: String| Problem {
+        key: String::new(),
+        message,
+    };
+    let text = std::fs::read_to_string(path).map_err(|e| {
+        let message = format!("can't be read: {e}; expected a YAML file");
+        SettingsErrors::new(path, vec![whole(message)])
+    })?;
+    parse(path, &text)
+}
+
+/// Parses and checks the text of a settings file; `path` is used in messages only.
+///
+/// # Errors
+///
+/// Every problem of the text.
+pub fn parse<T: DeserializeOwned + Checked>(path: &Path, text: &str) -> Result<T, SettingsErrors> {
+    let value: Value = serde_saphyr::from_str(text).map_err(|e| {
+        let key = String::new();
+        // The parser adds an excerpt of the file; the first line names the place.
+        let detail = e.to_string();
+        let place = detail.lines().next().unwrap_or_default();
+        let message = format!("is not valid YAML: {place}");
+        SettingsErrors::new(path, vec![Problem { key, message }])
+    })?;
+    let (settings, mut found, replaced) = read_all::<T>(value);
+    if let Some(settings) = &settings {
+        let mut problems = Problems::default();
+        settings.check(&mut problems);
+        let is_real = |problem: &Problem| !replaced.contains(&problem.key);
+        found.extend(problems.into_found().into_iter().filter(is_real));
+    }
+    match (settings, found.is_empty()) {
+        (Some(settings), true) => Ok(settings),
+        _ => Err(SettingsErrors::new(path, found)),
+    }
+}
+
+/// Reads `value` as often as needed to find every problem of form. Returns the settings with placeholders for what was
+/// wrong, the problems, and the keys that hold placeholders.
+fn read_all<T: DeserializeOwned>(mut value: Value) -> (Option<T>, Vec<Problem>, Vec<String>) {
+    let mut found = Vec::new();
+    let mut replaced = Vec::new();
+    loop {
+        let error = match read::<T>(&value) {
+            Ok(settings) => return (Some(settings), found, replaced),
+            Err(error) => error,
+        };
+        let mut path = error.path;
+        if let Some(field) = quoted_after(&error.message, "missing field ") {
+            path.push(field.to_owned());
+        }
+        let key = path.join(".");
+        let stuck = replaced.contains(&key) || found.len() >= MAX_PROBLEMS;
+        if !stuck {
+            let message = error.message.clone();
+            found.push(Problem {
+                key: key.clone(),
+                message,
+            });
+        }
+        let repaired = match quoted_after(&error.message, "unknown field ") {
+            Some(_) => put(&mut value, &path, None),
+            None => replace::<T>(&mut value, &path),
+        };
+        if stuck || !repaired {
+            return (None, found, replaced);
+        }
+        replaced.push(key);
+    }
+}
+
+fn read<T: DeserializeOwned>(value: &Value) -> Result<T, ReadError> {
+    let trace = Trace::default();
+    let tracked = Tracked {
+        value,
+        trace: &trace,
+    };
+    T::deserialize(tracked).map_err(|e| ReadError {
+        message: e.to_string(),
+        path: trace.into_failed(),
+    })
+}
+
+/// Puts a value at `path` with which reading gets past it; false if none is found.
+fn replace<T: DeserializeOwned>(value: &mut Value, path: &[String]) -> bool {
+    candidates().into_iter().any(|candidate| {
+        let mut trial = value.clone();
+        let accepted = put(&mut trial, path, Some(candidate))
+            && read::<T>(&trial)
+                .err()
+                .is_none_or(|e| !e.path.starts_with(path));
+        if accepted {
+            *value = trial;
+        }
+        accepted
+    })
+}
+
+fn quoted_after<'a>(message: &'a str, start: &str) -> Option<&'a str> {
+    let rest = message.strip_prefix(start)?.strip_prefix('`')?;
+    rest.split('`').next()
+}
--- /dev/null
+++ b/crates/process/src/settings/settings_errors.rs
@@ -0,0 +1,46 @@
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+use lagoon_core::ResultCode;
+
+use crate::settings::Problem;
+
+/// Every problem of a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsErrors {
+    file: PathBuf,
+    problems: Vec<Problem>,
+}
+
+impl SettingsErrors {
+    pub(crate) fn new(file: &Path, problems: Vec<Problem>) -> Self {
+        Self {
+            file: file.to_owned(),
+            problems,
+        }
+    }
+
+    /// The command line names no settings file.
+    pub(crate) fn no_file() -> Self {
+        let message = "--settings FILE is missing".to_owned();
+        let key = String::new();
+        Self::new(Path::new("command line"), vec![Problem { key, message }])
+    }
+
+    /// Returns the problems in the order of the file.
+    pub fn problems(&self) -> &[Problem] {
+        &self.problems
+    }
+}
+
+impl fmt::Display for SettingsErrors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", ResultCode::InvalidSettings)?;
+        for problem in &self.problems {
+            write!(f, "\n{}: {problem}", self.file.display())?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for SettingsErrors {}
--- /dev/null
+++ b/crates/process/tests/settings.rs
@@ -0,0 +1,112 @@
+//! Reports of wrong settings files.
+
+use std::path::Path;
+
+use lagoon_core::unit::{Bytes, Millis};
+use lagoon_process::logging::LogSettings;
+use lagoon_process::settings::{Address, Checked, Problems, parse, text};
+use serde::Deserialize;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Sample {
+    listen: Address,
+    #[serde(deserialize_with = "text")]
+    wait: Millis,
+    #[serde(deserialize_with = "text")]
+    size: Bytes,
+    peers: Vec<Address>,
+    shards: u16,
+    #[serde(default)]
+    log: LogSettings,
+}
+
+impl Checked for Sample {
+    fn check(&self, problems: &mut Problems) {
+        problems.require(self.shards > 0, "shards", "a number from 1 on");
+        problems.require(!self.peers.is_empty(), "peers", "at least one address");
+        problems.check_part("log", &self.log);
+    }
+}
+
+const VALID: [(&str, &str); 5] = [
+    ("listen", "127.0.0.1:0"),
+    ("wait", "5s"),
+    ("size", "1MiB"),
+    ("peers", "[127.0.0.1:1]"),
+    ("shards", "4"),
+];
+
+/// Replaces keys of a valid file by `changes`; empty text drops the key.
+fn problem_keys(changes: &[(&str, &str)]) -> Vec<String> {
+    let changed = |key: &str| changes.iter().any(|(name, _)| *name == key);
+    let kept = VALID.iter().filter(|(key, _)| !changed(key));
+    let added = changes.iter().filter(|(_, value)| !value.is_empty());
+    let lines: Vec<String> = kept
+        .chain(added)
+        .map(|(key, value)| format!("{key}: {value}"))
+        .collect();
+    match parse::<Sample>(Path::new("sample.yaml"), &lines.join("\n")) {
+        Ok(sample) => {
+            assert_eq!(sample.listen.to_string(), "127.0.0.1:0");
+            assert_eq!(
+                (sample.wait, sample.size),
+                (Millis::new(5_000), Bytes::new(1 << 20))
+            );
+            Vec::new()
+        }
+        Err(errors) => {
+            let printed = errors.to_string();
+            assert_eq!(
+                printed.lines().count(),
+                errors.problems().len() + 1,
+                "{printed}"
+            );
+            assert!(
+                printed
+                    .lines()
+                    .skip(1)
+                    .all(|line| line.starts_with("sample.yaml: "))
+            );
+            errors
+                .problems()
+                .iter()
+                .map(|problem| problem.key.clone())
+                .collect()
+        }
+    }
+}
+
+macro_rules! reported {
+    ($($(#[$guard:meta])* $name:ident: [$($change:expr),*] => [$($key:literal),*];)*) => {
+        $(
+            $(#[$guard])*
+            #[test]
+            fn $name() {
+                let mut keys = problem_keys(&[$($change),*]);
+                keys.sort();
+                assert_eq!(keys, [$($key),*] as [&str; _]);
+            }
+        )*
+    };
+}
+
+reported! {
+    /// Guards against a valid file that is rejected.
+    valid_file: [] => [];
+    /// Guards against a report that stops at the first value of the wrong form.
+    several_wrong_values: [("wait", "5GiB"), ("size", "-1MiB"), ("listen", "localhost:1")]
+        => ["listen", "size", "wait"];
+    /// Guards against a report that stops at the first missing key.
+    several_missing_keys: [("wait", ""), ("shards", ""), ("peers", "")] => ["peers", "shards", "wait"];
+    /// Guards against a misspelt key that is ignored or hides other problems.
+    unknown_keys_and_a_wrong_value: [("lisen", "a"), ("wiat", "b"), ("wait", "x")]
+        => ["lisen", "wait", "wiat"];
+    /// Guards against broken rules that are only reported once the form is right.
+    form_and_rule: [("wait", "x"), ("shards", "0"), ("peers", "[]")] => ["peers", "shards", "wait"];
+    /// Guards against a problem in a list or a part that is reported without its path.
+    nested_paths: [("peers", "[127.0.0.1:1, x]"), ("log", "{format: xml, level: '[['}")]
+        => ["log.format", "log.level", "peers.1"];
+    /// Guards against a panic or an endless loop on a file that is no mapping.
+    not_a_mapping: [("wait", "{"), ("size", "["), ("shards", "]")] => [""];
+}
