--- a/crates/core/src/code/result_code.rs
+++ b/crates/core/src/code/result_code.rs
@@ -86,6 +86,8 @@
     ExecutorsBusy = 2009, "executors_busy", NotRun;
     /// No policy document has reached the process yet.
     NoPolicy = 2010, "no_policy", NotRun;
+    /// Every host that was tried refused to start the work.
+    StartRefused = 2011, "start_refused", NotRun;
     /// The table of the ticket's epoch is gone.
     TicketEpochLost = 3001, "ticket_epoch_lost", NotKnown;
     /// The answer was lost on its way.
--- a/crates/core/src/id/mod.rs
+++ b/crates/core/src/id/mod.rs
@@ -10,6 +10,7 @@
 //! assert_eq!(work.to_string(), "w:cluj:3:7:15");
 //! ```
 
+mod attempt;
 mod caller_id;
 mod command_id;
 mod epoch;
@@ -35,10 +36,10 @@
 
 pub(crate) use self::parse_id_error::is_name;
 pub use self::{
-    caller_id::CallerId, command_id::CommandId, epoch::Epoch, executor_id::ExecutorId,
-    failure_domain::FailureDomain, host_id::HostId, incarnation::Incarnation,
-    member_index::MemberIndex, parse_id_error::ParseIdError, policy_version::PolicyVersion,
-    process_id::ProcessId, rack_id::RackId, request_key::RequestKey, sequence::Sequence,
-    service_name::ServiceName, shard_id::ShardId, shard_number::ShardNumber, task_id::TaskId,
-    team_id::TeamId, ticket::Ticket, work_id::WorkId, worker_id::WorkerId,
+    attempt::Attempt, caller_id::CallerId, command_id::CommandId, epoch::Epoch,
+    executor_id::ExecutorId, failure_domain::FailureDomain, host_id::HostId,
+    incarnation::Incarnation, member_index::MemberIndex, parse_id_error::ParseIdError,
+    policy_version::PolicyVersion, process_id::ProcessId, rack_id::RackId, request_key::RequestKey,
+    sequence::Sequence, service_name::ServiceName, shard_id::ShardId, shard_number::ShardNumber,
+    task_id::TaskId, team_id::TeamId, ticket::Ticket, work_id::WorkId, worker_id::WorkerId,
 };
--- a/crates/core/src/id/task_id.rs
+++ b/crates/core/src/id/task_id.rs
@@ -3,20 +3,37 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{MemberIndex, ParseIdError, WorkId};
+use crate::id::{Attempt, MemberIndex, ParseIdError, WorkId};
 
-/// Id of a task: a piece of work and one of its members, written as the work id, a colon and the member index.
+/// Id of a task: a piece of work, one of its members and an attempt to start it, written `work:member` or
+/// `work:member+attempt`.
+///
+/// A worker starts each id at most once. A member that is started again has the id of another attempt, so that a late
+/// message about the earlier one can't touch it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct TaskId {
     work: WorkId,
     member: MemberIndex,
+    attempt: Option<Attempt>,
 }
 
 impl TaskId {
     /// Names member `member` of `work`.
     pub fn new(work: WorkId, member: MemberIndex) -> Self {
-        Self { work, member }
+        Self {
+            work,
+            member,
+            attempt: None,
+        }
+    }
+
+    /// Returns the id of another attempt at the same member.
+    pub fn with_attempt(self, attempt: Attempt) -> Self {
+        Self {
+            attempt: Some(attempt),
+            ..self
+        }
     }
 
     /// Returns the piece of work.
@@ -24,6 +41,11 @@
         &self.work
     }
 
+    /// Returns the attempt, if the id names one.
+    pub fn attempt(&self) -> Option<Attempt> {
+        self.attempt
+    }
+
     /// Returns the position within the piece of work.
     pub fn member(&self) -> MemberIndex {
         self.member
@@ -32,7 +54,11 @@
 
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}", self.work, self.member)
+        write!(f, "{}:{}", self.work, self.member)?;
+        match self.attempt {
+            Some(attempt) => write!(f, "+{attempt}"),
+            None => Ok(()),
+        }
     }
 }
 
@@ -41,10 +67,19 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let invalid = || ParseIdError::new("task", text);
-        let (work, member) = text.rsplit_once(':').ok_or_else(invalid)?;
+        let (base, attempt) = match text.split_once('+') {
+            Some((base, attempt)) => (base, Some(attempt)),
+            None => (text, None),
+        };
+        let (work, member) = base.rsplit_once(':').ok_or_else(invalid)?;
         let work = work.parse().map_err(|_| invalid())?;
         let member = member.parse().map_err(|_| invalid())?;
-        Ok(Self { work, member })
+        let attempt = attempt.map(str::parse).transpose().map_err(|_| invalid())?;
+        Ok(Self {
+            work,
+            member,
+            attempt,
+        })
     }
 }
 
--- a/crates/core/src/journal/journal_entry.rs
+++ b/crates/core/src/journal/journal_entry.rs
@@ -2,7 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{CallerId, CommandId, FailureDomain, HostId, RequestKey, WorkId};
+use crate::id::{
+    CallerId, CommandId, FailureDomain, HostId, Incarnation, RequestKey, WorkId, WorkerId,
+};
 use crate::journal::EndedWork;
 use crate::unit::Timestamp;
 use crate::work::{Outcome, WorkSpec};
@@ -62,6 +64,24 @@
         /// Work.
         work: WorkId,
     },
+    /// The shard uses a worker, so a successor must ask it before it starts inherited work again.
+    WorkerUsed {
+        /// Worker.
+        worker: WorkerId,
+        /// Its host.
+        host: HostId,
+        /// Its address.
+        address: String,
+        /// Its run; a later one has lost the tasks of this one.
+        incarnation: Incarnation,
+    },
+    /// Nothing of the shard can run on the worker any more.
+    WorkerReleased {
+        /// Worker.
+        worker: WorkerId,
+    },
+    /// An entry that was withdrawn before it was written.
+    Withdrawn,
     /// An operator confirmed that a host is dead.
     HostDead {
         /// Host.
--- a/crates/core/src/journal/journal_state.rs
+++ b/crates/core/src/journal/journal_state.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use crate::id::{HostId, RequestKey, TeamId, WorkId};
-use crate::journal::{EndedWork, JournalEntry, LiveWork, Retention};
+use crate::id::{HostId, RequestKey, TeamId, WorkId, WorkerId};
+use crate::journal::{EndedWork, JournalEntry, LiveWork, Retention, UsedWorker};
 use crate::unit::Timestamp;
 use crate::work::Outcome;
 
@@ -15,6 +15,7 @@
     ended: HashMap<WorkId, EndedWork>,
     ended_order: VecDeque<WorkId>,
     keys: HashMap<(TeamId, RequestKey), WorkId>,
+    workers: BTreeMap<WorkerId, UsedWorker>,
     dead_hosts: BTreeSet<HostId>,
     commands: VecDeque<JournalEntry>,
 }
@@ -28,6 +29,7 @@
             ended: HashMap::new(),
             ended_order: VecDeque::new(),
             keys: HashMap::new(),
+            workers: BTreeMap::new(),
             dead_hosts: BTreeSet::new(),
             commands: VecDeque::new(),
         }
@@ -65,6 +67,11 @@
         live.or_else(|| self.ended.get(work).map(|ended| ended.fingerprint))
     }
 
+    /// Returns the workers that may run tasks of the shard.
+    pub fn workers(&self) -> &BTreeMap<WorkerId, UsedWorker> {
+        &self.workers
+    }
+
     /// Returns the hosts confirmed dead.
     pub fn dead_hosts(&self) -> &BTreeSet<HostId> {
         &self.dead_hosts
@@ -112,6 +119,23 @@
                 self.update(work, |live| live.delegated = Some(domain.clone()));
             }
             JournalEntry::TakenBack { work } => self.update(work, |live| live.delegated = None),
+            JournalEntry::WorkerUsed {
+                worker,
+                host,
+                address,
+                incarnation,
+            } => {
+                let used = UsedWorker {
+                    host: host.clone(),
+                    address: address.clone(),
+                    incarnation: *incarnation,
+                };
+                self.workers.insert(worker.clone(), used);
+            }
+            JournalEntry::WorkerReleased { worker } => {
+                self.workers.remove(worker);
+            }
+            JournalEntry::Withdrawn => {}
             JournalEntry::HostDead { host } => {
                 self.dead_hosts.insert(host.clone());
             }
@@ -145,9 +169,19 @@
             .live
             .iter()
             .flat_map(|(work, live)| live_entries(work, live));
+        let workers = self
+            .workers
+            .iter()
+            .map(|(worker, used)| JournalEntry::WorkerUsed {
+                worker: worker.clone(),
+                host: used.host.clone(),
+                address: used.address.clone(),
+                incarnation: used.incarnation,
+            });
         let dead = self.dead_hosts.iter();
         let dead = dead.map(|host| JournalEntry::HostDead { host: host.clone() });
         kept.chain(live)
+            .chain(workers)
             .chain(dead)
             .chain(self.commands.iter().cloned())
     }
--- a/crates/core/src/journal/mod.rs
+++ b/crates/core/src/journal/mod.rs
@@ -48,6 +48,7 @@
 mod segment;
 mod segment_ref;
 mod store_version;
+mod used_worker;
 
 pub use self::{
     claim::Claim, claim_result::ClaimResult, commit_pace::CommitPace, ended_work::EndedWork,
@@ -55,5 +56,5 @@
     journal_keys::JournalKeys, journal_limits::JournalLimits, journal_state::JournalState,
     journal_write::JournalWrite, json_size::json_size, live_work::LiveWork, position::Position,
     replay::Replay, retention::Retention, segment::Segment, segment_ref::SegmentRef,
-    store_version::StoreVersion,
+    store_version::StoreVersion, used_worker::UsedWorker,
 };
--- /dev/null
+++ b/crates/core/src/shard/cancel.rs
@@ -0,0 +1,119 @@
+//! Cancellation, holds and releases.
+
+use crate::code::{Refusal, ResultCode};
+use crate::id::WorkId;
+use crate::journal::JournalEntry;
+use crate::shard::after_stop::AfterStop;
+use crate::shard::commit::Recorded;
+use crate::shard::{Effect, Reply, Route, Shard, WaiterId};
+use crate::unit::Timestamp;
+use crate::work::{Outcome, WorkState};
+
+impl Shard {
+    /// Cancels work. `waiter` gets its outcome, which says whether it ran, once nothing of it can run any more.
+    pub fn cancel(&mut self, waiter: WaiterId, work: &WorkId, reason: &str, now: Timestamp) {
+        if let Some(record) = self.works.get_mut(work) {
+            record.until_end.push(waiter);
+            self.cancel_live(work, reason, now);
+        } else if let Some(WorkState::Ended(outcome)) = self.ended_state(work) {
+            self.reply(
+                waiter,
+                Reply::Ended {
+                    outcome,
+                    repeated: true,
+                },
+            );
+        } else {
+            let text = format!("{work} is not known");
+            self.reply(
+                waiter,
+                Reply::Refused(Refusal::new(ResultCode::UnknownWork, text)),
+            );
+        }
+        self.schedule(now);
+    }
+
+    fn cancel_live(&mut self, work: &WorkId, reason: &str, now: Timestamp) {
+        let Some(record) = self.works.get_mut(work) else {
+            return;
+        };
+        if record.ending.is_some() {
+            return;
+        }
+        let text = format!("cancelled: {reason}");
+        let outcome = Outcome::Refused(Refusal::new(ResultCode::Cancelled, text));
+        match record.state {
+            WorkState::Waiting | WorkState::Held => self.end(work, outcome, now),
+            WorkState::Unresolved => {
+                record.then.get_or_insert(AfterStop::End(outcome));
+                record.reason =
+                    "cancelled; a host that may have run it has not answered".to_owned();
+            }
+            WorkState::Starting | WorkState::Running if record.executor.is_some() => {
+                record.reason =
+                    "a request that was sent to its executor runs to its end".to_owned();
+            }
+            WorkState::Starting | WorkState::Running => {
+                record.reason = "cancelled; its hosts stop it".to_owned();
+                record.then = None;
+                self.stop_all(work, AfterStop::End(outcome));
+            }
+            WorkState::Ended(_) => {}
+        }
+    }
+
+    /// Stops waiting for a reply, because the caller has gone.
+    pub fn forget_waiter(&mut self, work: &WorkId, waiter: WaiterId) {
+        if let Some(record) = self.works.get_mut(work) {
+            record.until_end.retain(|known| *known != waiter);
+            record.until_recorded.retain(|known| *known != waiter);
+        }
+    }
+
+    /// Keeps waiting work back; returns false if it is not waiting.
+    pub fn hold(&mut self, work: &WorkId) -> bool {
+        self.change_hold(work, WorkState::Waiting, WorkState::Held)
+    }
+
+    /// Lets held work go on; returns false if it is not held.
+    pub fn release_hold(&mut self, work: &WorkId) -> bool {
+        self.change_hold(work, WorkState::Held, WorkState::Waiting)
+    }
+
+    fn change_hold(&mut self, work: &WorkId, from: WorkState, to: WorkState) -> bool {
+        let Some(record) = self
+            .works
+            .get_mut(work)
+            .filter(|record| record.state == from)
+        else {
+            return false;
+        };
+        let held = to == WorkState::Held;
+        record.state = to;
+        record.reason = match held {
+            true => "held by an operator".to_owned(),
+            false => "waiting for its turn".to_owned(),
+        };
+        let journalled = matches!(record.route, Route::Journal(_));
+        match held {
+            true => self.queue_of(work).hold(work),
+            false => self.queue_of(work).release(work),
+        };
+        if journalled {
+            self.record_hold(work.clone(), held);
+        }
+        true
+    }
+
+    fn record_hold(&mut self, work: WorkId, held: bool) {
+        let entry = match held {
+            true => JournalEntry::Held { work },
+            false => JournalEntry::Released { work },
+        };
+        let appended = self.journal.append(entry);
+        if let Some(position) = self.check(ResultCode::EpochInvariant, appended) {
+            self.uncommitted.push_back((position, Recorded::Other));
+            self.effects.push(Effect::Commit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/commit.rs
@@ -0,0 +1,198 @@
+//! What becomes durable, and what is said then.
+
+use crate::code::{Refusal, ResultCode};
+use crate::id::{WorkId, WorkerId};
+use crate::journal::{JournalEvent, JournalWrite, Position};
+use crate::shard::{JournalAnswer, Reply, Shard};
+use crate::unit::Timestamp;
+use crate::work::{Outcome, WorkKind, WorkState};
+
+/// Entry that waits for its record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Recorded {
+    /// Acceptance of work.
+    Accepted {
+        /// Work.
+        work: WorkId,
+        /// When it arrived.
+        at: Timestamp,
+    },
+    /// End of work.
+    Ended {
+        /// Work.
+        work: WorkId,
+    },
+    /// Use of a worker.
+    Worker {
+        /// Worker.
+        worker: WorkerId,
+        /// When it was first leased.
+        at: Timestamp,
+    },
+    /// Anything that nobody waits for.
+    Other,
+}
+
+impl Shard {
+    /// Returns the next call to the store; none while one is outstanding or nothing waits.
+    pub fn next_write(&mut self, now: Timestamp) -> Option<JournalWrite> {
+        self.journal.next_write(now)
+    }
+
+    /// Tells whether entries wait for the store.
+    pub fn has_unrecorded(&self) -> bool {
+        self.journal.pending() > 0
+    }
+
+    /// Takes the answer of the store.
+    pub fn on_store(&mut self, answer: JournalAnswer, now: Timestamp) {
+        let events = match answer {
+            JournalAnswer::Written(version) => self.journal.on_written(version),
+            JournalAnswer::Conflict(version) => self.journal.on_conflict(version),
+            JournalAnswer::Unknown => self.journal.on_unknown(),
+            JournalAnswer::Refused => self.journal.on_refused(),
+            JournalAnswer::Head(head) => self.journal.on_head(head.map(|head| *head)),
+        };
+        for event in events {
+            match event {
+                JournalEvent::Committed { up_to } => self.on_committed(up_to),
+                JournalEvent::SnapshotNeeded => self.journal.begin_snapshot(),
+                JournalEvent::OwnershipLost { owner, epoch } => {
+                    let shard = &self.config.shard;
+                    let text = format!("{owner} owns shard {shard} at epoch {epoch}");
+                    self.halt(Refusal::new(ResultCode::NotOwner, text));
+                }
+                JournalEvent::HeadInvalid(refusal) => self.halt(refusal),
+            }
+        }
+        self.schedule(now);
+    }
+
+    fn on_committed(&mut self, up_to: Position) {
+        while let Some((_, recorded)) = self.uncommitted.pop_front_if(|(at, _)| *at <= up_to) {
+            match recorded {
+                Recorded::Accepted { work, .. } => self.on_acceptance_recorded(&work),
+                Recorded::Ended { work } => self.on_end_recorded(&work),
+                Recorded::Worker { worker, .. } => self.on_worker_recorded(&worker),
+                Recorded::Other => {}
+            }
+        }
+    }
+
+    fn on_acceptance_recorded(&mut self, work: &WorkId) {
+        let Some(record) = self.works.get_mut(work) else {
+            return;
+        };
+        record.accepting = None;
+        record.reason = match record.spec.kind {
+            WorkKind::Service => "waiting for a slot".to_owned(),
+            _ => "waiting for its turn".to_owned(),
+        };
+        let entry = record.queue_entry();
+        let waiters = std::mem::take(&mut record.until_recorded);
+        let view = record.view();
+        for waiter in waiters {
+            let view = Box::new(view.clone());
+            self.reply(
+                waiter,
+                Reply::Accepted {
+                    view,
+                    repeated: false,
+                },
+            );
+        }
+        let ending = self
+            .works
+            .get(work)
+            .is_some_and(|record| record.ending.is_some());
+        if !ending {
+            self.queue_of(work).push(entry);
+        }
+    }
+
+    fn on_end_recorded(&mut self, work: &WorkId) {
+        let ending = self
+            .works
+            .get_mut(work)
+            .and_then(|record| record.ending.take());
+        if let Some((outcome, _)) = ending {
+            self.finish(work, outcome);
+        }
+    }
+
+    fn on_worker_recorded(&mut self, worker: &WorkerId) {
+        let used = self.journal.state().workers().get(worker);
+        let recorded = used.map(|used| used.incarnation);
+        if let Some(holder) = self.workers.get_mut(worker) {
+            holder.recorded = recorded.is_some() && holder.incarnation == recorded;
+            self.reopen(worker);
+        }
+    }
+
+    /// Withdraws acceptances that the store did not record in time. What was certainly not written is refused as not
+    /// run; the rest may have been recorded and stays.
+    pub(super) fn withdraw_late(&mut self, now: Timestamp) {
+        let timeout = self.config.record_timeout;
+        let late = |recorded: &Recorded| match recorded {
+            Recorded::Accepted { at, .. } => at.after(timeout) <= now,
+            _ => false,
+        };
+        let waiting = self
+            .uncommitted
+            .iter()
+            .filter(|(_, recorded)| late(recorded));
+        let waiting: Vec<(Position, WorkId)> = waiting
+            .filter_map(|(position, recorded)| match recorded {
+                Recorded::Accepted { work, .. } => Some((*position, work.clone())),
+                _ => None,
+            })
+            .collect();
+        for (position, work) in waiting {
+            match self.journal.withdraw(position) {
+                true => self.refuse_unrecorded(&work),
+                false => self.report_unconfirmed(&work),
+            }
+        }
+    }
+
+    fn refuse_unrecorded(&mut self, work: &WorkId) {
+        let same = |recorded: &Recorded| matches!(recorded, Recorded::Accepted { work: w, .. } if w == work);
+        for (_, recorded) in self
+            .uncommitted
+            .iter_mut()
+            .filter(|(_, recorded)| same(recorded))
+        {
+            *recorded = Recorded::Other;
+        }
+        let text = "the store did not record the work in time, so it was not accepted";
+        let refusal = Refusal::new(ResultCode::StoreUnavailable, text);
+        let waiters = self
+            .works
+            .get_mut(work)
+            .map(|record| std::mem::take(&mut record.until_recorded));
+        for waiter in waiters.into_iter().flatten() {
+            self.reply(waiter, Reply::Refused(refusal.clone()));
+        }
+        self.finish(work, Outcome::Refused(refusal));
+    }
+
+    /// Tells waiting callers that the acceptance is in doubt. The work itself stays until the store answers.
+    fn report_unconfirmed(&mut self, work: &WorkId) {
+        let Some(record) = self.works.get_mut(work) else {
+            return;
+        };
+        let waiters = std::mem::take(&mut record.until_recorded);
+        let text =
+            format!("{work}: the store has not confirmed the record; ask again with the same key");
+        for waiter in waiters {
+            let refusal = Refusal::new(ResultCode::CommitUnconfirmed, text.clone());
+            self.reply(waiter, Reply::Refused(refusal));
+        }
+    }
+
+    /// Returns the state of work that ended earlier.
+    pub(super) fn ended_state(&self, work: &WorkId) -> Option<WorkState> {
+        let ended = self.journal.state().ended(work)?;
+        Some(WorkState::Ended(ended.outcome.clone()))
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/effect.rs
@@ -0,0 +1,61 @@
+use std::sync::Arc;
+
+use crate::id::{ExecutorId, TaskId, WorkId, WorkerId};
+use crate::shard::{Reply, WaiterId};
+use crate::unit::Millis;
+use crate::work::WorkSpec;
+
+/// What the daemon does after a change of the state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Start a task; report with `on_start`.
+    Start {
+        /// Worker.
+        worker: WorkerId,
+        /// Task.
+        task: TaskId,
+        /// Specification of its work.
+        spec: Arc<WorkSpec>,
+    },
+    /// Stop a task, or keep it from starting; the next inventory reports the result.
+    Stop {
+        /// Worker.
+        worker: WorkerId,
+        /// Task.
+        task: TaskId,
+    },
+    /// Let a worker forget finished tasks whose outcome is durable.
+    Acknowledge {
+        /// Worker.
+        worker: WorkerId,
+        /// Tasks.
+        tasks: Vec<TaskId>,
+    },
+    /// Send a request to an executor; report with `on_request`.
+    Request {
+        /// Executor.
+        executor: ExecutorId,
+        /// Work.
+        work: WorkId,
+        /// Specification.
+        spec: Arc<WorkSpec>,
+        /// Longest time to wait for the answer.
+        timeout: Millis,
+    },
+    /// Ask an executor how many slots are in use; report with `on_executor_status`.
+    Poll {
+        /// Executor.
+        executor: ExecutorId,
+    },
+    /// Reply to a waiting caller.
+    Reply {
+        /// Waiting caller.
+        waiter: WaiterId,
+        /// What it is told.
+        reply: Reply,
+    },
+    /// The journal has entries to write.
+    Commit,
+    /// The shard must stop at once.
+    Halt(crate::code::Refusal),
+}
--- /dev/null
+++ b/crates/core/src/shard/fence.rs
@@ -0,0 +1,60 @@
+//! Fencing: the workers that earlier owners used answer before inherited work is started again.
+//!
+//! A worker that has seen the epoch of this owner refuses later starts by earlier ones, and its answer lists every task
+//! that it knows of the shard. So work that no worker lists was never started.
+
+use crate::id::{Incarnation, WorkerId};
+use crate::shard::{Shard, ShardEvent, ShardPhase, TaskReport};
+use crate::unit::Timestamp;
+
+impl Shard {
+    /// Returns the workers that have not answered yet, with their addresses.
+    pub fn unfenced(&self) -> Vec<(WorkerId, String)> {
+        let used = self.journal.state().workers();
+        let address = |worker: &WorkerId| used.get(worker).map(|used| used.address.clone());
+        let unfenced = self.unfenced.iter();
+        unfenced
+            .filter_map(|worker| Some((worker.clone(), address(worker)?)))
+            .collect()
+    }
+
+    /// Moves on at once if no earlier owner used a worker.
+    pub fn begin(&mut self, now: Timestamp) {
+        self.check_fenced(now);
+        self.schedule(now);
+    }
+
+    /// Takes the answer of a worker: its run and all tasks of this shard that it knows.
+    pub fn on_fenced(
+        &mut self,
+        worker: &WorkerId,
+        incarnation: Incarnation,
+        tasks: Vec<TaskReport>,
+        now: Timestamp,
+    ) {
+        if !self.unfenced.contains(worker) {
+            return;
+        }
+        let used = self.journal.state().workers().get(worker);
+        if used.is_some_and(|used| used.incarnation != incarnation) {
+            self.inherited_lost = true;
+        }
+        for report in tasks {
+            self.on_phase(worker, &report.task, report.phase, now);
+        }
+        self.fenced(worker, now);
+        self.schedule(now);
+    }
+
+    pub(super) fn fenced(&mut self, worker: &WorkerId, now: Timestamp) {
+        self.unfenced.remove(worker);
+        self.check_fenced(now);
+    }
+
+    fn check_fenced(&mut self, now: Timestamp) {
+        if self.unfenced.is_empty() && self.phase() == ShardPhase::Fencing {
+            self.life.handle(ShardEvent::Fenced);
+            self.resolve_inherited(now);
+        }
+    }
+}
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -1,1 +1,60 @@
-//! Placeholder.
+//! A shard: everything that its owner decides about the work that has its home there.
+//!
+//! [`Shard`] composes the queue, the fleet, the tickets and the journal, and keeps each piece of work in one record. It
+//! takes events with the time at which they happened and leaves [`Effect`]s: calls that the daemon makes and replies
+//! that it sends. Nothing is sent while the state is being changed, so one lock around a shard is enough.
+//!
+//! A piece of work takes one of three routes ([`Route`]): by ticket, by journal, or once without either. On the journal
+//! route nothing is said to the caller before the journal has confirmed it.
+
+mod after_stop;
+mod cancel;
+mod commit;
+mod drain;
+mod effect;
+mod executor_record;
+mod executor_spec;
+mod expire;
+mod fence;
+mod heartbeat;
+mod heartbeat_report;
+mod invariant;
+mod journal_answer;
+mod place;
+mod place_state;
+mod recover;
+mod reply;
+mod request_result;
+mod requests;
+mod route;
+mod schedule;
+mod settle;
+mod shard_config;
+mod shard_event;
+mod shard_life;
+mod shard_phase;
+mod shard_state;
+mod shard_view;
+mod slot_table;
+mod start_result;
+mod submission;
+mod submit;
+mod task_phase;
+mod task_report;
+mod tasks;
+mod view;
+mod waiter_id;
+mod work_record;
+mod work_view;
+mod worker_record;
+mod worker_spec;
+mod worker_view;
+
+pub use self::{
+    effect::Effect, executor_spec::ExecutorSpec, heartbeat_report::HeartbeatReport,
+    journal_answer::JournalAnswer, reply::Reply, request_result::RequestResult, route::Route,
+    shard_config::ShardConfig, shard_event::ShardEvent, shard_life::ShardLife,
+    shard_phase::ShardPhase, shard_state::Shard, shard_view::ShardView, start_result::StartResult,
+    submission::Submission, task_phase::TaskPhase, task_report::TaskReport, waiter_id::WaiterId,
+    work_view::WorkView, worker_spec::WorkerSpec, worker_view::WorkerView,
+};
--- /dev/null
+++ b/crates/core/src/shard/recover.rs
@@ -0,0 +1,90 @@
+//! Work that an earlier owner accepted.
+
+use crate::code::{Refusal, ResultCode};
+use crate::id::WorkId;
+use crate::shard::after_stop::AfterStop;
+use crate::shard::work_record::WorkRecord;
+use crate::shard::{Route, Shard};
+use crate::unit::Timestamp;
+use crate::work::{Outcome, Repeatability, WorkKind, WorkState};
+
+impl Shard {
+    /// Takes over the live work of the journal. Until the workers of earlier owners have answered, it is unresolved.
+    pub(super) fn inherit(&mut self) {
+        self.unfenced = self.journal.state().workers().keys().cloned().collect();
+        let live = self.journal.state().live().clone();
+        for (id, live) in live {
+            let Some(key) = live.key else {
+                continue;
+            };
+            self.by_key
+                .insert((live.spec.team.clone(), key.clone()), id.clone());
+            let route = Route::Journal(key);
+            let mut record = WorkRecord::new(
+                id.clone(),
+                live.spec,
+                route,
+                live.fingerprint,
+                live.accepted_at,
+            );
+            record.inherited = true;
+            record.state = WorkState::Unresolved;
+            record.reason =
+                "accepted by an earlier owner, whose workers have not all answered".to_owned();
+            self.works.insert(id, record);
+        }
+    }
+
+    /// Decides about the inherited work that no worker reported, now that all have answered.
+    pub(super) fn resolve_inherited(&mut self, now: Timestamp) {
+        let inherited = self.works.values().filter(|record| record.inherited);
+        let works: Vec<WorkId> = inherited.map(|record| record.id.clone()).collect();
+        for work in works {
+            self.resolve(&work, now);
+        }
+    }
+
+    fn resolve(&mut self, work: &WorkId, now: Timestamp) {
+        let held = self
+            .journal
+            .state()
+            .live()
+            .get(work)
+            .is_some_and(|live| live.held);
+        let lost = self.inherited_lost;
+        let Some(record) = self.works.get_mut(work) else {
+            return;
+        };
+        record.inherited = false;
+        let complete = record.places.len() == record.spec.members as usize;
+        if record.state != WorkState::Unresolved || complete {
+            return;
+        }
+        if !record.places.is_empty() {
+            // Some members run and others don't: a gang job starts together or not at all.
+            self.stop_all(work, AfterStop::Requeue);
+            self.settle(work, now);
+            return;
+        }
+        // Executors keep no inventory, so a request without an outcome may have run.
+        let may_have_run = lost || record.spec.kind == WorkKind::Service;
+        if may_have_run && record.spec.repeatability == Repeatability::AtMostOnce {
+            let text = "the owner or a host was lost while it may have run the work";
+            let refusal = Refusal::new(ResultCode::HostLost, text);
+            self.end(work, Outcome::Refused(refusal), now);
+            return;
+        }
+        record.state = WorkState::Waiting;
+        record.reason = "waiting for its turn".to_owned();
+        let then = record.then.take();
+        let entry = record.queue_entry();
+        self.queue_of(work).push(entry);
+        if let Some(AfterStop::End(outcome)) = then {
+            self.end(work, outcome, now);
+        } else if held && let Some(record) = self.works.get_mut(work) {
+            record.state = WorkState::Held;
+            record.reason = "held by an operator".to_owned();
+            self.queue_of(work).hold(work);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/requests.rs
@@ -0,0 +1,96 @@
+//! Requests in the slots of executors.
+
+use crate::code::{Refusal, ResultCode};
+use crate::id::{ExecutorId, WorkId};
+use crate::shard::{RequestResult, Shard};
+use crate::unit::Timestamp;
+use crate::work::{Outcome, Repeatability, WorkState};
+
+impl Shard {
+    /// Tells whether a request may be sent to an executor now: the lease on its worker is held.
+    pub fn may_use_executor(&self, executor: &ExecutorId, now: Timestamp) -> bool {
+        let record = self.slots.get(executor).filter(|record| record.open);
+        record.is_some_and(|record| self.may_use_worker(&record.worker, now))
+    }
+
+    /// Takes the result of a request.
+    pub fn on_request(
+        &mut self,
+        executor: &ExecutorId,
+        work: &WorkId,
+        result: RequestResult,
+        now: Timestamp,
+    ) {
+        self.slots.give_back(executor);
+        let not_known = |code, text: &str| Outcome::Refused(Refusal::new(code, text));
+        match result {
+            RequestResult::Answered(answer) => self.end(work, Outcome::Succeeded(answer), now),
+            RequestResult::Failed(error) => self.end(work, Outcome::Failed(error), now),
+            RequestResult::Refused => {
+                self.slots.note_full(executor);
+                self.requeue_request(work, now);
+            }
+            RequestResult::NotSent => {
+                self.slots.rest(executor, now);
+                self.requeue_request(work, now);
+            }
+            RequestResult::Lost => {
+                self.slots.note_full(executor);
+                let text = "the connection to the executor broke before the answer";
+                self.end_unknown(work, not_known(ResultCode::AnswerLost, text), now);
+            }
+            RequestResult::TimedOut => {
+                // The executor may still be busy with it.
+                self.slots.note_full(executor);
+                let text = "the executor did not answer within the request time";
+                self.end_unknown(work, not_known(ResultCode::AnswerTimeout, text), now);
+            }
+        }
+        self.schedule(now);
+    }
+
+    /// Takes the number of slots that an executor reports as in use.
+    pub fn on_executor_status(&mut self, executor: &ExecutorId, in_use: u32, now: Timestamp) {
+        self.slots.report(executor, in_use);
+        self.schedule(now);
+    }
+
+    /// Ends a request that may have run, or tries it again if that does no harm.
+    fn end_unknown(&mut self, work: &WorkId, outcome: Outcome, now: Timestamp) {
+        let Some(record) = self.works.get(work) else {
+            return;
+        };
+        let restartable = record.spec.repeatability == Repeatability::Restartable;
+        match restartable && self.budget.try_retry(now) {
+            true => self.queue_request_again(work),
+            false => self.end(work, outcome, now),
+        }
+    }
+
+    /// Tries a request again that certainly did not run, within the budget for retries.
+    fn requeue_request(&mut self, work: &WorkId, now: Timestamp) {
+        let Some(record) = self.works.get_mut(work) else {
+            return;
+        };
+        record.executor = None;
+        if self.budget.try_retry(now) {
+            self.queue_request_again(work);
+            return;
+        }
+        let text = "no executor took the request, and the budget for retries is used up";
+        let refusal = Refusal::new(ResultCode::ExecutorsBusy, text);
+        self.end(work, Outcome::Refused(refusal), now);
+    }
+
+    fn queue_request_again(&mut self, work: &WorkId) {
+        self.discharge(work);
+        let Some(record) = self.works.get_mut(work) else {
+            return;
+        };
+        record.executor = None;
+        record.state = WorkState::Waiting;
+        record.reason = "waiting for another executor".to_owned();
+        let entry = record.queue_entry();
+        self.queue_of(work).push(entry);
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/schedule.rs
@@ -0,0 +1,201 @@
+//! Start of waiting work: requests in free slots, tasks on workers with room.
+
+use smallvec::SmallVec;
+
+use crate::id::{Attempt, ExecutorId, MemberIndex, ServiceName, TaskId, WorkId, WorkerId};
+use crate::order::{FairQueue, QueueEntry};
+use crate::policy::Policy;
+use crate::shard::place::Place;
+use crate::shard::place_state::PlaceState;
+use crate::shard::work_record::SLOT;
+use crate::shard::{Effect, Shard};
+use crate::unit::Timestamp;
+use crate::work::{WorkKind, WorkState};
+
+/// Entries of each kind that are tried again when a worker's capacity frees.
+const RETRIES_PER_RELEASE: usize = 16;
+
+impl Shard {
+    /// Starts what can start now.
+    pub(super) fn schedule(&mut self, now: Timestamp) {
+        if !self.phase().accepts_work() {
+            return;
+        }
+        self.tasks.set_totals(self.fleet.totals());
+        let services: SmallVec<[ServiceName; 8]> = self.requests.keys().cloned().collect();
+        for service in &services {
+            self.schedule_requests(service, now);
+        }
+        self.schedule_tasks(now);
+    }
+
+    /// Tries entries again that did not fit, because capacity was freed.
+    pub(super) fn capacity_freed(&mut self) {
+        self.tasks.retry(RETRIES_PER_RELEASE);
+    }
+
+    /// Returns the queue in which a piece of work waits.
+    pub(super) fn queue_of(&mut self, work: &WorkId) -> &mut FairQueue {
+        let service = self
+            .works
+            .get(work)
+            .and_then(|record| record.spec.service.clone());
+        match service {
+            None => &mut self.tasks,
+            Some(service) => {
+                let policy = &self.policy;
+                let new = || FairQueue::new(Policy::clone(policy));
+                self.requests.entry(service).or_insert_with(new)
+            }
+        }
+    }
+
+    fn schedule_requests(&mut self, service: &ServiceName, now: Timestamp) {
+        let mut started = 0;
+        let slots = self.slots.slots_of(service);
+        loop {
+            if !self.slots.has_free(service, now) {
+                break;
+            }
+            let Some(queue) = self.requests.get_mut(service) else {
+                break;
+            };
+            queue.set_totals(SLOT.checked_mul(slots).unwrap_or(SLOT));
+            let Some(entry) = queue.next(now) else {
+                break;
+            };
+            let Some(executor) = self.slots.take(service, now) else {
+                queue.set_aside(entry);
+                break;
+            };
+            self.start_request(entry, executor, now);
+            started += 1;
+        }
+        let backlog = self
+            .requests
+            .get(service)
+            .is_some_and(|queue| !queue.is_empty());
+        self.request_rates
+            .entry(service.clone())
+            .or_default()
+            .record(now, started, backlog);
+    }
+
+    fn start_request(&mut self, entry: QueueEntry, executor: ExecutorId, now: Timestamp) {
+        let Some(record) = self.works.get_mut(&entry.work) else {
+            self.slots.give_back(&executor);
+            return;
+        };
+        record.state = WorkState::Running;
+        record.reason = format!("sent to executor {executor}");
+        record.executor = Some(executor.clone());
+        record.started_at = Some(now);
+        record.charged = true;
+        let spec = record.spec.clone();
+        let service = spec
+            .service
+            .as_ref()
+            .and_then(|name| self.policy.services.get(name));
+        let timeout = service.cloned().unwrap_or_default().request_timeout;
+        let work = entry.work.clone();
+        self.queue_of(&entry.work)
+            .charge(entry.kind, &entry.team, entry.need);
+        self.budget.record_start(now);
+        self.effects.push(Effect::Request {
+            executor,
+            work,
+            spec,
+            timeout,
+        });
+    }
+
+    fn schedule_tasks(&mut self, now: Timestamp) {
+        let mut started = 0;
+        while let Some(entry) = self.tasks.next(now) {
+            match self.place(&entry) {
+                Some(workers) => {
+                    self.start_tasks(&entry, workers, now);
+                    started += 1;
+                }
+                None => {
+                    if let Some(record) = self.works.get_mut(&entry.work) {
+                        record.reason = "no host has room for it now".to_owned();
+                    }
+                    self.tasks.set_aside(entry);
+                }
+            }
+        }
+        self.task_rate.record(now, started, !self.tasks.is_empty());
+    }
+
+    fn place(&mut self, entry: &QueueEntry) -> Option<SmallVec<[WorkerId; 8]>> {
+        let spec = &self.works.get(&entry.work)?.spec;
+        match entry.kind {
+            WorkKind::Gang => self
+                .fleet
+                .place_gang(spec.members, &spec.resources, &spec.placement),
+            _ => {
+                let worker = self.fleet.place(&spec.resources, &spec.placement)?;
+                Some(SmallVec::from_iter([worker]))
+            }
+        }
+    }
+
+    fn start_tasks(
+        &mut self,
+        entry: &QueueEntry,
+        workers: SmallVec<[WorkerId; 8]>,
+        now: Timestamp,
+    ) {
+        let epoch = self.epoch;
+        let Some(record) = self.works.get_mut(&entry.work) else {
+            return;
+        };
+        record.state = WorkState::Starting;
+        record.reason = "sent to its hosts".to_owned();
+        record.charged = true;
+        record.attempts += 1;
+        let attempt = Attempt::new(epoch, record.attempts);
+        let spec = record.spec.clone();
+        record.places = workers
+            .iter()
+            .zip(0..)
+            .map(|(worker, n)| Place::starting(MemberIndex::new(n), worker.clone(), attempt))
+            .collect();
+        self.tasks.charge(entry.kind, &entry.team, entry.need);
+        self.budget.record_start(now);
+        for (worker, n) in workers.into_iter().zip(0..) {
+            let task = TaskId::new(entry.work.clone(), MemberIndex::new(n)).with_attempt(attempt);
+            if let Some(holder) = self.workers.get_mut(&worker) {
+                holder.claims.insert(task.clone(), spec.resources);
+            }
+            let spec = spec.clone();
+            self.effects.push(Effect::Start { worker, task, spec });
+        }
+    }
+
+    /// Sends starts again whose answer was lost and which the worker does not list.
+    pub(super) fn resend_starts(&mut self, worker: &WorkerId) {
+        let claims = self.workers.get(worker).map(|holder| holder.claims.keys());
+        let tasks: Vec<TaskId> = claims.into_iter().flatten().cloned().collect();
+        for task in tasks {
+            let Some(record) = self.works.get_mut(task.work()) else {
+                continue;
+            };
+            let place = record
+                .places
+                .iter_mut()
+                .find(|place| place.is(&task, worker));
+            let Some(place) = place.filter(|place| place.state == PlaceState::InDoubt) else {
+                continue;
+            };
+            place.state = PlaceState::Starting;
+            let stopping = place.stopping;
+            let (worker, spec) = (worker.clone(), record.spec.clone());
+            self.effects.push(match stopping {
+                true => Effect::Stop { worker, task },
+                false => Effect::Start { worker, task, spec },
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/shard_life.rs
@@ -0,0 +1,116 @@
+//! Life cycle of the ownership of a shard. Elections, answers of the store and of workers drive it from outside, hence a
+//! state machine and no typestate.
+
+use std::fmt;
+
+use statig::prelude::*;
+
+use crate::shard::{ShardEvent, ShardPhase};
+
+/// Phase machine of one shard in one process.
+pub struct ShardLife {
+    machine: StateMachine<Life>,
+}
+
+impl ShardLife {
+    /// Starts in standby.
+    pub fn new() -> Self {
+        Self {
+            machine: Life.state_machine(),
+        }
+    }
+
+    /// Takes an event and returns the phase that follows.
+    pub fn handle(&mut self, event: ShardEvent) -> ShardPhase {
+        self.machine.handle(&event);
+        self.phase()
+    }
+
+    /// Returns the phase.
+    pub fn phase(&self) -> ShardPhase {
+        match self.machine.state() {
+            State::Standby {} => ShardPhase::Standby,
+            State::Claiming {} => ShardPhase::Claiming,
+            State::Fencing {} => ShardPhase::Fencing,
+            State::Serving {} => ShardPhase::Serving,
+            State::HandingOver {} => ShardPhase::HandingOver,
+            State::Stopped {} => ShardPhase::Stopped,
+        }
+    }
+}
+
+impl fmt::Debug for ShardLife {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("ShardLife").field(&self.phase()).finish()
+    }
+}
+
+impl Default for ShardLife {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+#[derive(Debug)]
+struct Life;
+
+#[state_machine(initial = "State::standby()", state(derive(Debug)))]
+impl Life {
+    #[state]
+    fn standby(event: &ShardEvent) -> Outcome<State> {
+        match event {
+            ShardEvent::Elected => Transition(State::claiming()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn claiming(event: &ShardEvent) -> Outcome<State> {
+        match event {
+            ShardEvent::Claimed => Transition(State::fencing()),
+            ShardEvent::ClaimLost | ShardEvent::Superseded => Transition(State::standby()),
+            _ => Handled,
+        }
+    }
+
+    #[state(superstate = "owned")]
+    fn fencing(event: &ShardEvent) -> Outcome<State> {
+        match event {
+            ShardEvent::Fenced => Transition(State::serving()),
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "owned")]
+    fn serving(event: &ShardEvent) -> Outcome<State> {
+        match event {
+            ShardEvent::HandOverStarted => Transition(State::handing_over()),
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "owned")]
+    fn handing_over(event: &ShardEvent) -> Outcome<State> {
+        match event {
+            ShardEvent::HandOverFailed => Transition(State::serving()),
+            _ => Super,
+        }
+    }
+
+    #[state]
+    fn stopped(event: &ShardEvent) -> Outcome<State> {
+        match event {
+            ShardEvent::Superseded => Transition(State::standby()),
+            _ => Handled,
+        }
+    }
+
+    #[superstate]
+    fn owned(event: &ShardEvent) -> Outcome<State> {
+        match event {
+            ShardEvent::Superseded => Transition(State::standby()),
+            ShardEvent::Broken => Transition(State::stopped()),
+            _ => Handled,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/shard_state.rs
@@ -0,0 +1,166 @@
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+
+use crate::admission::{Admission, ServiceEstimator};
+use crate::code::{Refusal, ResultCode};
+use crate::health::{RetryBudget, WorkerHealth};
+use crate::id::{
+    Epoch, RequestKey, Sequence, ServiceName, ShardId, TeamId, Ticket, WorkId, WorkerId,
+};
+use crate::journal::{Head, Journal, JournalState, Position, StoreVersion};
+use crate::order::FairQueue;
+use crate::placement::Fleet;
+use crate::policy::Policy;
+use crate::shard::commit::Recorded;
+use crate::shard::slot_table::SlotTable;
+use crate::shard::work_record::WorkRecord;
+use crate::shard::worker_record::WorkerRecord;
+use crate::shard::{Effect, Reply, ShardConfig, ShardEvent, ShardLife, ShardPhase, WaiterId};
+use crate::ticket::TicketTable;
+
+/// State of an owned shard.
+#[derive(Debug)]
+pub struct Shard {
+    pub(super) config: ShardConfig,
+    pub(super) life: ShardLife,
+    pub(super) epoch: Epoch,
+    pub(super) policy: Arc<Policy>,
+    pub(super) fleet: Fleet,
+    /// Batch runs and gang jobs, which compete for workers.
+    pub(super) tasks: FairQueue,
+    /// Requests of each service, which compete for its slots.
+    pub(super) requests: HashMap<ServiceName, FairQueue>,
+    pub(super) admission: Admission,
+    pub(super) health: WorkerHealth,
+    pub(super) budget: RetryBudget,
+    pub(super) task_rate: ServiceEstimator,
+    pub(super) request_rates: HashMap<ServiceName, ServiceEstimator>,
+    pub(super) tickets: TicketTable,
+    pub(super) journal: Journal,
+    pub(super) works: HashMap<WorkId, WorkRecord>,
+    pub(super) by_ticket: HashMap<Ticket, WorkId>,
+    pub(super) by_key: HashMap<(TeamId, RequestKey), WorkId>,
+    pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
+    pub(super) slots: SlotTable,
+    /// Workers of earlier owners that have not answered yet.
+    pub(super) unfenced: BTreeSet<WorkerId>,
+    /// True if a worker of an earlier owner lost what it ran.
+    pub(super) inherited_lost: bool,
+    pub(super) next_work: Sequence,
+    pub(super) uncommitted: VecDeque<(Position, Recorded)>,
+    pub(super) effects: Vec<Effect>,
+}
+
+impl Shard {
+    /// Starts from a claimed head and the state that the replay built from it. The shard accepts work at once; what
+    /// earlier owners may have started stays unresolved until their workers have answered.
+    pub fn new(
+        config: ShardConfig,
+        head: Head,
+        version: StoreVersion,
+        state: JournalState,
+        policy: Arc<Policy>,
+    ) -> Self {
+        let epoch = head.epoch;
+        let shard = config.shard.clone();
+        let mut life = ShardLife::new();
+        life.handle(ShardEvent::Elected);
+        life.handle(ShardEvent::Claimed);
+        let mut this = Self {
+            life,
+            epoch,
+            fleet: Fleet::new(),
+            tasks: FairQueue::new(Policy::clone(&policy)),
+            requests: HashMap::new(),
+            admission: Admission::new(Policy::clone(&policy)),
+            health: WorkerHealth::new(policy.health),
+            budget: RetryBudget::new(policy.retry_budget_percent),
+            task_rate: ServiceEstimator::new(),
+            request_rates: HashMap::new(),
+            tickets: TicketTable::new(shard.clone(), epoch, config.tickets),
+            journal: Journal::new(shard, head, version, state, config.journal),
+            works: HashMap::new(),
+            by_ticket: HashMap::new(),
+            by_key: HashMap::new(),
+            workers: BTreeMap::new(),
+            slots: SlotTable::default(),
+            unfenced: BTreeSet::new(),
+            inherited_lost: false,
+            next_work: Sequence::default(),
+            uncommitted: VecDeque::new(),
+            effects: Vec::new(),
+            policy,
+            config,
+        };
+        this.inherit();
+        this
+    }
+
+    /// Returns the id.
+    pub fn id(&self) -> &ShardId {
+        &self.config.shard
+    }
+
+    /// Returns the epoch of the ownership.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Returns the phase of the ownership.
+    pub fn phase(&self) -> ShardPhase {
+        self.life.phase()
+    }
+
+    /// Returns the policy in force.
+    pub fn policy(&self) -> &Arc<Policy> {
+        &self.policy
+    }
+
+    /// Takes what the daemon has to do since the last call.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes a newer policy; an older or equal version changes nothing.
+    pub fn set_policy(&mut self, policy: &Arc<Policy>) {
+        if policy.version <= self.policy.version {
+            return;
+        }
+        self.policy = policy.clone();
+        self.tasks.set_policy(Policy::clone(policy));
+        for queue in self.requests.values_mut() {
+            queue.set_policy(Policy::clone(policy));
+        }
+        self.admission.set_policy(Policy::clone(policy));
+        self.health.set_policy(policy.health);
+        self.budget.set_percent(policy.retry_budget_percent);
+        self.apply_drains();
+    }
+
+    pub(super) fn reply(&mut self, waiter: WaiterId, reply: Reply) {
+        self.effects.push(Effect::Reply { waiter, reply });
+    }
+
+    pub(super) fn next_work_id(&mut self) -> WorkId {
+        let sequence = self.next_work;
+        self.next_work = sequence.next();
+        WorkId::new(self.config.shard.clone(), self.epoch, sequence)
+    }
+
+    pub(super) fn check_accepting(&self) -> Result<(), Refusal> {
+        let refuse = |code, text: &str| {
+            Err(Refusal::new(
+                code,
+                format!("shard {}: {text}", self.config.shard),
+            ))
+        };
+        match self.phase() {
+            ShardPhase::Fencing | ShardPhase::Serving => Ok(()),
+            ShardPhase::HandingOver => refuse(ResultCode::HandingOver, "it is being handed over"),
+            ShardPhase::Stopped => refuse(ResultCode::ShardStopped, "it stopped after an error"),
+            ShardPhase::Standby | ShardPhase::Claiming => {
+                refuse(ResultCode::NotServing, "it is not being served here")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/slot_table.rs
@@ -0,0 +1,166 @@
+use std::collections::{BTreeSet, HashMap};
+
+use crate::id::{ExecutorId, ServiceName, WorkerId};
+use crate::shard::ExecutorSpec;
+use crate::shard::executor_record::ExecutorRecord;
+use crate::unit::{Millis, Timestamp};
+
+/// Wait before an executor that could not be reached is tried again.
+const REST: Millis = Millis::new(1_000);
+
+/// Executors of the shard's workers, ordered by free slots for each service.
+#[derive(Debug, Default)]
+pub(super) struct SlotTable {
+    executors: HashMap<ExecutorId, ExecutorRecord>,
+    free: HashMap<ServiceName, BTreeSet<(u32, ExecutorId)>>,
+}
+
+impl SlotTable {
+    /// Adds an executor or updates its declared slots. It stays closed until `open`.
+    pub(super) fn upsert(&mut self, spec: &ExecutorSpec, worker: &WorkerId) {
+        if let Some(known) = self.executors.get(&spec.executor)
+            && (known.slots, &known.service, &known.worker) == (spec.slots, &spec.service, worker)
+        {
+            return;
+        }
+        self.remove(&spec.executor);
+        let record = ExecutorRecord {
+            executor: spec.executor.clone(),
+            service: spec.service.clone(),
+            worker: worker.clone(),
+            slots: spec.slots,
+            own: 0,
+            foreign: spec.slots,
+            open: false,
+            rested_until: Timestamp::default(),
+        };
+        self.executors.insert(spec.executor.clone(), record);
+    }
+
+    pub(super) fn remove(&mut self, executor: &ExecutorId) {
+        self.unlist(executor);
+        self.executors.remove(executor);
+    }
+
+    pub(super) fn remove_worker(&mut self, worker: &WorkerId) {
+        for executor in self.change_worker(worker, |record| record.open = false) {
+            self.remove(&executor);
+        }
+    }
+
+    pub(super) fn get(&self, executor: &ExecutorId) -> Option<&ExecutorRecord> {
+        self.executors.get(executor)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &ExecutorRecord> {
+        self.executors.values()
+    }
+
+    /// Opens the executors of a worker whose lease was obtained. Every slot counts as in use until the executor reports
+    /// it free, because an earlier holder may have requests there.
+    pub(super) fn claim_worker(&mut self, worker: &WorkerId) -> Vec<ExecutorId> {
+        self.change_worker(worker, |record| {
+            record.open = true;
+            record.foreign = record.slots.saturating_sub(record.own);
+        })
+    }
+
+    pub(super) fn set_open(&mut self, worker: &WorkerId, open: bool) {
+        self.change_worker(worker, |record| record.open = open);
+    }
+
+    /// Takes the number of slots that the executor reports as in use.
+    pub(super) fn report(&mut self, executor: &ExecutorId, in_use: u32) {
+        self.change(executor, |record| {
+            let others = in_use.saturating_sub(record.own);
+            // A request that is on its way is not in the report yet, so the count of others only falls.
+            record.foreign = record.foreign.min(others);
+        });
+    }
+
+    /// Notes that an executor refused although a slot seemed free.
+    pub(super) fn note_full(&mut self, executor: &ExecutorId) {
+        self.change(executor, |record| {
+            record.foreign = record.slots.saturating_sub(record.own);
+        });
+    }
+
+    pub(super) fn rest(&mut self, executor: &ExecutorId, now: Timestamp) {
+        self.change(executor, |record| record.rested_until = now.after(REST));
+    }
+
+    /// Takes a slot of the executor with the most free slots.
+    pub(super) fn take(&mut self, service: &ServiceName, now: Timestamp) -> Option<ExecutorId> {
+        let free = self.free.get(service)?;
+        let rested = |id: &ExecutorId| self.executors[id].rested_until > now;
+        let found = free.iter().rev().find(|(_, id)| !rested(id));
+        let id = found.map(|(_, id)| id.clone())?;
+        self.change(&id, |record| record.own += 1);
+        Some(id)
+    }
+
+    pub(super) fn has_free(&self, service: &ServiceName, now: Timestamp) -> bool {
+        let free = self.free.get(service).into_iter().flatten();
+        free.into_iter()
+            .any(|(_, id)| self.executors[id].rested_until <= now)
+    }
+
+    /// Returns the slots of a service's open executors.
+    pub(super) fn slots_of(&self, service: &ServiceName) -> u32 {
+        let open = self.executors.values().filter(|record| record.open);
+        open.filter(|record| record.service == *service)
+            .map(|record| record.slots)
+            .sum()
+    }
+
+    pub(super) fn give_back(&mut self, executor: &ExecutorId) {
+        self.change(executor, |record| record.own = record.own.saturating_sub(1));
+    }
+
+    /// Returns executors with slots that an earlier holder may use.
+    pub(super) fn to_poll(&self) -> Vec<ExecutorId> {
+        let polled = self
+            .executors
+            .values()
+            .filter(|record| record.open && record.foreign > 0);
+        polled.map(|record| record.executor.clone()).collect()
+    }
+
+    fn change_worker(
+        &mut self,
+        worker: &WorkerId,
+        change: impl Fn(&mut ExecutorRecord),
+    ) -> Vec<ExecutorId> {
+        let of_worker = self
+            .executors
+            .values()
+            .filter(|record| record.worker == *worker);
+        let ids: Vec<_> = of_worker.map(|record| record.executor.clone()).collect();
+        for id in &ids {
+            self.change(id, &change);
+        }
+        ids
+    }
+
+    fn change(&mut self, executor: &ExecutorId, change: impl FnOnce(&mut ExecutorRecord)) {
+        self.unlist(executor);
+        if let Some(record) = self.executors.get_mut(executor) {
+            change(record);
+            if record.open && record.free() > 0 {
+                let entry = (record.free(), executor.clone());
+                self.free
+                    .entry(record.service.clone())
+                    .or_default()
+                    .insert(entry);
+            }
+        }
+    }
+
+    fn unlist(&mut self, executor: &ExecutorId) {
+        if let Some(record) = self.executors.get(executor)
+            && let Some(free) = self.free.get_mut(&record.service)
+        {
+            free.remove(&(record.free(), executor.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/submit.rs
@@ -0,0 +1,317 @@
+//! Acceptance of work on each of the three routes.
+
+use std::sync::Arc;
+
+use crate::admission::{AdmissionView, Feasibility, QueueLoad};
+use crate::code::{Refusal, ResultCode};
+use crate::id::{RequestKey, Ticket, WorkId};
+use crate::journal::{EndedWork, JournalEntry};
+use crate::shard::commit::Recorded;
+use crate::shard::work_record::WorkRecord;
+use crate::shard::{Effect, Reply, Route, Shard, Submission, WaiterId, WorkView};
+use crate::ticket::TicketDecision;
+use crate::unit::{Resources, Timestamp};
+use crate::work::{Outcome, WorkKind, WorkSpec, WorkState};
+
+impl Shard {
+    /// Issues tickets for requests that run at most once.
+    ///
+    /// # Errors
+    ///
+    /// Refused while the shard is not served, or when too many tickets are outstanding.
+    pub fn issue_tickets(&mut self, count: usize, now: Timestamp) -> Result<Vec<Ticket>, Refusal> {
+        self.check_accepting()?;
+        self.tickets.issue(count, now)
+    }
+
+    /// Drops the kept answer of a ticket.
+    pub fn confirm_ticket(&mut self, ticket: &Ticket) {
+        self.tickets.confirm(ticket);
+    }
+
+    /// Takes a piece of work, or a repeat of one, and replies to `waiter` at once or later.
+    pub fn submit(&mut self, waiter: WaiterId, submission: Submission, now: Timestamp) {
+        let result = match submission.route.clone() {
+            Route::Ticket(ticket) => self.submit_with_ticket(waiter, &ticket, submission, now),
+            Route::Journal(key) => self.submit_with_key(waiter, &key, submission, now),
+            Route::Once => self.admit(waiter, submission, now),
+        };
+        if let Err(refusal) = result {
+            self.reply(waiter, Reply::Refused(refusal));
+        }
+        self.schedule(now);
+    }
+
+    fn submit_with_ticket(
+        &mut self,
+        waiter: WaiterId,
+        ticket: &Ticket,
+        submission: Submission,
+        now: Timestamp,
+    ) -> Result<(), Refusal> {
+        self.check_accepting()?;
+        match self.tickets.admit(ticket, submission.fingerprint, now) {
+            TicketDecision::Refuse(refusal) => Err(refusal),
+            TicketDecision::Done(outcome) => {
+                let repeated = true;
+                self.reply(waiter, Reply::Ended { outcome, repeated });
+                Ok(())
+            }
+            TicketDecision::InFlight => {
+                let record = self
+                    .by_ticket
+                    .get(ticket)
+                    .and_then(|id| self.works.get_mut(id));
+                let Some(record) = record else {
+                    let text = format!("{ticket}: the request is no longer followed");
+                    return Err(Refusal::new(ResultCode::AnswerLost, text));
+                };
+                record.until_end.push(waiter);
+                Ok(())
+            }
+            TicketDecision::Run => {
+                let refused = self.admit(waiter, submission, now);
+                if let Err(refusal) = &refused {
+                    // A retry with the same ticket must get the same refusal: it said "not run".
+                    self.tickets
+                        .complete(ticket, Outcome::Refused(refusal.clone()), now);
+                }
+                refused
+            }
+        }
+    }
+
+    fn submit_with_key(
+        &mut self,
+        waiter: WaiterId,
+        key: &RequestKey,
+        submission: Submission,
+        now: Timestamp,
+    ) -> Result<(), Refusal> {
+        let place = (submission.spec.team.clone(), key.clone());
+        if let Some(work) = self.by_key.get(&place).cloned() {
+            return self.repeat_live(waiter, &work, &submission);
+        }
+        let known = self.journal.state().find(&place.0, key).cloned();
+        if let Some(work) = known
+            && let Some(ended) = self.journal.state().ended(&work).cloned()
+        {
+            return self.repeat_ended(waiter, work, &ended, &submission);
+        }
+        self.check_accepting()?;
+        self.admit(waiter, submission, now)
+    }
+
+    fn repeat_live(
+        &mut self,
+        waiter: WaiterId,
+        work: &WorkId,
+        submission: &Submission,
+    ) -> Result<(), Refusal> {
+        let Some(record) = self.works.get_mut(work) else {
+            return Err(Refusal::new(
+                ResultCode::UnknownWork,
+                format!("{work} is not known"),
+            ));
+        };
+        check_fingerprint(record.fingerprint, submission.fingerprint)?;
+        if submission.until_end {
+            record.until_end.push(waiter);
+        } else if record.accepting.is_some() {
+            record.until_recorded.push(waiter);
+        } else {
+            let view = Box::new(record.view());
+            self.reply(
+                waiter,
+                Reply::Accepted {
+                    view,
+                    repeated: true,
+                },
+            );
+        }
+        Ok(())
+    }
+
+    fn repeat_ended(
+        &mut self,
+        waiter: WaiterId,
+        work: WorkId,
+        ended: &EndedWork,
+        submission: &Submission,
+    ) -> Result<(), Refusal> {
+        check_fingerprint(ended.fingerprint, submission.fingerprint)?;
+        let repeated = true;
+        let reply = if submission.until_end {
+            Reply::Ended {
+                outcome: ended.outcome.clone(),
+                repeated,
+            }
+        } else {
+            let view = WorkView {
+                work,
+                spec: Arc::new(submission.spec.clone()),
+                state: WorkState::Ended(ended.outcome.clone()),
+                reason: String::new(),
+                workers: Default::default(),
+                accepted_at: ended.at,
+                started_at: None,
+            };
+            Reply::Accepted {
+                view: Box::new(view),
+                repeated,
+            }
+        };
+        self.reply(waiter, reply);
+        Ok(())
+    }
+
+    fn admit(
+        &mut self,
+        waiter: WaiterId,
+        submission: Submission,
+        now: Timestamp,
+    ) -> Result<(), Refusal> {
+        self.check_accepting()?;
+        let Submission {
+            route,
+            spec,
+            fingerprint,
+            until_end,
+        } = submission;
+        check_shape(&spec)?;
+        self.admission
+            .check(&spec, &self.admission_view(&spec, now))?;
+        let id = self.next_work_id();
+        let spec = Arc::new(spec);
+        let mut record = WorkRecord::new(id.clone(), spec.clone(), route.clone(), fingerprint, now);
+        match until_end {
+            true => record.until_end.push(waiter),
+            false => record.until_recorded.push(waiter),
+        }
+        match route {
+            Route::Journal(key) => {
+                record.accepting = Some(self.record_acceptance(&record, &key)?);
+                record.reason = "waiting for the store to record the acceptance".to_owned();
+                self.by_key.insert((spec.team.clone(), key), id.clone());
+                self.works.insert(id, record);
+            }
+            Route::Ticket(ticket) => {
+                self.by_ticket.insert(ticket, id.clone());
+                self.enqueue(record);
+            }
+            Route::Once => self.enqueue(record),
+        }
+        Ok(())
+    }
+
+    fn record_acceptance(
+        &mut self,
+        record: &WorkRecord,
+        key: &RequestKey,
+    ) -> Result<crate::journal::Position, Refusal> {
+        let entry = JournalEntry::Accepted {
+            work: record.id.clone(),
+            key: Some(key.clone()),
+            fingerprint: record.fingerprint,
+            spec: record.spec.clone(),
+            accepted_at: record.accepted_at,
+        };
+        let position = self.journal.append(entry)?;
+        let recorded = Recorded::Accepted {
+            work: record.id.clone(),
+            at: record.accepted_at,
+        };
+        self.uncommitted.push_back((position, recorded));
+        self.effects.push(Effect::Commit);
+        Ok(position)
+    }
+
+    /// Puts accepted work into its queue.
+    pub(super) fn enqueue(&mut self, record: WorkRecord) {
+        let entry = record.queue_entry();
+        let id = record.id.clone();
+        self.works.insert(id, record);
+        self.queue_of(&entry.work).push(entry);
+    }
+
+    fn admission_view(&self, spec: &WorkSpec, now: Timestamp) -> AdmissionView {
+        let waiting = |kind| (self.tasks.len_of(kind), self.tasks.bytes_of(kind));
+        let service = spec.service.as_ref();
+        let requests = service.and_then(|service| self.requests.get(service));
+        let service_queued = requests.map_or(0, |queue| queue.len() as u64);
+        let (batch, batch_bytes) = waiting(WorkKind::Batch);
+        let (gang, gang_bytes) = waiting(WorkKind::Gang);
+        let queues = self.requests.values();
+        let request_bytes = queues.map(|queue| queue.bytes_of(WorkKind::Service));
+        let request_bytes =
+            request_bytes.fold(Default::default(), crate::unit::Bytes::saturating_add);
+        let request_items = self.requests.values().map(|queue| queue.len() as u64).sum();
+        let queue = QueueLoad::default()
+            .with(WorkKind::Service, request_items, request_bytes)
+            .with(WorkKind::Batch, batch, batch_bytes)
+            .with(WorkKind::Gang, gang, gang_bytes);
+        let queue_of_kind = match spec.kind {
+            WorkKind::Service => requests,
+            _ => Some(&self.tasks),
+        };
+        let count = |f: &dyn Fn(&crate::order::FairQueue) -> u64| queue_of_kind.map_or(0, f);
+        AdmissionView {
+            now,
+            queue,
+            team_queued: count(&|queue| queue.team_ready(&spec.team)),
+            team_usage: queue_of_kind
+                .map_or(Resources::ZERO, |queue| queue.team_in_use(&spec.team)),
+            service_queued,
+            feasibility: self.feasibility(spec),
+            ahead: count(&|queue| queue.ahead(spec.kind, &spec.team, spec.priority)),
+            service_rate: match service {
+                Some(service) => self.request_rates.get(service).and_then(|rate| rate.rate()),
+                None => self.task_rate.rate(),
+            },
+        }
+    }
+
+    fn feasibility(&self, spec: &WorkSpec) -> Feasibility {
+        // A shard that still learns its workers must not refuse work for good.
+        let unknown = self.workers.is_empty()
+            || self
+                .workers
+                .values()
+                .any(|worker| worker.incarnation.is_none());
+        match spec.kind {
+            WorkKind::Service => Feasibility::Unknown,
+            _ if self
+                .fleet
+                .could_ever_hold(spec.members, &spec.resources, &spec.placement) =>
+            {
+                Feasibility::Fits
+            }
+            _ if unknown => Feasibility::Unknown,
+            _ => Feasibility::NeverFits,
+        }
+    }
+}
+
+fn check_fingerprint(known: u64, new: u64) -> Result<(), Refusal> {
+    if known != new {
+        let text = "the idempotency key was used for other content";
+        return Err(Refusal::new(ResultCode::KeyConflict, text));
+    }
+    Ok(())
+}
+
+fn check_shape(spec: &WorkSpec) -> Result<(), Refusal> {
+    let invalid = |text: &str| Err(Refusal::new(ResultCode::InvalidValue, text));
+    match spec.kind {
+        WorkKind::Service if spec.service.is_none() => invalid("service: a request names one"),
+        WorkKind::Batch if spec.members != 1 => invalid("members: a batch run has one"),
+        WorkKind::Gang if spec.members == 0 => invalid("members: a gang job has at least one"),
+        WorkKind::Batch | WorkKind::Gang if spec.resources == Resources::ZERO => {
+            invalid("resources: a task needs some")
+        }
+        WorkKind::Batch | WorkKind::Gang if spec.service.is_some() => {
+            invalid("service: only a request names one")
+        }
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/tasks.rs
@@ -0,0 +1,277 @@
+//! What workers say about tasks.
+
+use crate::code::{Refusal, ResultCode};
+use crate::health::HealthChange;
+use crate::id::{TaskId, WorkId, WorkerId};
+use crate::placement::ClosedReason;
+use crate::shard::after_stop::AfterStop;
+use crate::shard::invariant::check_one_place;
+use crate::shard::place::Place;
+use crate::shard::place_state::PlaceState;
+use crate::shard::{Effect, Shard, StartResult, TaskPhase, TaskReport};
+use crate::unit::Timestamp;
+use crate::work::{Outcome, WorkState};
+
+impl Shard {
+    /// Takes the result of a start.
+    pub fn on_start(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskId,
+        result: StartResult,
+        now: Timestamp,
+    ) {
+        match result {
+            StartResult::Known(phase) => self.on_phase(worker, task, phase, now),
+            StartResult::NotSent => self.on_not_started(worker, task, now),
+            StartResult::DoesNotFit => {
+                // The worker holds something that is not accounted for here: read its whole inventory.
+                self.forget_inventory(worker);
+                self.on_not_started(worker, task, now);
+            }
+            StartResult::StartFailed => {
+                self.note_failure(worker, now);
+                self.on_not_started(worker, task, now);
+            }
+            StartResult::LeaseLost => {
+                self.lease_refused(worker);
+                self.on_not_started(worker, task, now);
+            }
+            StartResult::ShardSuperseded => {
+                let text = format!(
+                    "worker {worker} has seen a later owner of {}",
+                    self.config.shard
+                );
+                self.halt(Refusal::new(ResultCode::NotOwner, text));
+            }
+            StartResult::Unknown => {
+                self.change_place(worker, task, |place| place.state = PlaceState::InDoubt);
+            }
+        }
+        self.schedule(now);
+    }
+
+    /// Takes an entry of a worker's inventory.
+    pub(super) fn on_report(&mut self, worker: &WorkerId, report: TaskReport, now: Timestamp) {
+        match report.phase {
+            TaskPhase::Running => self.claim_reported(worker, &report),
+            _ => self.release_claim(worker, &report.task),
+        }
+        if report.shard == self.config.shard {
+            self.on_phase(worker, &report.task, report.phase, now);
+        }
+    }
+
+    fn claim_reported(&mut self, worker: &WorkerId, report: &TaskReport) {
+        let Some(holder) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if holder.claims.contains_key(&report.task) {
+            return;
+        }
+        if self.fleet.claim(worker, report.resources).is_ok() {
+            holder.claims.insert(report.task.clone(), report.resources);
+        } else {
+            // The worker runs it, so a start of this shard that is on its way will be refused. Place nothing more here
+            // until the whole inventory is known.
+            self.forget_inventory(worker);
+        }
+    }
+
+    /// Takes the state of a task of this shard.
+    pub(super) fn on_phase(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskId,
+        phase: TaskPhase,
+        now: Timestamp,
+    ) {
+        if !self.locate(worker, task, &phase) {
+            return;
+        }
+        match phase {
+            TaskPhase::Running => self.on_running(worker, task, now),
+            TaskPhase::Succeeded(output) => {
+                self.note_success(worker);
+                self.change_place(worker, task, |place| place.output = Some(output));
+                self.on_stopped(worker, task, true, now);
+            }
+            TaskPhase::Failed(error) => {
+                self.note_failure(worker, now);
+                self.stop_all(task.work(), AfterStop::End(Outcome::Failed(error)));
+                self.on_stopped(worker, task, true, now);
+            }
+            TaskPhase::Stopped { started } => {
+                self.stop_all(task.work(), AfterStop::Requeue);
+                self.on_stopped(worker, task, started, now);
+            }
+        }
+    }
+
+    /// Finds or makes the place of a reported task. Returns false if the report says nothing new.
+    fn locate(&mut self, worker: &WorkerId, task: &TaskId, phase: &TaskPhase) -> bool {
+        let running = *phase == TaskPhase::Running;
+        let Some(record) = self.works.get_mut(task.work()) else {
+            self.on_orphan(worker, task, running);
+            return false;
+        };
+        if let Some(place) = record.places.iter().find(|place| place.is(task, worker)) {
+            return !place.is_finished();
+        }
+        let known = record
+            .places
+            .iter()
+            .find(|place| place.member == task.member());
+        if let Some(place) = known {
+            let checked = match running {
+                true => check_one_place(record, place, worker),
+                false => Ok(()),
+            };
+            self.check(ResultCode::PlaceInvariant, checked);
+            return false;
+        }
+        if !running && !record.inherited {
+            // A late report about an attempt that was settled before.
+            let (worker, tasks) = (worker.clone(), vec![task.clone()]);
+            self.effects.push(Effect::Acknowledge { worker, tasks });
+            return false;
+        }
+        record.places.push(Place::found(task, worker.clone()));
+        let queued = record.state == WorkState::Waiting;
+        record.charged = true;
+        let (kind, team, need) = (record.spec.kind, record.spec.team.clone(), record.need());
+        let queue = self.queue_of(task.work());
+        if queued {
+            queue.remove(task.work());
+        }
+        queue.charge(kind, &team, need);
+        true
+    }
+
+    /// Handles a task whose work has no record.
+    fn on_orphan(&mut self, worker: &WorkerId, task: &TaskId, running: bool) {
+        let ended = self.journal.state().ended(task.work());
+        let refused = ended.is_some_and(|ended| {
+            matches!(&ended.outcome, Outcome::Refused(r) if r.class() == crate::RefusalClass::NotRun)
+        });
+        if running && refused {
+            let text = format!("{task} runs on {worker} although it was refused as not run");
+            self.halt(Refusal::new(ResultCode::RefusedInvariant, text));
+            return;
+        }
+        let worker = worker.clone();
+        let effect = match running {
+            true => Effect::Stop {
+                worker,
+                task: task.clone(),
+            },
+            false => Effect::Acknowledge {
+                worker,
+                tasks: vec![task.clone()],
+            },
+        };
+        self.effects.push(effect);
+    }
+
+    fn on_running(&mut self, worker: &WorkerId, task: &TaskId, now: Timestamp) {
+        let Some(record) = self.works.get_mut(task.work()) else {
+            return;
+        };
+        let Some(place) = record
+            .places
+            .iter_mut()
+            .find(|place| place.is(task, worker))
+        else {
+            return;
+        };
+        place.state = PlaceState::Running;
+        if place.stopping || record.then.is_some() {
+            place.stopping = true;
+            let (worker, task) = (worker.clone(), task.clone());
+            self.effects.push(Effect::Stop { worker, task });
+            return;
+        }
+        let running = |place: &Place| place.state == PlaceState::Running || place.is_finished();
+        let all = record.places.len() == record.spec.members as usize;
+        if all && record.places.iter().all(running) {
+            record.state = WorkState::Running;
+            record.reason = String::new();
+            record.started_at.get_or_insert(now);
+        }
+    }
+
+    /// Notes that a task runs no more, or never will.
+    pub(super) fn on_stopped(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskId,
+        started: bool,
+        now: Timestamp,
+    ) {
+        self.release_claim(worker, task);
+        self.change_place(worker, task, |place| {
+            place.state = PlaceState::Finished { started }
+        });
+        self.settle(task.work(), now);
+    }
+
+    fn on_not_started(&mut self, worker: &WorkerId, task: &TaskId, now: Timestamp) {
+        let placed = self.works.get(task.work()).is_some_and(|record| {
+            record
+                .places
+                .iter()
+                .any(|place| place.is(task, worker) && !place.is_finished())
+        });
+        if placed {
+            self.stop_all(task.work(), AfterStop::Requeue);
+            self.on_stopped(worker, task, false, now);
+        }
+    }
+
+    /// Notes that a task was lost together with its worker.
+    pub(super) fn on_lost(&mut self, worker: &WorkerId, task: &TaskId, now: Timestamp) {
+        self.stop_all(task.work(), AfterStop::Requeue);
+        self.on_stopped(worker, task, true, now);
+    }
+
+    /// Asks all workers to stop the tasks of a piece of work. The first decision about what follows stays.
+    pub(super) fn stop_all(&mut self, work: &WorkId, then: AfterStop) {
+        let Some(record) = self.works.get_mut(work) else {
+            return;
+        };
+        record.then.get_or_insert(then);
+        for place in record
+            .places
+            .iter_mut()
+            .filter(|place| !place.is_finished())
+        {
+            if !std::mem::replace(&mut place.stopping, true) {
+                let (worker, task) = (place.worker.clone(), place.task(work));
+                self.effects.push(Effect::Stop { worker, task });
+            }
+        }
+    }
+
+    fn change_place(&mut self, worker: &WorkerId, task: &TaskId, change: impl FnOnce(&mut Place)) {
+        let record = self.works.get_mut(task.work());
+        let places = record
+            .into_iter()
+            .flat_map(|record| record.places.iter_mut());
+        if let Some(place) = places.into_iter().find(|place| place.is(task, worker)) {
+            change(place);
+        }
+    }
+
+    fn note_failure(&mut self, worker: &WorkerId, now: Timestamp) {
+        let change = self.health.record_failure(worker, now, self.workers.len());
+        if let HealthChange::Rested(_) = change {
+            self.fleet.close(worker, ClosedReason::Rested);
+        }
+    }
+
+    fn note_success(&mut self, worker: &WorkerId) {
+        if self.health.record_success(worker) {
+            self.fleet.open(worker, ClosedReason::Rested);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/view.rs
@@ -0,0 +1,95 @@
+//! What callers and operators see.
+
+use crate::id::{TeamId, WorkId};
+use crate::placement::ClosedReason;
+use crate::shard::{Shard, ShardView, WorkView, WorkerView};
+use crate::work::WorkState;
+
+impl Shard {
+    /// Returns a piece of work. Of work that ended only the outcome is kept, so its specification is absent.
+    pub fn work(&self, work: &WorkId) -> Option<(WorkState, Option<WorkView>)> {
+        if let Some(record) = self.works.get(work) {
+            return Some((record.state.clone(), Some(record.view())));
+        }
+        self.ended_state(work).map(|state| (state, None))
+    }
+
+    /// Returns up to `limit` pieces of live work that match, in order of their ids.
+    pub fn list(&self, team: Option<&TeamId>, state: Option<&str>, limit: usize) -> Vec<WorkView> {
+        let matches = |view: &WorkView| {
+            team.is_none_or(|team| view.spec.team == *team)
+                && state.is_none_or(|state| view.state.as_str() == state)
+        };
+        let mut views: Vec<WorkView> = self
+            .works
+            .values()
+            .map(|record| record.view())
+            .filter(matches)
+            .collect();
+        views.sort_by(|a, b| a.work.cmp(&b.work));
+        views.truncate(limit);
+        views
+    }
+
+    /// Returns the state of the shard.
+    pub fn view(&self) -> ShardView {
+        let count = |wanted: fn(&WorkState) -> bool| {
+            self.works
+                .values()
+                .filter(|record| wanted(&record.state))
+                .count() as u64
+        };
+        let executors = self.slots.iter().map(|record| {
+            let in_use = record.own + record.foreign;
+            let (service, worker) = (record.service.clone(), record.worker.clone());
+            (
+                record.executor.clone(),
+                service,
+                worker,
+                record.slots,
+                in_use,
+            )
+        });
+        ShardView {
+            shard: self.config.shard.clone(),
+            phase: self.phase(),
+            owner: self.config.process.clone(),
+            epoch: self.epoch,
+            queued: count(|state| matches!(state, WorkState::Waiting | WorkState::Held)),
+            running: count(|state| matches!(state, WorkState::Starting | WorkState::Running)),
+            unresolved: count(|state| *state == WorkState::Unresolved),
+            tickets: self.tickets.outstanding() as u64,
+            unrecorded: self.journal.pending() as u64,
+            workers: self
+                .workers
+                .keys()
+                .filter_map(|worker| self.worker_view(worker))
+                .collect(),
+            executors: executors.collect(),
+        }
+    }
+
+    fn worker_view(&self, worker: &crate::id::WorkerId) -> Option<WorkerView> {
+        let holder = self.workers.get(worker)?;
+        let slot = self.fleet.get(worker)?;
+        let reasons = [
+            ClosedReason::NoLease,
+            ClosedReason::Draining,
+            ClosedReason::Rested,
+        ];
+        let closed = reasons
+            .iter()
+            .filter(|reason| slot.closed().contains(**reason));
+        Some(WorkerView {
+            worker: worker.clone(),
+            host: holder.host.clone(),
+            rack: Some(slot.rack().clone()),
+            phase: holder.life.phase(),
+            epoch: holder.lease.epoch(),
+            capacity: slot.capacity(),
+            claimed: slot.claimed(),
+            observed: slot.observed(),
+            closed: closed.map(ToString::to_string).collect(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/waiter_id.rs
@@ -0,0 +1,6 @@
+counter_type!(
+    /// Number of a caller's connection that waits for a reply.
+    WaiterId,
+    u64,
+    "waiter"
+);
--- /dev/null
+++ b/crates/core/src/shard/work_record.rs
@@ -0,0 +1,121 @@
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+use crate::id::{ExecutorId, WorkId};
+use crate::journal::Position;
+use crate::order::QueueEntry;
+use crate::shard::after_stop::AfterStop;
+use crate::shard::place::Place;
+use crate::shard::{Route, WaiterId, WorkView};
+use crate::unit::{Bytes, Millicores, Resources, Timestamp};
+use crate::work::{Outcome, WorkKind, WorkSpec, WorkState};
+
+/// Resources for which one executor slot counts in the shares of teams.
+pub(super) const SLOT: Resources = Resources::new(Millicores::new(1_000), Bytes::ZERO);
+
+/// Everything known about a piece of work that has not ended.
+#[derive(Debug)]
+pub(super) struct WorkRecord {
+    pub(super) id: WorkId,
+    pub(super) spec: Arc<WorkSpec>,
+    pub(super) route: Route,
+    pub(super) fingerprint: u64,
+    pub(super) state: WorkState,
+    /// Why the work is in this state.
+    pub(super) reason: String,
+    pub(super) places: SmallVec<[Place; 1]>,
+    /// Executor that has the request.
+    pub(super) executor: Option<ExecutorId>,
+    pub(super) accepted_at: Timestamp,
+    pub(super) started_at: Option<Timestamp>,
+    /// Callers that wait for the record of the acceptance.
+    pub(super) until_recorded: SmallVec<[WaiterId; 1]>,
+    /// Callers that wait for the end.
+    pub(super) until_end: SmallVec<[WaiterId; 1]>,
+    /// Position of the acceptance in the journal while it is not durable.
+    pub(super) accepting: Option<Position>,
+    /// Outcome that waits for its record, with its position.
+    pub(super) ending: Option<(Outcome, Position)>,
+    /// What follows once every task has stopped.
+    pub(super) then: Option<AfterStop>,
+    /// True while resources are charged to the team.
+    pub(super) charged: bool,
+    /// True if the work was accepted by an earlier owner and may have been started by it.
+    pub(super) inherited: bool,
+    /// Refused starts so far.
+    pub(super) attempts: u32,
+}
+
+impl WorkRecord {
+    pub(super) fn new(
+        id: WorkId,
+        spec: Arc<WorkSpec>,
+        route: Route,
+        fingerprint: u64,
+        accepted_at: Timestamp,
+    ) -> Self {
+        Self {
+            id,
+            spec,
+            route,
+            fingerprint,
+            state: WorkState::Waiting,
+            reason: String::new(),
+            places: SmallVec::new(),
+            executor: None,
+            accepted_at,
+            started_at: None,
+            until_recorded: SmallVec::new(),
+            until_end: SmallVec::new(),
+            accepting: None,
+            ending: None,
+            then: None,
+            charged: false,
+            inherited: false,
+            attempts: 0,
+        }
+    }
+
+    /// Returns what the work counts for in shares and quotas.
+    pub(super) fn need(&self) -> Resources {
+        match self.spec.kind {
+            WorkKind::Service => SLOT,
+            _ => self.spec.total_resources().unwrap_or(self.spec.resources),
+        }
+    }
+
+    pub(super) fn queue_entry(&self) -> QueueEntry {
+        QueueEntry {
+            work: self.id.clone(),
+            kind: self.spec.kind,
+            team: self.spec.team.clone(),
+            priority: self.spec.priority,
+            deadline: self.spec.deadline,
+            need: self.need(),
+            bytes: self.spec.queue_bytes(),
+            enqueued: self.accepted_at,
+        }
+    }
+
+    /// Tells whether a host may have started some part of the work.
+    pub(super) fn may_have_started(&self) -> bool {
+        self.state == WorkState::Unresolved || self.executor.is_some() || !self.places.is_empty()
+    }
+
+    pub(super) fn view(&self) -> WorkView {
+        WorkView {
+            work: self.id.clone(),
+            spec: self.spec.clone(),
+            state: self.state.clone(),
+            reason: self.reason.clone(),
+            workers: self
+                .places
+                .iter()
+                .map(|place| place.worker.clone())
+                .collect(),
+            accepted_at: self.accepted_at,
+            started_at: self.started_at,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/worker_record.rs
@@ -0,0 +1,42 @@
+use std::collections::HashMap;
+
+use crate::id::{HostId, Incarnation, Sequence, TaskId, WorkerId};
+use crate::lease::{WorkerLease, WorkerLife};
+use crate::unit::{Millis, Resources};
+
+/// A worker of the shard and the tasks that count against its capacity.
+#[derive(Debug)]
+pub(super) struct WorkerRecord {
+    pub(super) worker: WorkerId,
+    pub(super) host: HostId,
+    pub(super) address: String,
+    pub(super) lease: WorkerLease,
+    pub(super) life: WorkerLife,
+    pub(super) incarnation: Option<Incarnation>,
+    pub(super) sequence: Sequence,
+    /// Tasks that hold capacity here, of this shard and of others.
+    pub(super) claims: HashMap<TaskId, Resources>,
+    /// True once the store holds that this shard uses the worker.
+    pub(super) recorded: bool,
+}
+
+impl WorkerRecord {
+    pub(super) fn new(
+        worker: WorkerId,
+        host: HostId,
+        address: String,
+        lease_margin: Millis,
+    ) -> Self {
+        Self {
+            worker,
+            host,
+            address,
+            lease: WorkerLease::new(lease_margin),
+            life: WorkerLife::new(),
+            incarnation: None,
+            sequence: Sequence::default(),
+            claims: HashMap::new(),
+            recorded: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/worker_view.rs
@@ -0,0 +1,26 @@
+use crate::id::{Epoch, HostId, RackId, WorkerId};
+use crate::lease::WorkerPhase;
+use crate::unit::Resources;
+
+/// A worker as shown to operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkerView {
+    /// Id.
+    pub worker: WorkerId,
+    /// Host.
+    pub host: HostId,
+    /// Rack, once known.
+    pub rack: Option<RackId>,
+    /// Phase of its life.
+    pub phase: WorkerPhase,
+    /// Epoch of its lease, once granted.
+    pub epoch: Option<Epoch>,
+    /// What it holds.
+    pub capacity: Resources,
+    /// What tasks were given.
+    pub claimed: Resources,
+    /// What was seen in use.
+    pub observed: Resources,
+    /// Why it receives no new work.
+    pub closed: Vec<String>,
+}
--- a/crates/core/tests/units.rs
+++ b/crates/core/tests/units.rs
@@ -53,6 +53,7 @@
     shard: ShardId, "cluj:3" => "cluj:3";
     work: WorkId, "w:cluj-napoca:3:7:15" => "w:cluj-napoca:3:7:15";
     task: TaskId, "w:cluj:3:7:15:2" => "w:cluj:3:7:15:2";
+    task_attempt: TaskId, "w:cluj:3:7:15:2+9.1" => "w:cluj:3:7:15:2+9.1";
     ticket: Ticket, "t:cluj:3:7:15" => "t:cluj:3:7:15";
 }
 
