--- /dev/null
+++ b/crates/core/src/shard/abandon.rs
@@ -0,0 +1,53 @@
+//! The end of an ownership.
+
+use std::collections::BTreeSet;
+
+use crate::code::{Refusal, ResultCode};
+use crate::id::{WorkId, WorkerId};
+use crate::shard::{Reply, Route, Shard, ShardEvent};
+use crate::work::WorkState;
+
+impl Shard {
+    /// Notes that another process owns the shard.
+    pub fn superseded(&mut self, refusal: Refusal) {
+        self.halt(refusal);
+    }
+
+    /// Accepts no new work from now on; what was accepted goes on.
+    pub fn begin_drain(&mut self) {
+        self.life.handle(ShardEvent::HandOverStarted);
+    }
+
+    /// Replies to everyone who waits, because this owner can't find out more.
+    pub fn abandon(&mut self) {
+        let works: Vec<WorkId> = self.works.keys().cloned().collect();
+        for work in works {
+            let Some(record) = self.works.get_mut(&work) else {
+                continue;
+            };
+            let recorded = std::mem::take(&mut record.until_recorded);
+            let ended = std::mem::take(&mut record.until_end);
+            let refusal = match (&record.route, &record.state) {
+                // The journal tells a repeat with the same key what became of the work.
+                (Route::Journal(_), _) => {
+                    Refusal::new(ResultCode::NotOwner, "the shard has another owner")
+                }
+                (Route::Once, WorkState::Waiting) => {
+                    Refusal::new(ResultCode::NotOwner, "the shard has another owner")
+                }
+                _ => {
+                    let text = "the shard has another owner, and the outcome is not known to it";
+                    Refusal::new(ResultCode::AnswerLost, text)
+                }
+            };
+            for waiter in recorded.into_iter().chain(ended) {
+                self.reply(waiter, Reply::Refused(refusal.clone()));
+            }
+        }
+    }
+
+    /// Returns the workers of the shard.
+    pub fn worker_ids(&self) -> BTreeSet<WorkerId> {
+        self.workers.keys().cloned().collect()
+    }
+}
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -7,6 +7,7 @@
 //! A piece of work takes one of three routes ([`Route`]): by ticket, by journal, or once without either. On the journal
 //! route nothing is said to the caller before the journal has confirmed it.
 
+mod abandon;
 mod after_stop;
 mod cancel;
 mod commit;
@@ -14,6 +15,7 @@
 mod effect;
 mod executor_record;
 mod executor_spec;
+mod executor_view;
 mod expire;
 mod fence;
 mod heartbeat;
@@ -51,10 +53,11 @@
 mod worker_view;
 
 pub use self::{
-    effect::Effect, executor_spec::ExecutorSpec, heartbeat_report::HeartbeatReport,
-    journal_answer::JournalAnswer, reply::Reply, request_result::RequestResult, route::Route,
-    shard_config::ShardConfig, shard_event::ShardEvent, shard_life::ShardLife,
-    shard_phase::ShardPhase, shard_state::Shard, shard_view::ShardView, start_result::StartResult,
-    submission::Submission, task_phase::TaskPhase, task_report::TaskReport, waiter_id::WaiterId,
-    work_view::WorkView, worker_spec::WorkerSpec, worker_view::WorkerView,
+    effect::Effect, executor_spec::ExecutorSpec, executor_view::ExecutorView,
+    heartbeat_report::HeartbeatReport, journal_answer::JournalAnswer, reply::Reply,
+    request_result::RequestResult, route::Route, shard_config::ShardConfig,
+    shard_event::ShardEvent, shard_life::ShardLife, shard_phase::ShardPhase, shard_state::Shard,
+    shard_view::ShardView, start_result::StartResult, submission::Submission,
+    task_phase::TaskPhase, task_report::TaskReport, waiter_id::WaiterId, work_view::WorkView,
+    worker_spec::WorkerSpec, worker_view::WorkerView,
 };
--- a/crates/core/src/shard/shard_view.rs
+++ b/crates/core/src/shard/shard_view.rs
@@ -1,5 +1,5 @@
-use crate::id::{Epoch, ExecutorId, ProcessId, ServiceName, ShardId, WorkerId};
-use crate::shard::{ShardPhase, WorkerView};
+use crate::id::{Epoch, ProcessId, ShardId};
+use crate::shard::{ExecutorView, ShardPhase, WorkerView};
 
 /// A shard as shown to operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +24,6 @@
     pub unrecorded: u64,
     /// Workers.
     pub workers: Vec<WorkerView>,
-    /// Executors: id, service, worker, slots and slots in use.
-    pub executors: Vec<(ExecutorId, ServiceName, WorkerId, u32, u32)>,
+    /// Executors.
+    pub executors: Vec<ExecutorView>,
 }
--- a/crates/core/src/shard/view.rs
+++ b/crates/core/src/shard/view.rs
@@ -2,7 +2,7 @@
 
 use crate::id::{TeamId, WorkId};
 use crate::placement::ClosedReason;
-use crate::shard::{Shard, ShardView, WorkView, WorkerView};
+use crate::shard::{ExecutorView, Shard, ShardView, WorkView, WorkerView};
 use crate::work::WorkState;
 
 impl Shard {
@@ -39,16 +39,12 @@
                 .filter(|record| wanted(&record.state))
                 .count() as u64
         };
-        let executors = self.slots.iter().map(|record| {
-            let in_use = record.own + record.foreign;
-            let (service, worker) = (record.service.clone(), record.worker.clone());
-            (
-                record.executor.clone(),
-                service,
-                worker,
-                record.slots,
-                in_use,
-            )
+        let executors = self.slots.iter().map(|record| ExecutorView {
+            executor: record.executor.clone(),
+            service: record.service.clone(),
+            worker: record.worker.clone(),
+            slots: record.slots,
+            in_use: record.own + record.foreign,
         });
         ShardView {
             shard: self.config.shard.clone(),
@@ -83,13 +79,13 @@
         Some(WorkerView {
             worker: worker.clone(),
             host: holder.host.clone(),
-            rack: Some(slot.rack().clone()),
+            rack: slot.rack().clone(),
             phase: holder.life.phase(),
             epoch: holder.lease.epoch(),
             capacity: slot.capacity(),
             claimed: slot.claimed(),
             observed: slot.observed(),
-            closed: closed.map(ToString::to_string).collect(),
+            closed: closed.copied().collect(),
         })
     }
 }
--- a/crates/core/src/shard/worker_view.rs
+++ b/crates/core/src/shard/worker_view.rs
@@ -1,5 +1,8 @@
+use smallvec::SmallVec;
+
 use crate::id::{Epoch, HostId, RackId, WorkerId};
 use crate::lease::WorkerPhase;
+use crate::placement::ClosedReason;
 use crate::unit::Resources;
 
 /// A worker as shown to operators.
@@ -9,8 +12,8 @@
     pub worker: WorkerId,
     /// Host.
     pub host: HostId,
-    /// Rack, once known.
-    pub rack: Option<RackId>,
+    /// Rack.
+    pub rack: RackId,
     /// Phase of its life.
     pub phase: WorkerPhase,
     /// Epoch of its lease, once granted.
@@ -22,5 +25,5 @@
     /// What was seen in use.
     pub observed: Resources,
     /// Why it receives no new work.
-    pub closed: Vec<String>,
+    pub closed: SmallVec<[ClosedReason; 3]>,
 }
--- a/crates/core/src/work/work_spec.rs
+++ b/crates/core/src/work/work_spec.rs
@@ -1,6 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{ServiceName, TeamId};
+use crate::membership::stable_hash;
 use crate::unit::{Bytes, Millis, Priority, Resources, Timestamp};
 use crate::work::{PlacementPolicy, Repeatability, WorkKind};
 
@@ -43,6 +44,35 @@
         self.resources.checked_mul(self.members)
     }
 
+    /// Returns a hash of what the caller asked for, to recognise a repeat. The deadline is left out, because a gateway
+    /// computes it from the time at which each attempt arrives.
+    pub fn fingerprint(&self) -> u64 {
+        let service = self.service.as_ref().map_or("", ServiceName::as_str);
+        let racks = self.placement.racks.iter().map(|rack| rack.as_str());
+        let domains = self.placement.domains.iter().map(|domain| domain.as_str());
+        let (members, run_time) = (self.members.to_string(), self.run_time.to_string());
+        let (resources, priority) = (self.resources.to_string(), self.priority.to_string());
+        let fixed = [
+            self.kind.as_str(),
+            self.team.as_str(),
+            self.repeatability.as_str(),
+            self.placement.spread.as_str(),
+            service,
+            &self.payload,
+            &resources,
+            &priority,
+            &members,
+            &run_time,
+        ];
+        let parts: Vec<&str> = fixed
+            .into_iter()
+            .chain(racks)
+            .chain(["/"])
+            .chain(domains)
+            .collect();
+        stable_hash(&parts)
+    }
+
     /// Returns the memory that the specification itself takes in a queue.
     pub fn queue_bytes(&self) -> Bytes {
         Bytes::new((size_of::<Self>() + self.payload.len()) as u64)
--- /dev/null
+++ b/crates/scheduler/src/cell/owned.rs
@@ -0,0 +1,49 @@
+use std::collections::HashMap;
+
+use lagoon_core::shard::{Effect, Reply, Shard, WaiterId};
+use tokio::sync::oneshot;
+
+/// A shard that this process owns, with the callers that wait for it.
+#[derive(Debug)]
+pub(crate) struct Owned {
+    pub(crate) shard: Shard,
+    waiters: HashMap<WaiterId, oneshot::Sender<Reply>>,
+    next_waiter: WaiterId,
+}
+
+impl Owned {
+    pub(crate) fn new(shard: Shard) -> Self {
+        Self {
+            shard,
+            waiters: HashMap::new(),
+            next_waiter: WaiterId::default(),
+        }
+    }
+
+    /// Registers a caller that waits for a reply.
+    pub(crate) fn wait(&mut self) -> (WaiterId, oneshot::Receiver<Reply>) {
+        let id = self.next_waiter;
+        self.next_waiter = id.next();
+        let (tx, rx) = oneshot::channel();
+        self.waiters.insert(id, tx);
+        (id, rx)
+    }
+
+    /// Sends replies and returns the other effects.
+    pub(crate) fn settle(&mut self) -> Vec<Effect> {
+        let effects = self.shard.take_effects();
+        let mut others = Vec::with_capacity(effects.len());
+        for effect in effects {
+            match effect {
+                Effect::Reply { waiter, reply } => {
+                    if let Some(tx) = self.waiters.remove(&waiter) {
+                        // The caller may have gone; the work goes on.
+                        let _ = tx.send(reply);
+                    }
+                }
+                other => others.push(other),
+            }
+        }
+        others
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/cell/shard_cell.rs
@@ -0,0 +1,185 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use lagoon_core::id::{Epoch, ShardId};
+use lagoon_core::shard::{Effect, Reply, Shard, ShardPhase, WaiterId};
+use lagoon_core::{Refusal, ResultCode};
+use tokio::sync::{Notify, oneshot, watch};
+
+use crate::cell::Owned;
+use crate::context::Context;
+use crate::drive;
+
+/// Place of a shard in this process: empty while another process owns it.
+#[derive(Debug)]
+pub(crate) struct ShardCell {
+    id: ShardId,
+    cx: Arc<Context>,
+    owned: Mutex<Option<Owned>>,
+    /// Wakes the commit loop.
+    pub(crate) commit: Notify,
+    /// Number of calls in flight.
+    in_flight: watch::Sender<usize>,
+    /// Phase of the ownership, for whoever waits for a change of it.
+    phase: watch::Sender<ShardPhase>,
+}
+
+impl ShardCell {
+    pub(crate) fn new(id: ShardId, cx: Arc<Context>) -> Arc<Self> {
+        Arc::new(Self {
+            id,
+            cx,
+            owned: Mutex::new(None),
+            commit: Notify::new(),
+            in_flight: watch::Sender::new(0),
+            phase: watch::Sender::new(ShardPhase::Standby),
+        })
+    }
+
+    pub(crate) fn id(&self) -> &ShardId {
+        &self.id
+    }
+
+    pub(crate) fn cx(&self) -> &Arc<Context> {
+        &self.cx
+    }
+
+    pub(crate) fn phase(&self) -> ShardPhase {
+        *self.phase.borrow()
+    }
+
+    pub(crate) fn watch_phase(&self) -> watch::Receiver<ShardPhase> {
+        self.phase.subscribe()
+    }
+
+    /// Returns the epoch of the ownership; none while another process owns the shard.
+    pub(crate) fn epoch(&self) -> Option<Epoch> {
+        self.lock().as_ref().map(|owned| owned.shard.epoch())
+    }
+
+    /// Counts a call as in flight until the guard is dropped.
+    pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.send_modify(|count| *count += 1);
+        InFlight { cell: self.clone() }
+    }
+
+    /// Waits until no call is in flight.
+    pub(crate) async fn wait_idle(&self) {
+        let mut rx = self.in_flight.subscribe();
+        let _ = rx.wait_for(|count| *count == 0).await;
+    }
+
+    /// Accepts no new work from now on.
+    pub(crate) fn begin_drain(self: &Arc<Self>) {
+        let _ = self.with(|shard| shard.begin_drain());
+    }
+
+    /// Notes that a claim is under way.
+    pub(crate) fn set_claiming(&self, claiming: bool) {
+        self.phase.send_replace(match claiming {
+            true => ShardPhase::Claiming,
+            false => ShardPhase::Standby,
+        });
+    }
+
+    /// Puts an owned shard in place.
+    pub(crate) fn put(self: &Arc<Self>, shard: Shard) {
+        *self.lock() = Some(Owned::new(shard));
+        let _ = self.with(|shard| shard.begin(self.cx.clock.now()));
+    }
+
+    /// Changes the shard and carries out what follows.
+    ///
+    /// # Errors
+    ///
+    /// Refused with `not_owner` if this process doesn't own the shard.
+    pub(crate) fn with<R>(
+        self: &Arc<Self>,
+        change: impl FnOnce(&mut Shard) -> R,
+    ) -> Result<R, Refusal> {
+        self.with_owned(|owned| change(&mut owned.shard))
+    }
+
+    /// Changes the shard only if it is still owned at `epoch`, because results of calls belong to the ownership that
+    /// made them.
+    pub(crate) fn with_epoch<R>(
+        self: &Arc<Self>,
+        epoch: Epoch,
+        change: impl FnOnce(&mut Shard) -> R,
+    ) -> Option<R> {
+        let same = |shard: &mut Shard| (shard.epoch() == epoch).then(|| change(shard));
+        self.with(same).ok().flatten()
+    }
+
+    /// Changes the shard on behalf of a caller that waits for a reply.
+    pub(crate) fn with_waiter(
+        self: &Arc<Self>,
+        change: impl FnOnce(&mut Shard, WaiterId),
+    ) -> Result<oneshot::Receiver<Reply>, Refusal> {
+        self.with_owned(|owned| {
+            let (waiter, rx) = owned.wait();
+            change(&mut owned.shard, waiter);
+            rx
+        })
+    }
+
+    fn with_owned<R>(self: &Arc<Self>, change: impl FnOnce(&mut Owned) -> R) -> Result<R, Refusal> {
+        let (result, epoch, effects) = {
+            let mut guard = self.lock();
+            let owned = guard.as_mut().ok_or_else(|| self.not_owner())?;
+            let result = change(owned);
+            self.publish(owned.shard.phase());
+            (result, owned.shard.epoch(), owned.settle())
+        };
+        self.carry_out(epoch, effects);
+        Ok(result)
+    }
+
+    fn carry_out(self: &Arc<Self>, epoch: Epoch, effects: Vec<Effect>) {
+        for effect in effects {
+            drive::carry_out(self, epoch, effect);
+        }
+    }
+
+    /// Gives the shard up; callers that wait are told what is known.
+    pub(crate) fn step_down(&self) {
+        let mut guard = self.lock();
+        if let Some(owned) = guard.as_mut() {
+            owned.shard.abandon();
+            owned.settle();
+        }
+        *guard = None;
+        self.publish(ShardPhase::Standby);
+    }
+
+    fn publish(&self, phase: ShardPhase) {
+        self.phase.send_if_modified(|current| {
+            let changed = *current != phase;
+            *current = phase;
+            changed
+        });
+    }
+
+    fn not_owner(&self) -> Refusal {
+        let text = format!(
+            "shard {} is not owned by {}",
+            self.id, self.cx.settings.process
+        );
+        Refusal::new(ResultCode::NotOwner, text)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Owned>> {
+        self.owned.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A call in flight at a shard.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    cell: Arc<ShardCell>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.cell.in_flight.send_modify(|count| *count -= 1);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/convert/mod.rs
@@ -0,0 +1,72 @@
+//! Conversions between the platform's types and those of the shard.
+
+use lagoon_core::shard::{ExecutorSpec, HeartbeatReport, TaskPhase, TaskReport, WorkerSpec};
+use lagoon_core::unit::Timestamp;
+use lagoon_platform::hosts::HostEntry;
+use lagoon_platform::worker::{self, LeaseAnswer, TaskState};
+
+use crate::settings::LeaseSettings;
+
+pub(crate) fn task_phase(state: TaskState) -> TaskPhase {
+    match state {
+        TaskState::Running => TaskPhase::Running,
+        TaskState::Succeeded { output } => TaskPhase::Succeeded(output),
+        TaskState::Failed { error } => TaskPhase::Failed(error),
+        TaskState::Stopped { started } => TaskPhase::Stopped { started },
+    }
+}
+
+pub(crate) fn task_report(report: worker::TaskReport) -> TaskReport {
+    TaskReport {
+        task: report.task,
+        shard: report.shard,
+        shard_epoch: report.shard_epoch,
+        resources: report.resources,
+        phase: task_phase(report.state),
+        observed: report.observed,
+    }
+}
+
+pub(crate) fn heartbeat_report(
+    answer: LeaseAnswer,
+    sent_at: Timestamp,
+    lease: &LeaseSettings,
+) -> HeartbeatReport {
+    HeartbeatReport {
+        sent_at,
+        epoch: answer.epoch,
+        incarnation: answer.incarnation,
+        rack: answer.rack,
+        capacity: answer.capacity,
+        ttl: lease.ttl,
+        task_ttl: lease.task_ttl,
+        full: answer.inventory.full,
+        sequence: answer.inventory.sequence,
+        tasks: answer
+            .inventory
+            .tasks
+            .into_iter()
+            .map(task_report)
+            .collect(),
+        forgotten: answer.inventory.forgotten,
+        observed: answer.usage.observed,
+    }
+}
+
+pub(crate) fn worker_spec(entry: &HostEntry) -> Option<WorkerSpec> {
+    let worker = entry.worker.as_ref()?;
+    let executors = entry.executors.iter().map(|executor| ExecutorSpec {
+        executor: executor.executor.clone(),
+        service: executor.service.clone(),
+        slots: executor.slots,
+        connections: executor.connections,
+    });
+    Some(WorkerSpec {
+        worker: worker.worker.clone(),
+        host: entry.host.clone(),
+        address: worker.address.to_string(),
+        rack: entry.rack.clone(),
+        capacity: worker.capacity,
+        executors: executors.collect(),
+    })
+}
--- /dev/null
+++ b/crates/scheduler/src/drive/carry_out.rs
@@ -0,0 +1,51 @@
+use std::sync::Arc;
+
+use lagoon_core::id::Epoch;
+use lagoon_core::shard::Effect;
+use lagoon_core::{Refusal, ResultCode};
+
+use crate::cell::ShardCell;
+use crate::drive::{requests, starts};
+
+/// Carries out one effect of a change. Calls run in tasks of their own and report back under the shard's lock.
+pub(crate) fn carry_out(cell: &Arc<ShardCell>, epoch: Epoch, effect: Effect) {
+    let cell = cell.clone();
+    match effect {
+        Effect::Start { worker, task, spec } => {
+            tokio::spawn(starts::start(cell, epoch, worker, task, spec));
+        }
+        Effect::Stop { worker, task } => {
+            tokio::spawn(starts::stop(cell, epoch, worker, task));
+        }
+        Effect::Acknowledge { worker, tasks } => {
+            tokio::spawn(starts::acknowledge(cell, worker, tasks));
+        }
+        Effect::Request {
+            executor,
+            work,
+            spec,
+            timeout,
+        } => {
+            let run = requests::run(cell, epoch, executor, work, spec, timeout);
+            tokio::spawn(run);
+        }
+        Effect::Poll { executor } => {
+            tokio::spawn(requests::poll(cell, epoch, executor));
+        }
+        Effect::Commit => cell.commit.notify_one(),
+        Effect::Halt(refusal) => halt(&cell, &refusal),
+        // Replies are sent under the lock.
+        Effect::Reply { .. } => {}
+    }
+}
+
+fn halt(cell: &Arc<ShardCell>, refusal: &Refusal) {
+    let id = cell.id();
+    if refusal.code == ResultCode::NotOwner {
+        tracing::warn!("shard: {id} has another owner: {refusal}");
+        cell.step_down();
+        return;
+    }
+    cell.cx().metrics.count("shard.invariant_broken", 1);
+    tracing::error!("shard: {id} stopped: {refusal}");
+}
--- /dev/null
+++ b/crates/scheduler/src/drive/commits.rs
@@ -0,0 +1,125 @@
+//! The commit loop of a shard: one call to the store at a time, at the pace that the budget allows.
+
+use std::sync::Arc;
+
+use lagoon_core::id::Epoch;
+use lagoon_core::journal::{CommitPace, Head, JournalWrite, Segment, StoreVersion};
+use lagoon_core::shard::JournalAnswer;
+use lagoon_core::unit::{Millis, Timestamp};
+use lagoon_platform::error::{Effect, PlatformError};
+use lagoon_platform::store::{DeleteOutcome, Expect, PutOutcome};
+use serde::Serialize;
+
+use crate::cell::ShardCell;
+use crate::context::Context;
+
+/// A write that takes this long counts as a sign that the store is overloaded.
+const SLOW_WRITE: Millis = Millis::new(250);
+/// Longest wait before the loop looks for work again, for calls that were put off.
+const IDLE_WAIT: Millis = Millis::new(100);
+
+pub(super) async fn commits(cell: Arc<ShardCell>, epoch: Epoch) {
+    let cx = cell.cx().clone();
+    let mut pace = CommitPace::new(cx.settings.store_writes, SLOW_WRITE);
+    pace.set_shards(usize::from(cx.settings.shards));
+    let mut last = Timestamp::default();
+    loop {
+        wait_for_pace(&cx, &pace, last).await;
+        let now = cx.clock.now();
+        let Some(write) = cell.with_epoch(epoch, |shard| shard.next_write(now)) else {
+            return;
+        };
+        let Some(write) = write else {
+            let _ = tokio::time::timeout(IDLE_WAIT.to_duration(), cell.commit.notified()).await;
+            continue;
+        };
+        last = cx.clock.now();
+        let answer = perform(&cx, &write).await;
+        let now = cx.clock.now();
+        note_pace(&mut pace, &answer, now.since(last));
+        cx.metrics.count("journal.calls", 1);
+        cell.with_epoch(epoch, |shard| shard.on_store(answer, now));
+    }
+}
+
+async fn wait_for_pace(cx: &Context, pace: &CommitPace, last: Timestamp) {
+    let wait = pace.next_at(last).since(cx.clock.now());
+    if wait > Millis::ZERO {
+        tokio::time::sleep(wait.to_duration()).await;
+    }
+}
+
+fn note_pace(pace: &mut CommitPace, answer: &JournalAnswer, latency: Millis) {
+    match answer {
+        JournalAnswer::Refused => pace.on_refused(),
+        _ => pace.on_written(latency),
+    }
+}
+
+async fn perform(cx: &Context, write: &JournalWrite) -> JournalAnswer {
+    match write {
+        JournalWrite::PutSegment { key, value } | JournalWrite::PutSnapshot { key, value } => {
+            put(cx, key, Segment::clone(value), Expect::Any).await
+        }
+        JournalWrite::SwapHead {
+            key,
+            value,
+            expect_version,
+        } => {
+            let expect = match expect_version.get() {
+                0 => Expect::Absent,
+                version => Expect::Version(version),
+            };
+            put(cx, key, Head::clone(value), expect).await
+        }
+        JournalWrite::ReadHead { key } => read_head(cx, key).await,
+        JournalWrite::DeleteKeys { keys } => delete(cx, keys).await,
+    }
+}
+
+async fn put<T: Serialize>(cx: &Context, key: &str, value: T, expect: Expect) -> JournalAnswer {
+    let Ok(text) = serde_json::to_string(&value) else {
+        return JournalAnswer::Refused;
+    };
+    match cx.store.put(key, &text, expect, None).await {
+        Ok(PutOutcome::Written(version)) => JournalAnswer::Written(StoreVersion::new(version)),
+        Ok(PutOutcome::Conflict { current }) => JournalAnswer::Conflict(StoreVersion::new(current)),
+        Err(e) => failed(key, &e),
+    }
+}
+
+async fn read_head(cx: &Context, key: &str) -> JournalAnswer {
+    match cx.store.get(key).await {
+        Ok(None) => JournalAnswer::Head(None),
+        Ok(Some(entry)) => match serde_json::from_str::<Head>(&entry.value) {
+            Ok(head) => {
+                let version = StoreVersion::new(entry.version);
+                JournalAnswer::Head(Some(Box::new((head, version))))
+            }
+            Err(e) => {
+                tracing::error!("journal: {key} can't be read: {e}");
+                JournalAnswer::Head(None)
+            }
+        },
+        Err(e) => failed(key, &e),
+    }
+}
+
+async fn delete(cx: &Context, keys: &[String]) -> JournalAnswer {
+    for key in keys {
+        match cx.store.delete(key, Expect::Any).await {
+            Ok(DeleteOutcome::Deleted(_) | DeleteOutcome::Absent) => {}
+            Ok(other) => tracing::warn!("journal: {key} was not deleted: {other:?}"),
+            Err(e) => return failed(key, &e),
+        }
+    }
+    JournalAnswer::Written(StoreVersion::new(0))
+}
+
+fn failed(key: &str, error: &PlatformError) -> JournalAnswer {
+    tracing::debug!("journal: {key}: {error}");
+    match error.effect() {
+        Effect::None => JournalAnswer::Refused,
+        Effect::Unknown => JournalAnswer::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/drive/fencing.rs
@@ -0,0 +1,60 @@
+use std::sync::Arc;
+
+use lagoon_core::id::{Epoch, WorkerId};
+use lagoon_core::shard::ShardPhase;
+use lagoon_core::unit::Millis;
+use lagoon_platform::transport::Endpoint;
+use lagoon_platform::worker::{ShardEpoch, WorkerClient};
+
+use crate::cell::ShardCell;
+use crate::convert::task_report;
+
+/// Wait before workers that did not answer are asked again.
+const RETRY: Millis = Millis::new(200);
+
+/// Asks the workers of earlier owners until all have answered or the ownership ends.
+pub(super) async fn fencing(cell: Arc<ShardCell>, epoch: Epoch) {
+    loop {
+        let waiting = cell.with_epoch(epoch, |shard| {
+            (shard.phase() == ShardPhase::Fencing).then(|| shard.unfenced())
+        });
+        let Some(Some(workers)) = waiting else {
+            return;
+        };
+        let asked = workers
+            .into_iter()
+            .map(|(worker, address)| tokio::spawn(ask(cell.clone(), epoch, worker, address)));
+        let asked: Vec<_> = asked.collect();
+        for task in asked {
+            let _ = task.await;
+        }
+        tokio::time::sleep(RETRY.to_duration()).await;
+    }
+}
+
+async fn ask(cell: Arc<ShardCell>, epoch: Epoch, worker: WorkerId, address: String) {
+    let cx = cell.cx();
+    let listed = cx.hosts.worker(&worker, &cx.workers);
+    let recorded = || {
+        let endpoint: Endpoint = address.parse().ok()?;
+        Some(WorkerClient::new(endpoint, cx.workers.clone()))
+    };
+    let Some(client) = listed.or_else(recorded) else {
+        tracing::warn!("shard: {} has no address of worker {worker}", cell.id());
+        return;
+    };
+    let req = ShardEpoch {
+        shard: cell.id().clone(),
+        shard_epoch: epoch,
+    };
+    match client.fence(&req).await {
+        Ok(answer) => {
+            let tasks = answer.tasks.into_iter().map(task_report).collect();
+            let now = cx.clock.now();
+            cell.with_epoch(epoch, |shard| {
+                shard.on_fenced(&worker, answer.incarnation, tasks, now);
+            });
+        }
+        Err(e) => tracing::debug!("shard: fencing of {worker}: {e}"),
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/drive/heartbeats.rs
@@ -0,0 +1,97 @@
+//! Heartbeats to workers: one task a worker, which renews the lease and takes the inventory.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use lagoon_core::id::{Epoch, WorkerId};
+use lagoon_core::unit::Millis;
+use lagoon_core::{Refusal, ResultCode};
+use lagoon_platform::worker::{LeaseOutcome, LeaseRefusalReason, LeaseRequest};
+use tokio::task::AbortHandle;
+
+use crate::cell::ShardCell;
+use crate::convert::heartbeat_report;
+
+/// Heartbeats within the time to live of a lease.
+const HEARTBEATS_PER_TTL: u64 = 4;
+/// Wait between looks at the list of workers.
+const LIST_INTERVAL: Millis = Millis::new(200);
+
+/// Keeps one heartbeat task for each worker of a shard until the ownership ends.
+pub(super) async fn heartbeats(cell: Arc<ShardCell>, epoch: Epoch) {
+    let mut tasks: HashMap<WorkerId, AbortHandle> = HashMap::new();
+    let mut timer = tokio::time::interval(LIST_INTERVAL.to_duration());
+    while let Some(workers) = cell.with_epoch(epoch, |shard| shard.worker_ids()) {
+        tasks.retain(|worker, task| {
+            let wanted = workers.contains(worker);
+            if !wanted {
+                task.abort();
+            }
+            wanted
+        });
+        for worker in workers {
+            let spawn =
+                || tokio::spawn(heartbeat(cell.clone(), epoch, worker.clone())).abort_handle();
+            tasks.entry(worker.clone()).or_insert_with(spawn);
+        }
+        timer.tick().await;
+    }
+}
+
+async fn heartbeat(cell: Arc<ShardCell>, epoch: Epoch, worker: WorkerId) {
+    let ttl = cell.cx().settings.lease.ttl;
+    let pause = Millis::new(ttl.get() / HEARTBEATS_PER_TTL);
+    let mut timer = tokio::time::interval(pause.to_duration());
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        if !beat(&cell, epoch, &worker).await {
+            return;
+        }
+    }
+}
+
+/// Sends one heartbeat; returns false once the ownership has ended.
+async fn beat(cell: &Arc<ShardCell>, epoch: Epoch, worker: &WorkerId) -> bool {
+    let cx = cell.cx();
+    let Some(client) = cx.hosts.worker(worker, &cx.workers) else {
+        return cell.epoch() == Some(epoch);
+    };
+    let sent_at = cx.clock.now();
+    let sending = cell.with_epoch(epoch, |shard| shard.on_heartbeat_sending(worker, sent_at));
+    let Some(Some((known_epoch, known_sequence))) = sending else {
+        return false;
+    };
+    let req = LeaseRequest {
+        holder: cx.settings.process.clone(),
+        shard: cell.id().clone(),
+        shard_epoch: epoch,
+        known_epoch,
+        ttl_ms: cx.settings.lease.ttl,
+        task_ttl_ms: cx.settings.lease.task_ttl,
+        known_sequence,
+        renew_tasks_of: Vec::new(),
+    };
+    cx.metrics.count("lease.heartbeats", 1);
+    let answer = client.lease(&req).await;
+    let now = cx.clock.now();
+    cell.with_epoch(epoch, |shard| match answer {
+        Ok(LeaseOutcome::Granted(answer)) => {
+            let report = heartbeat_report(*answer, sent_at, &cx.settings.lease);
+            shard.on_heartbeat(worker, report, now);
+        }
+        Ok(LeaseOutcome::Refused(refusal)) => {
+            if refusal.reason == LeaseRefusalReason::LowerShardEpoch {
+                let text = format!("worker {worker} has seen a later owner");
+                shard.superseded(Refusal::new(ResultCode::NotOwner, text));
+            } else {
+                shard.on_lease_refused(worker, now);
+            }
+        }
+        Err(e) => {
+            tracing::debug!("lease: {worker}: {e}");
+            shard.on_heartbeat_lost(worker, now);
+        }
+    })
+    .is_some()
+}
--- /dev/null
+++ b/crates/scheduler/src/drive/starts.rs
@@ -0,0 +1,116 @@
+//! Commands for tasks on workers.
+
+use std::sync::Arc;
+
+use lagoon_core::id::{Epoch, TaskId, WorkerId};
+use lagoon_core::shard::StartResult;
+use lagoon_core::work::WorkSpec;
+use lagoon_platform::error::{Effect, PlatformError};
+use lagoon_platform::worker::{
+    AcknowledgeRequest, ControlRequest, StartOutcome, StartRefusalReason, StartRequest, TaskState,
+};
+
+use crate::cell::ShardCell;
+use crate::convert::task_phase;
+
+pub(super) async fn start(
+    cell: Arc<ShardCell>,
+    epoch: Epoch,
+    worker: WorkerId,
+    task: TaskId,
+    spec: Arc<WorkSpec>,
+) {
+    let result = try_start(&cell, epoch, &worker, &task, &spec).await;
+    let now = cell.cx().clock.now();
+    cell.with_epoch(epoch, |shard| shard.on_start(&worker, &task, result, now));
+}
+
+async fn try_start(
+    cell: &Arc<ShardCell>,
+    epoch: Epoch,
+    worker: &WorkerId,
+    task: &TaskId,
+    spec: &WorkSpec,
+) -> StartResult {
+    let cx = cell.cx();
+    let Some(client) = cx.hosts.worker(worker, &cx.workers) else {
+        return StartResult::NotSent;
+    };
+    // The lease is checked last, so that as little time as possible lies between the check and the send.
+    let lease = cell.with_epoch(epoch, |shard| {
+        let held = shard.may_use_worker(worker, cx.clock.now());
+        shard.lease_epoch(worker).filter(|_| held)
+    });
+    let Some(Some(lease)) = lease else {
+        return StartResult::NotSent;
+    };
+    let req = StartRequest {
+        epoch: lease,
+        task: task.clone(),
+        shard: cell.id().clone(),
+        shard_epoch: epoch,
+        resources: spec.resources,
+        run_ms: spec.run_time,
+        payload: spec.payload.clone(),
+    };
+    cx.metrics.count("task.starts", 1);
+    match client.start(&req).await {
+        Ok(StartOutcome::Started) => StartResult::Known(task_phase(TaskState::Running)),
+        Ok(StartOutcome::AlreadyKnown(state)) => StartResult::Known(task_phase(state)),
+        Ok(StartOutcome::Refused(refusal)) => match refusal.reason {
+            StartRefusalReason::WrongEpoch | StartRefusalReason::NoLease => StartResult::LeaseLost,
+            StartRefusalReason::LowerShardEpoch => StartResult::ShardSuperseded,
+            StartRefusalReason::DoesNotFit => StartResult::DoesNotFit,
+            StartRefusalReason::StartFailed => StartResult::StartFailed,
+        },
+        Err(e) => failed_start(task, &e),
+    }
+}
+
+fn failed_start(task: &TaskId, error: &PlatformError) -> StartResult {
+    tracing::warn!("shard: start of {task}: {error}");
+    match error.effect() {
+        Effect::None => StartResult::NotSent,
+        Effect::Unknown => StartResult::Unknown,
+    }
+}
+
+pub(super) async fn stop(cell: Arc<ShardCell>, epoch: Epoch, worker: WorkerId, task: TaskId) {
+    let cx = cell.cx();
+    let Some(client) = cx.hosts.worker(&worker, &cx.workers) else {
+        return;
+    };
+    let req = ControlRequest {
+        shard: cell.id().clone(),
+        shard_epoch: epoch,
+    };
+    let result = match client.stop(&task, &req).await {
+        Ok(answer) => StartResult::Known(task_phase(answer.state)),
+        Err(e) => {
+            // Sent again once a heartbeat shows that the worker answers.
+            tracing::warn!("shard: stop of {task}: {e}");
+            StartResult::Unknown
+        }
+    };
+    let now = cx.clock.now();
+    cell.with_epoch(epoch, |shard| shard.on_start(&worker, &task, result, now));
+}
+
+pub(super) async fn acknowledge(cell: Arc<ShardCell>, worker: WorkerId, tasks: Vec<TaskId>) {
+    let cx = cell.cx();
+    let Some(client) = cx.hosts.worker(&worker, &cx.workers) else {
+        return;
+    };
+    let Some(shard_epoch) = cell.epoch() else {
+        return;
+    };
+    let req = AcknowledgeRequest {
+        shard: cell.id().clone(),
+        shard_epoch,
+        tasks,
+    };
+    if let Err(e) = client.acknowledge(&req).await {
+        // The worker lists the tasks again, and they are acknowledged again then.
+        tracing::debug!("shard: acknowledgement on {worker}: {e}");
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/drive/ticks.rs
@@ -0,0 +1,36 @@
+use std::sync::Arc;
+
+use lagoon_core::id::Epoch;
+use lagoon_core::unit::Millis;
+use tokio::time::MissedTickBehavior;
+
+use crate::cell::ShardCell;
+
+/// Wait between two ticks of a shard.
+const TICK: Millis = Millis::new(100);
+
+/// Applies what is due to a shard until its ownership ends. Also hands it new policies and host lists.
+pub(super) async fn ticks(cell: Arc<ShardCell>, epoch: Epoch) {
+    let cx = cell.cx();
+    let mut timer = tokio::time::interval(TICK.to_duration());
+    timer.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        timer.tick().await;
+        let now = cx.clock.now();
+        let policy = cx.policy.get();
+        let (workers, leaving) = cx.hosts.of_shard(cell.id(), cx.settings.shards);
+        let known = cx.hosts.is_known();
+        let applied = cell.with_epoch(epoch, |shard| {
+            if let Some(policy) = &policy {
+                shard.set_policy(policy);
+            }
+            if known {
+                shard.set_workers(&workers, &leaving, now);
+            }
+            shard.tick(now);
+        });
+        if applied.is_none() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/hosts/host_directory.rs
@@ -0,0 +1,127 @@
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{PoisonError, RwLock};
+
+use lagoon_core::id::{ExecutorId, FailureDomain, HostId, ShardId, WorkerId};
+use lagoon_core::membership::home_shard;
+use lagoon_core::shard::WorkerSpec;
+use lagoon_platform::executor::ExecutorClient;
+use lagoon_platform::hosts::{HostEntry, HostState};
+use lagoon_platform::transport::{Endpoint, Transport};
+use lagoon_platform::worker::WorkerClient;
+
+use crate::convert::worker_spec;
+
+/// The last host list that was read. Addresses are kept for hosts that have left the list, because tasks may run there.
+#[derive(Debug, Default)]
+pub(crate) struct HostDirectory {
+    inner: RwLock<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    known: bool,
+    workers: Vec<WorkerSpec>,
+    leaving: BTreeSet<HostId>,
+    worker_addresses: HashMap<WorkerId, Endpoint>,
+    worker_clients: HashMap<WorkerId, WorkerClient>,
+    executor_addresses: HashMap<ExecutorId, (Endpoint, u32)>,
+    executor_clients: HashMap<ExecutorId, ExecutorClient>,
+}
+
+impl HostDirectory {
+    /// Takes a host list.
+    pub(crate) fn set(&self, entries: &[HostEntry], domain: &FailureDomain) {
+        let mut inner = self.inner.write().unwrap_or_else(PoisonError::into_inner);
+        inner.known = true;
+        inner.workers.clear();
+        inner.leaving.clear();
+        for entry in entries
+            .iter()
+            .filter(|entry| entry.failure_domain == *domain)
+        {
+            inner.add(entry);
+        }
+    }
+
+    /// Tells whether a host list was read at all.
+    pub(crate) fn is_known(&self) -> bool {
+        self.read().known
+    }
+
+    /// Returns the workers whose home is a shard, and the hosts that are leaving.
+    pub(crate) fn of_shard(
+        &self,
+        shard: &ShardId,
+        shards: u16,
+    ) -> (Vec<WorkerSpec>, BTreeSet<HostId>) {
+        let inner = self.read();
+        let home = |spec: &&WorkerSpec| home_shard(&spec.worker, shards) == Some(shard.number());
+        (
+            inner.workers.iter().filter(home).cloned().collect(),
+            inner.leaving.clone(),
+        )
+    }
+
+    /// Returns the client of a worker.
+    pub(crate) fn worker(&self, worker: &WorkerId, transport: &Transport) -> Option<WorkerClient> {
+        if let Some(client) = self.read().worker_clients.get(worker) {
+            return Some(client.clone());
+        }
+        let mut inner = self.inner.write().unwrap_or_else(PoisonError::into_inner);
+        let endpoint = inner.worker_addresses.get(worker)?.clone();
+        let client = WorkerClient::new(endpoint, transport.clone());
+        inner.worker_clients.insert(worker.clone(), client.clone());
+        Some(client)
+    }
+
+    /// Returns the client of an executor, which keeps to the executor's connection limit.
+    pub(crate) fn executor(
+        &self,
+        executor: &ExecutorId,
+        transport: &Transport,
+    ) -> Option<ExecutorClient> {
+        if let Some(client) = self.read().executor_clients.get(executor) {
+            return Some(client.clone());
+        }
+        let mut inner = self.inner.write().unwrap_or_else(PoisonError::into_inner);
+        let (endpoint, connections) = inner.executor_addresses.get(executor)?.clone();
+        let client = ExecutorClient::new(endpoint, transport.clone(), connections as usize);
+        inner
+            .executor_clients
+            .insert(executor.clone(), client.clone());
+        Some(client)
+    }
+
+    fn read(&self) -> std::sync::RwLockReadGuard<'_, Inner> {
+        self.inner.read().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn add(&mut self, entry: &HostEntry) {
+        if entry.state == HostState::Leaving {
+            self.leaving.insert(entry.host.clone());
+        }
+        let Some(spec) = worker_spec(entry) else {
+            return;
+        };
+        if let Some(worker) = &entry.worker {
+            let known = self
+                .worker_addresses
+                .insert(worker.worker.clone(), worker.address.clone());
+            if known.is_some_and(|known| known != worker.address) {
+                self.worker_clients.remove(&worker.worker);
+            }
+        }
+        for executor in &entry.executors {
+            let address = (executor.address.clone(), executor.connections);
+            let known = self
+                .executor_addresses
+                .insert(executor.executor.clone(), address.clone());
+            if known.is_some_and(|known| known != address) {
+                self.executor_clients.remove(&executor.executor);
+            }
+        }
+        self.workers.push(spec);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/members/heartbeats.rs
@@ -0,0 +1,79 @@
+use std::sync::Arc;
+
+use lagoon_core::unit::Millis;
+use lagoon_wire::v1;
+use lagoon_wire::v1::peer_client::PeerClient;
+use tonic::transport::{Channel, Endpoint};
+
+use crate::service::Node;
+use crate::util::BoxError;
+
+/// Longest wait for the answer to a heartbeat.
+const TIMEOUT: Millis = Millis::new(1_000);
+
+/// Sends heartbeats to all known schedulers. Each peer has a task of its own, so that a silent one delays no other.
+pub(crate) async fn heartbeats(node: Arc<Node>) {
+    let mut asked = std::collections::BTreeSet::new();
+    let mut timer = tokio::time::interval(node.cx.settings.heartbeat.to_duration());
+    loop {
+        timer.tick().await;
+        for address in node.cx.members.addresses() {
+            if asked.insert(address.clone()) {
+                tokio::spawn(follow(node.clone(), address));
+            }
+        }
+    }
+}
+
+async fn follow(node: Arc<Node>, address: String) {
+    let endpoint = match Endpoint::from_shared(format!("http://{address}")) {
+        Ok(endpoint) => endpoint,
+        Err(e) => {
+            tracing::error!("members: {address} is not an address: {e}");
+            return;
+        }
+    };
+    let limit = TIMEOUT.to_duration();
+    let channel = endpoint
+        .connect_timeout(limit)
+        .timeout(limit)
+        .connect_lazy();
+    let mut client = PeerClient::new(channel);
+    let mut timer = tokio::time::interval(node.cx.settings.heartbeat.to_duration());
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        if let Err(e) = beat(&node, &mut client).await {
+            tracing::debug!("members: {address}: {e}");
+        }
+    }
+}
+
+async fn beat(node: &Node, client: &mut PeerClient<Channel>) -> Result<(), BoxError> {
+    let cx = &node.cx;
+    let req = v1::HeartbeatRequest {
+        sender: Some(node.own_member()),
+        leaving: cx.members.is_leaving(),
+    };
+    let answer = client.heartbeat(req).await?.into_inner();
+    let now = cx.clock.now();
+    let Some(receiver) = &answer.receiver else {
+        return Ok(());
+    };
+    cx.members.on_member(receiver, now);
+    for member in &answer.members {
+        cx.members.add_address(&member.address);
+    }
+    node.check_claims(receiver);
+    if receiver.policy_version > cx.policy.version().get() {
+        let known_version = cx.policy.version().get();
+        let policy = client
+            .get_policy(v1::GetPolicyRequest { known_version })
+            .await?
+            .into_inner();
+        if !policy.document.is_empty() {
+            cx.policy.offer_document(&policy.document);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/scheduler/src/members/mod.rs
@@ -0,0 +1,11 @@
+//! Other processes of the system: who is alive, which shards they own, and which policy they have.
+
+mod heartbeats;
+mod member_table;
+mod register;
+
+pub(crate) use self::{
+    heartbeats::heartbeats,
+    member_table::{MemberTable, SCHEDULER_ROLE},
+    register::register,
+};
--- /dev/null
+++ b/crates/scheduler/src/policy/policy_cell.rs
@@ -0,0 +1,68 @@
+use std::sync::Arc;
+
+use lagoon_core::id::PolicyVersion;
+use lagoon_core::policy::Policy;
+use tokio::sync::watch;
+
+/// The policy in force in this process.
+#[derive(Debug)]
+pub(crate) struct PolicyCell {
+    current: watch::Sender<Option<Arc<Policy>>>,
+}
+
+impl Default for PolicyCell {
+    fn default() -> Self {
+        Self {
+            current: watch::Sender::new(None),
+        }
+    }
+}
+
+impl PolicyCell {
+    /// Returns the policy; none until one has reached the process.
+    pub(crate) fn get(&self) -> Option<Arc<Policy>> {
+        self.current.borrow().clone()
+    }
+
+    /// Returns the version in force, zero until one has reached the process.
+    pub(crate) fn version(&self) -> PolicyVersion {
+        self.current
+            .borrow()
+            .as_ref()
+            .map(|policy| policy.version)
+            .unwrap_or_default()
+    }
+
+    /// Takes a policy if it is newer; returns whether it was.
+    pub(crate) fn offer(&self, policy: Policy) -> bool {
+        let version = policy.version;
+        let newer = self.current.send_if_modified(|current| {
+            let newer = current.as_ref().is_none_or(|known| known.version < version);
+            if newer {
+                *current = Some(Arc::new(policy));
+            }
+            newer
+        });
+        if newer {
+            tracing::info!("policy: version {version} is in force");
+        }
+        newer
+    }
+
+    /// Parses and takes a document if it is valid and newer.
+    pub(crate) fn offer_document(&self, document: &str) {
+        match serde_json::from_str::<Policy>(document) {
+            Ok(policy) if policy.validate().is_empty() => {
+                self.offer(policy);
+            }
+            Ok(policy) => {
+                let version = policy.version;
+                tracing::error!(
+                    "policy: version {version} is not valid: {:?}",
+                    policy.validate()
+                );
+            }
+            Err(e) => tracing::error!("policy: the document can't be read: {e}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/scheduler.rs
@@ -0,0 +1,158 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lagoon_core::unit::{Bytes, Millis};
+use lagoon_process::health::{self, Readiness};
+use lagoon_process::server::{Limits, Server, Serving};
+use lagoon_process::shutdown::{Signal, Trigger};
+use lagoon_process::{Clock, Metrics, RunError, logging};
+use lagoon_wire::v1::operator_server::OperatorServer;
+use lagoon_wire::v1::peer_server::PeerServer;
+use lagoon_wire::v1::scheduler_server::SchedulerServer;
+use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, JoinSet};
+use tonic::transport::server::TcpIncoming;
+
+use crate::context::Context;
+use crate::service::{Node, OperatorService, PeerService, SchedulerService};
+use crate::settings::SchedulerSettings;
+use crate::{drive, hosts, members, policy};
+
+/// Limits of the health endpoints.
+const HEALTH_LIMITS: Limits = Limits {
+    max_body: Bytes::new(4 << 10),
+    read_timeout: Millis::new(5_000),
+};
+/// Largest message between processes; above the largest body that a gateway takes.
+const MAX_MESSAGE: usize = 32 << 20;
+
+/// A running scheduler.
+#[derive(Debug)]
+pub struct Scheduler {
+    address: SocketAddr,
+    node: Arc<Node>,
+    readiness: Readiness,
+    health: Server<Serving>,
+    stop: Trigger,
+    server: JoinHandle<()>,
+    tasks: JoinSet<()>,
+}
+
+impl Scheduler {
+    /// Listens and begins to serve.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be listened on.
+    pub async fn bind(settings: SchedulerSettings, clock: Clock) -> Result<Self, RunError> {
+        let metrics = Metrics::start(&settings.metrics)?;
+        let cx = Context::new(settings, clock, metrics);
+        let listen = cx.settings.listen;
+        let failed = |e| RunError::new(format!("scheduler: can't listen on {listen}"), e);
+        let listener = TcpListener::bind(listen.get()).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        cx.members.start(address.to_string(), cx.clock.now());
+        let node = Node::new(cx.clone());
+        let readiness = Readiness::not_ready("no policy has arrived");
+        let router = health::router(&readiness).merge(cx.metrics.router());
+        let health = Server::bind(cx.settings.health, HEALTH_LIMITS)
+            .await?
+            .serve(router);
+        let (stop, stopped) = Signal::manual();
+        let server = tokio::spawn(serve(node.clone(), listener, stopped));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(policy::watch(cx.clone()));
+        tasks.spawn(hosts::poll(cx.clone()));
+        tasks.spawn(members::register(cx.clone()));
+        tasks.spawn(members::heartbeats(node.clone()));
+        tasks.spawn(follow_readiness(node.clone(), readiness.clone()));
+        for cell in node.cells.values() {
+            tasks.spawn(drive::elect(cell.clone()));
+        }
+        tracing::info!("scheduler: {} listens on {address}", cx.settings.process);
+        Ok(Self {
+            address,
+            node,
+            readiness,
+            health,
+            stop,
+            server,
+            tasks,
+        })
+    }
+
+    /// Returns the address for calls of other processes.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address for health, readiness and metrics.
+    pub fn health_address(&self) -> SocketAddr {
+        self.health.address()
+    }
+
+    /// Returns whether the process takes work.
+    pub fn readiness(&self) -> &Readiness {
+        &self.readiness
+    }
+
+    /// Stops gracefully: readiness goes off, requests in flight finish, and shards are given up.
+    pub async fn stop(self) {
+        let Self {
+            node,
+            readiness,
+            health,
+            stop,
+            server,
+            mut tasks,
+            ..
+        } = self;
+        readiness.set(Some("the process is stopping".to_owned()));
+        node.cx.members.leave();
+        node.drain().await;
+        tasks.shutdown().await;
+        stop.fire();
+        let _ = server.await;
+        health.drain().stopped(HEALTH_LIMITS.read_timeout).await;
+    }
+}
+
+async fn serve(node: Arc<Node>, listener: TcpListener, mut stopped: Signal) {
+    let scheduler = SchedulerServer::new(SchedulerService::new(node.clone()))
+        .max_decoding_message_size(MAX_MESSAGE)
+        .max_encoding_message_size(MAX_MESSAGE);
+    let peer = PeerServer::new(PeerService::new(node.clone()))
+        .max_decoding_message_size(MAX_MESSAGE)
+        .max_encoding_message_size(MAX_MESSAGE);
+    let operator = OperatorServer::new(OperatorService::new(node));
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let served = tonic::transport::Server::builder()
+        .add_service(scheduler)
+        .add_service(peer)
+        .add_service(operator)
+        .serve_with_incoming_shutdown(incoming, async move { stopped.wait().await })
+        .await;
+    if let Err(e) = served {
+        tracing::error!("scheduler: {e}");
+    }
+}
+
+/// Ready once a policy is in force and every shard of the failure domain has an owner somewhere.
+async fn follow_readiness(node: Arc<Node>, readiness: Readiness) {
+    const INTERVAL: Millis = Millis::new(100);
+    loop {
+        if !node.cx.members.is_leaving() {
+            readiness.set(node.not_ready_reason());
+        }
+        tokio::time::sleep(INTERVAL.to_duration()).await;
+    }
+}
+
+/// Runs the program until the signal.
+pub(crate) async fn run(settings: SchedulerSettings, mut signal: Signal) -> Result<(), RunError> {
+    logging::start(&settings.log, "scheduler");
+    let scheduler = Scheduler::bind(settings, Clock::anchored()).await?;
+    signal.wait().await;
+    scheduler.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/scheduler/src/service/node.rs
@@ -0,0 +1,133 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use lagoon_core::id::{Epoch, ShardId, ShardNumber};
+use lagoon_core::{Refusal, ResultCode};
+use lagoon_wire::convert::{parse_field, refusal_to_wire};
+use lagoon_wire::v1;
+
+use crate::cell::ShardCell;
+use crate::context::Context;
+use crate::members::SCHEDULER_ROLE;
+
+/// This process: its context and the places of the shards of its failure domain.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) cx: Arc<Context>,
+    pub(crate) cells: BTreeMap<ShardId, Arc<ShardCell>>,
+}
+
+impl Node {
+    pub(crate) fn new(cx: Arc<Context>) -> Arc<Self> {
+        let domain = &cx.settings.failure_domain;
+        let numbers = 0..cx.settings.shards;
+        let ids = numbers.map(|n| ShardId::new(domain.clone(), ShardNumber::new(n)));
+        let cells = ids
+            .map(|id| (id.clone(), ShardCell::new(id, cx.clone())))
+            .collect();
+        Arc::new(Self { cells, cx })
+    }
+
+    /// Returns the place of the shard that a message names.
+    pub(crate) fn cell(&self, shard: &str) -> Result<&Arc<ShardCell>, Refusal> {
+        let shard: ShardId = parse_field("shard", shard)?;
+        self.cell_of(&shard)
+    }
+
+    /// Returns the place of a shard.
+    pub(crate) fn cell_of(&self, shard: &ShardId) -> Result<&Arc<ShardCell>, Refusal> {
+        self.cells.get(shard).ok_or_else(|| {
+            let text = format!(
+                "shard {shard} is not of {}",
+                self.cx.settings.failure_domain
+            );
+            Refusal::new(ResultCode::NotOwner, text)
+        })
+    }
+
+    /// Converts a refusal and adds the owner's address if the shard has another owner.
+    pub(crate) fn refusal(&self, refusal: &Refusal, shard: Option<&ShardId>) -> v1::Refusal {
+        let mut message = refusal_to_wire(refusal);
+        if refusal.code == ResultCode::NotOwner
+            && let Some((_, address, _)) = shard.and_then(|shard| self.cx.members.owner(shard))
+        {
+            message.owner_address = address;
+        }
+        message
+    }
+
+    /// Returns what this process says about itself.
+    pub(crate) fn own_member(&self) -> v1::Member {
+        let settings = &self.cx.settings;
+        let address = self.cx.members.own_address();
+        let claims = self.cells.values().filter_map(|cell| {
+            Some(v1::ShardClaim {
+                shard: cell.id().to_string(),
+                epoch: cell.epoch()?.get(),
+                owner: settings.process.to_string(),
+                owner_address: address.clone(),
+                serving: cell.phase().accepts_work(),
+            })
+        });
+        v1::Member {
+            process: settings.process.to_string(),
+            role: SCHEDULER_ROLE.to_owned(),
+            domain: settings.failure_domain.to_string(),
+            policy_version: self.cx.policy.version().get(),
+            shards: claims.collect(),
+            address,
+        }
+    }
+
+    /// Steps down from shards that a member owns at a higher epoch.
+    pub(crate) fn check_claims(&self, member: &v1::Member) {
+        for claim in &member.shards {
+            let Ok(cell) = self.cell(&claim.shard) else {
+                continue;
+            };
+            let epoch = Epoch::new(claim.epoch);
+            if cell.epoch().is_some_and(|own| own < epoch) {
+                let id = cell.id();
+                tracing::warn!(
+                    "shard: {id} is owned by {} at epoch {epoch}",
+                    member.process
+                );
+                cell.step_down();
+            }
+        }
+    }
+
+    /// Returns why this process is not ready to take work.
+    pub(crate) fn not_ready_reason(&self) -> Option<String> {
+        if self.cx.policy.get().is_none() {
+            return Some("no policy has arrived".to_owned());
+        }
+        let ownerless = self
+            .cells
+            .values()
+            .find(|cell| cell.epoch().is_none() && self.cx.members.owner(cell.id()).is_none());
+        ownerless.map(|cell| format!("shard {} has no owner", cell.id()))
+    }
+
+    /// Waits until no request is in flight, then gives up every shard.
+    pub(crate) async fn drain(&self) {
+        let limit = self.cx.settings.drain_timeout;
+        for cell in self.cells.values() {
+            cell.begin_drain();
+        }
+        let idle = async {
+            for cell in self.cells.values() {
+                cell.wait_idle().await;
+            }
+        };
+        if tokio::time::timeout(limit.to_duration(), idle)
+            .await
+            .is_err()
+        {
+            tracing::warn!("scheduler: requests were still in flight after {limit}");
+        }
+        for cell in self.cells.values() {
+            cell.step_down();
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/service/peer_service.rs
@@ -0,0 +1,125 @@
+use std::sync::Arc;
+
+use lagoon_core::{Refusal, ResultCode};
+use lagoon_wire::convert::refusal_to_wire;
+use lagoon_wire::v1;
+use lagoon_wire::v1::peer_server::Peer;
+use tonic::{Request, Response, Status};
+
+use crate::service::Node;
+
+type Answer<T> = Result<Response<T>, Status>;
+
+/// Serves the other processes of the system.
+#[derive(Debug)]
+pub(crate) struct PeerService {
+    node: Arc<Node>,
+}
+
+impl PeerService {
+    pub(crate) fn new(node: Arc<Node>) -> Self {
+        Self { node }
+    }
+
+    /// Answers a call that this version of the program does not serve.
+    fn not_served(&self, what: &str) -> Option<v1::Refusal> {
+        let text = format!("{} does not serve {what}", self.node.cx.settings.process);
+        Some(refusal_to_wire(&Refusal::new(
+            ResultCode::ReservationRefused,
+            text,
+        )))
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for PeerService {
+    async fn heartbeat(&self, req: Request<v1::HeartbeatRequest>) -> Answer<v1::HeartbeatResponse> {
+        let req = req.into_inner();
+        let cx = &self.node.cx;
+        let now = cx.clock.now();
+        if let Some(sender) = &req.sender {
+            match req.leaving {
+                true => cx.members.on_left(sender),
+                false => {
+                    cx.members.on_member(sender, now);
+                    self.node.check_claims(sender);
+                }
+            }
+        }
+        Ok(Response::new(v1::HeartbeatResponse {
+            receiver: Some(self.node.own_member()),
+            members: cx.members.alive(now),
+        }))
+    }
+
+    async fn get_policy(
+        &self,
+        req: Request<v1::GetPolicyRequest>,
+    ) -> Answer<v1::GetPolicyResponse> {
+        let known = req.into_inner().known_version;
+        let newer = self
+            .node
+            .cx
+            .policy
+            .get()
+            .filter(|policy| policy.version.get() > known);
+        let document = newer
+            .as_ref()
+            .map(|policy| serde_json::to_string(policy.as_ref()));
+        let document = document
+            .transpose()
+            .map_err(|e| Status::internal(e.to_string()))?;
+        Ok(Response::new(v1::GetPolicyResponse {
+            version: newer.map(|policy| policy.version.get()).unwrap_or_default(),
+            document: document.unwrap_or_default(),
+        }))
+    }
+
+    async fn reserve(&self, _: Request<v1::ReserveRequest>) -> Answer<v1::ReserveResponse> {
+        let refusal = self.not_served("reservations");
+        Ok(Response::new(v1::ReserveResponse {
+            refusal,
+            ..Default::default()
+        }))
+    }
+
+    async fn commit_reservation(
+        &self,
+        _: Request<v1::CommitReservationRequest>,
+    ) -> Answer<v1::CommitReservationResponse> {
+        let refusal = self.not_served("reservations");
+        Ok(Response::new(v1::CommitReservationResponse { refusal }))
+    }
+
+    async fn release_reservation(
+        &self,
+        _: Request<v1::ReleaseReservationRequest>,
+    ) -> Answer<v1::ReleaseReservationResponse> {
+        let refusal = self.not_served("reservations");
+        Ok(Response::new(v1::ReleaseReservationResponse { refusal }))
+    }
+
+    async fn delegate(&self, _: Request<v1::DelegateRequest>) -> Answer<v1::DelegateResponse> {
+        let refusal = self.not_served("delegation");
+        Ok(Response::new(v1::DelegateResponse {
+            accepted: false,
+            refusal,
+        }))
+    }
+
+    async fn delegate_outcome(
+        &self,
+        _: Request<v1::DelegateOutcomeRequest>,
+    ) -> Answer<v1::DelegateOutcomeResponse> {
+        let refusal = self.not_served("delegation");
+        Ok(Response::new(v1::DelegateOutcomeResponse {
+            refusal,
+            ..Default::default()
+        }))
+    }
+
+    async fn hand_over(&self, _: Request<v1::HandOverRequest>) -> Answer<v1::HandOverResponse> {
+        let refusal = self.not_served("handovers");
+        Ok(Response::new(v1::HandOverResponse { refusal }))
+    }
+}
