--- a/crates/standin/src/executors/executors_api.rs
+++ b/crates/standin/src/executors/executors_api.rs
@@ -66,19 +66,11 @@
             let body = "all slots are in use";
             return (StatusCode::SERVICE_UNAVAILABLE, body).into_response();
         };
-        // A task of its own, because a request runs to its end even if its caller is gone.
-        let run = tokio::spawn(async move {
-            let directive = RunDirective::parse(&req.payload);
-            sleep(directive.sleep.to_duration()).await;
-            drop(slot);
-            directive
-                .echo
-                .unwrap_or_else(|| format!("done {}", req.request))
-        });
-        match run.await {
-            Ok(text) => text.into_response(),
-            Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
-        }
+        let directive = RunDirective::parse(&req.payload);
+        sleep(directive.sleep.to_duration()).await;
+        drop(slot);
+        let done = || format!("done {}", req.request);
+        directive.echo.unwrap_or_else(done).into_response()
     }
 
     async fn status(State(api): Api, Path(id): Path<ExecutorId>) -> Response {
--- a/crates/standin/src/server/fault_layer.rs
+++ b/crates/standin/src/server/fault_layer.rs
@@ -19,6 +19,7 @@
 }
 
 impl FaultLayer {
+    /// Handles a call in a task of its own, so that it takes effect even if its caller gave up waiting.
     pub(crate) async fn call(
         State(mut layer): State<Self>,
         ConnectInfo(connection): ConnectInfo<Connection>,
@@ -26,13 +27,17 @@
         next: Next,
     ) -> Response {
         let mut stopped = layer.stopped.clone();
-        tokio::select! {
-            answer = layer.act(&connection, req, next) => answer,
-            _ = stopped.wait_for(|stopped| *stopped) => {
-                connection.close();
-                StatusCode::SERVICE_UNAVAILABLE.into_response()
+        let handled = tokio::spawn(async move {
+            tokio::select! {
+                answer = layer.act(&connection, req, next) => answer,
+                _ = stopped.wait_for(|stopped| *stopped) => {
+                    connection.close();
+                    StatusCode::SERVICE_UNAVAILABLE.into_response()
+                }
             }
-        }
+        });
+        let failed = |_| StatusCode::INTERNAL_SERVER_ERROR.into_response();
+        handled.await.unwrap_or_else(failed)
     }
 
     async fn act(&mut self, connection: &Connection, req: Request, next: Next) -> Response {
--- a/crates/standin/tests/workers.rs
+++ b/crates/standin/tests/workers.rs
@@ -10,6 +10,8 @@
     AcknowledgeRequest, LeaseOutcome, LeaseRefusalReason, ReleaseRequest, ShardEpoch, StartOutcome,
     StartRefusalReason, TaskState,
 };
+use lagoon_platform::{ClientSettings, Effect, Transport, WorkerClient};
+use lagoon_standin::fault::{FaultMode, FaultRule, FaultTarget};
 use tokio::time::sleep;
 
 use util::{Fleet, control, cores, granted, lease, start, task, worker};
@@ -131,6 +133,24 @@
         assert_eq!(fleet.start(0, &start(epoch, 1)).await, known);
     }
 
+    /// Guards against a late start that no test sees: it takes effect after its caller gave up.
+    delayed_start_takes_effect: fleet => {
+        let epoch = fleet.lease(0).await.epoch;
+        let target = FaultTarget::Worker(worker(0));
+        let delay = FaultMode::Delay(Millis::new(300));
+        fleet.handle.faults().add(FaultRule::new(target, delay).times(1));
+        let settings = ClientSettings {
+            request_timeout: Millis::new(100),
+            ..ClientSettings::default()
+        };
+        let hasty = WorkerClient::new(fleet.handle.endpoint(&worker(0)), Transport::new(settings));
+        let error = hasty.start(&start(epoch, 1)).await.unwrap_err();
+        assert_eq!(error.effect(), Effect::Unknown);
+        sleep(Duration::from_millis(600)).await;
+        let known = StartOutcome::AlreadyKnown(TaskState::Running);
+        assert_eq!(fleet.start(0, &start(epoch, 1)).await, known);
+    }
+
     /// Guards against a second run that no test notices, on the same worker or on another one.
     second_run_is_reported: fleet => {
         let epoch = fleet.lease(0).await.epoch;
