--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -150,6 +150,8 @@
     flood_may_use_open_slots(spec, view) { view.queue = load(WorkKind::Batch, 59, 0); } => None;
     /// Guards against a flood of another kind that takes the guaranteed slots.
     other_kinds_keep_their_slots(spec, view) { view.queue = load(WorkKind::Gang, 60, 0); } => None;
+    /// Guards against a kind that loses its slots while another is above a limit that was lowered.
+    slots_hold_after_a_lower_limit(spec, view) { view.queue = load(WorkKind::Gang, 99, 0); } => None;
     /// Guards against a queue that is bounded in items but not in bytes.
     bytes_are_bounded(spec, view) {
         view.queue = load(WorkKind::Batch, 1, 59_999);
--- a/crates/core/tests/order.rs
+++ b/crates/core/tests/order.rs
@@ -138,6 +138,14 @@
         assert!(count(&started, |entry| entry.kind == WorkKind::Gang) >= 20);
     }
 
+    /// Guards against urgent work that goes ahead of another kind's unused guarantee when little capacity is left.
+    urgent_yields_the_last_guaranteed_part(queue) {
+        queue.charge(WorkKind::Batch, &team("flood"), cpu(80));
+        queue.push(entry(1, WorkKind::Batch, "flood", Priority::HIGHEST));
+        queue.push(entry(2, WorkKind::Gang, "other", Priority::NORMAL));
+        assert_eq!(queue.next(START).unwrap().work, work(2));
+    }
+
     /// Guards against a flood of urgent work that starves other teams of the same kind.
     urgent_flood_leaves_turns_to_other_teams(queue) {
         for number in 0..200 {
@@ -192,9 +200,9 @@
         queue.push(QueueEntry { enqueued: Timestamp::from_millis(1), ..batch(1, "a") });
         queue.push(batch(2, "a"));
         let first = queue.next(START).unwrap();
+        queue.push(batch(3, "a"));
         assert!(queue.set_aside(first));
         assert_eq!(queue.next(START).unwrap().work, work(2));
-        queue.push(batch(3, "a"));
         assert_eq!(queue.retry(10), 1);
         assert_eq!(queue.next(START).unwrap().work, work(1));
     }
