--- a/crates/core/src/journal/head.rs
+++ b/crates/core/src/journal/head.rs
@@ -1,3 +1,5 @@
+use std::collections::HashSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::id::{Epoch, ProcessId, Sequence, ShardId};
@@ -34,4 +36,16 @@
         let segments = self.segments.iter().flat_map(|part| names.segments(part));
         snapshot.chain(segments).collect()
     }
+
+    /// Returns those of the `listed` keys that an earlier owner wrote and that no head will refer to any more, such as
+    /// a segment whose owner died before the swap. Call it with the head of a claim that took effect.
+    pub fn orphans(&self, shard: &ShardId, listed: &[String]) -> Vec<String> {
+        let names = JournalKeys::new(shard);
+        let referred: HashSet<String> = self.keys(shard).into_iter().collect();
+        let orphan = |key: &&String| {
+            let earlier = names.epoch_of(key).is_some_and(|epoch| epoch < self.epoch);
+            earlier && !referred.contains(*key)
+        };
+        listed.iter().filter(orphan).cloned().collect()
+    }
 }
--- a/crates/core/src/journal/journal_keys.rs
+++ b/crates/core/src/journal/journal_keys.rs
@@ -30,6 +30,16 @@
         format!("{}/snapshot/{epoch}-{sequence}", self.prefix)
     }
 
+    /// Returns the epoch that wrote a segment or snapshot part of this shard.
+    pub(super) fn epoch_of(&self, key: &str) -> Option<Epoch> {
+        let rest = key.strip_prefix(&self.prefix)?;
+        let name = rest
+            .strip_prefix("/segment/")
+            .or_else(|| rest.strip_prefix("/snapshot/"))?;
+        let (epoch, _) = name.split_once('-')?;
+        epoch.parse().ok()
+    }
+
     pub(super) fn segments(&self, segment: &SegmentRef) -> impl Iterator<Item = String> {
         let epoch = segment.epoch;
         segment
--- a/crates/core/src/ticket/epoch_table.rs
+++ b/crates/core/src/ticket/epoch_table.rs
@@ -13,6 +13,8 @@
     // A long-lived ticket at the front of the ring moves here, so that the used-up ones behind it can be freed.
     older: BTreeMap<u64, Slot>,
     issued: VecDeque<(Timestamp, u64)>,
+    // Below this number no ticket is unused, so that each is looked at once for its expiry.
+    expired_to: u64,
     live: usize,
 }
 
@@ -24,6 +26,7 @@
             ring: VecDeque::new(),
             older: BTreeMap::new(),
             issued: VecDeque::new(),
+            expired_to: 0,
             live: 0,
         }
     }
@@ -40,6 +43,7 @@
             ring: snapshot.slots,
             older,
             issued: batches.map(|(at, end)| (at, end.get())).collect(),
+            expired_to: 0,
             live,
         }
     }
@@ -122,11 +126,17 @@
             }
             self.issued.pop_front();
             let unused = |slot: &Slot| *slot == Slot::Unused;
-            let before = self.older.len();
-            self.older.retain(|n, slot| *n >= end || !unused(slot));
-            self.live -= before - self.older.len();
+            let start = std::mem::replace(&mut self.expired_to, end);
+            let older = self.older.range(start..end);
+            let older = older.filter_map(|(n, slot)| unused(slot).then_some(*n));
+            for n in older.collect::<Vec<_>>() {
+                self.older.remove(&n);
+                self.live -= 1;
+            }
+            let skipped = start.saturating_sub(self.first) as usize;
             let count = end.saturating_sub(self.first) as usize;
-            for slot in self.ring.iter_mut().take(count).filter(|slot| unused(slot)) {
+            let ring = self.ring.iter_mut().take(count).skip(skipped);
+            for slot in ring.filter(|slot| unused(slot)) {
                 *slot = Slot::Gone;
                 self.live -= 1;
             }
--- a/crates/core/tests/journal.rs
+++ b/crates/core/tests/journal.rs
@@ -8,7 +8,7 @@
 use lagoon_core::id::{Epoch, Sequence};
 use lagoon_core::journal::{
     Claim, ClaimResult, Head, Journal, JournalEvent, JournalKeys, JournalLimits, JournalState,
-    JournalWrite, Position, Replay, Retention, StoreVersion,
+    JournalWrite, Position, Replay, Retention, SegmentRef, StoreVersion,
 };
 use lagoon_core::unit::{Bytes, Timestamp};
 
@@ -112,6 +112,15 @@
         let owner = "s2".parse().unwrap();
         assert_eq!(events, [JournalEvent::OwnershipLost { owner, epoch: Epoch::new(2) }]);
     }, 0 => "none", 0;
+    /// Guards against a head that was changed under the same epoch and is taken for the owner's own.
+    foreign_head: |journal, _| {
+        let mut foreign = journal.head().clone();
+        foreign.owner = "s3".parse().unwrap();
+        journal.on_unknown();
+        journal.next_write(at(0));
+        let events = journal.on_head(Some((foreign, version(9))));
+        assert!(matches!(events[..], [JournalEvent::HeadInvalid(_)]));
+    }, 0 => "none", 0;
     /// Guards against an owner that recreates a deleted head.
     missing_head: |journal, _| {
         journal.on_unknown();
@@ -138,6 +147,50 @@
     }
 }
 
+/// Guards against a refusal as "not run" of an entry that may still become durable.
+#[test]
+fn write_in_doubt_counts_as_possibly_written() {
+    let (mut journal, _) = swapping();
+    let base = journal.head().clone();
+    assert_eq!(journal.possibly_written_up_to(), Position::new(1));
+    journal.append(accepted(1, "")).unwrap();
+    journal.on_unknown();
+    assert_eq!(journal.possibly_written_up_to(), Position::new(1));
+    journal.next_write(at(0));
+    journal.on_head(Some((base, version(1))));
+    assert_eq!(journal.possibly_written_up_to(), Position::new(1));
+}
+
+/// Guards against an entry that is taken as possibly written although the store refused it.
+#[test]
+fn refused_write_is_not_possibly_written() {
+    let (mut journal, _) = swapping();
+    journal.on_refused();
+    assert_eq!(journal.possibly_written_up_to(), Position::new(0));
+}
+
+/// Guards against segments of dead owners that stay for good, and against the deletion of one that is still needed.
+#[test]
+fn orphans_are_of_earlier_epochs() {
+    let base = claim("s1", None).head().clone();
+    let mut head = claim("s2", Some((base, version(1)))).head().clone();
+    let reference = SegmentRef {
+        epoch: Epoch::new(1),
+        sequence: Sequence::new(0),
+        parts: 1,
+    };
+    head.segments.push(reference);
+    let keys = [
+        "segment/1-0",
+        "segment/1-1",
+        "snapshot/1-0",
+        "segment/2-1",
+        "head",
+    ];
+    let keys = keys.map(|name| format!("shards/cluj/3/{name}"));
+    assert_eq!(head.orphans(&shard(), &keys), keys[1..3]);
+}
+
 /// Guards against a head that grows beyond its limit, and against a head that refers to a segment not yet written.
 #[test]
 fn long_tail_goes_to_a_segment_first() {
--- a/crates/core/tests/ticket.rs
+++ b/crates/core/tests/ticket.rs
@@ -172,6 +172,44 @@
     assert_eq!(brief(table.admit(&ticket(1, 3), REQUEST, at(4))), "done");
 }
 
+/// Guards against used-up tickets that stay in memory behind one that is never used.
+#[test]
+fn used_tickets_leave_the_ring() {
+    let mut table = table(1);
+    table.issue(1, at(0)).unwrap();
+    for n in 1..100 {
+        table.issue(1, at(0)).unwrap();
+        assert_eq!(
+            table.admit(&ticket(1, n), REQUEST, at(0)),
+            TicketDecision::Run
+        );
+        table.complete(&ticket(1, n), answer(9), at(0));
+        table.confirm(&ticket(1, n));
+    }
+    assert_eq!(table.outstanding(), 1);
+    let slots = table.export().epochs[0].slots.len();
+    assert!(slots <= 2, "{slots} slots for one ticket");
+    let mut new = successor(table);
+    assert_eq!(brief(new.admit(&ticket(1, 0), REQUEST, at(0))), "run");
+}
+
+/// Guards against unused tickets that hold up the issue of new ones for good.
+#[test]
+fn unused_tickets_expire() {
+    let mut table = table(1);
+    table.issue(2, at(0)).unwrap();
+    table.issue(2, at(50)).unwrap();
+    table.expire(at(100));
+    assert_eq!(table.outstanding(), 2);
+    assert_eq!(
+        brief(table.admit(&ticket(1, 1), REQUEST, at(100))),
+        "answer_expired"
+    );
+    assert_eq!(brief(table.admit(&ticket(1, 2), REQUEST, at(100))), "run");
+    table.expire(at(150));
+    assert_eq!(table.outstanding(), 1);
+}
+
 /// Guards against a snapshot that changes on its way to the successor.
 #[test]
 fn snapshot_round_trip() {
