--- /dev/null
+++ b/crates/gateway/src/access/access_list.rs
@@ -0,0 +1,51 @@
+use std::sync::Arc;
+
+use axum::http::{HeaderMap, header};
+use lagoon_core::id::TeamId;
+use lagoon_core::{Refusal, ResultCode};
+
+use crate::access::{Caller, Token};
+use crate::settings::TokenSettings;
+
+const SCHEME: &[u8] = b"Bearer ";
+
+/// Tokens that the gateway accepts; none means that requests need no token.
+#[derive(Debug)]
+pub(crate) struct AccessList {
+    tokens: Option<Vec<(Token, Arc<[TeamId]>)>>,
+}
+
+impl AccessList {
+    pub(crate) fn new(settings: Option<&[TokenSettings]>) -> Self {
+        let entry = |s: &TokenSettings| {
+            let mut teams = s.teams.clone();
+            teams.sort();
+            teams.dedup();
+            (s.token.clone(), Arc::from(teams))
+        };
+        Self {
+            tokens: settings.map(|all| all.iter().map(entry).collect()),
+        }
+    }
+
+    /// Finds the caller. Every token is compared, so that the time doesn't tell which one matched.
+    pub(crate) fn identify(&self, headers: &HeaderMap) -> Result<Caller, Refusal> {
+        let Some(tokens) = &self.tokens else {
+            return Ok(Caller::Anyone);
+        };
+        let sent = headers.get(header::AUTHORIZATION);
+        let sent = sent.and_then(|value| value.as_bytes().strip_prefix(SCHEME));
+        let sent = sent.unwrap_or_default();
+        let mut found = None;
+        for (token, teams) in tokens {
+            if token.matches(sent) {
+                found = Some(Caller::Known(teams.clone()));
+            }
+        }
+        let unknown = || {
+            let message = "a known bearer token is needed";
+            Refusal::new(ResultCode::Unauthorized, message)
+        };
+        found.ok_or_else(unknown)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/access/caller.rs
@@ -0,0 +1,39 @@
+use std::sync::Arc;
+
+use lagoon_core::id::TeamId;
+use lagoon_core::{Refusal, ResultCode};
+
+/// The sender of a request.
+#[derive(Debug, Clone)]
+pub(crate) enum Caller {
+    /// The gateway asks for no tokens.
+    Anyone,
+    /// A known caller with its teams.
+    Known(Arc<[TeamId]>),
+}
+
+impl Caller {
+    pub(crate) fn may_see(&self, team: &TeamId) -> bool {
+        match self {
+            Self::Anyone => true,
+            Self::Known(teams) => teams.contains(team),
+        }
+    }
+
+    /// Refuses a request that names another team.
+    pub(crate) fn require(&self, team: &TeamId) -> Result<(), Refusal> {
+        if self.may_see(team) {
+            return Ok(());
+        }
+        let message = format!("the token does not permit work of team {team}");
+        Err(Refusal::new(ResultCode::Forbidden, message))
+    }
+
+    /// Returns the teams that a list covers; `None` is every team.
+    pub(crate) fn teams(&self) -> Option<&[TeamId]> {
+        match self {
+            Self::Anyone => None,
+            Self::Known(teams) => Some(teams),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/api/job_body.rs
@@ -0,0 +1,79 @@
+use lagoon_core::Refusal;
+use lagoon_core::id::TeamId;
+use lagoon_core::unit::{Millis, Priority, Resources, Timestamp};
+use lagoon_core::work::{PlacementPolicy, Repeatability, WorkKind, WorkSpec};
+use serde::Deserialize;
+
+use crate::api::parse::require;
+use crate::api::resources_body::ResourcesBody;
+
+/// Body of `POST /v1/jobs`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct JobBody {
+    kind: WorkKind,
+    pub(crate) team: TeamId,
+    #[serde(default)]
+    priority: Priority,
+    /// Time from now until the job must have started.
+    #[serde(default)]
+    deadline_ms: Option<u64>,
+    /// Resources of each member.
+    resources: ResourcesBody,
+    #[serde(default = "one")]
+    members: u32,
+    run_ms: u64,
+    #[serde(default = "at_most_once")]
+    repeatability: Repeatability,
+    #[serde(default)]
+    placement: PlacementPolicy,
+    #[serde(default)]
+    payload: String,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// Work that says nothing about itself must not run twice.
+fn at_most_once() -> Repeatability {
+    Repeatability::AtMostOnce
+}
+
+impl JobBody {
+    pub(crate) fn into_spec(self, now: Timestamp) -> Result<WorkSpec, Refusal> {
+        let resources = Resources::from(self.resources);
+        let is_job = self.kind != WorkKind::Service;
+        require(
+            is_job,
+            "kind: expected batch or gang; POST /v1/requests takes service requests",
+        )?;
+        require(self.members > 0, "members: expected a number from 1 on")?;
+        let one = self.kind == WorkKind::Gang || self.members == 1;
+        require(
+            one,
+            "members: a batch job has one member; expected kind gang",
+        )?;
+        let some = resources.cpu.get() > 0 && resources.memory.get() > 0;
+        require(some, "resources: expected cpu and memory above zero")?;
+        require(self.run_ms > 0, "run_ms: expected milliseconds above zero")?;
+        let total = resources.checked_mul(self.members);
+        require(
+            total.is_some(),
+            "members: the members together are too large",
+        )?;
+        Ok(WorkSpec {
+            kind: self.kind,
+            team: self.team,
+            priority: self.priority,
+            deadline: self.deadline_ms.map(|ms| now.after(Millis::new(ms))),
+            resources,
+            members: self.members,
+            run_time: Millis::new(self.run_ms),
+            repeatability: self.repeatability,
+            placement: self.placement,
+            service: None,
+            payload: self.payload,
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/api/job_list.rs
@@ -0,0 +1,113 @@
+use std::sync::Arc;
+
+use lagoon_core::id::{ShardId, ShardNumber, TeamId};
+use lagoon_core::unit::Millis;
+use lagoon_core::{Refusal, ResultCode};
+use lagoon_wire::v1;
+use serde::Serialize;
+use tokio::task::JoinSet;
+
+use crate::access::Caller;
+use crate::api::Api;
+use crate::api::job_view::JobView;
+use crate::api::list_query::ListQuery;
+use crate::forward::{Client, Repeat, Target};
+
+/// A list answers with what it has after this time instead of waiting for a shard that is being taken over.
+const LONGEST_WAIT: Millis = Millis::new(2_000);
+
+/// JSON form of a list, merged over the shards of the failure domain; newest jobs come first.
+#[derive(Debug, Serialize)]
+pub(crate) struct JobList {
+    jobs: Vec<JobView>,
+    /// Whether there are more jobs than the limit.
+    truncated: bool,
+    /// Shards that did not answer.
+    incomplete: Vec<ShardId>,
+}
+
+impl JobList {
+    pub(crate) async fn collect(
+        api: &Arc<Api>,
+        caller: &Caller,
+        query: &ListQuery,
+    ) -> Result<Self, Refusal> {
+        let mut list = Self {
+            jobs: Vec::new(),
+            truncated: false,
+            incomplete: Vec::new(),
+        };
+        let mut calls = JoinSet::new();
+        for number in 0..api.shards {
+            let shard = ShardId::new(api.domain.clone(), ShardNumber::new(number));
+            for team in teams(caller, query) {
+                let message = v1::ListJobsRequest {
+                    shard: shard.to_string(),
+                    team: team.map(|team| team.to_string()).unwrap_or_default(),
+                    state: query.state.clone().unwrap_or_default(),
+                    limit: query.limit,
+                };
+                calls.spawn(ask(api.clone(), shard.clone(), message));
+            }
+        }
+        while let Some(answer) = calls.join_next().await {
+            let ended = |_| Refusal::new(ResultCode::AnswerLost, "a part of the list was lost");
+            list.add(answer.map_err(ended)?);
+        }
+        list.finish(query.limit as usize);
+        Ok(list)
+    }
+
+    fn add(&mut self, (shard, answer): (ShardId, Result<v1::ListJobsResponse, Refusal>)) {
+        let jobs = answer.and_then(|answer| {
+            self.truncated |= answer.truncated;
+            let views = answer.jobs.into_iter().map(JobView::from_wire);
+            views.collect::<Result<Vec<_>, _>>()
+        });
+        match jobs {
+            Ok(jobs) => self.jobs.extend(jobs.into_iter().map(|(view, _)| view)),
+            Err(refusal) => {
+                tracing::debug!("gateway: shard {shard} gave no list: {refusal}");
+                self.incomplete.push(shard);
+            }
+        }
+    }
+
+    fn finish(&mut self, limit: usize) {
+        self.jobs.sort_by(|a, b| {
+            let newest = b.accepted_at.cmp(&a.accepted_at);
+            newest.then_with(|| a.work.cmp(&b.work))
+        });
+        self.truncated |= self.jobs.len() > limit;
+        self.jobs.truncate(limit);
+        self.incomplete.sort();
+        self.incomplete.dedup();
+    }
+}
+
+/// Returns the teams to ask for, one question each; `None` asks for every team.
+fn teams(caller: &Caller, query: &ListQuery) -> Vec<Option<TeamId>> {
+    match (&query.team, caller.teams()) {
+        (Some(team), _) => vec![Some(team.clone())],
+        (None, Some(teams)) => teams.iter().cloned().map(Some).collect(),
+        (None, None) => vec![None],
+    }
+}
+
+async fn ask(
+    api: Arc<Api>,
+    shard: ShardId,
+    message: v1::ListJobsRequest,
+) -> (ShardId, Result<v1::ListJobsResponse, Refusal>) {
+    let call = |mut client: Client, _: ShardId| {
+        let message = message.clone();
+        async move {
+            let mut answer = client.list_jobs(message).await?.into_inner();
+            Ok(answer.refusal.take().map_or(Ok(answer), Err))
+        }
+    };
+    let limit = api.request_timeout.min(LONGEST_WAIT);
+    let target = Target::Shard(shard.clone());
+    let answer = api.forwarder.send(&target, Repeat::Safe, limit, call).await;
+    (shard, answer)
+}
--- /dev/null
+++ b/crates/gateway/src/api/parse.rs
@@ -0,0 +1,38 @@
+use lagoon_core::{Refusal, ResultCode};
+use serde::de::DeserializeOwned;
+use serde_json::error::Category;
+
+/// Parses a JSON body.
+///
+/// # Errors
+///
+/// `malformed` for text that is no whole JSON value or lacks a field, `unknown_field`, or `invalid_value`.
+pub(crate) fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|e| {
+        let message = e.to_string();
+        let code = match e.classify() {
+            Category::Data => data_code(&message),
+            Category::Syntax | Category::Eof | Category::Io => ResultCode::Malformed,
+        };
+        Refusal::new(code, message)
+    })
+}
+
+/// Chooses the code for a message of serde about a value.
+pub(crate) fn data_code(message: &str) -> ResultCode {
+    if message.contains("unknown field") {
+        ResultCode::UnknownField
+    } else if message.contains("missing field") || message.contains("duplicate field") {
+        ResultCode::Malformed
+    } else {
+        ResultCode::InvalidValue
+    }
+}
+
+/// Refuses a value that parses but breaks a rule.
+pub(crate) fn require(holds: bool, message: &str) -> Result<(), Refusal> {
+    if holds {
+        return Ok(());
+    }
+    Err(Refusal::new(ResultCode::InvalidValue, message))
+}
--- /dev/null
+++ b/crates/gateway/src/api/tickets.rs
@@ -0,0 +1,67 @@
+use std::sync::Arc;
+
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::{Path, State};
+use axum::http::HeaderMap;
+use lagoon_core::id::{ShardId, Ticket};
+use lagoon_core::{Refusal, ResultCode};
+use lagoon_wire::v1;
+use serde_json::{Value, json};
+
+use crate::api::parse::parse_json;
+use crate::api::ticket_body::TicketBody;
+use crate::api::{Api, ApiError};
+use crate::forward::{Client, Repeat, Target};
+
+/// Handles `POST /v1/tickets`. Tickets of a lost answer expire unused, so the call may be repeated.
+pub(crate) async fn issue(
+    State(api): State<Arc<Api>>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Result<Json<Value>, ApiError> {
+    api.access.identify(&headers)?;
+    let body: TicketBody = parse_json(&body)?;
+    body.check()?;
+    let count = body.count;
+    let call = move |mut client: Client, shard: ShardId| async move {
+        let shard = shard.to_string();
+        let message = v1::IssueTicketsRequest { shard, count };
+        let mut answer = client.issue_tickets(message).await?.into_inner();
+        Ok(answer.refusal.take().map_or(Ok(answer), Err))
+    };
+    let limit = api.request_timeout;
+    let forwarder = &api.forwarder;
+    let answer = forwarder
+        .send(&Target::AnyServing, Repeat::Safe, limit, call)
+        .await?;
+    Ok(Json(json!({"tickets": answer.tickets})))
+}
+
+/// Handles `DELETE /v1/tickets/{ticket}`.
+pub(crate) async fn confirm(
+    State(api): State<Arc<Api>>,
+    headers: HeaderMap,
+    Path(ticket): Path<String>,
+) -> Result<Json<Value>, ApiError> {
+    api.access.identify(&headers)?;
+    let invalid = |e| Refusal::new(ResultCode::InvalidTicket, format!("{e}"));
+    let ticket: Ticket = ticket.parse().map_err(invalid)?;
+    let text = ticket.to_string();
+    let call = |mut client: Client, shard: ShardId| {
+        let message = v1::ConfirmTicketsRequest {
+            shard: shard.to_string(),
+            tickets: vec![text.clone()],
+        };
+        async move {
+            let answer = client.confirm_tickets(message).await?.into_inner();
+            Ok(answer.refusal.map_or(Ok(()), Err))
+        }
+    };
+    let target = Target::Shard(ticket.shard().clone());
+    let limit = api.request_timeout;
+    api.forwarder
+        .send(&target, Repeat::Safe, limit, call)
+        .await?;
+    Ok(Json(json!({"confirmed": ticket})))
+}
--- /dev/null
+++ b/crates/gateway/src/forward/channels.rs
@@ -0,0 +1,43 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tonic::transport::{Channel, Endpoint};
+
+use crate::util::Sharded;
+
+const CONNECT_WITHIN: Duration = Duration::from_millis(1_000);
+/// Interval of pings that find out that a host is gone while a request waits for its answer.
+const PING_EVERY: Duration = Duration::from_millis(2_000);
+/// A scheduler that is only paused for a moment must not lose its connections.
+const PING_ANSWERED_WITHIN: Duration = Duration::from_millis(5_000);
+
+/// One connection to each scheduler, opened when it is first used.
+#[derive(Debug)]
+pub(crate) struct Channels {
+    open: Sharded<SocketAddr, Channel>,
+}
+
+impl Channels {
+    pub(crate) fn new() -> Self {
+        Self {
+            open: Sharded::new(),
+        }
+    }
+
+    pub(crate) fn get(&self, address: SocketAddr) -> Channel {
+        self.open.with(&address, |open| {
+            let channel = open.entry(address).or_insert_with(|| connect(address));
+            channel.clone()
+        })
+    }
+}
+
+fn connect(address: SocketAddr) -> Channel {
+    Endpoint::from_shared(format!("http://{address}"))
+        .expect("a socket address is a valid authority")
+        .connect_timeout(CONNECT_WITHIN)
+        .tcp_nodelay(true)
+        .http2_keep_alive_interval(PING_EVERY)
+        .keep_alive_timeout(PING_ANSWERED_WITHIN)
+        .connect_lazy()
+}
--- /dev/null
+++ b/crates/gateway/src/forward/forwarder.rs
@@ -0,0 +1,120 @@
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoon_core::id::{FailureDomain, ShardId};
+use lagoon_core::unit::Millis;
+use lagoon_core::{Refusal, ResultCode};
+use lagoon_process::{Clock, Metrics};
+use lagoon_wire::v1;
+use lagoon_wire::v1::scheduler_client::SchedulerClient;
+use tokio::time::{Instant, timeout_at};
+use tonic::Status;
+use tonic::transport::Channel;
+
+use crate::forward::{Attempt, Channels, NextStep, Repeat, Target};
+use crate::routing::RoutingTable;
+
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Client of one scheduler.
+pub(crate) type Client = SchedulerClient<Channel>;
+/// Reply to a call: the answer or the scheduler's refusal, or what went wrong on the way.
+pub(crate) type Reply<R> = Result<Result<R, v1::Refusal>, Status>;
+
+/// Sends calls to the owners of shards and repeats them where that is safe.
+#[derive(Debug)]
+pub(crate) struct Forwarder {
+    pub(crate) domain: FailureDomain,
+    pub(crate) table: Arc<RoutingTable>,
+    pub(crate) channels: Channels,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+}
+
+impl Forwarder {
+    /// Calls the owner of `target` until there is an answer or `limit` is over.
+    pub(crate) async fn send<R, F, Fut>(
+        &self,
+        target: &Target,
+        repeat: Repeat,
+        limit: Millis,
+        call: F,
+    ) -> Result<R, Refusal>
+    where
+        F: Fn(Client, ShardId) -> Fut,
+        Fut: Future<Output = Reply<R>>,
+    {
+        let deadline = Instant::now() + limit.to_duration();
+        let mut changes = self.table.watch();
+        let mut hint = None;
+        let mut last = None;
+        let mut lost = false;
+        let mut pause = FIRST_PAUSE;
+        loop {
+            changes.mark_unchanged();
+            if let Some((shard, owner)) = self.owner(target, hint.take()) {
+                self.metrics.count("calls", 1);
+                let reply = timeout_at(deadline, call(self.client(owner), shard)).await;
+                let Ok(reply) = reply else {
+                    return Err(timed_out(limit));
+                };
+                let attempt = Attempt::from_reply(reply);
+                lost |= matches!(attempt, Attempt::Lost);
+                match NextStep::after(attempt, repeat, lost) {
+                    NextStep::Answer(result) => return result,
+                    NextStep::Retry {
+                        owner,
+                        last: refusal,
+                    } => {
+                        hint = owner;
+                        last = Some(refusal);
+                    }
+                }
+                self.metrics.count("calls.repeated", 1);
+            }
+            let wake = Instant::now() + pause;
+            if wake >= deadline {
+                return Err(last.unwrap_or_else(|| not_served(target)));
+            }
+            // A changed route ends the pause, so that a shard that was taken over is found at once.
+            let _ = timeout_at(wake, changes.changed()).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    /// Chooses the shard and the address for the next attempt.
+    fn owner(&self, target: &Target, hint: Option<SocketAddr>) -> Option<(ShardId, SocketAddr)> {
+        match target {
+            Target::Shard(shard) => {
+                let known = || self.table.get(shard).map(|route| route.owner);
+                Some((shard.clone(), hint.or_else(known)?))
+            }
+            Target::AnyServing => {
+                let shard = self.table.next_serving(&self.domain, self.clock.now())?;
+                let owner = self.table.get(&shard)?.owner;
+                Some((shard, owner))
+            }
+        }
+    }
+
+    fn client(&self, owner: SocketAddr) -> Client {
+        SchedulerClient::new(self.channels.get(owner)).max_decoding_message_size(MAX_ANSWER_BYTES)
+    }
+}
+
+fn timed_out(limit: Millis) -> Refusal {
+    let message = format!("no answer came within {limit}");
+    Refusal::new(ResultCode::AnswerTimeout, message)
+}
+
+fn not_served(target: &Target) -> Refusal {
+    let message = match target {
+        Target::Shard(shard) => format!("shard {shard} has no known owner"),
+        Target::AnyServing => "no shard of the failure domain is being served".to_owned(),
+    };
+    Refusal::new(ResultCode::NotServing, message)
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,122 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lagoon_core::unit::Millis;
+use lagoon_process::health::{self, Readiness};
+use lagoon_process::server::{Limits, Server, Serving};
+use lagoon_process::shutdown::{Signal, Trigger};
+use lagoon_process::{Clock, Metrics, RunError};
+use tokio::task::JoinHandle;
+
+use crate::access::AccessList;
+use crate::api::{self, Api};
+use crate::forward::{Channels, Forwarder};
+use crate::routing::{Heartbeats, Members, RoutingTable};
+use crate::settings::GatewaySettings;
+
+/// Time on top of the longest request for its answer to be written.
+const ANSWER_SLACK: Millis = Millis::new(1_000);
+
+/// Running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    server: Server<Serving>,
+    readiness: Readiness,
+    stopping: Trigger,
+    ended: Trigger,
+    heartbeats: JoinHandle<()>,
+    drain_wait: Millis,
+    longest_request: Millis,
+}
+
+impl Gateway {
+    /// Binds the address, serves the API and starts to look for schedulers.
+    ///
+    /// # Errors
+    ///
+    /// When the address or the metrics socket can't be opened.
+    pub async fn bind(settings: GatewaySettings, clock: Clock) -> Result<Self, RunError> {
+        let metrics = Metrics::start(&settings.metrics)?;
+        let readiness = Readiness::not_ready("no scheduler has answered yet");
+        let limits = Limits {
+            max_body: settings.max_body,
+            read_timeout: settings.read_timeout,
+        };
+        let server = Server::bind(settings.listen, limits).await?;
+        let table = Arc::new(RoutingTable::new());
+        let seeds = settings.schedulers.iter().map(|seed| seed.get()).collect();
+        let (stopping, is_stopping) = Signal::manual();
+        let (ended, is_ended) = Signal::manual();
+        let heartbeats = Heartbeats {
+            process: settings.process.clone(),
+            domain: settings.failure_domain.clone(),
+            shards: settings.shards,
+            address: server.address(),
+            members: Arc::new(Members::new(seeds, clock.now())),
+            table: table.clone(),
+            channels: Arc::new(Channels::new()),
+            readiness: readiness.clone(),
+            clock,
+            metrics: metrics.clone(),
+            stopping: is_stopping,
+        };
+        let forwarder = Forwarder {
+            domain: settings.failure_domain.clone(),
+            table,
+            channels: Channels::new(),
+            clock,
+            metrics: metrics.clone(),
+        };
+        let api = Api {
+            domain: settings.failure_domain.clone(),
+            shards: settings.shards,
+            access: AccessList::new(settings.tokens.as_deref()),
+            forwarder,
+            request_timeout: settings.request_timeout,
+            clock,
+            metrics: metrics.clone(),
+        };
+        let router = api::router(Arc::new(api))
+            .merge(health::router(&readiness))
+            .merge(metrics.router());
+        let server = server.serve(router);
+        tracing::info!(
+            "gateway: {} listens on {}",
+            settings.process,
+            server.address()
+        );
+        Ok(Self {
+            server,
+            readiness,
+            stopping,
+            ended,
+            heartbeats: tokio::spawn(heartbeats.run(is_ended)),
+            drain_wait: settings.drain_wait,
+            longest_request: settings.request_timeout.saturating_add(ANSWER_SLACK),
+        })
+    }
+
+    /// Returns the address of the API.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the readiness, which follows the schedulers.
+    pub fn readiness(&self) -> &Readiness {
+        &self.readiness
+    }
+
+    /// Stops without an interruption of requests: readiness ends first, new connections after the drain wait, and
+    /// requests in flight are answered. Returns whether all of them were.
+    pub async fn stop(self) -> bool {
+        tracing::info!("gateway: not ready: stopping");
+        self.stopping.fire();
+        self.readiness.set(Some("stopping".to_owned()));
+        tokio::time::sleep(self.drain_wait.to_duration()).await;
+        let finished = self.server.drain().stopped(self.longest_request).await;
+        self.ended.fire();
+        let _ = self.heartbeats.await;
+        tracing::info!("gateway: stopped");
+        finished
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/routing/route.rs
@@ -0,0 +1,40 @@
+use std::net::SocketAddr;
+
+use lagoon_core::id::Epoch;
+use lagoon_core::unit::{Millis, Timestamp};
+
+/// An owner that was not heard of for this time is not counted as serving.
+const SUSPECT_AFTER: Millis = Millis::new(1_500);
+
+/// Owner of a shard.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Route {
+    pub(crate) epoch: Epoch,
+    pub(crate) owner: SocketAddr,
+    /// What the owner last said itself, or what was relayed with a new epoch.
+    pub(crate) serving: bool,
+    /// Last heartbeat in which the owner itself claimed the shard.
+    pub(crate) heard: Option<Timestamp>,
+}
+
+impl Route {
+    pub(crate) fn is_serving(&self, now: Timestamp) -> bool {
+        let recent = |heard| now.since(heard) <= SUSPECT_AFTER;
+        self.serving && self.heard.is_some_and(recent)
+    }
+
+    /// Merges a newer claim; returns whether requests should look again.
+    pub(crate) fn merge(&mut self, claim: &Self) -> bool {
+        if claim.epoch > self.epoch {
+            *self = *claim;
+            return true;
+        }
+        // A relayed claim of the same epoch may be older than what the owner said itself.
+        if claim.epoch < self.epoch || claim.heard.is_none() {
+            return false;
+        }
+        let changed = (self.serving, self.owner) != (claim.serving, claim.owner);
+        *self = *claim;
+        changed
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/routing/table.rs
@@ -0,0 +1,117 @@
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+
+use lagoon_core::id::{FailureDomain, PolicyVersion, ShardId};
+use lagoon_core::unit::Timestamp;
+use lagoon_wire::v1;
+use tokio::sync::watch;
+
+use crate::routing::Route;
+use crate::util::Sharded;
+
+/// Routes of all shards that the gateway has heard of, and the newest policy version.
+#[derive(Debug)]
+pub(crate) struct RoutingTable {
+    routes: Sharded<ShardId, Route>,
+    policy: AtomicU64,
+    turn: AtomicUsize,
+    /// Counts changes, so that requests that wait for an owner look again.
+    changes: watch::Sender<u64>,
+}
+
+impl RoutingTable {
+    pub(crate) fn new() -> Self {
+        Self {
+            routes: Sharded::new(),
+            policy: AtomicU64::new(0),
+            turn: AtomicUsize::new(0),
+            changes: watch::Sender::new(0),
+        }
+    }
+
+    /// Takes in what a member says about itself (`direct`) or what another one relays about it.
+    pub(crate) fn learn(&self, member: &v1::Member, direct: bool, now: Timestamp) {
+        self.policy
+            .fetch_max(member.policy_version, Ordering::AcqRel);
+        let mut changed = false;
+        for claim in &member.shards {
+            let Ok(shard) = claim.shard.parse::<ShardId>() else {
+                tracing::warn!(
+                    "gateway: {} claims {:?}, which is no shard",
+                    member.process,
+                    claim.shard
+                );
+                continue;
+            };
+            let Ok(owner) = claim.owner_address.parse::<SocketAddr>() else {
+                continue;
+            };
+            let is_own = direct && claim.owner == member.process;
+            let route = Route {
+                epoch: lagoon_core::id::Epoch::new(claim.epoch),
+                owner,
+                serving: claim.serving,
+                heard: is_own.then_some(now),
+            };
+            changed |= self.merge(shard, route);
+        }
+        if changed {
+            self.changes.send_modify(|count| *count += 1);
+        }
+    }
+
+    fn merge(&self, shard: ShardId, route: Route) -> bool {
+        self.routes
+            .with(&shard, |routes| match routes.get_mut(&shard) {
+                Some(current) => current.merge(&route),
+                None => {
+                    routes.insert(shard.clone(), route);
+                    true
+                }
+            })
+    }
+
+    /// Returns the route of a shard.
+    pub(crate) fn get(&self, shard: &ShardId) -> Option<Route> {
+        self.routes.with(shard, |routes| routes.get(shard).copied())
+    }
+
+    /// Returns the shards of `domain` that are being served, in order.
+    pub(crate) fn serving(&self, domain: &FailureDomain, now: Timestamp) -> Vec<ShardId> {
+        let mut shards = Vec::new();
+        self.routes.each(|routes| {
+            let serving = routes.iter().filter(|(_, route)| route.is_serving(now));
+            let serving = serving.map(|(shard, _)| shard);
+            shards.extend(serving.filter(|shard| shard.domain() == domain).cloned());
+        });
+        shards.sort();
+        shards
+    }
+
+    /// Returns a shard of `domain` that is being served, in turn.
+    pub(crate) fn next_serving(&self, domain: &FailureDomain, now: Timestamp) -> Option<ShardId> {
+        let shards = self.serving(domain, now);
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        shards.get(turn.checked_rem(shards.len())?).cloned()
+    }
+
+    /// Returns the highest shard number of `domain` that anyone claims.
+    pub(crate) fn highest_number(&self, domain: &FailureDomain) -> Option<u16> {
+        let mut highest = None;
+        self.routes.each(|routes| {
+            let own = routes.keys().filter(|shard| shard.domain() == domain);
+            highest = highest.max(own.map(|shard| shard.number().get()).max());
+        });
+        highest
+    }
+
+    /// Returns the newest policy version.
+    pub(crate) fn policy_version(&self) -> PolicyVersion {
+        PolicyVersion::new(self.policy.load(Ordering::Acquire))
+    }
+
+    /// Watches for changes of owners.
+    pub(crate) fn watch(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/util/mod.rs
@@ -0,0 +1,5 @@
+//! Private helpers.
+
+mod sharded;
+
+pub(crate) use self::sharded::Sharded;
--- /dev/null
+++ b/src/bin/lagoon-gateway.rs
@@ -0,0 +1,5 @@
+//! Entry of the callers.
+
+fn main() -> std::process::ExitCode {
+    lagoon_gateway::main()
+}
