Fence workers by shard epoch and authorise task control by the task's owner

Cause: a successor had to wait for the lease of each worker before it could read what runs there, and a lease held by a paused owner kept it waiting. Before: stop and acknowledge carried the lease epoch. After: they carry the shard and its epoch, and POST /tasks/fence lists the shard's tasks. Conclusion: only starts need the worker's lease.

--- a/crates/platform/src/worker/acknowledge_request.rs
+++ b/crates/platform/src/worker/acknowledge_request.rs
@@ -1,12 +1,14 @@
-use lagoon_core::id::{Epoch, TaskId};
+use lagoon_core::id::{Epoch, ShardId, TaskId};
 use serde::{Deserialize, Serialize};
 
 /// Body of `POST /tasks/acknowledge`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AcknowledgeRequest {
-    /// Epoch of the worker's lease.
-    pub epoch: Epoch,
+    /// Home shard of the tasks.
+    pub shard: ShardId,
+    /// Epoch of its owner.
+    pub shard_epoch: Epoch,
     /// Finished tasks whose outcome is recorded.
     pub tasks: Vec<TaskId>,
 }
--- a/crates/platform/src/worker/mod.rs
+++ b/crates/platform/src/worker/mod.rs
@@ -7,7 +7,7 @@
 mod acknowledge_request;
 mod checkpoint_answer;
 mod control_answer;
-mod control_request;
+mod fence_answer;
 mod inventory;
 mod lease_answer;
 mod lease_outcome;
@@ -30,13 +30,12 @@
 
 pub use self::{
     acknowledge_answer::AcknowledgeAnswer, acknowledge_request::AcknowledgeRequest,
-    checkpoint_answer::CheckpointAnswer, control_answer::ControlAnswer,
-    control_request::ControlRequest, inventory::Inventory, lease_answer::LeaseAnswer,
-    lease_outcome::LeaseOutcome, lease_refusal::LeaseRefusal,
-    lease_refusal_reason::LeaseRefusalReason, lease_request::LeaseRequest,
-    release_answer::ReleaseAnswer, release_request::ReleaseRequest, shard_epoch::ShardEpoch,
-    start_answer::StartAnswer, start_outcome::StartOutcome, start_refusal::StartRefusal,
-    start_refusal_reason::StartRefusalReason, start_request::StartRequest, task_report::TaskReport,
-    task_state::TaskState, throttle_request::ThrottleRequest, usage::Usage,
-    worker_client::WorkerClient,
+    checkpoint_answer::CheckpointAnswer, control_answer::ControlAnswer, fence_answer::FenceAnswer,
+    inventory::Inventory, lease_answer::LeaseAnswer, lease_outcome::LeaseOutcome,
+    lease_refusal::LeaseRefusal, lease_refusal_reason::LeaseRefusalReason,
+    lease_request::LeaseRequest, release_answer::ReleaseAnswer, release_request::ReleaseRequest,
+    shard_epoch::ShardEpoch, start_answer::StartAnswer, start_outcome::StartOutcome,
+    start_refusal::StartRefusal, start_refusal_reason::StartRefusalReason,
+    start_request::StartRequest, task_report::TaskReport, task_state::TaskState,
+    throttle_request::ThrottleRequest, usage::Usage, worker_client::WorkerClient,
 };
--- a/crates/platform/src/worker/worker_client.rs
+++ b/crates/platform/src/worker/worker_client.rs
@@ -6,9 +6,9 @@
 use crate::error::PlatformError;
 use crate::transport::{Answer, Call, Endpoint, Transport};
 use crate::worker::{
-    AcknowledgeAnswer, AcknowledgeRequest, CheckpointAnswer, ControlAnswer, ControlRequest,
-    LeaseOutcome, LeaseRequest, ReleaseAnswer, ReleaseRequest, StartAnswer, StartOutcome,
-    StartRequest, ThrottleRequest,
+    AcknowledgeAnswer, AcknowledgeRequest, CheckpointAnswer, ControlAnswer, FenceAnswer,
+    LeaseOutcome, LeaseRequest, ReleaseAnswer, ReleaseRequest, ShardEpoch, StartAnswer,
+    StartOutcome, StartRequest, ThrottleRequest,
 };
 
 /// Client of one worker.
@@ -68,7 +68,7 @@
     pub async fn stop(
         &self,
         task: &TaskId,
-        req: &ControlRequest,
+        req: &ShardEpoch,
     ) -> Result<ControlAnswer, PlatformError> {
         self.control(task, "stop", req).await
     }
@@ -86,11 +86,18 @@
     pub async fn checkpoint(
         &self,
         task: &TaskId,
-        req: &ControlRequest,
+        req: &ShardEpoch,
     ) -> Result<CheckpointAnswer, PlatformError> {
         self.control(task, "checkpoint", req).await
     }
 
+    /// Makes the worker refuse starts by earlier owners of a shard, and lists the shard's tasks. Needs no lease.
+    pub async fn fence(&self, req: &ShardEpoch) -> Result<FenceAnswer, PlatformError> {
+        self.send(Method::POST, "/tasks/fence", req)
+            .await?
+            .success()
+    }
+
     /// Lets the worker forget finished tasks.
     pub async fn acknowledge(
         &self,
--- a/crates/scheduler/src/context.rs
+++ b/crates/scheduler/src/context.rs
@@ -3,7 +3,7 @@
 use lagoon_core::unit::Millis;
 use lagoon_platform::hosts::HostListClient;
 use lagoon_platform::store::StoreClient;
-use lagoon_platform::transport::{ClientSettings, Endpoint, Transport};
+use lagoon_platform::{ClientSettings, Endpoint, Transport};
 use lagoon_process::{Clock, Metrics};
 
 use crate::hosts::HostDirectory;
--- a/crates/scheduler/src/drive/commits.rs
+++ b/crates/scheduler/src/drive/commits.rs
@@ -6,8 +6,8 @@
 use lagoon_core::journal::{CommitPace, Head, JournalWrite, Segment, StoreVersion};
 use lagoon_core::shard::JournalAnswer;
 use lagoon_core::unit::{Millis, Timestamp};
-use lagoon_platform::error::{Effect, PlatformError};
 use lagoon_platform::store::{DeleteOutcome, Expect, PutOutcome};
+use lagoon_platform::{Effect, PlatformError};
 use serde::Serialize;
 
 use crate::cell::ShardCell;
@@ -83,7 +83,9 @@
     };
     match cx.store.put(key, &text, expect, None).await {
         Ok(PutOutcome::Written(version)) => JournalAnswer::Written(StoreVersion::new(version)),
-        Ok(PutOutcome::Conflict { current }) => JournalAnswer::Conflict(StoreVersion::new(current)),
+        Ok(PutOutcome::Conflict { current }) => {
+            JournalAnswer::Conflict(StoreVersion::new(current.unwrap_or(0)))
+        }
         Err(e) => failed(key, &e),
     }
 }
--- a/crates/scheduler/src/drive/fencing.rs
+++ b/crates/scheduler/src/drive/fencing.rs
@@ -3,7 +3,7 @@
 use lagoon_core::id::{Epoch, WorkerId};
 use lagoon_core::shard::ShardPhase;
 use lagoon_core::unit::Millis;
-use lagoon_platform::transport::Endpoint;
+use lagoon_platform::Endpoint;
 use lagoon_platform::worker::{ShardEpoch, WorkerClient};
 
 use crate::cell::ShardCell;
--- a/crates/scheduler/src/drive/requests.rs
+++ b/crates/scheduler/src/drive/requests.rs
@@ -6,8 +6,8 @@
 use lagoon_core::shard::RequestResult;
 use lagoon_core::unit::Millis;
 use lagoon_core::work::WorkSpec;
-use lagoon_platform::error::{Effect, ErrorKind, PlatformError};
 use lagoon_platform::executor::RunRequest;
+use lagoon_platform::{Effect, ErrorKind, PlatformError};
 
 use crate::cell::ShardCell;
 
--- a/crates/scheduler/src/drive/starts.rs
+++ b/crates/scheduler/src/drive/starts.rs
@@ -5,10 +5,10 @@
 use lagoon_core::id::{Epoch, TaskId, WorkerId};
 use lagoon_core::shard::StartResult;
 use lagoon_core::work::WorkSpec;
-use lagoon_platform::error::{Effect, PlatformError};
 use lagoon_platform::worker::{
-    AcknowledgeRequest, ControlRequest, StartOutcome, StartRefusalReason, StartRequest, TaskState,
+    AcknowledgeRequest, ShardEpoch, StartOutcome, StartRefusalReason, StartRequest, TaskState,
 };
+use lagoon_platform::{Effect, PlatformError};
 
 use crate::cell::ShardCell;
 use crate::convert::task_phase;
@@ -80,7 +80,7 @@
     let Some(client) = cx.hosts.worker(&worker, &cx.workers) else {
         return;
     };
-    let req = ControlRequest {
+    let req = ShardEpoch {
         shard: cell.id().clone(),
         shard_epoch: epoch,
     };
--- a/crates/scheduler/src/hosts/host_directory.rs
+++ b/crates/scheduler/src/hosts/host_directory.rs
@@ -6,8 +6,8 @@
 use lagoon_core::shard::WorkerSpec;
 use lagoon_platform::executor::ExecutorClient;
 use lagoon_platform::hosts::{HostEntry, HostState};
-use lagoon_platform::transport::{Endpoint, Transport};
 use lagoon_platform::worker::WorkerClient;
+use lagoon_platform::{Endpoint, Transport};
 
 use crate::convert::worker_spec;
 
--- a/crates/scheduler/src/members/member_table.rs
+++ b/crates/scheduler/src/members/member_table.rs
@@ -150,21 +150,6 @@
         preferred_process(shard, processes) == Some(&self.process)
     }
 
-    /// Returns the live process that should own a shard instead of this one.
-    pub(crate) fn successor(&self, shard: &ShardId, now: Timestamp) -> Option<Member> {
-        let inner = self.lock();
-        let alive = inner
-            .members
-            .alive(now)
-            .filter(|member| member.domain == self.domain);
-        let alive: Vec<&Member> = alive.collect();
-        let preferred = preferred_process(shard, alive.iter().map(|member| &member.process));
-        alive
-            .into_iter()
-            .find(|member| Some(&member.process) == preferred)
-            .cloned()
-    }
-
     /// Returns the owner of a shard and its address, as last heard.
     pub(crate) fn owner(&self, shard: &ShardId) -> Option<(ProcessId, String, Epoch)> {
         let inner = self.lock();
@@ -172,11 +157,6 @@
         Some((member.process.clone(), member.address.clone(), epoch))
     }
 
-    /// Returns all owners as last heard.
-    pub(crate) fn claims(&self) -> Vec<v1::ShardClaim> {
-        self.lock().claims.values().cloned().collect()
-    }
-
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/standin/src/workers/worker_tasks.rs
+++ b/crates/standin/src/workers/worker_tasks.rs
@@ -1,4 +1,4 @@
-use lagoon_core::id::{Epoch, TaskId};
+use lagoon_core::id::{Epoch, ShardId, TaskId};
 use lagoon_core::unit::{Millicores, Resources};
 use lagoon_platform::worker::{
     StartOutcome, StartRefusal, StartRefusalReason, StartRequest, TaskReport, TaskState,
@@ -123,6 +123,22 @@
         count
     }
 
+    /// Returns the tasks of a shard.
+    pub(crate) fn tasks_of(&self, shard: &ShardId) -> Vec<TaskReport> {
+        let tasks = self.tasks.values().map(|record| &record.report);
+        tasks
+            .filter(|report| report.shard == *shard)
+            .cloned()
+            .collect()
+    }
+
+    /// Tells whether any attempt at the same member of the same work runs.
+    pub(crate) fn runs_member(&self, task: &TaskId) -> bool {
+        let same = |other: &TaskId| other.work() == task.work() && other.member() == task.member();
+        let mut tasks = self.tasks.values().map(|record| &record.report);
+        tasks.any(|report| same(&report.task) && report.state.is_running())
+    }
+
     fn insert(&mut self, report: TaskReport, ends: Instant, ends_as: TaskState) {
         self.sequence = self.sequence.next();
         let record = TaskRecord {
@@ -138,7 +154,7 @@
         self.settings.capacity.saturating_sub(self.assigned())
     }
 
-    fn refuse(&self, reason: StartRefusalReason) -> StartRefusal {
+    pub(crate) fn refuse(&self, reason: StartRefusalReason) -> StartRefusal {
         StartRefusal {
             reason,
             epoch: self.epoch,
