--- a/crates/core/src/journal/group.rs
+++ b/crates/core/src/journal/group.rs
@@ -22,8 +22,8 @@
         }
         if std::mem::take(&mut self.snapshot_wanted) {
             self.state.prune(self.latest);
-            let parts = self.snapshot_parts();
-            self.staged = Some(self.staged(parts, true, 0));
+            let (parts, bytes) = self.snapshot_parts();
+            self.staged = Some(self.staged(parts, bytes, true, 0));
             return;
         }
         let waiting = self.pending_bytes;
@@ -31,17 +31,23 @@
             return;
         }
         let room = self.segment_room().saturating_sub(self.tail_bytes);
-        let (entries, _) = self.fitting(0, room);
+        let (entries, added) = self.fitting(0, room);
         let pending = self.pending.iter().take(entries);
         let pending = pending.map(|(entry, _)| entry.clone());
         let entries_of = self.head.tail.iter().cloned().chain(pending).collect();
         let parts = vec![Arc::new(Segment {
             entries: entries_of,
         })];
-        self.staged = Some(self.staged(parts, false, entries));
+        self.staged = Some(self.staged(parts, self.tail_bytes + added, false, entries));
     }
 
-    fn staged(&self, parts: Vec<Arc<Segment>>, snapshot: bool, entries: usize) -> Staged {
+    fn staged(
+        &self,
+        parts: Vec<Arc<Segment>>,
+        bytes: u64,
+        snapshot: bool,
+        entries: usize,
+    ) -> Staged {
         let reference = SegmentRef {
             epoch: self.head.epoch,
             sequence: self.head.next_segment,
@@ -52,14 +58,16 @@
             parts,
             written: 0,
             snapshot,
+            bytes,
             entries,
         }
     }
 
-    fn snapshot_parts(&self) -> Vec<Arc<Segment>> {
+    fn snapshot_parts(&self) -> (Vec<Arc<Segment>>, u64) {
         let mut parts = Vec::new();
         let mut entries = Vec::new();
         let mut bytes = 0;
+        let mut total = 0;
         for entry in self.state.to_entries() {
             let size = entry_bytes(&entry);
             if bytes + size > self.segment_room() && !entries.is_empty() {
@@ -68,11 +76,12 @@
                 bytes = 0;
             }
             bytes += size;
+            total += size;
             entries.push(entry);
         }
         // An empty state still needs a part, so that the head has something to refer to.
         parts.push(Arc::new(Segment { entries }));
-        parts
+        (parts, total)
     }
 
     /// Returns the room for entries in a segment, beside the braces and the field name.
@@ -166,8 +175,14 @@
         let Some(proposal) = self.proposal.take() else {
             return Vec::new();
         };
-        if self.staged.take().is_some_and(|staged| staged.snapshot) {
-            self.unreferenced.extend(self.head.keys(&self.shard));
+        match self.staged.take() {
+            Some(staged) if staged.snapshot => {
+                self.unreferenced.extend(self.head.keys(&self.shard));
+                self.snapshot_bytes = staged.bytes;
+                self.segment_bytes = 0;
+            }
+            Some(staged) => self.segment_bytes += staged.bytes,
+            None => {}
         }
         self.head = proposal.head;
         self.version = version;
@@ -180,9 +195,16 @@
         self.committed += proposal.entries as u64;
         let up_to = self.committed_up_to();
         let mut events = vec![JournalEvent::Committed { up_to }];
-        if self.head.segments.len() >= self.limits.segments && !self.snapshot_wanted {
+        if self.snapshot_due() && !self.snapshot_wanted {
             events.push(JournalEvent::SnapshotNeeded);
         }
         events
     }
+
+    /// Waits until the segments are as large as the last snapshot, so that snapshots at most double what is written.
+    fn snapshot_due(&self) -> bool {
+        let segments = self.head.segments.len();
+        let worthwhile = self.segment_bytes >= self.snapshot_bytes;
+        segments >= self.limits.most_segments() || segments >= self.limits.segments && worthwhile
+    }
 }
--- a/crates/core/src/journal/journal_core.rs
+++ b/crates/core/src/journal/journal_core.rs
@@ -40,6 +40,9 @@
     pub(super) outstanding: Option<Call>,
     pub(super) read_needed: bool,
     pub(super) snapshot_wanted: bool,
+    // Sizes of the last snapshot and of the segments behind it, as far as this owner wrote them.
+    pub(super) snapshot_bytes: u64,
+    pub(super) segment_bytes: u64,
     pub(super) unreferenced: Vec<String>,
     // Set by each commit, so that deletions take turns with commits and neither starves the other.
     pub(super) delete_due: bool,
@@ -74,6 +77,8 @@
             outstanding: None,
             read_needed: false,
             snapshot_wanted: false,
+            snapshot_bytes: 0,
+            segment_bytes: 0,
             unreferenced: Vec::new(),
             delete_due: false,
             deleting: Vec::new(),
--- a/crates/core/src/journal/journal_limits.rs
+++ b/crates/core/src/journal/journal_limits.rs
@@ -8,7 +8,7 @@
     pub tail: Bytes,
     /// Largest size of a segment or snapshot part; below the store's 1 MB.
     pub value: Bytes,
-    /// Number of segments after which a snapshot is due.
+    /// Number of segments after which a snapshot is due, if they are as large as the last one.
     pub segments: usize,
     /// Wait after the store refused a write.
     pub refused_wait: Millis,
@@ -17,6 +17,11 @@
 }
 
 impl JournalLimits {
+    /// Returns the number of segments after which a snapshot is due in any case, since each one takes room in the head.
+    pub fn most_segments(&self) -> usize {
+        self.segments.saturating_mul(8)
+    }
+
     /// Returns the largest size of one entry, so that it fits in a segment behind a full tail.
     pub fn entry(&self) -> Bytes {
         let overhead = Bytes::new(64);
--- a/crates/core/src/journal/proposal.rs
+++ b/crates/core/src/journal/proposal.rs
@@ -20,6 +20,7 @@
     pub(super) parts: Vec<Arc<Segment>>,
     pub(super) written: usize,
     pub(super) snapshot: bool,
+    pub(super) bytes: u64,
     /// Number of pending entries that a segment holds behind the committed tail.
     pub(super) entries: usize,
 }
--- a/crates/core/src/journal/retention.rs
+++ b/crates/core/src/journal/retention.rs
@@ -15,8 +15,8 @@
     fn default() -> Self {
         Self {
             ended_for: Millis::new(3_600_000),
-            ended: 100_000,
-            commands: 10_000,
+            ended: 10_000,
+            commands: 1_000,
         }
     }
 }
