--- a/crates/core/tests/journal.rs
+++ b/crates/core/tests/journal.rs
@@ -272,6 +272,31 @@
     assert!(snapshot_bytes <= 2 * segment_bytes + 900_000);
 }
 
+/// Guards against deletions that never take place on a shard where an entry always waits, and against commits that wait
+/// for a deletion that keeps failing.
+#[test]
+fn deletions_take_turns_with_commits() {
+    let mut journal = journal();
+    let mut writes = Vec::new();
+    journal.begin_snapshot();
+    for n in 0..9 {
+        if n == 2 {
+            journal.begin_snapshot();
+        }
+        journal.append(accepted(n, "")).unwrap();
+        let write = kind(journal.next_write(at(n)));
+        writes.push(write);
+        match write {
+            "delete" => journal.on_unknown(),
+            _ => journal.on_written(version(n + 2)),
+        };
+    }
+    let expected = [
+        "snapshot", "swap", "snapshot", "swap", "delete", "swap", "delete", "swap", "delete",
+    ];
+    assert_eq!(writes, expected);
+}
+
 /// Guards against an entry that no segment can hold and that blocks the journal.
 #[test]
 fn oversized_entry_is_refused() {
