--- /dev/null
+++ b/crates/gateway/tests/gateway/fake.rs
@@ -0,0 +1,304 @@
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use lagoon_core::ResultCode;
+use lagoon_wire::v1;
+use lagoon_wire::v1::peer_server::{Peer, PeerServer};
+use lagoon_wire::v1::scheduler_server::{Scheduler, SchedulerServer};
+use tokio::runtime::Runtime;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status};
+
+/// What the fake does with the next call that starts work.
+#[derive(Debug, Clone)]
+pub(crate) enum Reply {
+    /// Answers at once.
+    Answer,
+    /// Refuses and names an owner.
+    Refuse(ResultCode, Option<SocketAddr>),
+    /// Takes the call, then fails as a broken connection does.
+    Lose,
+    /// Takes the call and answers after a time.
+    AnswerAfter(Duration),
+}
+
+/// State that the test sets and reads.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    pub(crate) replies: VecDeque<Reply>,
+    /// Ticket, key or nothing of each call that started work.
+    pub(crate) calls: Vec<String>,
+    pub(crate) claims: Vec<v1::ShardClaim>,
+    pub(crate) jobs: Vec<v1::WorkStatus>,
+    pub(crate) cancelled: Vec<String>,
+    pub(crate) policy: u64,
+    pub(crate) leaving: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Service {
+    name: String,
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+/// Scheduler that answers as its test tells it; runs on threads of its own, so that it can be killed.
+#[derive(Debug)]
+pub(crate) struct Fake {
+    pub(crate) address: SocketAddr,
+    name: String,
+    state: Arc<Mutex<State>>,
+    runtime: Option<Runtime>,
+}
+
+impl Fake {
+    pub(crate) fn start(name: &str) -> Self {
+        let runtime = Runtime::new().unwrap();
+        let guard = runtime.enter();
+        let incoming = TcpIncoming::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = incoming.local_addr().unwrap();
+        let state = Arc::new(Mutex::new(State {
+            policy: 1,
+            ..State::default()
+        }));
+        let service = Service {
+            name: name.to_owned(),
+            address,
+            state: state.clone(),
+        };
+        let server = tonic::transport::Server::builder()
+            .add_service(SchedulerServer::new(service.clone()))
+            .add_service(PeerServer::new(service))
+            .serve_with_incoming(incoming);
+        runtime.spawn(server);
+        drop(guard);
+        Self {
+            address,
+            name: name.to_owned(),
+            state,
+            runtime: Some(runtime),
+        }
+    }
+
+    pub(crate) fn with<R>(&self, f: impl FnOnce(&mut State) -> R) -> R {
+        f(&mut self.state.lock().unwrap())
+    }
+
+    /// Claims a shard, serving it.
+    pub(crate) fn claim(&self, shard: &str, epoch: u64) {
+        let claim = v1::ShardClaim {
+            shard: shard.to_owned(),
+            epoch,
+            owner: self.name.clone(),
+            owner_address: self.address.to_string(),
+            serving: true,
+        };
+        self.with(|state| state.claims.push(claim));
+    }
+
+    pub(crate) fn reply(&self, replies: &[Reply]) {
+        self.with(|state| state.replies.extend(replies.iter().cloned()));
+    }
+
+    pub(crate) fn calls(&self) -> Vec<String> {
+        self.with(|state| state.calls.clone())
+    }
+
+    /// Breaks every connection and stops to listen.
+    pub(crate) fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Fake {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Service {
+    async fn next(&self, call: String) -> Result<Option<v1::Refusal>, Status> {
+        let reply = {
+            let mut state = self.state.lock().unwrap();
+            state.calls.push(call);
+            state.replies.pop_front().unwrap_or(Reply::Answer)
+        };
+        match reply {
+            Reply::Answer => Ok(None),
+            Reply::Refuse(code, owner) => Ok(Some(v1::Refusal {
+                code: code.number().into(),
+                message: "refused by the fake".to_owned(),
+                retry_after_ms: None,
+                owner_address: owner.map(|owner| owner.to_string()).unwrap_or_default(),
+            })),
+            Reply::Lose => Err(Status::unavailable("the connection broke")),
+            Reply::AnswerAfter(wait) => {
+                tokio::time::sleep(wait).await;
+                Ok(None)
+            }
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Scheduler for Service {
+    async fn issue_tickets(
+        &self,
+        req: Request<v1::IssueTicketsRequest>,
+    ) -> Result<Response<v1::IssueTicketsResponse>, Status> {
+        let req = req.into_inner();
+        let tickets = (0..req.count).map(|i| format!("t:{}:1:{i}", req.shard));
+        Ok(Response::new(v1::IssueTicketsResponse {
+            tickets: tickets.collect(),
+            refusal: None,
+        }))
+    }
+
+    async fn confirm_tickets(
+        &self,
+        _: Request<v1::ConfirmTicketsRequest>,
+    ) -> Result<Response<v1::ConfirmTicketsResponse>, Status> {
+        Ok(Response::new(v1::ConfirmTicketsResponse::default()))
+    }
+
+    async fn run_request(
+        &self,
+        req: Request<v1::RunRequestRequest>,
+    ) -> Result<Response<v1::RunRequestResponse>, Status> {
+        let req = req.into_inner();
+        let kind = match self.next(format!("{}{}", req.ticket, req.key)).await? {
+            Some(refusal) => v1::outcome::Kind::Refused(refusal),
+            None => v1::outcome::Kind::Succeeded(req.spec.unwrap_or_default().payload),
+        };
+        Ok(Response::new(v1::RunRequestResponse {
+            outcome: Some(v1::Outcome { kind: Some(kind) }),
+            repeated: false,
+        }))
+    }
+
+    async fn submit_job(
+        &self,
+        req: Request<v1::SubmitJobRequest>,
+    ) -> Result<Response<v1::SubmitJobResponse>, Status> {
+        let req = req.into_inner();
+        let refusal = self.next(req.key).await?;
+        let status = v1::WorkStatus {
+            work: format!("w:{}:1:1", req.shard),
+            state: "waiting".to_owned(),
+            spec: req.spec,
+            ..Default::default()
+        };
+        Ok(Response::new(v1::SubmitJobResponse {
+            status: Some(status),
+            refusal,
+            repeated: false,
+        }))
+    }
+
+    async fn get_job(
+        &self,
+        req: Request<v1::GetJobRequest>,
+    ) -> Result<Response<v1::GetJobResponse>, Status> {
+        let work = req.into_inner().work;
+        let state = self.state.lock().unwrap();
+        let status = state.jobs.iter().find(|job| job.work == work).cloned();
+        let refusal = status.is_none().then(|| v1::Refusal {
+            code: ResultCode::UnknownWork.number().into(),
+            ..Default::default()
+        });
+        Ok(Response::new(v1::GetJobResponse { status, refusal }))
+    }
+
+    async fn list_jobs(
+        &self,
+        req: Request<v1::ListJobsRequest>,
+    ) -> Result<Response<v1::ListJobsResponse>, Status> {
+        let req = req.into_inner();
+        let state = self.state.lock().unwrap();
+        let wanted = |job: &&v1::WorkStatus| {
+            let team = job.spec.as_ref().map(|spec| spec.team.as_str());
+            let here = job.work.starts_with(&format!("w:{}:", req.shard));
+            here && (req.team.is_empty() || team == Some(req.team.as_str()))
+        };
+        Ok(Response::new(v1::ListJobsResponse {
+            jobs: state.jobs.iter().filter(wanted).cloned().collect(),
+            refusal: None,
+            truncated: false,
+        }))
+    }
+
+    async fn cancel_jobs(
+        &self,
+        req: Request<v1::CancelJobsRequest>,
+    ) -> Result<Response<v1::CancelJobsResponse>, Status> {
+        let works = req.into_inner().works;
+        let mut state = self.state.lock().unwrap();
+        state.cancelled.extend(works.iter().cloned());
+        let find = |work: &String| state.jobs.iter().find(|job| job.work == *work).cloned();
+        let results = works.iter().map(|work| v1::CancelResult {
+            work: work.clone(),
+            status: find(work),
+            refusal: None,
+        });
+        Ok(Response::new(v1::CancelJobsResponse {
+            results: results.collect(),
+            refusal: None,
+        }))
+    }
+
+    async fn describe_shards(
+        &self,
+        _: Request<v1::DescribeShardsRequest>,
+    ) -> Result<Response<v1::DescribeShardsResponse>, Status> {
+        Err(Status::unimplemented("not used by the gateway"))
+    }
+}
+
+macro_rules! unused_calls {
+    ($($name:ident: $req:ident => $resp:ident;)*) => {
+        #[tonic::async_trait]
+        impl Peer for Service {
+            async fn heartbeat(
+                &self,
+                req: Request<v1::HeartbeatRequest>,
+            ) -> Result<Response<v1::HeartbeatResponse>, Status> {
+                let mut state = self.state.lock().unwrap();
+                state.leaving |= req.into_inner().leaving;
+                Ok(Response::new(v1::HeartbeatResponse {
+                    receiver: Some(v1::Member {
+                        process: self.name.clone(),
+                        role: "scheduler".to_owned(),
+                        domain: "cluj".to_owned(),
+                        address: self.address.to_string(),
+                        policy_version: state.policy,
+                        shards: state.claims.clone(),
+                    }),
+                    members: Vec::new(),
+                }))
+            }
+
+            $(
+                async fn $name(
+                    &self,
+                    _: Request<v1::$req>,
+                ) -> Result<Response<v1::$resp>, Status> {
+                    Err(Status::unimplemented("not used by the gateway"))
+                }
+            )*
+        }
+    };
+}
+
+unused_calls! {
+    get_policy: GetPolicyRequest => GetPolicyResponse;
+    reserve: ReserveRequest => ReserveResponse;
+    commit_reservation: CommitReservationRequest => CommitReservationResponse;
+    release_reservation: ReleaseReservationRequest => ReleaseReservationResponse;
+    delegate: DelegateRequest => DelegateResponse;
+    delegate_outcome: DelegateOutcomeRequest => DelegateOutcomeResponse;
+    hand_over: HandOverRequest => HandOverResponse;
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the gateway against schedulers that are small fakes.
+
+mod access;
+mod bad_input;
+mod fake;
+mod jobs;
+mod life_cycle;
+mod retries;
+mod site;
--- /dev/null
+++ b/crates/gateway/tests/gateway/retries.rs
@@ -0,0 +1,139 @@
+//! Which calls are repeated: those that certainly had no effect, and those that the owner recognizes.
+
+use std::time::Duration;
+
+use lagoon_core::ResultCode;
+
+use crate::fake::{Fake, Reply};
+use crate::site::{Answer, REQUEST, TICKETED, run, send, start_ready};
+
+async fn after(replies: &[Reply], body: &'static str) -> (Answer, Vec<String>) {
+    let fake = Fake::start("s1");
+    fake.claim("cluj:0", 1);
+    fake.reply(replies);
+    let gateway = start_ready(&[&fake], "request_timeout: 700ms").await;
+    let answer = run(&gateway, body).await;
+    let calls = fake.calls();
+    gateway.stop().await;
+    (answer, calls)
+}
+
+macro_rules! repeated {
+    ($($(#[$guard:meta])* $name:ident: $body:ident, [$($reply:expr),*] => $calls:literal calls, $expected:literal;)*) => {
+        $(
+            $(#[$guard])*
+            #[tokio::test]
+            async fn $name() {
+                let ((_, answer), calls) = after(&[$($reply),*], $body).await;
+                let outcome = answer.get("outcome").or(answer.get("name")).unwrap();
+                assert_eq!(outcome, $expected, "{answer}");
+                assert_eq!(calls.len(), $calls, "{calls:?}");
+            }
+        )*
+    };
+}
+
+use Reply::{AnswerAfter, Lose, Refuse};
+const LATE: Reply = AnswerAfter(Duration::from_secs(5));
+
+repeated! {
+    /// Guards against a request that is sent twice without a fault.
+    no_fault: REQUEST, [] => 1 calls, "succeeded";
+    /// Guards against a refusal during a takeover that reaches the caller.
+    shard_on_its_way: REQUEST, [Refuse(ResultCode::NotServing, None), Refuse(ResultCode::Draining, None)]
+        => 3 calls, "succeeded";
+    /// Guards against a request that runs twice after a lost connection.
+    lost_without_ticket: REQUEST, [Lose] => 1 calls, "answer_lost";
+    /// Guards against a lost answer that the owner still has.
+    lost_with_ticket: TICKETED, [Lose] => 2 calls, "succeeded";
+    /// Guards against "not run" about a call that may have had its effect.
+    lost_then_refused: TICKETED, [Lose, Refuse(ResultCode::TicketEpochLost, None)]
+        => 2 calls, "ticket_epoch_lost";
+    /// Guards against a repetition of a refusal that is final.
+    refused: TICKETED, [Refuse(ResultCode::QuotaExceeded, None)] => 1 calls, "quota_exceeded";
+    /// Guards against a busy loop on a refusal that only the caller can cure.
+    too_many_tickets: REQUEST, [Refuse(ResultCode::TooManyTickets, None)] => 1 calls, "too_many_tickets";
+    /// Guards against a late answer that is reported as "not run", and against a second run.
+    late: TICKETED, [LATE] => 1 calls, "answer_timeout";
+}
+
+/// Guards against "elsewhere" about a call that was lost before and may have had its effect.
+#[tokio::test]
+async fn lost_then_elsewhere_until_the_end() {
+    let mut replies = vec![Lose];
+    replies.extend(std::iter::repeat_n(
+        Refuse(ResultCode::NotServing, None),
+        100,
+    ));
+    let ((_, answer), calls) = after(&replies, TICKETED).await;
+    assert_eq!(answer["name"], "answer_lost");
+    assert_eq!(answer["class"], "not_known");
+    assert!(calls.len() > 2, "{calls:?}");
+}
+
+/// Guards against a stale route that a refusal has already corrected.
+#[tokio::test]
+async fn refusal_names_the_owner() {
+    let (old, new) = (Fake::start("s1"), Fake::start("s2"));
+    old.claim("cluj:0", 1);
+    let owner = Some(new.address);
+    old.reply(&[Refuse(ResultCode::NotOwner, owner)]);
+    let gateway = start_ready(&[&old], "").await;
+    let (_, answer) = run(&gateway, TICKETED).await;
+    assert_eq!(answer["outcome"], "succeeded", "{answer}");
+    assert_eq!((old.calls().len(), new.calls().len()), (1, 1));
+    gateway.stop().await;
+}
+
+/// Guards against a dead owner whose shard is lost to callers although a successor serves it.
+#[tokio::test]
+async fn owner_dies_and_a_successor_claims() {
+    let (mut old, new) = (Fake::start("s1"), Fake::start("s2"));
+    old.claim("cluj:0", 1);
+    let gateway = start_ready(&[&old, &new], "").await;
+    old.kill();
+    let address = gateway.address();
+    let request = tokio::spawn(send(address, "POST", "/v1/requests", &[], REQUEST));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(new.calls(), [""; 0]);
+    new.claim("cluj:0", 2);
+    let (_, answer) = request.await.unwrap();
+    assert_eq!(answer["outcome"], "succeeded", "{answer}");
+    assert_eq!(new.calls().len(), 1);
+    gateway.stop().await;
+}
+
+/// Guards against a second run after the connection broke in the middle of a request.
+#[tokio::test]
+async fn owner_dies_in_the_middle_of_a_request() {
+    let (mut old, new) = (Fake::start("s1"), Fake::start("s2"));
+    old.claim("cluj:0", 1);
+    old.reply(&[LATE]);
+    let gateway = start_ready(&[&old, &new], "").await;
+    let address = gateway.address();
+    let request = tokio::spawn(send(address, "POST", "/v1/requests", &[], REQUEST));
+    while old.calls().is_empty() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    new.claim("cluj:0", 2);
+    old.kill();
+    let (status, answer) = request.await.unwrap();
+    assert_eq!((status, &answer["name"]), (502, &"answer_lost".into()));
+    assert_eq!(new.calls(), [""; 0]);
+    gateway.stop().await;
+}
+
+/// Guards against a route that goes back to an owner of an earlier epoch.
+#[tokio::test]
+async fn lower_epoch_is_ignored() {
+    let (old, new) = (Fake::start("s1"), Fake::start("s2"));
+    new.claim("cluj:0", 7);
+    let gateway = start_ready(&[&old, &new], "").await;
+    old.claim("cluj:0", 6);
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    for _ in 0..3 {
+        run(&gateway, REQUEST).await;
+    }
+    assert_eq!((old.calls().len(), new.calls().len()), (0, 3));
+    gateway.stop().await;
+}
