--- /dev/null
+++ b/crates/ctl/src/args/batch_args.rs
@@ -0,0 +1,43 @@
+use argh::FromArgs;
+use lagoon_core::id::{RequestKey, TeamId};
+use lagoon_core::unit::{Accelerators, Bytes, Millicores, Millis, Priority};
+
+/// Submit a batch run: one task on one host.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "batch",
+    example = "lagoonctl submit batch --team a --cpu 500m --memory 2GiB --run 10m"
+)]
+pub(crate) struct BatchArgs {
+    /// team that is charged
+    #[argh(option)]
+    pub(crate) team: TeamId,
+    /// processors of the task, such as 500m or 2
+    #[argh(option)]
+    pub(crate) cpu: Millicores,
+    /// memory of the task, such as 2GiB
+    #[argh(option, arg_name = "size")]
+    pub(crate) memory: Bytes,
+    /// number of accelerators of the task
+    #[argh(option, default = "Accelerators::ZERO", arg_name = "number")]
+    pub(crate) accelerators: Accelerators,
+    /// expected run time, such as 10m
+    #[argh(option, arg_name = "time")]
+    pub(crate) run: Millis,
+    /// urgency from 0 to 100 (default 50)
+    #[argh(option, default = "Priority::NORMAL")]
+    pub(crate) priority: Priority,
+    /// time from now until it must have started, such as 1h
+    #[argh(option, arg_name = "time")]
+    pub(crate) deadline: Option<Millis>,
+    /// start again after the loss of a host; without it, it runs at most once
+    #[argh(switch)]
+    pub(crate) restartable: bool,
+    /// what the task is given
+    #[argh(option, default = "String::new()", arg_name = "text")]
+    pub(crate) payload: String,
+    /// idempotency key; one is generated and printed if none is given
+    #[argh(option)]
+    pub(crate) key: Option<RequestKey>,
+}
--- /dev/null
+++ b/crates/ctl/src/args/command.rs
@@ -0,0 +1,14 @@
+use argh::FromArgs;
+
+use crate::args::{CancelArgs, ListArgs, ShowArgs, SubmitArgs, TicketsArgs};
+
+/// Command of `lagoonctl`.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Submit(SubmitArgs),
+    List(ListArgs),
+    Show(ShowArgs),
+    Cancel(CancelArgs),
+    Tickets(TicketsArgs),
+}
--- /dev/null
+++ b/crates/ctl/src/args/mod.rs
@@ -0,0 +1,20 @@
+//! Arguments of the command line, one type for each command.
+
+mod batch_args;
+mod cancel_args;
+mod command;
+mod ctl_args;
+mod gang_args;
+mod list_args;
+mod output_format;
+mod request_args;
+mod show_args;
+mod submit_args;
+mod tickets_args;
+
+pub(crate) use self::{
+    batch_args::BatchArgs, cancel_args::CancelArgs, command::Command, ctl_args::CtlArgs,
+    gang_args::GangArgs, list_args::ListArgs, output_format::OutputFormat,
+    request_args::RequestArgs, show_args::ShowArgs, submit_args::SubmitArgs,
+    submit_args::SubmitKind, tickets_args::TicketsArgs,
+};
--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,112 @@
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, header};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use lagoon_core::id::RequestKey;
+use lagoon_core::unit::Millis;
+use lagoon_process::answer::ErrorBody;
+use serde_json::Value;
+use tokio::time::timeout;
+
+use crate::args::CtlArgs;
+use crate::failure::Failure;
+
+/// Connection to a gateway.
+#[derive(Debug)]
+pub(crate) struct Client {
+    gateway: SocketAddr,
+    token: Option<String>,
+    limit: Millis,
+    http: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Reads the address and the token; connects with the first call.
+    pub(crate) fn open(args: &CtlArgs, gateway: Option<&str>) -> Result<Self, Failure> {
+        let text = args.gateway.as_deref().or(gateway);
+        let missing = || Failure::Usage("--gateway IP:PORT or LAGOON_GATEWAY is missing".into());
+        let text = text.ok_or_else(missing)?;
+        let invalid = |_| {
+            let expected = "expected an IP address and port such as 127.0.0.1:7000";
+            Failure::Usage(format!("{text:?} is no gateway address: {expected}"))
+        };
+        let token = args.token_file.as_ref().map(|path| {
+            let unread = |e| Failure::Usage(format!("{}: can't be read: {e}", path.display()));
+            let text = std::fs::read_to_string(path).map_err(unread)?;
+            Ok(text.trim().to_owned())
+        });
+        Ok(Self {
+            gateway: text.parse().map_err(invalid)?,
+            token: token.transpose()?,
+            limit: args.timeout,
+            http: legacy::Client::builder(TokioExecutor::new())
+                // A repetition by the client would hide that an answer was lost.
+                .retry_canceled_requests(false)
+                .build_http(),
+        })
+    }
+
+    /// Sends one call and returns the answer.
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        key: Option<&RequestKey>,
+        body: Option<&Value>,
+    ) -> Result<Value, Failure> {
+        let url = format!("http://{}{path}", self.gateway);
+        let mut req = Request::builder().method(method).uri(url);
+        if let Some(token) = &self.token {
+            req = req.header(header::AUTHORIZATION, format!("Bearer {token}"));
+        }
+        if let Some(key) = key {
+            req = req.header("Idempotency-Key", key.as_str());
+        }
+        if body.is_some() {
+            req = req.header(header::CONTENT_TYPE, "application/json");
+        }
+        let body = body.map(Value::to_string).unwrap_or_default();
+        let invalid = |e: hyper::http::Error| Failure::Usage(e.to_string());
+        let req = req.body(Full::new(Bytes::from(body))).map_err(invalid)?;
+        let late = |_| Failure::Lost(format!("no answer came within {}", self.limit));
+        let limit: Duration = self.limit.to_duration();
+        timeout(limit, self.send(req)).await.map_err(late)?
+    }
+
+    async fn send(&self, req: Request<Full<Bytes>>) -> Result<Value, Failure> {
+        let lost = |e: &dyn Error| Failure::Lost(with_causes(e));
+        let answer = self
+            .http
+            .request(req)
+            .await
+            .map_err(|e| match e.is_connect() {
+                true => Failure::NotSent(with_causes(&e)),
+                false => lost(&e),
+            })?;
+        let status = answer.status();
+        let body = answer.into_body().collect().await.map_err(|e| lost(&e))?;
+        let body = body.to_bytes();
+        if status.is_success() {
+            return serde_json::from_slice(&body).map_err(|e| lost(&e));
+        }
+        let error: ErrorBody = serde_json::from_slice(&body)
+            .map_err(|_| Failure::Lost(format!("the gateway answered {status} without a code")))?;
+        Err(Failure::Refused(error))
+    }
+}
+
+fn with_causes(error: &dyn Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(&format!(": {error}"));
+        cause = error.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,203 @@
+use std::io::Write;
+
+use hyper::Method;
+use lagoon_core::id::{RequestKey, WorkId};
+use lagoon_core::unit::Millis;
+use lagoon_process::exit;
+use serde_json::{Value, json};
+
+use crate::args::{
+    BatchArgs, Command, CtlArgs, GangArgs, ListArgs, RequestArgs, SubmitKind, TicketsArgs,
+};
+use crate::client::Client;
+use crate::failure::Failure;
+use crate::key;
+use crate::render::render;
+
+/// Runs the command of `args` and returns the exit code.
+pub(crate) async fn run(
+    args: &CtlArgs,
+    client: &Client,
+    out: &mut dyn Write,
+    err: &mut dyn Write,
+) -> Result<u8, Failure> {
+    let missing = || Failure::Usage("a command is missing; see lagoonctl --help".to_owned());
+    let answer = match args.command.as_ref().ok_or_else(missing)? {
+        Command::Submit(submit) => match &submit.kind {
+            SubmitKind::Batch(batch) => {
+                let key = key_or_new(batch.key.as_ref(), err);
+                let body = batch_body(batch);
+                client
+                    .call(Method::POST, "/v1/jobs", Some(&key), Some(&body))
+                    .await?
+            }
+            SubmitKind::Gang(gang) => {
+                let key = key_or_new(gang.key.as_ref(), err);
+                let body = gang_body(gang);
+                client
+                    .call(Method::POST, "/v1/jobs", Some(&key), Some(&body))
+                    .await?
+            }
+            SubmitKind::Request(request) => run_request(request, client, err).await?,
+        },
+        Command::List(list) => {
+            client
+                .call(Method::GET, &list_path(list), None, None)
+                .await?
+        }
+        Command::Show(show) => {
+            client
+                .call(Method::GET, &job_path(&show.work), None, None)
+                .await?
+        }
+        Command::Tickets(tickets) => {
+            let body = tickets_body(tickets);
+            client
+                .call(Method::POST, "/v1/tickets", None, Some(&body))
+                .await?
+        }
+        Command::Cancel(cancel) => {
+            if cancel.work.is_empty() {
+                return Err(Failure::Usage("cancel needs at least one id".to_owned()));
+            }
+            return Ok(cancel_all(args, &cancel.work, client, out, err).await);
+        }
+    };
+    let _ = writeln!(out, "{}", render(args.output, &answer));
+    Ok(exit_code(&answer))
+}
+
+/// Cancels one after the other; the worst exit code counts.
+async fn cancel_all(
+    args: &CtlArgs,
+    works: &[WorkId],
+    client: &Client,
+    out: &mut dyn Write,
+    err: &mut dyn Write,
+) -> u8 {
+    let mut worst = exit::DONE;
+    for work in works {
+        match client
+            .call(Method::DELETE, &job_path(work), None, None)
+            .await
+        {
+            Ok(answer) => {
+                let _ = writeln!(out, "{}", render(args.output, &answer));
+            }
+            Err(failure) => {
+                let _ = writeln!(err, "{work}: {failure}");
+                worst = worst.max(failure.exit_code());
+            }
+        }
+    }
+    worst
+}
+
+async fn run_request(
+    request: &RequestArgs,
+    client: &Client,
+    err: &mut dyn Write,
+) -> Result<Value, Failure> {
+    let body = json!({
+        "service": request.service,
+        "team": request.team,
+        "priority": request.priority,
+        "deadline_ms": request.deadline.map(Millis::get),
+        "ticket": request.ticket,
+        "payload": request.payload,
+    });
+    let key = match (&request.ticket, &request.key) {
+        (Some(_), Some(_)) => {
+            let message = "--ticket and --key exclude each other";
+            return Err(Failure::Usage(message.to_owned()));
+        }
+        (Some(_), None) => None,
+        (None, key) => Some(key_or_new(key.as_ref(), err)),
+    };
+    client
+        .call(Method::POST, "/v1/requests", key.as_ref(), Some(&body))
+        .await
+}
+
+/// Prints a generated key before anything is sent, so that it is known even if no answer comes.
+fn key_or_new(key: Option<&RequestKey>, err: &mut dyn Write) -> RequestKey {
+    key.cloned().unwrap_or_else(|| {
+        let key = key::generate();
+        let _ = writeln!(
+            err,
+            "idempotency key: {key} (repeat safely with --key {key})"
+        );
+        key
+    })
+}
+
+fn batch_body(batch: &BatchArgs) -> Value {
+    json!({
+        "kind": "batch",
+        "team": batch.team,
+        "priority": batch.priority,
+        "deadline_ms": batch.deadline.map(Millis::get),
+        "resources": {
+            "cpu": batch.cpu.to_string(),
+            "memory": batch.memory.to_string(),
+            "accelerators": batch.accelerators,
+        },
+        "run_ms": batch.run,
+        "repeatability": repeatability(batch.restartable),
+        "payload": batch.payload,
+    })
+}
+
+fn gang_body(gang: &GangArgs) -> Value {
+    json!({
+        "kind": "gang",
+        "team": gang.team,
+        "priority": gang.priority,
+        "deadline_ms": gang.deadline.map(Millis::get),
+        "resources": {
+            "cpu": gang.cpu.to_string(),
+            "memory": gang.memory.to_string(),
+            "accelerators": gang.accelerators,
+        },
+        "members": gang.members,
+        "run_ms": gang.run,
+        "repeatability": repeatability(gang.restartable),
+        "placement": {"spread": gang.spread},
+        "payload": gang.payload,
+    })
+}
+
+fn repeatability(restartable: bool) -> &'static str {
+    if restartable {
+        "restartable"
+    } else {
+        "at_most_once"
+    }
+}
+
+fn tickets_body(tickets: &TicketsArgs) -> Value {
+    json!({"service": tickets.service, "count": tickets.count})
+}
+
+fn list_path(list: &ListArgs) -> String {
+    let mut path = format!("/v1/jobs?limit={}", list.limit);
+    if let Some(team) = &list.team {
+        path.push_str(&format!("&team={team}"));
+    }
+    if let Some(state) = &list.state {
+        path.push_str(&format!("&state={state}"));
+    }
+    path
+}
+
+fn job_path(work: &WorkId) -> String {
+    format!("/v1/jobs/{work}")
+}
+
+/// A request that ran and reported a failure of its own is not done.
+fn exit_code(answer: &Value) -> u8 {
+    if answer["outcome"] == "failed" {
+        return exit::FAILED;
+    }
+    exit::DONE
+}
--- /dev/null
+++ b/crates/ctl/src/render/table.rs
@@ -0,0 +1,89 @@
+use serde_json::Value;
+
+/// Columns of a list of jobs: head and path in the job.
+const JOB_COLUMNS: [(&str, &str); 8] = [
+    ("WORK", "/work"),
+    ("STATE", "/state"),
+    ("KIND", "/kind"),
+    ("TEAM", "/team"),
+    ("PRIORITY", "/priority"),
+    ("MEMBERS", "/members"),
+    ("CPU", "/resources/cpu"),
+    ("MEMORY", "/resources/memory"),
+];
+
+/// Prints a list of jobs as a table, a list of tickets as lines, and anything else as keys and values.
+pub(crate) fn render(answer: &Value) -> String {
+    if let Some(jobs) = answer["jobs"].as_array() {
+        return render_jobs(answer, jobs);
+    }
+    if let Some(tickets) = answer["tickets"].as_array() {
+        let lines: Vec<String> = tickets.iter().map(plain).collect();
+        return lines.join("\n");
+    }
+    let mut rows = Vec::new();
+    collect_rows("", answer, &mut rows);
+    align(&rows)
+}
+
+fn render_jobs(answer: &Value, jobs: &[Value]) -> String {
+    let heads = JOB_COLUMNS.iter().map(|(head, _)| (*head).to_owned());
+    let mut rows = vec![heads.collect::<Vec<_>>()];
+    rows.extend(jobs.iter().map(|job| {
+        let cell = |(_, path): &(&str, &str)| job.pointer(path).map_or("-".to_owned(), plain);
+        JOB_COLUMNS.iter().map(cell).collect()
+    }));
+    let mut text = align(&rows);
+    if answer["truncated"] == true {
+        text.push_str("\nThere are more jobs than the limit.");
+    }
+    let missing = answer["incomplete"]
+        .as_array()
+        .map_or(&[][..], Vec::as_slice);
+    if !missing.is_empty() {
+        let shards: Vec<String> = missing.iter().map(plain).collect();
+        text.push_str(&format!("\nNo answer from shards {}.", shards.join(", ")));
+    }
+    text
+}
+
+fn collect_rows(path: &str, value: &Value, rows: &mut Vec<Vec<String>>) {
+    match value {
+        Value::Object(map) => {
+            for (key, value) in map {
+                let path = if path.is_empty() {
+                    key.clone()
+                } else {
+                    format!("{path}.{key}")
+                };
+                collect_rows(&path, value, rows);
+            }
+        }
+        other => rows.push(vec![path.to_owned(), plain(other)]),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Array(items) => items.iter().map(plain).collect::<Vec<_>>().join(", "),
+        other => other.to_string(),
+    }
+}
+
+fn align(rows: &[Vec<String>]) -> String {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    let line = |row: &Vec<String>| {
+        let cells = row.iter().zip(&widths);
+        let padded: Vec<String> = cells
+            .map(|(cell, width)| format!("{cell:<width$}"))
+            .collect();
+        padded.join("  ").trim_end().to_owned()
+    };
+    rows.iter().map(line).collect::<Vec<_>>().join("\n")
+}
--- /dev/null
+++ b/crates/ctl/tests/commands.rs
@@ -0,0 +1,197 @@
+//! Commands against a small fake gateway.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use axum::Router;
+use axum::extract::Request;
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+/// What the fake received: method, path, key, token and body.
+type Received = Arc<Mutex<Vec<(String, String, String, String, Value)>>>;
+
+/// Result of a command: exit code, output, errors and what the gateway received.
+struct Ran {
+    code: u8,
+    out: String,
+    err: String,
+    received: Vec<(String, String, String, String, Value)>,
+}
+
+/// Starts a gateway that gives the same answer to everything.
+async fn fake_gateway(status: u16, answer: Value) -> (SocketAddr, Received) {
+    let received = Received::default();
+    let log = received.clone();
+    let handle = move |req: Request| async move {
+        let (parts, body) = req.into_parts();
+        let header = |name| {
+            let value = parts.headers.get(name).map(|value| value.to_str().unwrap());
+            value.unwrap_or_default().to_owned()
+        };
+        let (key, token) = (header("idempotency-key"), header("authorization"));
+        let body = axum::body::to_bytes(body, 1 << 20).await.unwrap();
+        let body = serde_json::from_slice(&body).unwrap_or_default();
+        let (method, uri) = (parts.method.to_string(), parts.uri.to_string());
+        log.lock().unwrap().push((method, uri, key, token, body));
+        (StatusCode::from_u16(status).unwrap(), answer.to_string()).into_response()
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let router = Router::new().fallback(handle);
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    (address, received)
+}
+
+async fn run(status: u16, answer: Value, args: &str) -> Ran {
+    let (address, received) = fake_gateway(status, answer).await;
+    let args: Vec<&str> = args.split_whitespace().collect();
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let gateway = address.to_string();
+    let code = lagoon_ctl::run(&args, Some(&gateway), &mut out, &mut err).await;
+    Ran {
+        code,
+        out: String::from_utf8(out).unwrap(),
+        err: String::from_utf8(err).unwrap(),
+        received: received.lock().unwrap().clone(),
+    }
+}
+
+fn error(code: u16, class: &str) -> Value {
+    json!({"code": code, "name": "n", "class": class, "message": "m"})
+}
+
+macro_rules! exit_codes {
+    ($($(#[$guard:meta])* $name:ident: $args:literal, $status:literal, $answer:expr => $code:literal, $calls:literal calls;)*) => {
+        $(
+            $(#[$guard])*
+            #[tokio::test]
+            async fn $name() {
+                let ran = run($status, $answer, $args).await;
+                assert_eq!(ran.code, $code, "{}{}", ran.out, ran.err);
+                assert_eq!(ran.received.len(), $calls);
+            }
+        )*
+    };
+}
+
+exit_codes! {
+    /// Guards against a script that stops although the job was accepted.
+    done: "submit batch --team a --cpu 500m --memory 2GiB --run 10m", 200, json!({"work": "w:c:0:1:1"})
+        => 0, 1 calls;
+    /// Guards against a refusal that a script takes for success.
+    refused: "show w:c:0:1:1", 404, error(1008, "not_run") => 1, 1 calls;
+    /// Guards against a shard on its way that a script takes for "not known".
+    elsewhere: "show w:c:0:1:1", 503, error(4002, "elsewhere") => 1, 1 calls;
+    /// Guards against an unknown result that a script takes for "did not run".
+    not_known: "submit request --service s --team a", 502, error(3002, "not_known") => 3, 1 calls;
+    /// Guards against an answer without a code that is taken for "did not run".
+    answer_without_code: "submit request --service s --team a", 502, json!("x") => 3, 1 calls;
+    /// Guards against a failure of the work itself that is taken for success.
+    work_failed: "submit request --service s --team a", 200, json!({"outcome": "failed", "error": "e"})
+        => 1, 1 calls;
+    /// Guards against a wrong unit that is sent.
+    wrong_unit: "submit batch --team a --cpu 500m --memory 2s --run 10m", 200, json!({}) => 2, 0 calls;
+    /// Guards against a negative size that is sent.
+    negative_size: "submit batch --team a --cpu -1 --memory 2GiB --run 10m", 200, json!({}) => 2, 0 calls;
+    /// Guards against a broken id that cancels something else.
+    broken_id: "cancel w:c:0", 200, json!({}) => 2, 0 calls;
+    /// Guards against a cancellation of nothing that looks done.
+    cancel_nothing: "cancel", 200, json!({}) => 2, 0 calls;
+    /// Guards against two identities for one request.
+    ticket_and_key: "submit request --service s --team a --ticket t:c:0:1:1 --key k", 200, json!({})
+        => 2, 0 calls;
+    /// Guards against an address that is looked up as a name.
+    gateway_by_name: "--gateway localhost:1 list", 200, json!({}) => 2, 0 calls;
+    /// Guards against a batch of cancellations that stops at the first refusal.
+    cancel_several: "cancel w:c:0:1:1 w:c:0:1:2", 404, error(1008, "not_run") => 1, 2 calls;
+    /// Guards against help that is treated as wrong usage.
+    help: "submit gang --help", 200, json!({}) => 0, 0 calls;
+}
+
+/// Guards against a key that changes between the print and the call, and against equal generated keys.
+#[tokio::test]
+async fn generated_key_is_printed_and_sent() {
+    let args = "submit request --service s --team a";
+    let first = run(200, json!({"outcome": "succeeded", "answer": "42"}), args).await;
+    let second = run(200, json!({}), args).await;
+    let key = &first.received[0].2;
+    assert!(key.starts_with("ctl-"), "{key}");
+    assert!(first.err.contains(&format!("--key {key}")), "{}", first.err);
+    assert_ne!(*key, second.received[0].2);
+}
+
+/// Guards against a body that the gateway doesn't understand.
+#[tokio::test]
+async fn gang_body_has_units() {
+    let args = "submit gang --team a --members 4 --cpu 1.5 --memory 16GiB --run 1h --key k";
+    let ran = run(200, json!({}), args).await;
+    let (method, path, key, _, body) = &ran.received[0];
+    assert_eq!(
+        (method.as_str(), path.as_str(), key.as_str()),
+        ("POST", "/v1/jobs", "k")
+    );
+    let resources = json!({"cpu": "1500m", "memory": "16GiB", "accelerators": 0});
+    assert_eq!(
+        (&body["resources"], &body["run_ms"]),
+        (&resources, &json!(3_600_000))
+    );
+    assert_eq!(
+        (&body["members"], &body["placement"]),
+        (&json!(4), &json!({"spread": "pack"}))
+    );
+}
+
+/// Guards against a table that hides that shards did not answer.
+#[tokio::test]
+async fn table_of_jobs() {
+    let job = json!({"work": "w:c:0:1:1", "state": "waiting", "team": "a"});
+    let answer = json!({"jobs": [job], "truncated": false, "incomplete": ["c:2"]});
+    let ran = run(200, answer.clone(), "list --team a --state waiting").await;
+    assert!(
+        ran.out.starts_with("WORK       STATE    KIND"),
+        "{}",
+        ran.out
+    );
+    assert!(ran.out.contains("w:c:0:1:1  waiting  -"), "{}", ran.out);
+    assert!(
+        ran.out.contains("No answer from shards c:2."),
+        "{}",
+        ran.out
+    );
+    assert_eq!(ran.received[0].1, "/v1/jobs?limit=100&team=a&state=waiting");
+    for format in ["json", "yaml"] {
+        let ran = run(200, answer.clone(), &format!("--output {format} list")).await;
+        assert!(ran.out.contains("w:c:0:1:1"), "{}", ran.out);
+    }
+}
+
+/// Guards against a gateway that is down and taken for an unknown result.
+#[tokio::test]
+async fn gateway_down() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let args = ["submit", "request", "--service", "s", "--team", "a"];
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let code = lagoon_ctl::run(&args, Some(&address), &mut out, &mut err).await;
+    assert_eq!(code, 1);
+    assert!(String::from_utf8(err).unwrap().contains("nothing was sent"));
+}
+
+/// Guards against a connection that breaks after the call was sent and is reported as "did not run".
+#[tokio::test]
+async fn answer_lost() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = tokio::io::AsyncReadExt::read(&mut stream, &mut [0; 4096]).await;
+    });
+    let args = ["submit", "request", "--service", "s", "--team", "a"];
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let code = lagoon_ctl::run(&args, Some(&address), &mut out, &mut err).await;
+    assert_eq!(code, 3, "{}", String::from_utf8(err).unwrap());
+}
