--- a/crates/gateway/src/forward/next_step.rs
+++ b/crates/gateway/src/forward/next_step.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use lagoon_core::{Refusal, ResultCode};
+use lagoon_core::{Refusal, RefusalClass, ResultCode};
 
 use crate::forward::{Attempt, Repeat};
 
@@ -28,6 +28,9 @@
                 owner,
                 last: if lost { answer_lost() } else { refusal },
             },
+            Attempt::Refused(refusal, _) if lost && refusal.class() == RefusalClass::Elsewhere => {
+                Self::Answer(Err(answer_lost()))
+            }
             Attempt::Refused(refusal, _) => Self::Answer(Err(refusal)),
             Attempt::NotSent => Self::Retry {
                 owner: None,
--- a/crates/gateway/tests/gateway/retries.rs
+++ b/crates/gateway/tests/gateway/retries.rs
@@ -49,6 +49,9 @@
     /// Guards against "not run" about a call that may have had its effect.
     lost_then_refused: TICKETED, [Lose, Refuse(ResultCode::TicketEpochLost, None)]
         => 2 calls, "ticket_epoch_lost";
+    /// Guards against "elsewhere" from an owner that can't tell what became of the lost call.
+    lost_then_stopped: TICKETED, [Lose, Refuse(ResultCode::ShardStopped, None)]
+        => 2 calls, "answer_lost";
     /// Guards against a repetition of a refusal that is final.
     refused: TICKETED, [Refuse(ResultCode::QuotaExceeded, None)] => 1 calls, "quota_exceeded";
     /// Guards against a busy loop on a refusal that only the caller can cure.
