Run the whole path in one process: lagoon-dev and its sample session

Cause: a newcomer needs one command that shows work accepted, placed, run and answered. Conclusion: the gateway reports ended jobs by outcome, so the session waits for the result field.

--- /dev/null
+++ b/crates/dev/src/cluster/dev_cluster.rs
@@ -0,0 +1,130 @@
+use std::net::SocketAddr;
+
+use lagoon_core::unit::Millis;
+use lagoon_gateway::Gateway;
+use lagoon_platform::store::Expect;
+use lagoon_platform::{ClientSettings, StoreClient, Transport};
+use lagoon_process::Clock;
+use lagoon_process::settings::Address;
+use lagoon_scheduler::Scheduler;
+use lagoon_standin::platform::PlatformHandle;
+
+use crate::cluster::dev_settings;
+
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Schedulers, and as many gateways, of the cluster.
+const ENTRY_HOSTS: usize = 2;
+/// Key of the policy document in the store.
+const POLICY_KEY: &str = "policy";
+/// Longest wait until the cluster takes work.
+const READY_TIMEOUT: Millis = Millis::new(20_000);
+
+/// A running development cluster.
+#[derive(Debug)]
+pub struct Cluster {
+    platform: PlatformHandle,
+    schedulers: Vec<Scheduler>,
+    gateways: Vec<Gateway>,
+}
+
+impl Cluster {
+    /// Starts the fake platform, the schedulers and the gateways.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be listened on, or a store that doesn't take the policy.
+    pub async fn spawn() -> Result<Self, BoxError> {
+        let platform = PlatformHandle::bind(dev_settings::platform()).await?;
+        let client = Transport::new(ClientSettings::default());
+        let store = StoreClient::new(platform.store.endpoint(), client);
+        let policy = serde_json::to_string(&dev_settings::policy())?;
+        store.put(POLICY_KEY, &policy, Expect::Absent, None).await?;
+        let clock = Clock::anchored();
+        let mut schedulers: Vec<Scheduler> = Vec::new();
+        for index in 0..ENTRY_HOSTS {
+            let peers = addresses(&schedulers);
+            let (store, hosts) = (platform.store.address(), platform.hosts.address());
+            let settings = dev_settings::scheduler(index, peers, store, hosts);
+            schedulers.push(Scheduler::bind(settings, clock).await?);
+        }
+        let mut gateways = Vec::new();
+        for index in 0..ENTRY_HOSTS {
+            let settings = dev_settings::gateway(index, addresses(&schedulers));
+            gateways.push(Gateway::bind(settings, clock).await?);
+        }
+        Ok(Self {
+            platform,
+            schedulers,
+            gateways,
+        })
+    }
+
+    /// Waits until every process takes work.
+    ///
+    /// # Errors
+    ///
+    /// A process that isn't ready in time.
+    pub async fn ready(&self) -> Result<(), BoxError> {
+        let schedulers = self.schedulers.iter().map(Scheduler::readiness);
+        for readiness in schedulers.chain(self.gateways.iter().map(Gateway::readiness)) {
+            let ready = tokio::time::timeout(READY_TIMEOUT.to_duration(), readiness.wait()).await;
+            if ready.is_err() {
+                let reason = readiness.reason().unwrap_or_default();
+                return Err(format!("not ready after {READY_TIMEOUT}: {reason}").into());
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the addresses of the callers' API.
+    pub fn gateways(&self) -> Vec<SocketAddr> {
+        self.gateways.iter().map(Gateway::address).collect()
+    }
+
+    /// Returns the number of times that a worker was given more than it holds or a task ran twice.
+    pub fn violations(&self) -> u64 {
+        self.platform.workers.violations().count
+    }
+
+    /// Returns a text that names all addresses.
+    pub fn describe(&self) -> String {
+        let mut lines = Vec::new();
+        for gateway in &self.gateways {
+            lines.push(format!("gateway    http://{}", gateway.address()));
+        }
+        for scheduler in &self.schedulers {
+            let (calls, health) = (scheduler.address(), scheduler.health_address());
+            lines.push(format!(
+                "scheduler  http://{calls} (gRPC), http://{health} (health)"
+            ));
+        }
+        let platform = &self.platform;
+        lines.push(format!("store      http://{}", platform.store.address()));
+        lines.push(format!("host list  http://{}", platform.hosts.address()));
+        lines.push(format!("workers    http://{}", platform.workers.address()));
+        lines.push(format!(
+            "executors  http://{}",
+            platform.executors.address()
+        ));
+        lines.join("\n")
+    }
+
+    /// Stops everything, gateways first.
+    pub async fn stop(self) {
+        for gateway in self.gateways {
+            gateway.stop().await;
+        }
+        for scheduler in self.schedulers {
+            scheduler.stop().await;
+        }
+        self.platform.stop().await;
+    }
+}
+
+fn addresses(schedulers: &[Scheduler]) -> Vec<Address> {
+    schedulers
+        .iter()
+        .map(|scheduler| Address::new(scheduler.address()))
+        .collect()
+}
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! A whole cluster in one process on loopback, for development.
+//!
+//! [`Cluster`] starts the fake platform, two schedulers and two gateways of one failure domain. With `--once` a sample
+//! session is played against it: each request and answer is printed, and a wrong answer ends the program with an error.
+//!
+//! ```no_run
+//! # async fn example() -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+//! let cluster = lagoon_dev::Cluster::spawn().await?;
+//! cluster.ready().await?;
+//! println!("{}", cluster.gateways()[0]);
+//! cluster.stop().await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod cluster;
+mod dev_args;
+mod http_client;
+mod run;
+mod session;
+
+pub use crate::{cluster::Cluster, run::run};
--- /dev/null
+++ b/crates/dev/src/session/player.rs
@@ -0,0 +1,85 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::Method;
+use serde_json::Value;
+
+use crate::http_client::HttpClient;
+
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Wait between two looks at a job.
+const POLL: Duration = Duration::from_millis(50);
+/// Looks at a job before it counts as stuck.
+const POLLS: usize = 400;
+
+/// Sends requests, prints them with their answers and checks the answers.
+#[derive(Debug)]
+pub(super) struct Player {
+    client: HttpClient,
+    gateways: Vec<SocketAddr>,
+}
+
+impl Player {
+    pub(super) fn new(gateways: Vec<SocketAddr>) -> Self {
+        Self {
+            client: HttpClient::new(),
+            gateways,
+        }
+    }
+
+    /// Sends one request to a gateway and prints the exchange.
+    pub(super) async fn call(
+        &self,
+        gateway: usize,
+        method: Method,
+        path: &str,
+        key: Option<&str>,
+        body: Option<Value>,
+    ) -> Result<(u16, Value), BoxError> {
+        let address = self.gateways[gateway];
+        let answer = self
+            .client
+            .send(address, &method, path, key, body.as_ref())
+            .await?;
+        let key = key
+            .map(|key| format!(" (idempotency key {key})"))
+            .unwrap_or_default();
+        println!("> gateway {gateway}: {method} {path}{key}");
+        if let Some(body) = body {
+            println!(">   {body}");
+        }
+        println!("< {} {}\n", answer.0, answer.1);
+        Ok(answer)
+    }
+
+    /// Looks at a job until it has ended, and prints the last answer.
+    pub(super) async fn wait_for_end(&self, gateway: usize, work: &str) -> Result<Value, BoxError> {
+        let path = format!("/v1/jobs/{work}");
+        for _ in 0..POLLS {
+            let address = self.gateways[gateway];
+            let (status, answer) = self
+                .client
+                .send(address, &Method::GET, &path, None, None)
+                .await?;
+            if status != 200 {
+                return Err(format!("GET {path} was answered {status} {answer}").into());
+            }
+            if !answer["result"].is_null() {
+                println!("> gateway {gateway}: GET {path}");
+                println!("< {status} {answer}\n");
+                return Ok(answer);
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Err(format!("{work} did not end in time").into())
+    }
+}
+
+/// Fails if a value of an answer is not the expected one.
+pub(super) fn expect(what: &str, found: &Value, expected: &Value) -> Result<(), BoxError> {
+    if found != expected {
+        return Err(format!("{what}: expected {expected}, found {found}").into());
+    }
+    Ok(())
+}
--- a/src/bin/lagoon-dev.rs
+++ b/src/bin/lagoon-dev.rs
@@ -1,3 +1,5 @@
-//! Development cluster in one process.
+//! A whole cluster in one process on loopback, for development.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    lagoon_dev::run()
+}
