--- a/crates/core/src/journal/journal_core.rs
+++ b/crates/core/src/journal/journal_core.rs
@@ -148,6 +148,17 @@
         &self.head
     }
 
+    /// Returns the version of that head.
+    pub fn version(&self) -> StoreVersion {
+        self.version
+    }
+
+    /// Tells whether nothing waits to be written and no call is outstanding, so that the head in the store is `head`.
+    pub fn is_idle(&self) -> bool {
+        let unsent = self.pending.is_empty() && self.staged.is_none() && self.proposal.is_none();
+        unsent && self.outstanding.is_none() && !self.read_needed
+    }
+
     /// Tells whether the ownership was lost or the head was found invalid.
     pub fn stopped(&self) -> bool {
         self.stopped
--- a/crates/core/src/shard/abandon.rs
+++ b/crates/core/src/shard/abandon.rs
@@ -4,7 +4,7 @@
 
 use crate::code::{Refusal, ResultCode};
 use crate::id::{WorkId, WorkerId};
-use crate::shard::{Reply, Route, Shard, ShardEvent};
+use crate::shard::{Reply, Route, Shard};
 use crate::work::WorkState;
 
 impl Shard {
@@ -13,13 +13,9 @@
         self.halt(refusal);
     }
 
-    /// Accepts no new work from now on; what was accepted goes on.
-    pub fn begin_drain(&mut self) {
-        self.life.handle(ShardEvent::HandOverStarted);
-    }
-
-    /// Replies to everyone who waits, because this owner can't find out more.
+    /// Gives the leases up and replies to everyone who waits, because this owner can't find out more.
     pub fn abandon(&mut self) {
+        self.give_up_leases();
         let works: Vec<WorkId> = self.works.keys().cloned().collect();
         for work in works {
             let Some(record) = self.works.get_mut(&work) else {
--- a/crates/core/src/shard/commit.rs
+++ b/crates/core/src/shard/commit.rs
@@ -3,6 +3,7 @@
 use crate::code::{Refusal, ResultCode};
 use crate::id::{WorkId, WorkerId};
 use crate::journal::{JournalEvent, JournalWrite, Position};
+use crate::shard::hand_over_step::HandOverStep;
 use crate::shard::{JournalAnswer, Reply, Shard};
 use crate::unit::Timestamp;
 use crate::work::{Outcome, WorkKind, WorkState};
@@ -29,6 +30,8 @@
         /// When it was first leased.
         at: Timestamp,
     },
+    /// Proof that no successor claimed the shard after a handover that failed.
+    Resumed,
     /// Anything that nobody waits for.
     Other,
 }
@@ -36,7 +39,11 @@
 impl Shard {
     /// Returns the next call to the store; none while one is outstanding or nothing waits.
     pub fn next_write(&mut self, now: Timestamp) -> Option<JournalWrite> {
-        self.journal.next_write(now)
+        match self.hand_over {
+            // A successor claims exactly the head that was in the store at the export.
+            HandOverStep::Exported => None,
+            _ => self.journal.next_write(now),
+        }
     }
 
     /// Tells whether entries wait for the store.
@@ -55,7 +62,7 @@
         };
         for event in events {
             match event {
-                JournalEvent::Committed { up_to } => self.on_committed(up_to),
+                JournalEvent::Committed { up_to } => self.on_committed(up_to, now),
                 JournalEvent::SnapshotNeeded => self.journal.begin_snapshot(),
                 JournalEvent::OwnershipLost { owner, epoch } => {
                     let shard = &self.config.shard;
@@ -68,12 +75,13 @@
         self.schedule(now);
     }
 
-    fn on_committed(&mut self, up_to: Position) {
+    fn on_committed(&mut self, up_to: Position, now: Timestamp) {
         while let Some((_, recorded)) = self.uncommitted.pop_front_if(|(at, _)| *at <= up_to) {
             match recorded {
                 Recorded::Accepted { work, .. } => self.on_acceptance_recorded(&work),
                 Recorded::Ended { work } => self.on_end_recorded(&work),
                 Recorded::Worker { worker, .. } => self.on_worker_recorded(&worker),
+                Recorded::Resumed => self.resume(now),
                 Recorded::Other => {}
             }
         }
--- a/crates/core/src/shard/effect.rs
+++ b/crates/core/src/shard/effect.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use crate::id::{ExecutorId, TaskId, WorkId, WorkerId};
+use crate::id::{Epoch, ExecutorId, TaskId, WorkId, WorkerId};
 use crate::shard::{Reply, WaiterId};
 use crate::unit::Millis;
 use crate::work::WorkSpec;
@@ -47,6 +47,13 @@
         /// Executor.
         executor: ExecutorId,
     },
+    /// Give the lease on a worker up.
+    ReleaseLease {
+        /// Worker.
+        worker: WorkerId,
+        /// Epoch of the lease.
+        epoch: Epoch,
+    },
     /// Reply to a waiting caller.
     Reply {
         /// Waiting caller.
--- a/crates/core/src/shard/fence.rs
+++ b/crates/core/src/shard/fence.rs
@@ -51,7 +51,7 @@
         self.check_fenced(now);
     }
 
-    fn check_fenced(&mut self, now: Timestamp) {
+    pub(super) fn check_fenced(&mut self, now: Timestamp) {
         if self.unfenced.is_empty() && self.phase() == ShardPhase::Fencing {
             self.life.handle(ShardEvent::Fenced);
             self.resolve_inherited(now);
--- a/crates/core/src/shard/heartbeat.rs
+++ b/crates/core/src/shard/heartbeat.rs
@@ -25,6 +25,9 @@
         worker: &WorkerId,
         now: Timestamp,
     ) -> Option<(Option<Epoch>, Sequence)> {
+        if self.leases_released() {
+            return None;
+        }
         let holder = self.workers.get_mut(worker)?;
         holder.lease.on_sending(now);
         let held = holder.lease.epoch().filter(|_| !holder.lease.lost(now));
@@ -40,6 +43,12 @@
 
     /// Takes a granted or renewed lease.
     pub fn on_heartbeat(&mut self, worker: &WorkerId, report: HeartbeatReport, now: Timestamp) {
+        if self.leases_released() {
+            // It was sent before the release and may have overtaken it.
+            let (worker, epoch) = (worker.clone(), report.epoch);
+            self.effects.push(Effect::ReleaseLease { worker, epoch });
+            return;
+        }
         let Some(holder) = self.workers.get_mut(worker) else {
             return;
         };
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -18,6 +18,9 @@
 mod executor_view;
 mod expire;
 mod fence;
+mod hand_over;
+mod hand_over_snapshot;
+mod hand_over_step;
 mod heartbeat;
 mod heartbeat_report;
 mod invariant;
@@ -46,6 +49,7 @@
 mod tasks;
 mod view;
 mod waiter_id;
+mod withdraw;
 mod work_record;
 mod work_view;
 mod worker_record;
@@ -54,10 +58,10 @@
 
 pub use self::{
     effect::Effect, executor_spec::ExecutorSpec, executor_view::ExecutorView,
-    heartbeat_report::HeartbeatReport, journal_answer::JournalAnswer, reply::Reply,
-    request_result::RequestResult, route::Route, shard_config::ShardConfig,
-    shard_event::ShardEvent, shard_life::ShardLife, shard_phase::ShardPhase, shard_state::Shard,
-    shard_view::ShardView, start_result::StartResult, submission::Submission,
-    task_phase::TaskPhase, task_report::TaskReport, waiter_id::WaiterId, work_view::WorkView,
-    worker_spec::WorkerSpec, worker_view::WorkerView,
+    hand_over_snapshot::HandOverSnapshot, heartbeat_report::HeartbeatReport,
+    journal_answer::JournalAnswer, reply::Reply, request_result::RequestResult, route::Route,
+    shard_config::ShardConfig, shard_event::ShardEvent, shard_life::ShardLife,
+    shard_phase::ShardPhase, shard_state::Shard, shard_view::ShardView, start_result::StartResult,
+    submission::Submission, task_phase::TaskPhase, task_report::TaskReport, waiter_id::WaiterId,
+    work_view::WorkView, worker_spec::WorkerSpec, worker_view::WorkerView,
 };
--- a/crates/core/src/shard/recover.rs
+++ b/crates/core/src/shard/recover.rs
@@ -68,6 +68,7 @@
         }
         // Executors keep no inventory, so a request without an outcome may have run.
         let may_have_run = lost || record.spec.kind == WorkKind::Service;
+        let may_have_run = may_have_run && !record.unsent;
         if may_have_run && record.spec.repeatability == Repeatability::AtMostOnce {
             let text = "the owner or a host was lost while it may have run the work";
             let refusal = Refusal::new(ResultCode::HostLost, text);
--- a/crates/core/src/shard/requests.rs
+++ b/crates/core/src/shard/requests.rs
@@ -57,9 +57,10 @@
 
     /// Ends a request that may have run, or tries it again if that does no harm.
     fn end_unknown(&mut self, work: &WorkId, outcome: Outcome, now: Timestamp) {
-        let Some(record) = self.works.get(work) else {
+        let Some(record) = self.works.get_mut(work) else {
             return;
         };
+        record.may_have_run = true;
         let restartable = record.spec.repeatability == Repeatability::Restartable;
         match restartable && self.budget.try_retry(now) {
             true => self.queue_request_again(work),
--- a/crates/core/src/shard/shard_life.rs
+++ b/crates/core/src/shard/shard_life.rs
@@ -77,6 +77,7 @@
     fn fencing(event: &ShardEvent) -> Outcome<State> {
         match event {
             ShardEvent::Fenced => Transition(State::serving()),
+            ShardEvent::HandOverStarted => Transition(State::handing_over()),
             _ => Super,
         }
     }
@@ -92,7 +93,8 @@
     #[state(superstate = "owned")]
     fn handing_over(event: &ShardEvent) -> Outcome<State> {
         match event {
-            ShardEvent::HandOverFailed => Transition(State::serving()),
+            // Fencing may not have been complete; the shard serves at once if it was.
+            ShardEvent::HandOverFailed => Transition(State::fencing()),
             _ => Super,
         }
     }
--- a/crates/core/src/shard/shard_state.rs
+++ b/crates/core/src/shard/shard_state.rs
@@ -12,6 +12,7 @@
 use crate::placement::Fleet;
 use crate::policy::Policy;
 use crate::shard::commit::Recorded;
+use crate::shard::hand_over_step::HandOverStep;
 use crate::shard::slot_table::SlotTable;
 use crate::shard::work_record::WorkRecord;
 use crate::shard::worker_record::WorkerRecord;
@@ -49,6 +50,7 @@
     pub(super) next_work: Sequence,
     pub(super) uncommitted: VecDeque<(Position, Recorded)>,
     pub(super) effects: Vec<Effect>,
+    pub(super) hand_over: HandOverStep,
 }
 
 impl Shard {
@@ -89,6 +91,7 @@
             next_work: Sequence::default(),
             uncommitted: VecDeque::new(),
             effects: Vec::new(),
+            hand_over: HandOverStep::None,
             policy,
             config,
         };
--- a/crates/core/src/shard/slot_table.rs
+++ b/crates/core/src/shard/slot_table.rs
@@ -117,6 +117,11 @@
         self.change(executor, |record| record.own = record.own.saturating_sub(1));
     }
 
+    /// Tells whether a request of this owner is at an executor.
+    pub(super) fn in_use(&self) -> bool {
+        self.executors.values().any(|record| record.own > 0)
+    }
+
     /// Returns executors with slots that an earlier holder may use.
     pub(super) fn to_poll(&self) -> Vec<ExecutorId> {
         let polled = self
--- a/crates/core/src/shard/work_record.rs
+++ b/crates/core/src/shard/work_record.rs
@@ -43,6 +43,10 @@
     pub(super) charged: bool,
     /// True if the work was accepted by an earlier owner and may have been started by it.
     pub(super) inherited: bool,
+    /// True if a call was lost, so that a host may have run the work although it waits.
+    pub(super) may_have_run: bool,
+    /// True if the previous owner handed the work over without having started it.
+    pub(super) unsent: bool,
     /// Refused starts so far.
     pub(super) attempts: u32,
 }
@@ -73,6 +77,8 @@
             then: None,
             charged: false,
             inherited: false,
+            may_have_run: false,
+            unsent: false,
             attempts: 0,
         }
     }
--- a/crates/core/src/ticket/epoch_table.rs
+++ b/crates/core/src/ticket/epoch_table.rs
@@ -118,6 +118,14 @@
         Some(previous)
     }
 
+    /// Makes a ticket in flight unused again, unless it was looked at for its expiry already.
+    pub(super) fn withdraw(&mut self, sequence: Sequence) -> bool {
+        let in_flight = matches!(self.get(sequence), Some(Slot::InFlight { .. }));
+        in_flight
+            && sequence.get() >= self.expired_to
+            && self.replace(sequence, Slot::Unused).is_some()
+    }
+
     /// Ends unused tickets that were issued `lifetime` or longer ago.
     pub(super) fn expire_unused(&mut self, lifetime: Millis, now: Timestamp) {
         while let Some((at, end)) = self.issued.front().copied() {
--- a/crates/core/src/ticket/handover.rs
+++ b/crates/core/src/ticket/handover.rs
@@ -1,6 +1,7 @@
 //! Planned handover of a ticket table to the next owner of the shard.
 
 use crate::code::{Refusal, ResultCode};
+use crate::id::Ticket;
 use crate::ticket::epoch_table::EpochTable;
 use crate::ticket::ticket_table::answer_bytes;
 use crate::ticket::{Slot, TicketSnapshot, TicketTable};
@@ -19,6 +20,19 @@
         }
     }
 
+    /// Makes the ticket of a request that was certainly not started usable again. Returns false if it is not in flight,
+    /// or if it is past its lifetime: an unused ticket of that age would never be dropped.
+    pub fn withdraw(&mut self, ticket: &Ticket) -> bool {
+        if *ticket.shard() != self.shard {
+            return false;
+        }
+        let epochs = &mut self.epochs;
+        let table = epochs
+            .iter_mut()
+            .find(|table| table.epoch() == ticket.epoch());
+        table.is_some_and(|table| table.withdraw(ticket.sequence()))
+    }
+
     /// Starts requests again after a handover that did not take place. The exported snapshot must never be imported.
     pub fn resume(&mut self) {
         self.exported = false;
--- a/crates/dev/src/cluster/dev_settings.rs
+++ b/crates/dev/src/cluster/dev_settings.rs
@@ -84,6 +84,7 @@
         record_timeout: Millis::new(2_000),
         host_list_interval: Millis::new(200),
         drain_timeout: Millis::new(5_000),
+        hand_over_after: Millis::new(5_000),
         log: LogSettings::default(),
         metrics: MetricsSettings::default(),
     }
--- a/crates/gateway/src/routing/heartbeats.rs
+++ b/crates/gateway/src/routing/heartbeats.rs
@@ -74,7 +74,7 @@
             domain: self.domain.to_string(),
             address: self.address.to_string(),
             policy_version: self.table.policy_version().get(),
-            shards: Vec::new(),
+            ..Default::default()
         };
         let sender = Some(sender);
         let mut client = PeerClient::new(self.channels.get(address));
--- a/crates/gateway/tests/gateway/fake.rs
+++ b/crates/gateway/tests/gateway/fake.rs
@@ -276,6 +276,7 @@
                         address: self.address.to_string(),
                         policy_version: state.policy,
                         shards: state.claims.clone(),
+                        ..Default::default()
                     }),
                     members: Vec::new(),
                 }))
--- a/crates/scheduler/src/cell/mod.rs
+++ b/crates/scheduler/src/cell/mod.rs
@@ -1,6 +1,7 @@
 //! One lock around each shard.
 
 mod owned;
+mod placed_by;
 mod shard_cell;
 
-pub(crate) use self::{owned::Owned, shard_cell::ShardCell};
+pub(crate) use self::{owned::Owned, placed_by::PlacedBy, shard_cell::ShardCell};
--- a/crates/scheduler/src/cell/owned.rs
+++ b/crates/scheduler/src/cell/owned.rs
@@ -1,20 +1,28 @@
 use std::collections::HashMap;
 
 use lagoon_core::shard::{Effect, Reply, Shard, WaiterId};
+use lagoon_core::unit::Timestamp;
 use tokio::sync::oneshot;
 
+use crate::cell::PlacedBy;
+
 /// A shard that this process owns, with the callers that wait for it.
 #[derive(Debug)]
 pub(crate) struct Owned {
     pub(crate) shard: Shard,
+    pub(crate) placed_by: PlacedBy,
+    /// When it was put here.
+    pub(crate) since: Timestamp,
     waiters: HashMap<WaiterId, oneshot::Sender<Reply>>,
     next_waiter: WaiterId,
 }
 
 impl Owned {
-    pub(crate) fn new(shard: Shard) -> Self {
+    pub(crate) fn new(shard: Shard, placed_by: PlacedBy, since: Timestamp) -> Self {
         Self {
             shard,
+            placed_by,
+            since,
             waiters: HashMap::new(),
             next_waiter: WaiterId::default(),
         }
--- a/crates/scheduler/src/cell/shard_cell.rs
+++ b/crates/scheduler/src/cell/shard_cell.rs
@@ -2,10 +2,11 @@
 
 use lagoon_core::id::{Epoch, ShardId};
 use lagoon_core::shard::{Effect, Reply, Shard, ShardPhase, WaiterId};
+use lagoon_core::unit::{Millis, Timestamp};
 use lagoon_core::{Refusal, ResultCode};
 use tokio::sync::{Notify, oneshot, watch};
 
-use crate::cell::Owned;
+use crate::cell::{Owned, PlacedBy};
 use crate::context::Context;
 use crate::drive;
 
@@ -19,6 +20,8 @@
     pub(crate) commit: Notify,
     /// Number of calls in flight.
     in_flight: watch::Sender<usize>,
+    /// Signals a change of the shard during a handover.
+    changed: watch::Sender<()>,
     /// Phase of the ownership, for whoever waits for a change of it.
     phase: watch::Sender<ShardPhase>,
 }
@@ -31,6 +34,7 @@
             owned: Mutex::new(None),
             commit: Notify::new(),
             in_flight: watch::Sender::new(0),
+            changed: watch::Sender::new(()),
             phase: watch::Sender::new(ShardPhase::Standby),
         })
     }
@@ -68,23 +72,60 @@
         let _ = rx.wait_for(|count| *count == 0).await;
     }
 
-    /// Accepts no new work from now on.
-    pub(crate) fn begin_drain(self: &Arc<Self>) {
-        let _ = self.with(|shard| shard.begin_drain());
+    /// Notes that a claim is under way; returns false if one is already or the shard is owned here.
+    pub(crate) fn try_claiming(&self) -> bool {
+        self.phase.send_if_modified(|phase| {
+            let free = *phase == ShardPhase::Standby;
+            if free {
+                *phase = ShardPhase::Claiming;
+            }
+            free
+        })
     }
 
-    /// Notes that a claim is under way.
-    pub(crate) fn set_claiming(&self, claiming: bool) {
-        self.phase.send_replace(match claiming {
-            true => ShardPhase::Claiming,
-            false => ShardPhase::Standby,
-        });
+    /// Notes that the claim failed.
+    pub(crate) fn end_claiming(&self) {
+        self.publish(ShardPhase::Standby);
     }
 
     /// Puts an owned shard in place.
-    pub(crate) fn put(self: &Arc<Self>, shard: Shard) {
-        *self.lock() = Some(Owned::new(shard));
-        let _ = self.with(|shard| shard.begin(self.cx.clock.now()));
+    pub(crate) fn put(self: &Arc<Self>, shard: Shard, placed_by: PlacedBy) {
+        let now = self.cx.clock.now();
+        *self.lock() = Some(Owned::new(shard, placed_by, now));
+        let _ = self.with(|shard| shard.begin(now));
+    }
+
+    /// Tells whether the shard was placed here by election and has been here for `wait`.
+    pub(crate) fn may_move(&self, wait: Millis, now: Timestamp) -> bool {
+        self.lock().as_ref().is_some_and(|owned| {
+            owned.placed_by == PlacedBy::Election && now.since(owned.since) >= wait
+        })
+    }
+
+    /// Waits until the shard meets a condition during a handover. Returns false if it did not within `limit`, or if the
+    /// ownership ended.
+    pub(crate) async fn wait_until(
+        self: &Arc<Self>,
+        epoch: Epoch,
+        limit: Millis,
+        condition: impl Fn(&Shard) -> bool,
+    ) -> bool {
+        let mut changed = self.changed.subscribe();
+        let met = async {
+            loop {
+                changed.mark_unchanged();
+                match self.peek(epoch, &condition) {
+                    Some(false) => {}
+                    met => return met.is_some(),
+                }
+                if changed.changed().await.is_err() {
+                    return false;
+                }
+            }
+        };
+        tokio::time::timeout(limit.to_duration(), met)
+            .await
+            .unwrap_or(false)
     }
 
     /// Changes the shard and carries out what follows.
@@ -122,15 +163,31 @@
         })
     }
 
+    /// Looks at the shard if it is still owned at `epoch`.
+    fn peek<R>(&self, epoch: Epoch, look: impl FnOnce(&Shard) -> R) -> Option<R> {
+        let guard = self.lock();
+        let owned = guard
+            .as_ref()
+            .filter(|owned| owned.shard.epoch() == epoch)?;
+        Some(look(&owned.shard))
+    }
+
     fn with_owned<R>(self: &Arc<Self>, change: impl FnOnce(&mut Owned) -> R) -> Result<R, Refusal> {
+        let mut handing_over = false;
         let (result, epoch, effects) = {
             let mut guard = self.lock();
             let owned = guard.as_mut().ok_or_else(|| self.not_owner())?;
             let result = change(owned);
             self.publish(owned.shard.phase());
+            if owned.shard.phase() == ShardPhase::HandingOver {
+                handing_over = true;
+            }
             (result, owned.shard.epoch(), owned.settle())
         };
         self.carry_out(epoch, effects);
+        if handing_over {
+            self.changed.send_replace(());
+        }
         Ok(result)
     }
 
@@ -141,14 +198,19 @@
     }
 
     /// Gives the shard up; callers that wait are told what is known.
-    pub(crate) fn step_down(&self) {
+    pub(crate) fn step_down(self: &Arc<Self>) {
         let mut guard = self.lock();
-        if let Some(owned) = guard.as_mut() {
-            owned.shard.abandon();
-            owned.settle();
-        }
-        *guard = None;
+        let Some(mut owned) = guard.take() else {
+            return;
+        };
+        owned.shard.abandon();
+        let epoch = owned.shard.epoch();
+        let mut effects = owned.settle();
         self.publish(ShardPhase::Standby);
+        drop(guard);
+        self.changed.send_replace(());
+        effects.retain(|effect| matches!(effect, Effect::ReleaseLease { .. }));
+        self.carry_out(epoch, effects);
     }
 
     fn publish(&self, phase: ShardPhase) {
--- a/crates/scheduler/src/drive/carry_out.rs
+++ b/crates/scheduler/src/drive/carry_out.rs
@@ -5,7 +5,7 @@
 use lagoon_core::{Refusal, ResultCode};
 
 use crate::cell::ShardCell;
-use crate::drive::{requests, starts};
+use crate::drive::{leases, requests, starts};
 
 /// Carries out one effect of a change. Calls run in tasks of their own and report back under the shard's lock.
 pub(crate) fn carry_out(cell: &Arc<ShardCell>, epoch: Epoch, effect: Effect) {
@@ -32,6 +32,9 @@
         Effect::Poll { executor } => {
             tokio::spawn(requests::poll(cell, epoch, executor));
         }
+        Effect::ReleaseLease { worker, epoch } => {
+            tokio::spawn(leases::release(cell, worker, epoch));
+        }
         Effect::Commit => cell.commit.notify_one(),
         Effect::Halt(refusal) => halt(&cell, &refusal),
         // Replies are sent under the lock.
--- a/crates/scheduler/src/drive/claim.rs
+++ b/crates/scheduler/src/drive/claim.rs
@@ -5,13 +5,26 @@
 };
 use lagoon_core::shard::{Shard, ShardConfig};
 use lagoon_core::ticket::TicketLimits;
+use lagoon_core::unit::Millis;
+use lagoon_platform::PlatformError;
 use lagoon_platform::store::{Expect, PutOutcome, StoreEntry};
 
 use crate::cell::ShardCell;
 use crate::util::BoxError;
 
-/// Claims a shard and rebuilds its state; none if another process was faster.
-pub(super) async fn claim(cell: &ShardCell) -> Result<Option<Shard>, BoxError> {
+/// Tries of a claim whose effect is not known yet.
+const CLAIM_TRIES: u32 = 5;
+/// Tries to read one part of the journal of a claimed shard.
+const READ_TRIES: u32 = 10;
+/// Wait between two tries.
+const RETRY: Millis = Millis::new(200);
+
+/// Claims a shard and rebuilds its state; none if another process was faster, or if the head does not have the version
+/// that the claim must replace.
+pub(super) async fn claim(
+    cell: &ShardCell,
+    replaces: Option<StoreVersion>,
+) -> Result<Option<Shard>, BoxError> {
     let cx = cell.cx();
     let Some(policy) = cx.policy.get() else {
         return Ok(None);
@@ -23,17 +36,20 @@
         .await?
         .map(|entry| parse_head(&entry))
         .transpose()?;
+    let version = current.as_ref().map(|(_, version)| *version);
+    if replaces.is_some() && version != replaces {
+        return Ok(None);
+    }
     let process = cx.settings.process.clone();
     let address = cx.members.own_address();
     let claim = Claim::new(cell.id().clone(), process.clone(), address, current.clone());
-    let Some(version) = write(cell, &claim, &key, current.map(|(_, version)| version)).await?
-    else {
+    let Some(version) = write(cell, &claim, &key, version).await? else {
         return Ok(None);
     };
     let limits = JournalLimits::default();
     let mut replay = Replay::new(cell.id().clone(), claim.head().clone(), limits.retention);
     for key in claim.read_keys() {
-        let entry = cx.store.get(&key).await?;
+        let entry = read(cell, &key).await?;
         let entry = entry.ok_or_else(|| format!("{key} is missing"))?;
         replay.add(key, serde_json::from_str::<Segment>(&entry.value)?);
     }
@@ -55,12 +71,47 @@
     )))
 }
 
+/// Reads a part of the journal. The claim has taken effect, so giving up early would leave the shard without an owner.
+async fn read(cell: &ShardCell, key: &str) -> Result<Option<StoreEntry>, PlatformError> {
+    let mut tries = 1;
+    loop {
+        match cell.cx().store.get(key).await {
+            Err(e) if tries < READ_TRIES => tracing::debug!("shard: {key}: {e}"),
+            result => return result,
+        }
+        tries += 1;
+        tokio::time::sleep(RETRY.to_duration()).await;
+    }
+}
+
+/// Writes a claim, again if it had no effect yet, because an earlier try may still take effect.
 async fn write(
     cell: &ShardCell,
     claim: &Claim,
     key: &str,
     expect: Option<StoreVersion>,
 ) -> Result<Option<StoreVersion>, BoxError> {
+    for _ in 1..CLAIM_TRIES {
+        match try_write(cell, claim, key, expect).await? {
+            ClaimResult::Won(version) => return Ok(Some(version)),
+            ClaimResult::Pending => tokio::time::sleep(RETRY.to_duration()).await,
+            ClaimResult::Superseded { owner, epoch } => {
+                let id = cell.id();
+                tracing::info!("shard: {id} was claimed by {owner} at epoch {epoch}");
+                return Ok(None);
+            }
+            ClaimResult::Missing => return Err(format!("{key} is missing").into()),
+        }
+    }
+    Ok(None)
+}
+
+async fn try_write(
+    cell: &ShardCell,
+    claim: &Claim,
+    key: &str,
+    expect: Option<StoreVersion>,
+) -> Result<ClaimResult, BoxError> {
     let cx = cell.cx();
     let value = serde_json::to_string(claim.head())?;
     let expect = match expect {
@@ -68,7 +119,7 @@
         None => Expect::Absent,
     };
     if let Ok(PutOutcome::Written(version)) = cx.store.put(key, &value, expect, None).await {
-        return Ok(Some(StoreVersion::new(version)));
+        return Ok(ClaimResult::Won(StoreVersion::new(version)));
     }
     // A conflict may be the effect of an earlier try whose answer was lost.
     let current = cx
@@ -78,18 +129,7 @@
         .map(|entry| parse_head(&entry))
         .transpose()?;
     let current = current.as_ref().map(|(head, version)| (head, *version));
-    match claim.judge(current) {
-        ClaimResult::Won(version) => Ok(Some(version)),
-        ClaimResult::Pending => Ok(None),
-        ClaimResult::Superseded { owner, epoch } => {
-            tracing::info!(
-                "shard: {} was claimed by {owner} at epoch {epoch}",
-                cell.id()
-            );
-            Ok(None)
-        }
-        ClaimResult::Missing => Err(format!("{key} is missing").into()),
-    }
+    Ok(claim.judge(current))
 }
 
 fn parse_head(entry: &StoreEntry) -> Result<(Head, StoreVersion), BoxError> {
--- a/crates/scheduler/src/drive/elect.rs
+++ b/crates/scheduler/src/drive/elect.rs
@@ -3,7 +3,7 @@
 use lagoon_core::shard::ShardPhase;
 use lagoon_core::unit::Millis;
 
-use crate::cell::ShardCell;
+use crate::cell::{PlacedBy, ShardCell};
 use crate::drive::{claim, ownership};
 
 /// Wait between looks at who should own a shard.
@@ -18,19 +18,20 @@
         let cx = cell.cx();
         if cell.phase() != ShardPhase::Standby
             || !cx.members.should_claim(cell.id(), cx.clock.now())
+            || !cell.try_claiming()
         {
             continue;
         }
-        cell.set_claiming(true);
-        let claimed = claim::claim(&cell).await;
-        cell.set_claiming(false);
-        match claimed {
-            Ok(Some(shard)) => ownership::drive(&cell, shard).await,
-            Ok(None) => tokio::time::sleep(RETRY.to_duration()).await,
-            Err(e) => {
-                tracing::warn!("shard: {} can't be claimed: {e}", cell.id());
-                tokio::time::sleep(RETRY.to_duration()).await;
+        match claim::claim(&cell, None).await {
+            Ok(Some(shard)) => {
+                let ownership = ownership::begin(&cell, shard, PlacedBy::Election);
+                ownership.await;
+                continue;
             }
+            Ok(None) => {}
+            Err(e) => tracing::warn!("shard: {} can't be claimed: {e}", cell.id()),
         }
+        cell.end_claiming();
+        tokio::time::sleep(RETRY.to_duration()).await;
     }
 }
--- a/crates/scheduler/src/drive/fencing.rs
+++ b/crates/scheduler/src/drive/fencing.rs
@@ -15,8 +15,11 @@
 /// Asks the workers of earlier owners until all have answered or the ownership ends.
 pub(super) async fn fencing(cell: Arc<ShardCell>, epoch: Epoch) {
     loop {
-        let waiting = cell.with_epoch(epoch, |shard| {
-            (shard.phase() == ShardPhase::Fencing).then(|| shard.unfenced())
+        let waiting = cell.with_epoch(epoch, |shard| match shard.phase() {
+            ShardPhase::Fencing => Some(shard.unfenced()),
+            // Fencing goes on if the handover fails.
+            ShardPhase::HandingOver => Some(Vec::new()),
+            _ => None,
         });
         let Some(Some(workers)) = waiting else {
             return;
--- a/crates/scheduler/src/drive/heartbeats.rs
+++ b/crates/scheduler/src/drive/heartbeats.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use lagoon_core::id::{Epoch, WorkerId};
+use lagoon_core::shard::Shard;
 use lagoon_core::unit::Millis;
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_platform::worker::{LeaseOutcome, LeaseRefusalReason, LeaseRequest};
@@ -21,8 +22,17 @@
 pub(super) async fn heartbeats(cell: Arc<ShardCell>, epoch: Epoch) {
     let mut tasks: HashMap<WorkerId, AbortHandle> = HashMap::new();
     let mut timer = tokio::time::interval(LIST_INTERVAL.to_duration());
-    while let Some(workers) = cell.with_epoch(epoch, |shard| shard.worker_ids()) {
+    // While the leases are given up no task is started, and each one ends by itself after the answer it waits for.
+    let wanted = |shard: &mut Shard| (shard.worker_ids(), shard.leases_released());
+    while let Some((workers, released)) = cell.with_epoch(epoch, wanted) {
+        if released {
+            timer.tick().await;
+            continue;
+        }
         tasks.retain(|worker, task| {
+            if task.is_finished() {
+                return false;
+            }
             let wanted = workers.contains(worker);
             if !wanted {
                 task.abort();
--- /dev/null
+++ b/crates/scheduler/src/drive/leases.rs
@@ -0,0 +1,18 @@
+use std::sync::Arc;
+
+use lagoon_core::id::{Epoch, WorkerId};
+use lagoon_platform::worker::ReleaseRequest;
+
+use crate::cell::ShardCell;
+
+/// Gives the lease on a worker up. If the call fails, the next holder waits until the lease ends.
+pub(super) async fn release(cell: Arc<ShardCell>, worker: WorkerId, epoch: Epoch) {
+    let cx = cell.cx();
+    let Some(client) = cx.hosts.worker(&worker, &cx.workers) else {
+        return;
+    };
+    let holder = cx.settings.process.clone();
+    if let Err(e) = client.release(&ReleaseRequest { holder, epoch }).await {
+        tracing::debug!("lease: release of {worker}: {e}");
+    }
+}
--- a/crates/scheduler/src/drive/ownership.rs
+++ b/crates/scheduler/src/drive/ownership.rs
@@ -3,21 +3,30 @@
 use lagoon_core::shard::{Shard, ShardPhase};
 use tokio::task::JoinSet;
 
-use crate::cell::ShardCell;
+use crate::cell::{PlacedBy, ShardCell};
 use crate::drive::{commits, fencing, heartbeats, ticks};
 
-/// Drives an owned shard until the ownership ends.
-pub(super) async fn drive(cell: &Arc<ShardCell>, shard: Shard) {
+/// Puts a claimed shard in place; the result drives it until the ownership ends.
+pub(super) fn begin(
+    cell: &Arc<ShardCell>,
+    shard: Shard,
+    placed_by: PlacedBy,
+) -> impl Future<Output = ()> + Send + 'static {
     let epoch = shard.epoch();
-    let mut phase = cell.watch_phase();
-    cell.put(shard);
+    let cell = cell.clone();
+    cell.put(shard, placed_by);
     tracing::info!("shard: {} is owned at epoch {epoch}", cell.id());
-    let mut tasks = JoinSet::new();
-    tasks.spawn(ticks::ticks(cell.clone(), epoch));
-    tasks.spawn(commits::commits(cell.clone(), epoch));
-    tasks.spawn(heartbeats::heartbeats(cell.clone(), epoch));
-    tasks.spawn(fencing::fencing(cell.clone(), epoch));
-    let _ = phase.wait_for(|phase| *phase == ShardPhase::Standby).await;
-    tasks.shutdown().await;
-    tracing::info!("shard: {} is no longer owned at epoch {epoch}", cell.id());
+    async move {
+        let mut phase = cell.watch_phase();
+        let mut tasks = JoinSet::new();
+        tasks.spawn(ticks::ticks(cell.clone(), epoch));
+        tasks.spawn(commits::commits(cell.clone(), epoch));
+        tasks.spawn(heartbeats::heartbeats(cell.clone(), epoch));
+        tasks.spawn(fencing::fencing(cell.clone(), epoch));
+        let ended =
+            |phase: &ShardPhase| matches!(phase, ShardPhase::Standby | ShardPhase::Claiming);
+        let _ = phase.wait_for(ended).await;
+        tasks.shutdown().await;
+        tracing::info!("shard: {} is no longer owned at epoch {epoch}", cell.id());
+    }
 }
--- a/crates/scheduler/src/members/heartbeats.rs
+++ b/crates/scheduler/src/members/heartbeats.rs
@@ -1,8 +1,10 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use lagoon_core::unit::Millis;
 use lagoon_wire::v1;
 use lagoon_wire::v1::peer_client::PeerClient;
+use tokio::task::JoinSet;
 use tonic::transport::{Channel, Endpoint};
 
 use crate::service::Node;
@@ -13,32 +15,53 @@
 
 /// Sends heartbeats to all known schedulers. Each peer has a task of its own, so that a silent one delays no other.
 pub(crate) async fn heartbeats(node: Arc<Node>) {
-    let mut asked = std::collections::BTreeSet::new();
+    let mut asked = BTreeSet::new();
+    let mut peers = JoinSet::new();
     let mut timer = tokio::time::interval(node.cx.settings.heartbeat.to_duration());
     loop {
         timer.tick().await;
         for address in node.cx.members.addresses() {
             if asked.insert(address.clone()) {
-                tokio::spawn(follow(node.clone(), address));
+                peers.spawn(follow(node.clone(), address));
             }
         }
     }
 }
 
-async fn follow(node: Arc<Node>, address: String) {
-    let endpoint = match Endpoint::from_shared(format!("http://{address}")) {
-        Ok(endpoint) => endpoint,
+/// Tells all schedulers that this process owns nothing any more, so that they need not wait until they suspect it.
+pub(crate) async fn farewell(node: &Arc<Node>) {
+    let mut peers = JoinSet::new();
+    for address in node.cx.members.addresses() {
+        let node = node.clone();
+        peers.spawn(async move {
+            if let Some(mut client) = connect(&address)
+                && let Err(e) = beat(&node, &mut client).await
+            {
+                tracing::debug!("members: {address}: {e}");
+            }
+        });
+    }
+    while peers.join_next().await.is_some() {}
+}
+
+fn connect(address: &str) -> Option<PeerClient<Channel>> {
+    let limit = TIMEOUT.to_duration();
+    match Endpoint::from_shared(format!("http://{address}")) {
+        Ok(endpoint) => {
+            let endpoint = endpoint.connect_timeout(limit).timeout(limit);
+            Some(PeerClient::new(endpoint.connect_lazy()))
+        }
         Err(e) => {
             tracing::error!("members: {address} is not an address: {e}");
-            return;
+            None
         }
+    }
+}
+
+async fn follow(node: Arc<Node>, address: String) {
+    let Some(mut client) = connect(&address) else {
+        return;
     };
-    let limit = TIMEOUT.to_duration();
-    let channel = endpoint
-        .connect_timeout(limit)
-        .timeout(limit)
-        .connect_lazy();
-    let mut client = PeerClient::new(channel);
     let mut timer = tokio::time::interval(node.cx.settings.heartbeat.to_duration());
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
--- a/crates/scheduler/src/members/member_table.rs
+++ b/crates/scheduler/src/members/member_table.rs
@@ -7,6 +7,7 @@
 use lagoon_wire::convert::parse_field;
 use lagoon_wire::v1;
 
+use crate::members::Successor;
 use crate::settings::SchedulerSettings;
 
 /// Role of a scheduler in heartbeats.
@@ -32,6 +33,12 @@
     /// When this process began to listen; before the first suspicion could arise it claims nothing.
     started: Option<Timestamp>,
     leaving: bool,
+    /// Members that stop; they keep the shards that they name and take no others.
+    stopping: BTreeSet<ProcessId>,
+    /// How long each member had listened at its last heartbeat.
+    up: BTreeMap<ProcessId, (Millis, Timestamp)>,
+    /// Shards that this process handed over, with the successor and the time.
+    handed_over: BTreeMap<ShardId, (ProcessId, Timestamp)>,
     /// Owners and epochs of shards, as members report them.
     claims: BTreeMap<ShardId, v1::ShardClaim>,
 }
@@ -49,6 +56,9 @@
                 addresses,
                 started: None,
                 leaving: false,
+                stopping: BTreeSet::new(),
+                up: BTreeMap::new(),
+                handed_over: BTreeMap::new(),
                 claims: BTreeMap::new(),
             }),
         }
@@ -92,6 +102,12 @@
             .collect()
     }
 
+    /// Returns how long this process has listened.
+    pub(crate) fn up(&self, now: Timestamp) -> Millis {
+        let started = self.lock().started;
+        started.map_or(Millis::ZERO, |at| now.since(at))
+    }
+
     /// Takes what a member says about itself. Members of other roles are not kept.
     pub(crate) fn on_member(&self, message: &v1::Member, now: Timestamp) {
         if message.role != SCHEDULER_ROLE || message.process == self.process.as_str() {
@@ -107,17 +123,16 @@
         let mut inner = self.lock();
         inner.addresses.insert(member.address.clone());
         inner.note_claims(message);
+        match message.leaving {
+            true => inner.stopping.insert(member.process.clone()),
+            false => inner.stopping.remove(&member.process),
+        };
+        let up = (Millis::new(message.up_ms), now);
+        inner.up.insert(member.process.clone(), up);
         inner.members.on_heartbeat(member, now);
         inner.members.forget_silent(FORGET_AFTER, now);
     }
 
-    /// Notes that a member stops.
-    pub(crate) fn on_left(&self, message: &v1::Member) {
-        if let Ok(process) = parse_field("process", &message.process) {
-            self.lock().members.left(&process);
-        }
-    }
-
     /// Returns the messages of members that are alive.
     pub(crate) fn alive(&self, now: Timestamp) -> Vec<v1::Member> {
         let inner = self.lock();
@@ -143,9 +158,17 @@
         if alive.iter().any(|member| member.shards.contains_key(shard)) {
             return false;
         }
+        // The successor of a handover has not named the shard in a heartbeat yet.
+        let handed_over = inner.handed_over.get(shard).is_some_and(|(to, at)| {
+            now.since(*at) < self.suspect_after && alive.iter().any(|peer| peer.process == *to)
+        });
+        if handed_over {
+            return false;
+        }
         let processes = alive
             .iter()
             .map(|member| &member.process)
+            .filter(|process| !inner.stopping.contains(process))
             .chain([&self.process]);
         preferred_process(shard, processes) == Some(&self.process)
     }
@@ -157,6 +180,54 @@
         Some((member.process.clone(), member.address.clone(), epoch))
     }
 
+    /// Notes that a peer took a shard over from this process.
+    pub(crate) fn note_handed_over(&self, shard: &ShardId, to: &ProcessId, now: Timestamp) {
+        let entry = (to.clone(), now);
+        self.lock().handed_over.insert(shard.clone(), entry);
+    }
+
+    /// Returns the preferred owner of a shard if it is a peer that has been up for `settled`.
+    pub(crate) fn preferred_peer(
+        &self,
+        shard: &ShardId,
+        settled: Millis,
+        now: Timestamp,
+    ) -> Option<Successor> {
+        let peers = self.candidates(now);
+        let processes = peers.iter().map(|peer| &peer.process);
+        let preferred = preferred_process(shard, processes.chain([&self.process]))?.clone();
+        let inner = self.lock();
+        let long_up = |(up, at): &(Millis, Timestamp)| now >= at.after(settled.saturating_sub(*up));
+        let settled = inner.up.get(&preferred).is_some_and(long_up);
+        peers
+            .into_iter()
+            .find(|peer| settled && peer.process == preferred)
+    }
+
+    /// Returns the peers that may take a shard over, the preferred one first.
+    pub(crate) fn successors(&self, shard: &ShardId, now: Timestamp) -> Vec<Successor> {
+        let mut left = self.candidates(now);
+        let mut ordered = Vec::with_capacity(left.len());
+        while let Some(next) = preferred_process(shard, left.iter().map(|peer| &peer.process)) {
+            let next = left.iter().position(|peer| peer.process == *next);
+            ordered.extend(next.map(|next| left.remove(next)));
+        }
+        ordered
+    }
+
+    /// Returns the schedulers of the failure domain that are alive and not stopping.
+    fn candidates(&self, now: Timestamp) -> Vec<Successor> {
+        let inner = self.lock();
+        let peers = inner.members.alive(now).filter(|member| {
+            member.domain == self.domain && !inner.stopping.contains(&member.process)
+        });
+        let successor = |member: &Member| Successor {
+            process: member.process.clone(),
+            address: member.address.clone(),
+        };
+        peers.map(successor).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -199,6 +270,9 @@
             address: member.address.clone(),
             policy_version: member.policy.get(),
             shards: claims.collect(),
+            // Known at first hand only.
+            up_ms: 0,
+            leaving: self.stopping.contains(&member.process),
         }
     }
 }
--- a/crates/scheduler/src/members/mod.rs
+++ b/crates/scheduler/src/members/mod.rs
@@ -3,9 +3,11 @@
 mod heartbeats;
 mod member_table;
 mod register;
+mod successor;
 
 pub(crate) use self::{
-    heartbeats::heartbeats,
+    heartbeats::{farewell, heartbeats},
     member_table::{MemberTable, SCHEDULER_ROLE},
     register::register,
+    successor::Successor,
 };
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::context::Context;
 use crate::service::{Node, OperatorService, PeerService, SchedulerService};
 use crate::settings::SchedulerSettings;
+use crate::util::MAX_HAND_OVER;
 use crate::{drive, hosts, members, policy};
 
 /// Limits of the health endpoints.
@@ -68,6 +69,7 @@
         tasks.spawn(follow_readiness(node.clone(), readiness.clone()));
         for cell in node.cells.values() {
             tasks.spawn(drive::elect(cell.clone()));
+            tasks.spawn(drive::balance(cell.clone()));
         }
         tracing::info!("scheduler: {} listens on {address}", cx.settings.process);
         Ok(Self {
@@ -96,7 +98,8 @@
         &self.readiness
     }
 
-    /// Stops gracefully: readiness goes off, requests in flight finish, and shards are given up.
+    /// Stops gracefully: readiness goes off, shards are handed over once their requests have finished, calls in flight
+    /// are answered, and the process tells its peers.
     pub async fn stop(self) {
         let Self {
             node,
@@ -110,6 +113,7 @@
         readiness.set(Some("the process is stopping".to_owned()));
         node.cx.members.leave();
         node.drain().await;
+        members::farewell(&node).await;
         tasks.shutdown().await;
         stop.fire();
         let _ = server.await;
@@ -122,7 +126,7 @@
         .max_decoding_message_size(MAX_MESSAGE)
         .max_encoding_message_size(MAX_MESSAGE);
     let peer = PeerServer::new(PeerService::new(node.clone()))
-        .max_decoding_message_size(MAX_MESSAGE)
+        .max_decoding_message_size(MAX_HAND_OVER)
         .max_encoding_message_size(MAX_MESSAGE);
     let operator = OperatorServer::new(OperatorService::new(node));
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
--- a/crates/scheduler/src/service/node.rs
+++ b/crates/scheduler/src/service/node.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use futures_util::future::join_all;
 use lagoon_core::id::{Epoch, ShardId, ShardNumber};
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_wire::convert::{parse_field, refusal_to_wire};
@@ -8,6 +9,7 @@
 
 use crate::cell::ShardCell;
 use crate::context::Context;
+use crate::drive;
 use crate::members::SCHEDULER_ROLE;
 
 /// This process: its context and the places of the shards of its failure domain.
@@ -75,6 +77,8 @@
             domain: settings.failure_domain.to_string(),
             policy_version: self.cx.policy.version().get(),
             shards: claims.collect(),
+            up_ms: self.cx.members.up(self.cx.clock.now()).get(),
+            leaving: self.cx.members.is_leaving(),
             address,
         }
     }
@@ -109,25 +113,16 @@
         ownerless.map(|cell| format!("shard {} has no owner", cell.id()))
     }
 
-    /// Waits until no request is in flight, then gives up every shard.
+    /// Gives up every shard, to a peer if one takes it, and waits until the calls in flight are answered.
     pub(crate) async fn drain(&self) {
         let limit = self.cx.settings.drain_timeout;
-        for cell in self.cells.values() {
-            cell.begin_drain();
-        }
-        let idle = async {
-            for cell in self.cells.values() {
-                cell.wait_idle().await;
-            }
-        };
+        join_all(self.cells.values().map(drive::give_up)).await;
+        let idle = join_all(self.cells.values().map(|cell| cell.wait_idle()));
         if tokio::time::timeout(limit.to_duration(), idle)
             .await
             .is_err()
         {
-            tracing::warn!("scheduler: requests were still in flight after {limit}");
-        }
-        for cell in self.cells.values() {
-            cell.step_down();
+            tracing::warn!("scheduler: calls were still in flight after {limit}");
         }
     }
 }
--- a/crates/scheduler/src/service/operator_service.rs
+++ b/crates/scheduler/src/service/operator_service.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use lagoon_core::id::WorkId;
+use lagoon_core::id::{ProcessId, WorkId};
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_wire::convert::{parse_field, refusal_to_wire};
 use lagoon_wire::v1;
@@ -8,6 +8,7 @@
 use lagoon_wire::v1::operator_server::Operator;
 use tonic::{Request, Response, Status};
 
+use crate::drive::{HandOverReason, hand_over};
 use crate::service::Node;
 use crate::service::view::work_status;
 
@@ -31,7 +32,7 @@
         view.as_ref().map(work_status).ok_or_else(unknown)
     }
 
-    fn apply(&self, req: &v1::ApplyRequest) -> Result<u32, Refusal> {
+    async fn apply(&self, req: &v1::ApplyRequest) -> Result<u32, Refusal> {
         let cell = self.node.cell(&req.shard)?;
         let now = self.node.cx.clock.now();
         let change = req
@@ -70,13 +71,37 @@
                 cell.with(|shard| shard.confirm_dead(&host, now))
                     .flatten()?
             }
-            Change::HandOverTo(process) => {
-                let text = format!("a handover to {process} is not served");
-                return Err(Refusal::new(ResultCode::InvalidValue, text));
-            }
+            Change::HandOverTo(process) => return self.hand_over(&req.shard, process).await,
         };
         Ok(u32::try_from(changed).unwrap_or(u32::MAX))
     }
+
+    /// Hands a shard to a peer. If the peer owns it already, nothing is changed.
+    async fn hand_over(&self, shard: &str, process: &str) -> Result<u32, Refusal> {
+        let to: ProcessId = parse_field("hand_over_to", process)?;
+        let cell = self.node.cell(shard)?;
+        let members = &self.node.cx.members;
+        if cell.epoch().is_none() {
+            let owner = members.owner(cell.id());
+            if owner.is_some_and(|(owner, ..)| owner == to) {
+                return Ok(0);
+            }
+        }
+        let peers = members.successors(cell.id(), self.node.cx.clock.now());
+        let to = peers.into_iter().find(|peer| peer.process == to);
+        let to = to.ok_or_else(|| {
+            let text =
+                format!("hand_over_to: no scheduler {process} of the failure domain is live");
+            Refusal::new(ResultCode::InvalidValue, text)
+        })?;
+        // In a task of its own, because a handover must go on when the operator's call ends.
+        let cell = cell.clone();
+        let handed =
+            tokio::spawn(async move { hand_over(&cell, &to, HandOverReason::Operator).await });
+        let handed = handed.await;
+        handed.unwrap_or_else(|e| Err(Refusal::new(ResultCode::NotServing, e.to_string())))?;
+        Ok(1)
+    }
 }
 
 #[tonic::async_trait]
@@ -105,7 +130,7 @@
         req: Request<v1::ApplyRequest>,
     ) -> Result<Response<v1::ApplyResponse>, Status> {
         let req = req.into_inner();
-        let answer = match self.apply(&req) {
+        let answer = match self.apply(&req).await {
             Ok(changed) => v1::ApplyResponse {
                 changed,
                 ..Default::default()
--- a/crates/scheduler/src/service/peer_service.rs
+++ b/crates/scheduler/src/service/peer_service.rs
@@ -1,11 +1,15 @@
 use std::sync::Arc;
 
+use lagoon_core::journal::StoreVersion;
+use lagoon_core::shard::HandOverSnapshot;
 use lagoon_core::{Refusal, ResultCode};
-use lagoon_wire::convert::refusal_to_wire;
+use lagoon_wire::convert::{parse_field, refusal_to_wire};
 use lagoon_wire::v1;
 use lagoon_wire::v1::peer_server::Peer;
 use tonic::{Request, Response, Status};
 
+use crate::cell::PlacedBy;
+use crate::drive::{self, Offer};
 use crate::service::Node;
 
 type Answer<T> = Result<Response<T>, Status>;
@@ -21,6 +25,13 @@
         Self { node }
     }
 
+    async fn take_over(&self, req: v1::HandOverRequest) -> Result<(), Refusal> {
+        let cell = self.node.cell(&req.shard)?.clone();
+        let offer = offer_from_wire(&req)?;
+        let taken = tokio::spawn(drive::take_over(cell, offer)).await;
+        taken.unwrap_or_else(|e| Err(Refusal::new(ResultCode::NotServing, e.to_string())))
+    }
+
     /// Answers a call that this version of the program does not serve.
     fn not_served(&self, what: &str) -> Option<v1::Refusal> {
         let text = format!("{} does not serve {what}", self.node.cx.settings.process);
@@ -38,13 +49,8 @@
         let cx = &self.node.cx;
         let now = cx.clock.now();
         if let Some(sender) = &req.sender {
-            match req.leaving {
-                true => cx.members.on_left(sender),
-                false => {
-                    cx.members.on_member(sender, now);
-                    self.node.check_claims(sender);
-                }
-            }
+            cx.members.on_member(sender, now);
+            self.node.check_claims(sender);
         }
         Ok(Response::new(v1::HeartbeatResponse {
             receiver: Some(self.node.own_member()),
@@ -118,8 +124,29 @@
         }))
     }
 
-    async fn hand_over(&self, _: Request<v1::HandOverRequest>) -> Answer<v1::HandOverResponse> {
-        let refusal = self.not_served("handovers");
+    async fn hand_over(&self, req: Request<v1::HandOverRequest>) -> Answer<v1::HandOverResponse> {
+        let req = req.into_inner();
+        let refusal = match self.take_over(req).await {
+            Ok(()) => None,
+            Err(refusal) => Some(refusal_to_wire(&refusal)),
+        };
         Ok(Response::new(v1::HandOverResponse { refusal }))
     }
 }
+
+fn offer_from_wire(req: &v1::HandOverRequest) -> Result<Offer, Refusal> {
+    let tickets = serde_json::from_slice(&req.tickets)
+        .map_err(|e| Refusal::new(ResultCode::Malformed, format!("tickets: {e}")))?;
+    let unsent = req.unsent.iter().map(|work| parse_field("unsent", work));
+    Ok(Offer {
+        snapshot: HandOverSnapshot {
+            head: StoreVersion::new(req.head_version),
+            tickets,
+            unsent: unsent.collect::<Result<_, _>>()?,
+        },
+        placed_by: match req.by_operator {
+            true => PlacedBy::Operator,
+            false => PlacedBy::Election,
+        },
+    })
+}
--- a/crates/scheduler/src/settings/scheduler_settings.rs
+++ b/crates/scheduler/src/settings/scheduler_settings.rs
@@ -51,6 +51,9 @@
     /// Longest wait for requests in flight when the process stops.
     #[serde(default = "default_drain", deserialize_with = "text")]
     pub drain_timeout: Millis,
+    /// How long a better suited process must have been up, and the shard have been here, before it is handed over.
+    #[serde(default = "default_settled", deserialize_with = "text")]
+    pub hand_over_after: Millis,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
@@ -83,6 +86,10 @@
     Millis::new(30_000)
 }
 
+const fn default_settled() -> Millis {
+    Millis::new(30_000)
+}
+
 impl Checked for SchedulerSettings {
     fn check(&self, problems: &mut Problems) {
         problems.require(self.shards > 0, "shards", "at least 1");
@@ -99,6 +106,8 @@
             "record_timeout",
             "more than 0ms",
         );
+        let settled = self.hand_over_after > self.suspect_after;
+        problems.require(settled, "hand_over_after", "more than suspect_after");
         let polled = self.host_list_interval.get() >= 10;
         problems.require(polled, "host_list_interval", "at least 10ms");
         problems.check_part("lease", &self.lease);
