--- a/crates/core/src/journal/journal_state.rs
+++ b/crates/core/src/journal/journal_state.rs
@@ -1,9 +1,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
 
 use crate::id::{HostId, RequestKey, TeamId, WorkId, WorkerId};
 use crate::journal::{EndedWork, JournalEntry, LiveWork, Retention, UsedWorker};
 use crate::unit::Timestamp;
-use crate::work::Outcome;
+use crate::work::{Outcome, WorkSpec};
 
 /// What the entries of a journal add up to.
 ///
@@ -109,7 +110,7 @@
             JournalEntry::Ended { work, outcome, at } => self.end(work, outcome, *at),
             JournalEntry::Kept { work, ended } => {
                 if !self.live.contains_key(work) && !self.ended.contains_key(work) {
-                    self.index_key(&ended.team, ended.key.as_ref(), work);
+                    self.index_key(ended.team(), ended.key.as_ref(), work);
                     self.keep(work.clone(), ended.clone());
                 }
             }
@@ -195,9 +196,10 @@
     fn end(&mut self, work: &WorkId, outcome: &Outcome, at: Timestamp) {
         if let Some(live) = self.live.remove(work) {
             let ended = EndedWork {
-                team: live.spec.team.clone(),
+                spec: without_payload(&live.spec),
                 key: live.key,
                 fingerprint: live.fingerprint,
+                accepted_at: live.accepted_at,
                 outcome: outcome.clone(),
                 at,
             };
@@ -217,14 +219,12 @@
         let Some(work) = self.ended_order.pop_front() else {
             return;
         };
-        if let Some(EndedWork {
-            team,
-            key: Some(key),
-            ..
-        }) = self.ended.remove(&work)
-        {
+        let Some(ended) = self.ended.remove(&work) else {
+            return;
+        };
+        if let Some(key) = ended.key {
             // The key may have been used again since.
-            let place = (team, key);
+            let place = (ended.spec.team.clone(), key);
             if self.keys.get(&place) == Some(&work) {
                 self.keys.remove(&place);
             }
@@ -238,6 +238,16 @@
     }
 }
 
+/// Ended work is kept for repeats and queries, which don't need what its tasks were given.
+fn without_payload(spec: &Arc<WorkSpec>) -> Arc<WorkSpec> {
+    if spec.payload.is_empty() {
+        return spec.clone();
+    }
+    let mut spec = WorkSpec::clone(spec);
+    spec.payload = String::new();
+    Arc::new(spec)
+}
+
 fn live_entries(work: &WorkId, live: &LiveWork) -> impl Iterator<Item = JournalEntry> + use<> {
     let accepted = JournalEntry::Accepted {
         work: work.clone(),
--- a/crates/core/src/shard/submit.rs
+++ b/crates/core/src/shard/submit.rs
@@ -7,11 +7,12 @@
 use crate::id::{RequestKey, Ticket, WorkId};
 use crate::journal::{EndedWork, JournalEntry};
 use crate::shard::commit::Recorded;
+use crate::shard::view::ended_view;
 use crate::shard::work_record::WorkRecord;
-use crate::shard::{Effect, Reply, Route, Shard, Submission, WaiterId, WorkView};
+use crate::shard::{Effect, Reply, Route, Shard, Submission, WaiterId};
 use crate::ticket::TicketDecision;
 use crate::unit::{Resources, Timestamp};
-use crate::work::{Outcome, WorkKind, WorkSpec, WorkState};
+use crate::work::{Outcome, WorkKind, WorkSpec};
 
 impl Shard {
     /// Issues tickets for requests that run at most once.
@@ -147,15 +148,7 @@
                 repeated,
             }
         } else {
-            let view = WorkView {
-                work,
-                spec: Arc::new(submission.spec.clone()),
-                state: WorkState::Ended(ended.outcome.clone()),
-                reason: String::new(),
-                workers: Default::default(),
-                accepted_at: ended.at,
-                started_at: None,
-            };
+            let view = ended_view(work, ended);
             Reply::Accepted {
                 view: Box::new(view),
                 repeated,
--- a/crates/core/src/shard/view.rs
+++ b/crates/core/src/shard/view.rs
@@ -1,17 +1,21 @@
 //! What callers and operators see.
 
+use smallvec::SmallVec;
+
 use crate::id::{TeamId, WorkId};
+use crate::journal::EndedWork;
 use crate::placement::ClosedReason;
 use crate::shard::{ExecutorView, Shard, ShardView, WorkView, WorkerView};
 use crate::work::WorkState;
 
 impl Shard {
-    /// Returns a piece of work. Of work that ended only the outcome is kept, so its specification is absent.
-    pub fn work(&self, work: &WorkId) -> Option<(WorkState, Option<WorkView>)> {
+    /// Returns a piece of work, live or ended.
+    pub fn work(&self, work: &WorkId) -> Option<WorkView> {
         if let Some(record) = self.works.get(work) {
-            return Some((record.state.clone(), Some(record.view())));
+            return Some(record.view());
         }
-        self.ended_state(work).map(|state| (state, None))
+        let ended = self.journal.state().ended(work)?;
+        Some(ended_view(work.clone(), ended))
     }
 
     /// Returns up to `limit` pieces of live work that match, in order of their ids.
@@ -89,3 +93,16 @@
         })
     }
 }
+
+/// Returns the view of work that ended.
+pub(super) fn ended_view(work: WorkId, ended: &EndedWork) -> WorkView {
+    WorkView {
+        work,
+        spec: ended.spec.clone(),
+        state: WorkState::Ended(ended.outcome.clone()),
+        reason: String::new(),
+        workers: SmallVec::new(),
+        accepted_at: ended.accepted_at,
+        started_at: None,
+    }
+}
--- a/crates/scheduler/src/service/operator_service.rs
+++ b/crates/scheduler/src/service/operator_service.rs
@@ -27,8 +27,7 @@
         let cell = self.node.cell_of(work.shard())?;
         let found = cell.with(|shard| shard.work(&work))?;
         let unknown = || Refusal::new(ResultCode::UnknownWork, format!("{work} is not known"));
-        let (_, view) = found.ok_or_else(unknown)?;
-        view.as_ref().map(work_status).ok_or_else(unknown)
+        found.as_ref().map(work_status).ok_or_else(unknown)
     }
 
     fn apply(&self, req: &v1::ApplyRequest) -> Result<u32, Refusal> {
--- a/crates/scheduler/src/service/scheduler_service.rs
+++ b/crates/scheduler/src/service/scheduler_service.rs
@@ -3,7 +3,7 @@
 use lagoon_core::id::{Ticket, WorkId};
 use lagoon_core::shard::{Reply, Route, Submission, WorkView};
 use lagoon_core::unit::Millis;
-use lagoon_core::work::{Outcome, WorkState};
+use lagoon_core::work::Outcome;
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_wire::convert::{optional_field, outcome_to_wire, parse_field, spec_from_wire};
 use lagoon_wire::v1;
@@ -93,7 +93,8 @@
         let cell = self.node.cell_of(work.shard())?;
         let found = cell.with(|shard| shard.work(work))?;
         found
-            .map(|(state, view)| status_of(work, &state, view))
+            .as_ref()
+            .map(work_status)
             .ok_or_else(|| Refusal::new(ResultCode::UnknownWork, format!("{work} is not known")))
     }
 
@@ -287,18 +288,3 @@
     let ended = tokio::time::timeout(CANCEL_WAIT.to_duration(), rx).await;
     ended.ok().and_then(Result::ok)
 }
-
-fn status_of(work: &WorkId, state: &WorkState, view: Option<WorkView>) -> v1::WorkStatus {
-    match view {
-        Some(view) => work_status(&view),
-        None => {
-            let (state, outcome) = lagoon_wire::convert::state_to_wire(state);
-            v1::WorkStatus {
-                work: work.to_string(),
-                state,
-                outcome,
-                ..Default::default()
-            }
-        }
-    }
-}
