--- a/crates/gateway/tests/gateway/fake.rs
+++ b/crates/gateway/tests/gateway/fake.rs
@@ -5,7 +5,7 @@
 
 use lagoon_core::ResultCode;
 use lagoon_wire::v1;
-use lagoon_wire::v1::peer_server::{Peer, PeerServer};
+use lagoon_wire::v1::peer_server::PeerServer;
 use lagoon_wire::v1::scheduler_server::{Scheduler, SchedulerServer};
 use tokio::runtime::Runtime;
 use tonic::transport::server::TcpIncoming;
@@ -37,11 +37,12 @@
     pub(crate) leaving: bool,
 }
 
+/// The services of a fake.
 #[derive(Debug, Clone)]
-struct Service {
-    name: String,
-    address: SocketAddr,
-    state: Arc<Mutex<State>>,
+pub(crate) struct Service {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) state: Arc<Mutex<State>>,
 }
 
 /// Scheduler that answers as its test tells it; runs on threads of its own, so that it can be killed.
@@ -257,48 +258,3 @@
         Err(Status::unimplemented("not used by the gateway"))
     }
 }
-
-macro_rules! unused_calls {
-    ($($name:ident: $req:ident => $resp:ident;)*) => {
-        #[tonic::async_trait]
-        impl Peer for Service {
-            async fn heartbeat(
-                &self,
-                req: Request<v1::HeartbeatRequest>,
-            ) -> Result<Response<v1::HeartbeatResponse>, Status> {
-                let mut state = self.state.lock().unwrap();
-                state.leaving |= req.into_inner().leaving;
-                Ok(Response::new(v1::HeartbeatResponse {
-                    receiver: Some(v1::Member {
-                        process: self.name.clone(),
-                        role: "scheduler".to_owned(),
-                        domain: "cluj".to_owned(),
-                        address: self.address.to_string(),
-                        policy_version: state.policy,
-                        shards: state.claims.clone(),
-                    }),
-                    members: Vec::new(),
-                }))
-            }
-
-            $(
-                async fn $name(
-                    &self,
-                    _: Request<v1::$req>,
-                ) -> Result<Response<v1::$resp>, Status> {
-                    Err(Status::unimplemented("not used by the gateway"))
-                }
-            )*
-        }
-    };
-}
-
-unused_calls! {
-    get_policy: GetPolicyRequest => GetPolicyResponse;
-    reserve: ReserveRequest => ReserveResponse;
-    commit_reservation: CommitReservationRequest => CommitReservationResponse;
-    release_reservation: ReleaseReservationRequest => ReleaseReservationResponse;
-    delegate: DelegateRequest => DelegateResponse;
-    delegate_outcome: DelegateOutcomeRequest => DelegateOutcomeResponse;
-    hand_over: HandOverRequest => HandOverResponse;
-}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod access;
 mod bad_input;
 mod fake;
+mod fake_peer;
 mod jobs;
 mod life_cycle;
 mod retries;
--- a/crates/gateway/tests/gateway/retries.rs
+++ b/crates/gateway/tests/gateway/retries.rs
@@ -126,17 +126,22 @@
     gateway.stop().await;
 }
 
-/// Guards against a route that goes back to an owner of an earlier epoch.
+/// Guards against a route that goes back to an owner of an earlier epoch, even while the newer owner is silent.
 #[tokio::test]
 async fn lower_epoch_is_ignored() {
-    let (old, new) = (Fake::start("s1"), Fake::start("s2"));
+    let (old, mut new) = (Fake::start("s1"), Fake::start("s2"));
     new.claim("cluj:0", 7);
-    let gateway = start_ready(&[&old, &new], "").await;
+    let gateway = start_ready(&[&old, &new], "request_timeout: 700ms").await;
     old.claim("cluj:0", 6);
     tokio::time::sleep(Duration::from_millis(1_200)).await;
     for _ in 0..3 {
         run(&gateway, REQUEST).await;
     }
     assert_eq!((old.calls().len(), new.calls().len()), (0, 3));
+    new.kill();
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let (_, answer) = run(&gateway, TICKETED).await;
+    assert_eq!(answer["name"], "not_serving", "{answer}");
+    assert_eq!(old.calls(), [""; 0]);
     gateway.stop().await;
 }
--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -1,5 +1,7 @@
 //! Logs on standard error, as text or as one JSON object a line.
 
+use std::io::IsTerminal;
+
 use serde::Deserialize;
 use tracing_subscriber::EnvFilter;
 
@@ -52,6 +54,8 @@
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_target(false)
+        // Colours only for people: a collector would store the escape codes.
+        .with_ansi(std::io::stderr().is_terminal())
         .with_writer(std::io::stderr);
     let started = match settings.format {
         LogFormat::Text => builder.try_init(),
