Raise the limit of calls in flight on one connection between processes

Cause: a gateway forwards all requests to a scheduler on one connection, and the default limit of streams would queue them there. Conclusion: 20,000 streams, above the slots of a shard's executors.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -23,6 +23,8 @@
     max_body: Bytes::new(4 << 10),
     read_timeout: Millis::new(5_000),
 };
+/// Calls in flight on one connection. A gateway keeps one connection for all requests that it forwards.
+const MAX_STREAMS: u32 = 20_000;
 /// Largest message between processes; above the largest body that a gateway takes.
 const MAX_MESSAGE: usize = 32 << 20;
 
@@ -127,6 +129,7 @@
     let operator = OperatorServer::new(OperatorService::new(node));
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     let served = tonic::transport::Server::builder()
+        .max_concurrent_streams(MAX_STREAMS)
         .add_service(scheduler)
         .add_service(peer)
         .add_service(operator)
