--- /dev/null
+++ b/crates/core/tests/shard_model/owner.rs
@@ -0,0 +1,285 @@
+use std::sync::Arc;
+
+use lagoon_core::id::{Epoch, Incarnation, PolicyVersion, Sequence, ShardId, Ticket, WorkerId};
+use lagoon_core::journal::{JournalLimits, StoreVersion};
+use lagoon_core::policy::{Policy, ServicePolicy, TeamPolicy, Weight};
+use lagoon_core::shard::{
+    Effect, ExecutorSpec, HandOverSnapshot, HeartbeatReport, Reply, RequestResult, Route, Shard,
+    ShardConfig, Submission, TaskReport, WaiterId, WorkerSpec,
+};
+use lagoon_core::ticket::TicketLimits;
+use lagoon_core::unit::{Bytes, Millicores, Millis, Resources, Timestamp};
+use lagoon_core::work::{Outcome, Repeatability, WorkKind, WorkSpec};
+use lagoon_core::{Refusal, ResultCode};
+
+use super::Store;
+
+pub(crate) const WORKER: &str = "w1";
+const EXECUTOR: &str = "e1";
+const SERVICE: &str = "planner";
+const TEAM: &str = "turf";
+const CAPACITY: Resources = Resources::new(Millicores::new(4_000), Bytes::new(8 << 30));
+
+pub(crate) fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+pub(crate) fn request(route: Route) -> Submission {
+    submission(route, WorkKind::Service, Resources::ZERO, true)
+}
+
+/// A task that takes half of the worker.
+pub(crate) fn batch(key: &str) -> Submission {
+    let half = Resources::new(Millicores::new(2_000), Bytes::new(1 << 30));
+    let route = Route::Journal(key.parse().unwrap());
+    submission(route, WorkKind::Batch, half, false)
+}
+
+fn submission(route: Route, kind: WorkKind, resources: Resources, until_end: bool) -> Submission {
+    let spec = WorkSpec {
+        kind,
+        team: TEAM.parse().unwrap(),
+        priority: Default::default(),
+        deadline: None,
+        resources,
+        members: 1,
+        run_time: Millis::new(1_000),
+        repeatability: Repeatability::AtMostOnce,
+        placement: Default::default(),
+        service: (kind == WorkKind::Service).then(|| SERVICE.parse().unwrap()),
+        payload: String::new(),
+    };
+    let fingerprint = spec.fingerprint();
+    Submission {
+        route,
+        spec,
+        fingerprint,
+        until_end,
+    }
+}
+
+/// One owner of the shard with what it asked for.
+pub(crate) struct Owner {
+    pub(crate) shard: Shard,
+    pub(crate) effects: Vec<Effect>,
+    waiter: WaiterId,
+    lease: u64,
+}
+
+impl Owner {
+    /// Claims the shard; none if the head does not have the version to replace.
+    pub(crate) fn claim(
+        store: &mut Store,
+        process: &str,
+        replaces: Option<StoreVersion>,
+    ) -> Option<Self> {
+        let id: ShardId = "cluj:3".parse().unwrap();
+        let (head, version, state) = store.claim(&id, process, replaces)?;
+        let config = ShardConfig {
+            shard: id,
+            process: process.parse().unwrap(),
+            lease_margin: Millis::new(100),
+            record_timeout: Millis::new(2_000),
+            tickets: TicketLimits::default(),
+            journal: JournalLimits::default(),
+        };
+        let shard = Shard::new(config, head, version, state, Arc::new(policy()));
+        Some(Self {
+            shard,
+            effects: Vec::new(),
+            waiter: WaiterId::default(),
+            lease: 0,
+        })
+    }
+
+    /// Claims what a predecessor handed over.
+    pub(crate) fn take_over(
+        store: &mut Store,
+        process: &str,
+        offer: HandOverSnapshot,
+    ) -> Option<Self> {
+        let mut this = Self::claim(store, process, Some(offer.head))?;
+        this.shard.import(offer).unwrap();
+        Some(this)
+    }
+
+    /// Learns the worker, fences it, obtains its lease at `epoch` and finds `free` slots at the executor.
+    pub(crate) fn serve(
+        &mut self,
+        store: &mut Store,
+        epoch: u64,
+        free: u32,
+        tasks: Vec<TaskReport>,
+    ) {
+        self.shard.begin(at(0));
+        self.shard
+            .set_workers(&[worker()], &Default::default(), at(0));
+        let incarnation = Incarnation::new(1);
+        self.shard
+            .on_fenced(&worker().worker, incarnation, tasks.clone(), at(0));
+        self.lease = epoch;
+        self.beat(tasks);
+        self.free_slots(free);
+        self.pump(store);
+    }
+
+    /// Sends a heartbeat that is granted.
+    pub(crate) fn beat(&mut self, tasks: Vec<TaskReport>) {
+        let id = worker().worker;
+        if self.shard.on_heartbeat_sending(&id, at(0)).is_some() {
+            self.granted(tasks);
+        }
+    }
+
+    /// Takes the grant of a heartbeat that was sent before.
+    pub(crate) fn granted(&mut self, tasks: Vec<TaskReport>) {
+        let report = HeartbeatReport {
+            sent_at: at(0),
+            epoch: Epoch::new(self.lease),
+            incarnation: Incarnation::new(1),
+            rack: "r1".parse().unwrap(),
+            capacity: CAPACITY,
+            ttl: Millis::new(2_000),
+            task_ttl: Millis::new(60_000),
+            full: true,
+            sequence: Sequence::new(1),
+            tasks,
+            forgotten: Vec::new(),
+            observed: Resources::ZERO,
+        };
+        self.shard.on_heartbeat(&worker().worker, report, at(0));
+        self.collect();
+    }
+
+    pub(crate) fn free_slots(&mut self, free: u32) {
+        let executor = EXECUTOR.parse().unwrap();
+        self.shard.on_executor_status(&executor, 8 - free, at(0));
+        self.collect();
+    }
+
+    /// Makes all calls to the store that wait.
+    pub(crate) fn pump(&mut self, store: &mut Store) {
+        while let Some(write) = self.shard.next_write(at(0)) {
+            self.shard.on_store(store.perform(write), at(0));
+        }
+        self.collect();
+    }
+
+    pub(crate) fn ticket(&mut self) -> Ticket {
+        self.shard.issue_tickets(1, at(0)).unwrap().remove(0)
+    }
+
+    /// Submits work and returns the id under which its reply comes.
+    pub(crate) fn submit(&mut self, submission: Submission) -> WaiterId {
+        let waiter = self.waiter;
+        self.waiter = waiter.next();
+        self.shard.submit(waiter, submission, at(0));
+        self.collect();
+        waiter
+    }
+
+    pub(crate) fn reply(&self, waiter: WaiterId) -> Option<&Reply> {
+        self.effects.iter().find_map(|effect| match effect {
+            Effect::Reply { waiter: to, reply } if *to == waiter => Some(reply),
+            _ => None,
+        })
+    }
+
+    /// Names the reply, so that a case fits on one line.
+    pub(crate) fn said(&self, waiter: WaiterId) -> String {
+        match self.reply(waiter) {
+            None => "nothing".to_owned(),
+            Some(Reply::Accepted { .. }) => "accepted".to_owned(),
+            Some(Reply::Ended { outcome, .. }) => match outcome {
+                Outcome::Succeeded(text) => format!("answer {text}"),
+                Outcome::Failed(text) => format!("failed {text}"),
+                Outcome::Refused(refusal) => refusal.code.name().to_owned(),
+            },
+            Some(Reply::Refused(refusal)) => refusal.code.name().to_owned(),
+        }
+    }
+
+    /// Returns how many requests were sent to the executor.
+    pub(crate) fn sent(&self) -> usize {
+        let sent = |effect: &&Effect| matches!(effect, Effect::Request { .. });
+        self.effects.iter().filter(sent).count()
+    }
+
+    /// Returns how many tasks were sent to the worker.
+    pub(crate) fn started(&self) -> usize {
+        let started = |effect: &&Effect| matches!(effect, Effect::Start { .. });
+        self.effects.iter().filter(started).count()
+    }
+
+    /// Returns the lease epochs that were given up.
+    pub(crate) fn released(&self) -> Vec<u64> {
+        let released = self.effects.iter().filter_map(|effect| match effect {
+            Effect::ReleaseLease { epoch, .. } => Some(epoch.get()),
+            _ => None,
+        });
+        released.collect()
+    }
+
+    pub(crate) fn halted(&self) -> Option<ResultCode> {
+        self.effects.iter().find_map(|effect| match effect {
+            Effect::Halt(Refusal { code, .. }) => Some(*code),
+            _ => None,
+        })
+    }
+
+    /// Answers the last request that was sent.
+    pub(crate) fn answer(&mut self, result: RequestResult) {
+        let sent = self.effects.iter().rev().find_map(|effect| match effect {
+            Effect::Request { executor, work, .. } => Some((executor.clone(), work.clone())),
+            _ => None,
+        });
+        let (executor, work) = sent.unwrap();
+        self.shard.on_request(&executor, &work, result, at(0));
+        self.collect();
+    }
+
+    /// Goes through a handover up to the export.
+    pub(crate) fn export(&mut self, store: &mut Store) -> HandOverSnapshot {
+        assert!(self.shard.begin_hand_over(at(0)));
+        self.shard.release_leases();
+        self.pump(store);
+        let snapshot = self.shard.export(at(0)).expect("nothing waits");
+        self.collect();
+        snapshot
+    }
+
+    pub(crate) fn collect(&mut self) {
+        self.effects.extend(self.shard.take_effects());
+    }
+}
+
+fn worker() -> WorkerSpec {
+    let worker: WorkerId = WORKER.parse().unwrap();
+    WorkerSpec {
+        worker,
+        host: "h1".parse().unwrap(),
+        address: "127.0.0.1:7100".to_owned(),
+        rack: "r1".parse().unwrap(),
+        capacity: CAPACITY,
+        executors: vec![ExecutorSpec {
+            executor: EXECUTOR.parse().unwrap(),
+            service: SERVICE.parse().unwrap(),
+            slots: 8,
+            connections: 60,
+        }],
+    }
+}
+
+fn policy() -> Policy {
+    let team = TeamPolicy {
+        weight: Weight::new(1),
+        quota: Resources::new(Millicores::new(200_000), Bytes::new(512 << 30)),
+        queue_limit: 10_000,
+    };
+    Policy {
+        version: PolicyVersion::new(1),
+        teams: [(TEAM.parse().unwrap(), team)].into(),
+        services: [(SERVICE.parse().unwrap(), ServicePolicy::default())].into(),
+        ..Policy::default()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/shard_model/store.rs
@@ -0,0 +1,77 @@
+use std::collections::HashMap;
+
+use lagoon_core::id::ShardId;
+use lagoon_core::journal::{
+    Claim, Head, JournalLimits, JournalState, JournalWrite, Replay, Segment, StoreVersion,
+};
+use lagoon_core::shard::JournalAnswer;
+
+/// The keys of one shard.
+#[derive(Default)]
+pub(crate) struct Store {
+    head: Option<(Head, StoreVersion)>,
+    parts: HashMap<String, Segment>,
+    /// While set, every call is refused without effect.
+    pub(crate) down: bool,
+}
+
+impl Store {
+    /// Claims the shard if the head has the version that the claim must replace.
+    pub(crate) fn claim(
+        &mut self,
+        shard: &ShardId,
+        owner: &str,
+        replaces: Option<StoreVersion>,
+    ) -> Option<(Head, StoreVersion, JournalState)> {
+        let current = self.head.clone();
+        let version = current.as_ref().map(|(_, version)| *version);
+        if replaces.is_some() && replaces != version {
+            return None;
+        }
+        let owner = owner.parse().unwrap();
+        let claim = Claim::new(shard.clone(), owner, "127.0.0.1:7001".to_owned(), current);
+        let version = self.put_head(claim.head());
+        let retention = JournalLimits::default().retention;
+        let mut replay = Replay::new(shard.clone(), claim.head().clone(), retention);
+        for key in claim.read_keys() {
+            replay.add(key.clone(), self.parts[&key].clone());
+        }
+        Some((claim.head().clone(), version, replay.finish().unwrap()))
+    }
+
+    pub(crate) fn perform(&mut self, write: JournalWrite) -> JournalAnswer {
+        if self.down {
+            return JournalAnswer::Refused;
+        }
+        match write {
+            JournalWrite::PutSegment { key, value } | JournalWrite::PutSnapshot { key, value } => {
+                self.parts.insert(key, Segment::clone(&value));
+                JournalAnswer::Written(StoreVersion::new(1))
+            }
+            JournalWrite::SwapHead {
+                value,
+                expect_version,
+                ..
+            } => match &self.head {
+                Some((_, version)) if *version == expect_version => {
+                    JournalAnswer::Written(self.put_head(&value))
+                }
+                head => {
+                    let version = head.as_ref().map(|(_, version)| *version);
+                    JournalAnswer::Conflict(version.unwrap_or_default())
+                }
+            },
+            JournalWrite::ReadHead { .. } => JournalAnswer::Head(self.head.clone().map(Box::new)),
+            JournalWrite::DeleteKeys { .. } => JournalAnswer::Written(StoreVersion::new(1)),
+        }
+    }
+
+    fn put_head(&mut self, head: &Head) -> StoreVersion {
+        let next = self
+            .head
+            .as_ref()
+            .map_or(1, |(_, version)| version.get() + 1);
+        self.head = Some((head.clone(), StoreVersion::new(next)));
+        StoreVersion::new(next)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/cluster/calls.rs
@@ -0,0 +1,128 @@
+use std::net::SocketAddr;
+
+use lagoon_core::unit::{Bytes, Millicores, Millis, Resources};
+use lagoon_core::work::{Repeatability, WorkKind, WorkSpec};
+use lagoon_wire::convert::{refusal_from_wire, spec_to_wire};
+use lagoon_wire::v1;
+use lagoon_wire::v1::apply_request::Change;
+use lagoon_wire::v1::operator_client::OperatorClient;
+use lagoon_wire::v1::outcome::Kind;
+use lagoon_wire::v1::scheduler_client::SchedulerClient;
+use tonic::transport::{Channel, Endpoint};
+
+use super::settings::{SERVICE, TEAM, shard};
+
+/// Calls of a gateway and of the admin process to one scheduler.
+#[derive(Clone)]
+pub(crate) struct Calls {
+    channel: Channel,
+}
+
+impl Calls {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        let endpoint = Endpoint::from_shared(format!("http://{address}")).unwrap();
+        let channel = endpoint.connect_lazy();
+        Self { channel }
+    }
+
+    fn scheduler(&self) -> SchedulerClient<Channel> {
+        SchedulerClient::new(self.channel.clone())
+    }
+
+    pub(crate) async fn shards(&self) -> Vec<v1::ShardStatus> {
+        let mut client = self.scheduler();
+        let answer = client.describe_shards(v1::DescribeShardsRequest {});
+        answer
+            .await
+            .map(|answer| answer.into_inner().shards)
+            .unwrap_or_default()
+    }
+
+    pub(crate) async fn tickets(&self, number: u16, count: u32) -> Vec<String> {
+        let shard = shard(number).to_string();
+        let mut client = self.scheduler();
+        let answer = client.issue_tickets(v1::IssueTicketsRequest { shard, count });
+        let answer = answer.await.unwrap().into_inner();
+        assert_eq!(answer.refusal, None);
+        answer.tickets
+    }
+
+    /// Runs a request; returns the answer, the name of a refusal, or `lost` for a broken call.
+    pub(crate) async fn run(&self, number: u16, ticket: &str, payload: &str) -> String {
+        let spec = spec(WorkKind::Service, payload);
+        let req = v1::RunRequestRequest {
+            shard: shard(number).to_string(),
+            ticket: ticket.to_owned(),
+            key: String::new(),
+            spec: Some(spec_to_wire(&spec)),
+        };
+        let Ok(answer) = self.scheduler().run_request(req).await else {
+            return "lost".to_owned();
+        };
+        match answer.into_inner().outcome.and_then(|outcome| outcome.kind) {
+            Some(Kind::Succeeded(text) | Kind::Failed(text)) => text,
+            Some(Kind::Refused(refusal)) => name_of(&refusal),
+            None => "nothing".to_owned(),
+        }
+    }
+
+    /// Submits a batch run and returns its id.
+    pub(crate) async fn submit(&self, number: u16, key: &str) -> String {
+        let req = v1::SubmitJobRequest {
+            shard: shard(number).to_string(),
+            key: key.to_owned(),
+            spec: Some(spec_to_wire(&spec(WorkKind::Batch, "echo:job"))),
+        };
+        let answer = self.scheduler().submit_job(req).await.unwrap().into_inner();
+        assert_eq!(answer.refusal, None);
+        answer.status.unwrap().work
+    }
+
+    /// Returns the state of a job; empty if it is not known here.
+    pub(crate) async fn state(&self, work: &str) -> String {
+        let work = work.to_owned();
+        let answer = self.scheduler().get_job(v1::GetJobRequest { work }).await;
+        let status = answer.ok().and_then(|answer| answer.into_inner().status);
+        status.map(|status| status.state).unwrap_or_default()
+    }
+
+    /// Hands a shard over as an operator; returns the number of changes or the name of the refusal.
+    pub(crate) async fn hand_over(&self, number: u16, to: &str) -> Result<u32, String> {
+        let req = v1::ApplyRequest {
+            shard: shard(number).to_string(),
+            operator: "dana".to_owned(),
+            change: Some(Change::HandOverTo(to.to_owned())),
+            ..Default::default()
+        };
+        let mut client = OperatorClient::new(self.channel.clone());
+        let answer = client.apply(req).await.unwrap().into_inner();
+        match answer.refusal {
+            Some(refusal) => Err(name_of(&refusal)),
+            None => Ok(answer.changed),
+        }
+    }
+}
+
+fn spec(kind: WorkKind, payload: &str) -> WorkSpec {
+    let service = kind == WorkKind::Service;
+    WorkSpec {
+        kind,
+        team: TEAM.parse().unwrap(),
+        priority: Default::default(),
+        deadline: None,
+        resources: match service {
+            true => Resources::ZERO,
+            false => Resources::new(Millicores::new(1_000), Bytes::new(1 << 30)),
+        },
+        members: 1,
+        run_time: Millis::new(1_500),
+        repeatability: Repeatability::AtMostOnce,
+        placement: Default::default(),
+        service: service.then(|| SERVICE.parse().unwrap()),
+        payload: payload.to_owned(),
+    }
+}
+
+fn name_of(refusal: &v1::Refusal) -> String {
+    refusal_from_wire(refusal).code.name().to_owned()
+}
--- /dev/null
+++ b/crates/scheduler/tests/hand_over.rs
@@ -0,0 +1,223 @@
+//! Planned handover and graceful stop between scheduler processes.
+
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::{Cluster, Tuning};
+use lagoon_core::unit::Millis;
+use lagoon_standin::fault::{FaultMode, FaultRule, FaultTarget};
+use tokio::time::sleep;
+
+/// Longer than the patience of any wait, so that a successor that must wait for a lease to end fails the test.
+const LONG_LEASE: Tuning = Tuning {
+    lease_ttl: Millis::new(60_000),
+    hand_over_after: Millis::new(600_000),
+};
+const EAGER: Tuning = Tuning {
+    lease_ttl: Millis::new(1_000),
+    hand_over_after: Millis::new(1_000),
+};
+
+macro_rules! cluster_cases {
+    ($($(#[$doc:meta])* $name:ident($processes:literal, $tuning:expr): $cluster:ident => $body:block)*) => {
+        $(
+            $(#[$doc])*
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                #[allow(unused_mut)]
+                let mut $cluster = Cluster::spawn($processes, $tuning).await;
+                $body
+                $cluster.finish().await;
+            }
+        )*
+    };
+}
+
+/// Repeats a request as a gateway does while the shard is on its way to another owner.
+async fn run(cluster: &Cluster, shard: u16, ticket: &str, payload: &str) -> String {
+    loop {
+        let (owner, _) = cluster.wait_owner(shard, None).await;
+        let answer = cluster.calls(owner).run(shard, ticket, payload).await;
+        let moving = ["handing_over", "not_owner", "not_serving", "draining"];
+        if !moving.contains(&answer.as_str()) {
+            return answer;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+cluster_cases! {
+    /// Guards against a graceful stop that interrupts a request, loses tickets, runs one twice, or leaves leases behind.
+    stop_hands_over(2, LONG_LEASE): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        let (_, epoch) = cluster.wait_owner(shard, Some(0)).await;
+        let calls = cluster.calls(0).clone();
+        let tickets = calls.tickets(shard, 3).await;
+        assert_eq!(calls.run(shard, &tickets[0], "echo:first").await, "first");
+        let slow = tickets[1].clone();
+        let in_flight = tokio::spawn(async move {
+            calls.run(shard, &slow, "sleep:700;echo:slow").await
+        });
+        sleep(Duration::from_millis(200)).await;
+        cluster.stop(0).await;
+        assert_eq!(in_flight.await.unwrap(), "slow");
+        assert_eq!(cluster.wait_owner(shard, Some(1)).await, (1, epoch + 1));
+        assert_eq!(run(&cluster, shard, &tickets[0], "echo:first").await, "first");
+        assert_eq!(run(&cluster, shard, &tickets[1], "sleep:700;echo:slow").await, "slow");
+        assert_eq!(run(&cluster, shard, &tickets[2], "echo:third").await, "third");
+        assert_eq!(cluster.platform.executors.runs().len(), 3);
+    }
+
+    /// Guards against readiness that stays on while the shards are given up.
+    readiness_first(2, Tuning::default()): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        cluster.wait_owner(shard, Some(0)).await;
+        let calls = cluster.calls(0).clone();
+        let ticket = calls.tickets(shard, 1).await.remove(0);
+        let slow = tokio::spawn(async move { calls.run(shard, &ticket, "sleep:800;echo:a").await });
+        sleep(Duration::from_millis(200)).await;
+        let process = cluster.take(0);
+        let readiness = process.readiness();
+        assert!(readiness.reason().is_none());
+        let stopping = tokio::spawn(process.stop());
+        sleep(Duration::from_millis(200)).await;
+        assert!(readiness.reason().is_some() && !stopping.is_finished());
+        assert_eq!(slow.await.unwrap(), "a");
+        stopping.await.unwrap();
+    }
+
+    /// Guards against a stop that hangs or loses recorded work when no peer can take over.
+    stop_alone(1, LONG_LEASE): cluster => {
+        let work = cluster.calls(0).submit(0, "k").await;
+        cluster.stop(0).await;
+        let next = cluster.start().await;
+        cluster.wait_owner(0, Some(next)).await;
+        while cluster.calls(next).state(&work).await != "ended" {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Guards against a job that is lost, started again or not followed after its shard moved.
+    running_job(2, LONG_LEASE): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        cluster.wait_owner(shard, Some(0)).await;
+        let work = cluster.calls(0).submit(shard, "k").await;
+        assert_eq!(cluster.calls(0).hand_over(shard, "scheduler-1").await, Ok(1));
+        cluster.wait_owner(shard, Some(1)).await;
+        while cluster.calls(1).state(&work).await != "ended" {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Guards against an operator's choice that is undone by preference, and against a repeat that moves the shard again.
+    operator_moves_a_shard(2, EAGER): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        let (_, epoch) = cluster.wait_owner(shard, Some(0)).await;
+        let ticket = cluster.calls(0).tickets(shard, 1).await.remove(0);
+        assert_eq!(cluster.calls(0).hand_over(shard, "scheduler-1").await, Ok(1));
+        assert_eq!(cluster.wait_owner(shard, Some(1)).await, (1, epoch + 1));
+        sleep(Duration::from_millis(2_500)).await;
+        assert_eq!(cluster.owner(shard).await, Some((1, epoch + 1)));
+        assert_eq!(cluster.calls(0).hand_over(shard, "scheduler-1").await, Ok(0));
+        assert_eq!(run(&cluster, shard, &ticket, "echo:a").await, "a");
+    }
+
+    /// Guards against an operator's command that names a process that is not there.
+    unknown_successor(1, Tuning::default()): cluster => {
+        let refused = cluster.calls(0).hand_over(0, "scheduler-9").await;
+        assert_eq!(refused, Err("invalid_value".to_owned()));
+        assert_eq!(cluster.wait_owner(0, None).await.0, 0);
+    }
+
+    /// Guards against shards that stay where they were after a process was added, and against tickets that are lost then.
+    preferred_process_takes_over(1, EAGER): cluster => {
+        let added = cluster.start().await;
+        let shard = cluster.shard_of(added, 2);
+        let ticket = cluster.calls(0).tickets(shard, 1).await.remove(0);
+        cluster.wait_owner(shard, Some(added)).await;
+        assert_eq!(run(&cluster, shard, &ticket, "echo:a").await, "a");
+    }
+
+    /// Guards against shards that move to a process that has just started.
+    young_process_waits(1, Tuning { hand_over_after: Millis::new(600_000), ..EAGER }): cluster => {
+        let added = cluster.start().await;
+        let shard = cluster.shard_of(added, 2);
+        let before = cluster.wait_owner(shard, Some(0)).await;
+        sleep(Duration::from_millis(2_500)).await;
+        assert_eq!(cluster.owner(shard).await, Some(before));
+    }
+
+    /// Guards against an owner that stays closed after its successor died.
+    dead_successor(2, Tuning::default()): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        let (_, epoch) = cluster.wait_owner(shard, Some(0)).await;
+        let ticket = cluster.calls(0).tickets(shard, 1).await.remove(0);
+        cluster.crash(1);
+        let refused = cluster.calls(0).hand_over(shard, "scheduler-1").await;
+        assert_eq!(refused, Err("not_serving".to_owned()));
+        assert_eq!(cluster.wait_owner(shard, Some(0)).await, (0, epoch));
+        assert_eq!(run(&cluster, shard, &ticket, "echo:a").await, "a");
+    }
+
+    /// Guards against an owner that stays closed after its successor could not claim the shard.
+    successor_without_store(2, Tuning::default()): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        let (_, epoch) = cluster.wait_owner(shard, Some(0)).await;
+        let ticket = cluster.calls(0).tickets(shard, 1).await.remove(0);
+        let cut = FaultRule::new(FaultTarget::Store, FaultMode::Unreachable);
+        let cut = cut.from_process("scheduler-1".parse().unwrap());
+        cluster.platform.store.faults().add(cut);
+        let refused = cluster.calls(0).hand_over(shard, "scheduler-1").await;
+        assert_eq!(refused, Err("not_serving".to_owned()));
+        assert_eq!(cluster.wait_owner(shard, Some(0)).await, (0, epoch));
+        assert_eq!(run(&cluster, shard, &ticket, "echo:a").await, "a");
+        cluster.platform.store.faults().clear(&FaultTarget::All);
+    }
+
+    /// Guards against a ticket that runs again after the owner died without a handover.
+    crash_loses_the_table(2, Tuning::default()): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        cluster.wait_owner(shard, Some(0)).await;
+        let ticket = cluster.calls(0).tickets(shard, 1).await.remove(0);
+        cluster.crash(0);
+        cluster.wait_owner(shard, Some(1)).await;
+        assert_eq!(run(&cluster, shard, &ticket, "echo:a").await, "ticket_epoch_lost");
+        assert!(cluster.platform.executors.runs().is_empty());
+    }
+}
+
+/// Guards against requests that run twice or are lost while the shard moves to and fro under load.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn load_while_moving() {
+    const CALLERS: usize = 8;
+    const REQUESTS: usize = 25;
+    let cluster = std::sync::Arc::new(Cluster::spawn(2, Tuning::default()).await);
+    let shard = cluster.shard_of(0, 2);
+    let (owner, _) = cluster.wait_owner(shard, Some(0)).await;
+    let count = u32::try_from(CALLERS * REQUESTS).unwrap();
+    let tickets = cluster.calls(owner).tickets(shard, count).await;
+    let callers = tickets.chunks(REQUESTS).map(|tickets| {
+        let (cluster, tickets) = (cluster.clone(), tickets.to_vec());
+        tokio::spawn(async move {
+            for ticket in tickets {
+                let payload = format!("sleep:30;echo:{ticket}");
+                assert_eq!(run(&cluster, shard, &ticket, &payload).await, ticket);
+            }
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    for to in [1, 0, 1] {
+        sleep(Duration::from_millis(200)).await;
+        let from = 1 - to;
+        cluster.wait_owner(shard, Some(from)).await;
+        let name = format!("scheduler-{to}");
+        assert_eq!(cluster.calls(from).hand_over(shard, &name).await, Ok(1));
+    }
+    for caller in callers {
+        caller.await.unwrap();
+    }
+    assert_eq!(cluster.platform.executors.runs().len(), CALLERS * REQUESTS);
+    let cluster = std::sync::Arc::into_inner(cluster).unwrap();
+    cluster.finish().await;
+}
