--- a/crates/core/src/membership/rendezvous.rs
+++ b/crates/core/src/membership/rendezvous.rs
@@ -33,8 +33,21 @@
 
 /// Returns the home shard of a worker among shards `0..shards` of its failure domain.
 pub fn home_shard(worker: &WorkerId, shards: u16) -> Option<ShardNumber> {
-    let weight = |n: &u16| (stable_hash(&[worker.as_str(), &n.to_string()]), *n);
-    (0..shards).max_by_key(weight).map(ShardNumber::new)
+    home_among(worker, (0..shards).map(ShardNumber::new))
+}
+
+/// Returns the shard that a worker is assigned to when only some shards may have it.
+pub fn home_among(
+    worker: &WorkerId,
+    shards: impl IntoIterator<Item = ShardNumber>,
+) -> Option<ShardNumber> {
+    let weight = |n: &ShardNumber| {
+        (
+            stable_hash(&[worker.as_str(), &n.get().to_string()]),
+            n.get(),
+        )
+    };
+    shards.into_iter().max_by_key(weight)
 }
 
 /// Returns the process that should own a shard.
--- /dev/null
+++ b/crates/core/src/shard/dead_host.rs
@@ -0,0 +1,51 @@
+//! Hosts that an operator declares dead.
+
+use crate::code::{Refusal, ResultCode};
+use crate::id::{HostId, WorkerId};
+use crate::journal::JournalEntry;
+use crate::shard::commit::Recorded;
+use crate::shard::{Effect, Shard};
+use crate::unit::Timestamp;
+
+impl Shard {
+    /// Takes an operator's word that a host is dead: nothing runs there any more.
+    ///
+    /// # Errors
+    ///
+    /// Refused if the host is not known or still answers.
+    pub fn confirm_dead(&mut self, host: &HostId, now: Timestamp) -> Result<usize, Refusal> {
+        let of_host = self.workers.values().filter(|holder| holder.host == *host);
+        let workers: Vec<WorkerId> = of_host.map(|holder| holder.worker.clone()).collect();
+        if workers
+            .iter()
+            .any(|worker| self.may_use_worker(worker, now))
+        {
+            let text = format!("host {host} still answers");
+            return Err(Refusal::new(ResultCode::InvalidValue, text));
+        }
+        let used = self.journal.state().workers().iter();
+        let used =
+            used.filter(|(worker, used)| used.host == *host && self.unfenced.contains(*worker));
+        let unfenced: Vec<WorkerId> = used.map(|(worker, _)| worker.clone()).collect();
+        if workers.is_empty() && unfenced.is_empty() {
+            return Err(Refusal::new(
+                ResultCode::UnknownHost,
+                format!("host {host} is not known"),
+            ));
+        }
+        let appended = self
+            .journal
+            .append(JournalEntry::HostDead { host: host.clone() })?;
+        self.uncommitted.push_back((appended, Recorded::Other));
+        self.effects.push(Effect::Commit);
+        for worker in &workers {
+            self.lose_tasks(worker, now);
+        }
+        for worker in &unfenced {
+            self.inherited_lost = true;
+            self.fenced(worker, now);
+        }
+        self.schedule(now);
+        Ok(workers.len().max(unfenced.len()))
+    }
+}
--- a/crates/core/src/shard/drain.rs
+++ b/crates/core/src/shard/drain.rs
@@ -5,6 +5,7 @@
 use crate::id::{HostId, WorkerId};
 use crate::lease::WorkerEvent;
 use crate::placement::ClosedReason;
+use crate::shard::holding::Holding;
 use crate::shard::worker_record::WorkerRecord;
 use crate::shard::{Shard, WorkerSpec};
 use crate::unit::Timestamp;
@@ -19,8 +20,10 @@
         now: Timestamp,
     ) {
         for spec in listed {
-            if !self.workers.contains_key(&spec.worker) {
-                self.add_worker(spec);
+            match self.workers.get(&spec.worker).map(|holder| holder.holding) {
+                None => self.add_worker(spec),
+                Some(Holding::Home) => {}
+                Some(Holding::Adopted | Holding::GivenBack) => self.set_home(&spec.worker, now),
             }
             for executor in &spec.executors {
                 self.slots.upsert(executor, &spec.worker);
@@ -29,6 +32,7 @@
         }
         let listed: BTreeSet<&WorkerId> = listed.iter().map(|spec| &spec.worker).collect();
         let workers = self.workers.values();
+        let workers = workers.filter(|holder| holder.holding == Holding::Home);
         let states: Vec<(WorkerId, bool)> = workers
             .map(|holder| {
                 let gone = !listed.contains(&holder.worker) || leaving.contains(&holder.host);
@@ -42,7 +46,7 @@
         self.schedule(now);
     }
 
-    fn add_worker(&mut self, spec: &WorkerSpec) {
+    pub(super) fn add_worker(&mut self, spec: &WorkerSpec) {
         let margin = self.config.lease_margin;
         let holder = WorkerRecord::new(
             spec.worker.clone(),
@@ -92,7 +96,8 @@
     /// Forgets workers that are not listed, hold nothing and whose tasks have certainly stopped.
     fn forget_gone(&mut self, listed: &BTreeSet<&WorkerId>, now: Timestamp) {
         let gone = |holder: &&WorkerRecord| {
-            !listed.contains(&holder.worker)
+            holder.holding == Holding::Home
+                && !listed.contains(&holder.worker)
                 && holder.claims.is_empty()
                 && holder.lease.lost(now)
                 && (holder.lease.epoch().is_none() || holder.lease.tasks_certainly_lapsed(now))
--- a/crates/core/src/shard/fence.rs
+++ b/crates/core/src/shard/fence.rs
@@ -55,6 +55,7 @@
         if self.unfenced.is_empty() && self.phase() == ShardPhase::Fencing {
             self.life.handle(ShardEvent::Fenced);
             self.resolve_inherited(now);
+            self.record_workers(now);
         }
     }
 }
--- a/crates/core/src/shard/heartbeat.rs
+++ b/crates/core/src/shard/heartbeat.rs
@@ -2,12 +2,10 @@
 
 use std::collections::HashSet;
 
-use crate::code::{Refusal, ResultCode};
-use crate::id::{Epoch, HostId, Sequence, TaskId, WorkerId};
-use crate::journal::JournalEntry;
+use crate::code::ResultCode;
+use crate::id::{Epoch, Sequence, TaskId, WorkerId};
 use crate::lease::{LeaseChange, WorkerEvent};
 use crate::placement::ClosedReason;
-use crate::shard::commit::Recorded;
 use crate::shard::{Effect, HeartbeatReport, Shard};
 use crate::unit::Timestamp;
 
@@ -25,7 +23,7 @@
         worker: &WorkerId,
         now: Timestamp,
     ) -> Option<(Option<Epoch>, Sequence)> {
-        if self.leases_released() {
+        if self.grant_unwanted(worker) {
             return None;
         }
         let holder = self.workers.get_mut(worker)?;
@@ -43,8 +41,8 @@
 
     /// Takes a granted or renewed lease.
     pub fn on_heartbeat(&mut self, worker: &WorkerId, report: HeartbeatReport, now: Timestamp) {
-        if self.leases_released() {
-            // It was sent before the release and may have overtaken it.
+        if self.grant_unwanted(worker) {
+            // The request was sent before the release and may have overtaken it.
             let (worker, epoch) = (worker.clone(), report.epoch);
             self.effects.push(Effect::ReleaseLease { worker, epoch });
             return;
@@ -85,7 +83,7 @@
         self.fleet
             .upsert_worker(worker.clone(), report.rack.clone(), report.capacity);
         if change != LeaseChange::Renewed {
-            self.claim_worker(worker, &report, now);
+            self.claim_worker(worker, now);
         }
         self.reopen(worker);
         self.take_inventory(worker, report, now);
@@ -93,56 +91,13 @@
         self.schedule(now);
     }
 
-    fn claim_worker(&mut self, worker: &WorkerId, report: &HeartbeatReport, now: Timestamp) {
+    fn claim_worker(&mut self, worker: &WorkerId, now: Timestamp) {
         let executors = self.slots.claim_worker(worker);
         let polls = executors
             .into_iter()
             .map(|executor| Effect::Poll { executor });
         self.effects.extend(polls);
-        self.record_worker(worker, report, now);
-    }
-
-    /// Records that the shard uses the worker, so that a successor asks it before it starts inherited work again.
-    fn record_worker(&mut self, worker: &WorkerId, report: &HeartbeatReport, now: Timestamp) {
-        let used = self.journal.state().workers().get(worker);
-        let known = used.is_some_and(|used| used.incarnation == report.incarnation);
-        let Some(holder) = self.workers.get_mut(worker) else {
-            return;
-        };
-        holder.recorded = known;
-        if known {
-            return;
-        }
-        let entry = JournalEntry::WorkerUsed {
-            worker: worker.clone(),
-            host: holder.host.clone(),
-            address: holder.address.clone(),
-            incarnation: report.incarnation,
-        };
-        let appended = self.journal.append(entry);
-        if let Some(position) = self.check(ResultCode::EpochInvariant, appended) {
-            let recorded = Recorded::Worker {
-                worker: worker.clone(),
-                at: now,
-            };
-            self.uncommitted.push_back((position, recorded));
-            self.effects.push(Effect::Commit);
-        }
-    }
-
-    /// Records that nothing of this shard can run on a worker any more, so that a successor need not ask it.
-    pub(super) fn record_worker_released(&mut self, worker: &WorkerId) {
-        if !self.journal.state().workers().contains_key(worker) || self.unfenced.contains(worker) {
-            return;
-        }
-        let entry = JournalEntry::WorkerReleased {
-            worker: worker.clone(),
-        };
-        let appended = self.journal.append(entry);
-        if let Some(position) = self.check(ResultCode::EpochInvariant, appended) {
-            self.uncommitted.push_back((position, Recorded::Other));
-            self.effects.push(Effect::Commit);
-        }
+        self.record_worker(worker, now);
     }
 
     /// Opens a worker for new tasks if its lease is held and its use is recorded.
@@ -275,45 +230,4 @@
             }
         }
     }
-
-    /// Takes an operator's word that a host is dead: nothing runs there any more.
-    ///
-    /// # Errors
-    ///
-    /// Refused if the host is not known or still answers.
-    pub fn confirm_dead(&mut self, host: &HostId, now: Timestamp) -> Result<usize, Refusal> {
-        let of_host = self.workers.values().filter(|holder| holder.host == *host);
-        let workers: Vec<WorkerId> = of_host.map(|holder| holder.worker.clone()).collect();
-        if workers
-            .iter()
-            .any(|worker| self.may_use_worker(worker, now))
-        {
-            let text = format!("host {host} still answers");
-            return Err(Refusal::new(ResultCode::InvalidValue, text));
-        }
-        let used = self.journal.state().workers().iter();
-        let used =
-            used.filter(|(worker, used)| used.host == *host && self.unfenced.contains(*worker));
-        let unfenced: Vec<WorkerId> = used.map(|(worker, _)| worker.clone()).collect();
-        if workers.is_empty() && unfenced.is_empty() {
-            return Err(Refusal::new(
-                ResultCode::UnknownHost,
-                format!("host {host} is not known"),
-            ));
-        }
-        let appended = self
-            .journal
-            .append(JournalEntry::HostDead { host: host.clone() })?;
-        self.uncommitted.push_back((appended, Recorded::Other));
-        self.effects.push(Effect::Commit);
-        for worker in &workers {
-            self.lose_tasks(worker, now);
-        }
-        for worker in &unfenced {
-            self.inherited_lost = true;
-            self.fenced(worker, now);
-        }
-        self.schedule(now);
-        Ok(workers.len().max(unfenced.len()))
-    }
 }
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -8,9 +8,11 @@
 //! route nothing is said to the caller before the journal has confirmed it.
 
 mod abandon;
+mod adopt;
 mod after_stop;
 mod cancel;
 mod commit;
+mod dead_host;
 mod drain;
 mod effect;
 mod executor_record;
@@ -23,6 +25,7 @@
 mod hand_over_step;
 mod heartbeat;
 mod heartbeat_report;
+mod holding;
 mod invariant;
 mod journal_answer;
 mod place;
@@ -54,6 +57,7 @@
 mod work_view;
 mod worker_record;
 mod worker_spec;
+mod worker_use;
 mod worker_view;
 
 pub use self::{
--- a/crates/core/src/shard/slot_table.rs
+++ b/crates/core/src/shard/slot_table.rs
@@ -122,6 +122,12 @@
         self.executors.values().any(|record| record.own > 0)
     }
 
+    /// Tells whether a request of this owner is at an executor of a worker.
+    pub(super) fn in_use_on(&self, worker: &WorkerId) -> bool {
+        let mut records = self.executors.values();
+        records.any(|record| record.worker == *worker && record.own > 0)
+    }
+
     /// Returns executors with slots that an earlier holder may use.
     pub(super) fn to_poll(&self) -> Vec<ExecutorId> {
         let polled = self
--- a/crates/core/src/shard/worker_record.rs
+++ b/crates/core/src/shard/worker_record.rs
@@ -2,6 +2,7 @@
 
 use crate::id::{HostId, Incarnation, Sequence, TaskId, WorkerId};
 use crate::lease::{WorkerLease, WorkerLife};
+use crate::shard::holding::Holding;
 use crate::unit::{Millis, Resources};
 
 /// A worker of the shard and the tasks that count against its capacity.
@@ -10,6 +11,7 @@
     pub(super) worker: WorkerId,
     pub(super) host: HostId,
     pub(super) address: String,
+    pub(super) holding: Holding,
     pub(super) lease: WorkerLease,
     pub(super) life: WorkerLife,
     pub(super) incarnation: Option<Incarnation>,
@@ -31,6 +33,7 @@
             worker,
             host,
             address,
+            holding: Holding::Home,
             lease: WorkerLease::new(lease_margin),
             life: WorkerLife::new(),
             incarnation: None,
--- /dev/null
+++ b/crates/core/src/shard/worker_use.rs
@@ -0,0 +1,69 @@
+//! Record of the workers that the shard uses, in its journal.
+
+use crate::code::ResultCode;
+use crate::id::WorkerId;
+use crate::journal::JournalEntry;
+use crate::shard::commit::Recorded;
+use crate::shard::holding::Holding;
+use crate::shard::{Effect, Shard};
+use crate::unit::Timestamp;
+
+impl Shard {
+    /// Records that the shard uses the worker, so that a successor asks it before it starts inherited work again.
+    pub(super) fn record_worker(&mut self, worker: &WorkerId, now: Timestamp) {
+        let used = self.journal.state().workers().get(worker);
+        let Some(holder) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let Some(incarnation) = holder.incarnation else {
+            return;
+        };
+        holder.recorded = used.is_some_and(|used| used.incarnation == incarnation);
+        if holder.recorded || holder.holding != Holding::Home {
+            return;
+        }
+        // A successor must see that the worker lost inherited work, as long as this owner has not decided about it.
+        if used.is_some() && !self.unfenced.is_empty() {
+            return;
+        }
+        let entry = JournalEntry::WorkerUsed {
+            worker: worker.clone(),
+            host: holder.host.clone(),
+            address: holder.address.clone(),
+            incarnation,
+        };
+        let appended = self.journal.append(entry);
+        if let Some(position) = self.check(ResultCode::EpochInvariant, appended) {
+            let recorded = Recorded::Worker {
+                worker: worker.clone(),
+                at: now,
+            };
+            self.uncommitted.push_back((position, recorded));
+            self.effects.push(Effect::Commit);
+        }
+    }
+
+    /// Records the workers that restarted before all workers of earlier owners had answered.
+    pub(super) fn record_workers(&mut self, now: Timestamp) {
+        let workers = self.workers.values().filter(|holder| !holder.recorded);
+        let workers: Vec<WorkerId> = workers.map(|holder| holder.worker.clone()).collect();
+        for worker in workers {
+            self.record_worker(&worker, now);
+        }
+    }
+
+    /// Records that nothing of this shard can run on a worker any more, so that a successor need not ask it.
+    pub(super) fn record_worker_released(&mut self, worker: &WorkerId) {
+        if !self.journal.state().workers().contains_key(worker) || self.unfenced.contains(worker) {
+            return;
+        }
+        let entry = JournalEntry::WorkerReleased {
+            worker: worker.clone(),
+        };
+        let appended = self.journal.append(entry);
+        if let Some(position) = self.check(ResultCode::EpochInvariant, appended) {
+            self.uncommitted.push_back((position, Recorded::Other));
+            self.effects.push(Effect::Commit);
+        }
+    }
+}
--- a/crates/core/tests/shard_handover.rs
+++ b/crates/core/tests/shard_peers/handover.rs
@@ -1,12 +1,10 @@
 //! Planned handover: what the owner and the successor may do at each step.
 
-mod shard_model;
-
+use crate::model::{Owner, Store, WORKER, at, batch, request};
 use lagoon_core::ResultCode;
 use lagoon_core::id::Ticket;
 use lagoon_core::shard::{RequestResult, Route, ShardPhase};
 use lagoon_core::work::WorkState;
-use shard_model::{Owner, Store, at, batch, request};
 
 /// Owner of a new shard that serves with the given number of free slots.
 fn serving(store: &mut Store, free: u32) -> Owner {
@@ -168,9 +166,9 @@
         owner.shard.release_leases();
         owner.collect();
         assert_eq!(owner.released(), [1]);
-        owner.beat(Vec::new());
+        owner.beat(WORKER, Vec::new());
         assert_eq!(owner.released(), [1]);
-        owner.granted(Vec::new());
+        owner.granted(WORKER, Vec::new());
         assert_eq!(owner.released(), [1, 1]);
     }
 
@@ -203,8 +201,8 @@
         owner.shard.abort_hand_over(at(0));
         owner.pump(&mut store);
         assert_eq!(owner.shard.phase(), ShardPhase::Serving);
-        owner.beat(Vec::new());
-        owner.free_slots(8);
+        owner.beat(WORKER, Vec::new());
+        owner.free_slots(WORKER, 8);
         owner.submit(ticketed(&ticket));
         assert_eq!(owner.sent(), 1);
         assert!(Owner::take_over(&mut store, "s2", offer).is_none());
@@ -227,7 +225,7 @@
         owner.export(&mut store);
         store.down = true;
         owner.shard.abort_hand_over(at(0));
-        let worker = shard_model::WORKER.parse().unwrap();
+        let worker = WORKER.parse().unwrap();
         assert!(owner.shard.on_heartbeat_sending(&worker, at(0)).is_some());
     }
 
--- a/crates/core/tests/shard_model/mod.rs
+++ b/crates/core/tests/shard_peers/model/mod.rs
@@ -4,6 +4,6 @@
 mod store;
 
 pub(crate) use self::{
-    owner::{Owner, WORKER, at, batch, request},
+    owner::{OTHER_WORKER, Owner, WORKER, at, batch, request, worker},
     store::Store,
 };
--- a/crates/core/tests/shard_model/owner.rs
+++ b/crates/core/tests/shard_peers/model/owner.rs
@@ -15,7 +15,8 @@
 use super::Store;
 
 pub(crate) const WORKER: &str = "w1";
-const EXECUTOR: &str = "e1";
+/// A worker whose home is another shard.
+pub(crate) const OTHER_WORKER: &str = "w2";
 const SERVICE: &str = "planner";
 const TEAM: &str = "turf";
 const CAPACITY: Resources = Resources::new(Millicores::new(4_000), Bytes::new(8 << 30));
@@ -64,6 +65,7 @@
     pub(crate) effects: Vec<Effect>,
     waiter: WaiterId,
     lease: u64,
+    run: u64,
 }
 
 impl Owner {
@@ -89,6 +91,7 @@
             effects: Vec::new(),
             waiter: WaiterId::default(),
             lease: 0,
+            run: 1,
         })
     }
 
@@ -113,30 +116,54 @@
     ) {
         self.shard.begin(at(0));
         self.shard
-            .set_workers(&[worker()], &Default::default(), at(0));
-        let incarnation = Incarnation::new(1);
-        self.shard
-            .on_fenced(&worker().worker, incarnation, tasks.clone(), at(0));
+            .set_workers(&[worker(WORKER)], &Default::default(), at(0));
         self.lease = epoch;
-        self.beat(tasks);
-        self.free_slots(free);
+        self.fence(WORKER, tasks.clone());
+        self.beat(WORKER, tasks);
+        self.free_slots(WORKER, free);
         self.pump(store);
     }
 
     /// Sends a heartbeat that is granted.
-    pub(crate) fn beat(&mut self, tasks: Vec<TaskReport>) {
-        let id = worker().worker;
+    pub(crate) fn beat(&mut self, name: &str, tasks: Vec<TaskReport>) {
+        let id = worker(name).worker;
         if self.shard.on_heartbeat_sending(&id, at(0)).is_some() {
-            self.granted(tasks);
+            self.granted(name, tasks);
         }
     }
 
+    /// Lets the workers answer as a later run from now on.
+    pub(crate) fn restart_workers(&mut self) {
+        self.run += 1;
+    }
+
+    /// Takes the answer of a worker to fencing.
+    pub(crate) fn fence(&mut self, name: &str, tasks: Vec<TaskReport>) {
+        let run = Incarnation::new(self.run);
+        self.shard
+            .on_fenced(&worker(name).worker, run, tasks, at(0));
+        self.collect();
+    }
+
+    /// Uses a worker of another shard.
+    pub(crate) fn adopt(&mut self, name: &str, free: u32, tasks: Vec<TaskReport>) {
+        self.shard.set_adopted(&[worker(name)], at(0));
+        self.beat(name, tasks);
+        self.free_slots(name, free);
+    }
+
+    /// Gives all adopted workers back.
+    pub(crate) fn give_back(&mut self) {
+        self.shard.set_adopted(&[], at(0));
+        self.collect();
+    }
+
     /// Takes the grant of a heartbeat that was sent before.
-    pub(crate) fn granted(&mut self, tasks: Vec<TaskReport>) {
+    pub(crate) fn granted(&mut self, name: &str, tasks: Vec<TaskReport>) {
         let report = HeartbeatReport {
             sent_at: at(0),
             epoch: Epoch::new(self.lease),
-            incarnation: Incarnation::new(1),
+            incarnation: Incarnation::new(self.run),
             rack: "r1".parse().unwrap(),
             capacity: CAPACITY,
             ttl: Millis::new(2_000),
@@ -147,12 +174,12 @@
             forgotten: Vec::new(),
             observed: Resources::ZERO,
         };
-        self.shard.on_heartbeat(&worker().worker, report, at(0));
+        self.shard.on_heartbeat(&worker(name).worker, report, at(0));
         self.collect();
     }
 
-    pub(crate) fn free_slots(&mut self, free: u32) {
-        let executor = EXECUTOR.parse().unwrap();
+    pub(crate) fn free_slots(&mut self, name: &str, free: u32) {
+        let executor = worker(name).executors.remove(0).executor;
         self.shard.on_executor_status(&executor, 8 - free, at(0));
         self.collect();
     }
@@ -253,8 +280,8 @@
     }
 }
 
-fn worker() -> WorkerSpec {
-    let worker: WorkerId = WORKER.parse().unwrap();
+pub(crate) fn worker(name: &str) -> WorkerSpec {
+    let worker: WorkerId = name.parse().unwrap();
     WorkerSpec {
         worker,
         host: "h1".parse().unwrap(),
@@ -262,7 +289,7 @@
         rack: "r1".parse().unwrap(),
         capacity: CAPACITY,
         executors: vec![ExecutorSpec {
-            executor: EXECUTOR.parse().unwrap(),
+            executor: format!("{name}-e").parse().unwrap(),
             service: SERVICE.parse().unwrap(),
             slots: 8,
             connections: 60,
--- a/crates/scheduler/src/cell/shard_cell.rs
+++ b/crates/scheduler/src/cell/shard_cell.rs
@@ -6,7 +6,7 @@
 use lagoon_core::{Refusal, ResultCode};
 use tokio::sync::{Notify, oneshot, watch};
 
-use crate::cell::{Owned, PlacedBy};
+use crate::cell::{InFlight, Owned, PlacedBy};
 use crate::context::Context;
 use crate::drive;
 
@@ -20,6 +20,8 @@
     pub(crate) commit: Notify,
     /// Number of calls in flight.
     in_flight: watch::Sender<usize>,
+    /// Number of calls about worker leases in flight.
+    lease_calls: watch::Sender<usize>,
     /// Signals a change of the shard during a handover.
     changed: watch::Sender<()>,
     /// Phase of the ownership, for whoever waits for a change of it.
@@ -34,6 +36,7 @@
             owned: Mutex::new(None),
             commit: Notify::new(),
             in_flight: watch::Sender::new(0),
+            lease_calls: watch::Sender::new(0),
             changed: watch::Sender::new(()),
             phase: watch::Sender::new(ShardPhase::Standby),
         })
@@ -61,9 +64,21 @@
     }
 
     /// Counts a call as in flight until the guard is dropped.
-    pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
-        self.in_flight.send_modify(|count| *count += 1);
-        InFlight { cell: self.clone() }
+    pub(crate) fn enter(&self) -> InFlight {
+        InFlight::new(&self.in_flight)
+    }
+
+    /// Counts a call that takes or releases a worker lease until the guard is dropped.
+    pub(crate) fn enter_lease_call(&self) -> InFlight {
+        InFlight::new(&self.lease_calls)
+    }
+
+    /// Waits until no such call is in flight, for at most `limit`. One that is answered later may leave a lease behind,
+    /// which the successor then has to wait for.
+    pub(crate) async fn wait_lease_calls(&self, limit: Millis) {
+        let mut rx = self.lease_calls.subscribe();
+        let done = rx.wait_for(|count| *count == 0);
+        let _ = tokio::time::timeout(limit.to_duration(), done).await;
     }
 
     /// Waits until no call is in flight.
@@ -233,15 +248,3 @@
         self.owned.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// A call in flight at a shard.
-#[derive(Debug)]
-pub(crate) struct InFlight {
-    cell: Arc<ShardCell>,
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.cell.in_flight.send_modify(|count| *count -= 1);
-    }
-}
--- a/crates/scheduler/src/context.rs
+++ b/crates/scheduler/src/context.rs
@@ -7,7 +7,7 @@
 use lagoon_process::{Clock, Metrics};
 
 use crate::hosts::HostDirectory;
-use crate::members::MemberTable;
+use crate::members::{Adoption, MemberTable};
 use crate::policy::PolicyCell;
 use crate::settings::SchedulerSettings;
 
@@ -30,6 +30,7 @@
     pub(crate) executors: Transport,
     pub(crate) hosts: HostDirectory,
     pub(crate) members: MemberTable,
+    pub(crate) adoption: Adoption,
     pub(crate) policy: PolicyCell,
 }
 
@@ -58,6 +59,7 @@
             executors: Transport::new(executors),
             hosts: HostDirectory::default(),
             members: MemberTable::new(&settings),
+            adoption: Adoption::default(),
             policy: PolicyCell::default(),
             settings,
             clock,
--- a/crates/scheduler/src/drive/carry_out.rs
+++ b/crates/scheduler/src/drive/carry_out.rs
@@ -33,7 +33,11 @@
             tokio::spawn(requests::poll(cell, epoch, executor));
         }
         Effect::ReleaseLease { worker, epoch } => {
-            tokio::spawn(leases::release(cell, worker, epoch));
+            let call = cell.enter_lease_call();
+            tokio::spawn(async move {
+                leases::release(&cell, worker, epoch).await;
+                drop(call);
+            });
         }
         Effect::Commit => cell.commit.notify_one(),
         Effect::Halt(refusal) => halt(&cell, &refusal),
--- a/crates/scheduler/src/drive/give_up.rs
+++ b/crates/scheduler/src/drive/give_up.rs
@@ -3,6 +3,7 @@
 use lagoon_core::shard::{Shard, ShardPhase};
 
 use crate::cell::ShardCell;
+use crate::drive::hand_over::LEASE_CALLS_WAIT;
 use crate::drive::{HandOverReason, hand_over};
 
 /// Peers that are asked to take a shard of a process that stops.
@@ -45,6 +46,7 @@
         tracing::warn!("shard: {id} still had requests in flight after {limit}");
     }
     cell.with_epoch(epoch, Shard::release_leases);
+    cell.wait_lease_calls(LEASE_CALLS_WAIT).await;
     let limit = cx.settings.record_timeout;
     if !cell.wait_until(epoch, limit, Shard::journal_idle).await {
         let id = cell.id();
--- a/crates/scheduler/src/drive/hand_over.rs
+++ b/crates/scheduler/src/drive/hand_over.rs
@@ -19,6 +19,9 @@
 /// Longest wait for the successor's answer, which comes after its claim.
 const ANSWER_TIMEOUT: Millis = Millis::new(10_000);
 
+/// Longest wait for calls about worker leases that are in flight when the leases are given up.
+pub(super) const LEASE_CALLS_WAIT: Millis = Millis::new(500);
+
 /// Why a shard is handed over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum HandOverReason {
@@ -80,6 +83,7 @@
         return Err(refused(cell, "still has requests in flight"));
     }
     cell.with_epoch(epoch, Shard::release_leases);
+    cell.wait_lease_calls(LEASE_CALLS_WAIT).await;
     let committed = cell.wait_until(epoch, cx.settings.record_timeout, Shard::journal_idle);
     let now = cx.clock.now();
     if !committed.await {
--- a/crates/scheduler/src/drive/heartbeats.rs
+++ b/crates/scheduler/src/drive/heartbeats.rs
@@ -12,6 +12,7 @@
 
 use crate::cell::ShardCell;
 use crate::convert::heartbeat_report;
+use crate::drive::leases;
 
 /// Heartbeats within the time to live of a lease.
 const HEARTBEATS_PER_TTL: u64 = 4;
@@ -23,7 +24,7 @@
     let mut tasks: HashMap<WorkerId, AbortHandle> = HashMap::new();
     let mut timer = tokio::time::interval(LIST_INTERVAL.to_duration());
     // While the leases are given up no task is started, and each one ends by itself after the answer it waits for.
-    let wanted = |shard: &mut Shard| (shard.worker_ids(), shard.leases_released());
+    let wanted = |shard: &mut Shard| (shard.leased_workers(), shard.leases_released());
     while let Some((workers, released)) = cell.with_epoch(epoch, wanted) {
         if released {
             timer.tick().await;
@@ -67,6 +68,7 @@
     let Some(client) = cx.hosts.worker(worker, &cx.workers) else {
         return cell.epoch() == Some(epoch);
     };
+    let call = cell.enter_lease_call();
     let sent_at = cx.clock.now();
     let sending = cell.with_epoch(epoch, |shard| shard.on_heartbeat_sending(worker, sent_at));
     let Some(Some((known_epoch, known_sequence))) = sending else {
@@ -80,12 +82,16 @@
         ttl_ms: cx.settings.lease.ttl,
         task_ttl_ms: cx.settings.lease.task_ttl,
         known_sequence,
-        renew_tasks_of: Vec::new(),
+        renew_tasks_of: cx.adoption.to_renew(worker, cx.settings.shards),
     };
     cx.metrics.count("lease.heartbeats", 1);
     let answer = client.lease(&req).await;
     let now = cx.clock.now();
-    cell.with_epoch(epoch, |shard| match answer {
+    let granted = match &answer {
+        Ok(LeaseOutcome::Granted(answer)) => Some(answer.epoch),
+        _ => None,
+    };
+    let taken = cell.with_epoch(epoch, |shard| match answer {
         Ok(LeaseOutcome::Granted(answer)) => {
             let report = heartbeat_report(*answer, sent_at, &cx.settings.lease);
             shard.on_heartbeat(worker, report, now);
@@ -102,6 +108,11 @@
             tracing::debug!("lease: {worker}: {e}");
             shard.on_heartbeat_lost(worker, now);
         }
-    })
-    .is_some()
+    });
+    if let (None, Some(granted)) = (taken, granted) {
+        // The ownership ended meanwhile, and the next owner need not wait for the end of the lease.
+        leases::release(cell, worker.clone(), granted).await;
+    }
+    drop(call);
+    taken.is_some()
 }
--- a/crates/scheduler/src/drive/leases.rs
+++ b/crates/scheduler/src/drive/leases.rs
@@ -1,12 +1,10 @@
-use std::sync::Arc;
-
 use lagoon_core::id::{Epoch, WorkerId};
 use lagoon_platform::worker::ReleaseRequest;
 
 use crate::cell::ShardCell;
 
 /// Gives the lease on a worker up. If the call fails, the next holder waits until the lease ends.
-pub(super) async fn release(cell: Arc<ShardCell>, worker: WorkerId, epoch: Epoch) {
+pub(super) async fn release(cell: &ShardCell, worker: WorkerId, epoch: Epoch) {
     let cx = cell.cx();
     let Some(client) = cx.hosts.worker(&worker, &cx.workers) else {
         return;
--- a/crates/scheduler/src/drive/ownership.rs
+++ b/crates/scheduler/src/drive/ownership.rs
@@ -14,6 +14,7 @@
 ) -> impl Future<Output = ()> + Send + 'static {
     let epoch = shard.epoch();
     let cell = cell.clone();
+    cell.cx().adoption.remove(cell.id());
     cell.put(shard, placed_by);
     tracing::info!("shard: {} is owned at epoch {epoch}", cell.id());
     async move {
--- a/crates/scheduler/src/drive/ticks.rs
+++ b/crates/scheduler/src/drive/ticks.rs
@@ -19,6 +19,8 @@
         let now = cx.clock.now();
         let policy = cx.policy.get();
         let (workers, leaving) = cx.hosts.of_shard(cell.id(), cx.settings.shards);
+        let assigned = |worker: &_| cx.adoption.assigns(worker, cell.id(), cx.settings.shards);
+        let adopted = cx.hosts.staying(assigned);
         let known = cx.hosts.is_known();
         let applied = cell.with_epoch(epoch, |shard| {
             if let Some(policy) = &policy {
@@ -26,6 +28,7 @@
             }
             if known {
                 shard.set_workers(&workers, &leaving, now);
+                shard.set_adopted(&adopted, now);
             }
             shard.tick(now);
         });
--- a/crates/scheduler/src/hosts/host_directory.rs
+++ b/crates/scheduler/src/hosts/host_directory.rs
@@ -62,6 +62,14 @@
         )
     }
 
+    /// Returns the workers that a condition holds for and whose hosts are not leaving.
+    pub(crate) fn staying(&self, wanted: impl Fn(&WorkerId) -> bool) -> Vec<WorkerSpec> {
+        let inner = self.read();
+        let stays =
+            |spec: &&WorkerSpec| wanted(&spec.worker) && !inner.leaving.contains(&spec.host);
+        inner.workers.iter().filter(stays).cloned().collect()
+    }
+
     /// Returns the client of a worker.
     pub(crate) fn worker(&self, worker: &WorkerId, transport: &Transport) -> Option<WorkerClient> {
         if let Some(client) = self.read().worker_clients.get(worker) {
--- /dev/null
+++ b/crates/scheduler/src/members/adopt.rs
@@ -0,0 +1,54 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use lagoon_core::id::{Epoch, ShardId};
+use lagoon_core::journal::JournalKeys;
+use lagoon_core::unit::Millis;
+use lagoon_platform::ErrorKind;
+
+use crate::context::Context;
+use crate::service::Node;
+
+/// Wait between looks at shards without an owner, and so between calls to a store that may be down.
+const INTERVAL: Millis = Millis::new(500);
+
+/// Decides which shards' workers are adopted: those whose owner is suspected, once the store can't be reached. They stay
+/// adopted until they have an owner again, so that a store that comes and goes does not move them.
+pub(crate) async fn adopt(node: Arc<Node>) {
+    let cx = &node.cx;
+    loop {
+        tokio::time::sleep(INTERVAL.to_duration()).await;
+        let mut orphans = node.ownerless(cx.clock.now());
+        let adopted = cx.adoption.orphans();
+        let news = orphans.keys().find(|shard| !adopted.contains(shard));
+        let down = match news {
+            Some(shard) => store_is_down(cx, shard).await,
+            None => false,
+        };
+        if !down {
+            orphans.retain(|shard, _| adopted.contains(shard));
+        }
+        log_changes(&adopted, &orphans);
+        cx.adoption.set(orphans, node.owned(cx.clock.now()));
+    }
+}
+
+/// Tells whether the store is out of reach. One that is overloaded is not.
+async fn store_is_down(cx: &Context, shard: &ShardId) -> bool {
+    let key = JournalKeys::new(shard).head();
+    match cx.store.get(&key).await {
+        Ok(_) => false,
+        Err(e) => !matches!(e.kind(), ErrorKind::Refused { status: 429, .. }),
+    }
+}
+
+fn log_changes(before: &[ShardId], after: &BTreeMap<ShardId, Option<Epoch>>) {
+    for shard in after.keys().filter(|shard| !before.contains(shard)) {
+        tracing::warn!(
+            "lease: shard {shard} has no owner and the store is down; its workers are adopted"
+        );
+    }
+    for shard in before.iter().filter(|shard| !after.contains_key(shard)) {
+        tracing::info!("lease: shard {shard} has an owner; its workers are given back");
+    }
+}
--- a/crates/scheduler/src/members/member_table.rs
+++ b/crates/scheduler/src/members/member_table.rs
@@ -8,6 +8,7 @@
 use lagoon_wire::v1;
 
 use crate::members::Successor;
+use crate::members::parse::parse_member;
 use crate::settings::SchedulerSettings;
 
 /// Role of a scheduler in heartbeats.
@@ -173,6 +174,15 @@
         preferred_process(shard, processes) == Some(&self.process)
     }
 
+    /// Returns the shards that live peers own.
+    pub(crate) fn owned_shards(&self, now: Timestamp) -> BTreeSet<ShardId> {
+        let inner = self.lock();
+        let alive = inner.members.alive(now);
+        alive
+            .flat_map(|member| member.shards.keys().cloned())
+            .collect()
+    }
+
     /// Returns the owner of a shard and its address, as last heard.
     pub(crate) fn owner(&self, shard: &ShardId) -> Option<(ProcessId, String, Epoch)> {
         let inner = self.lock();
@@ -276,17 +286,3 @@
         }
     }
 }
-
-fn parse_member(message: &v1::Member) -> Option<Member> {
-    let shards = message.shards.iter().map(|claim| {
-        let shard = parse_field("shard", &claim.shard).ok()?;
-        Some((shard, Epoch::new(claim.epoch)))
-    });
-    Some(Member {
-        process: parse_field("process", &message.process).ok()?,
-        domain: parse_field("domain", &message.domain).ok()?,
-        address: message.address.clone(),
-        shards: shards.collect::<Option<_>>()?,
-        policy: lagoon_core::id::PolicyVersion::new(message.policy_version),
-    })
-}
--- a/crates/scheduler/src/members/mod.rs
+++ b/crates/scheduler/src/members/mod.rs
@@ -1,11 +1,16 @@
 //! Other processes of the system: who is alive, which shards they own, and which policy they have.
 
+mod adopt;
+mod adoption;
 mod heartbeats;
 mod member_table;
+mod parse;
 mod register;
 mod successor;
 
 pub(crate) use self::{
+    adopt::adopt,
+    adoption::Adoption,
     heartbeats::{farewell, heartbeats},
     member_table::{MemberTable, SCHEDULER_ROLE},
     register::register,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -68,6 +68,7 @@
         tasks.spawn(hosts::poll(cx.clone()));
         tasks.spawn(members::register(cx.clone()));
         tasks.spawn(members::heartbeats(node.clone()));
+        tasks.spawn(members::adopt(node.clone()));
         tasks.spawn(follow_readiness(node.clone(), readiness.clone()));
         for cell in node.cells.values() {
             tasks.spawn(drive::elect(cell.clone()));
--- a/crates/scheduler/src/service/node.rs
+++ b/crates/scheduler/src/service/node.rs
@@ -1,8 +1,9 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use futures_util::future::join_all;
 use lagoon_core::id::{Epoch, ShardId, ShardNumber};
+use lagoon_core::unit::Timestamp;
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_wire::convert::{parse_field, refusal_to_wire};
 use lagoon_wire::v1;
@@ -101,6 +102,28 @@
         }
     }
 
+    /// Returns the shards of the failure domain that a live process owns.
+    pub(crate) fn owned(&self, now: Timestamp) -> BTreeSet<ShardId> {
+        let mut owned = self.cx.members.owned_shards(now);
+        let own = self.cells.values().filter(|cell| cell.epoch().is_some());
+        owned.extend(own.map(|cell| cell.id().clone()));
+        owned.retain(|shard| self.cells.contains_key(shard));
+        owned
+    }
+
+    /// Returns the shards without a live owner, with their last known epochs. Empty until this process has listened for
+    /// long enough to know who is alive.
+    pub(crate) fn ownerless(&self, now: Timestamp) -> BTreeMap<ShardId, Option<Epoch>> {
+        let members = &self.cx.members;
+        if members.is_leaving() || members.up(now) < self.cx.settings.suspect_after {
+            return BTreeMap::new();
+        }
+        let owned = self.owned(now);
+        let orphans = self.cells.keys().filter(|shard| !owned.contains(*shard));
+        let epoch = |shard| members.owner(shard).map(|(.., epoch)| epoch);
+        orphans.map(|shard| (shard.clone(), epoch(shard))).collect()
+    }
+
     /// Returns why this process is not ready to take work.
     pub(crate) fn not_ready_reason(&self) -> Option<String> {
         if self.cx.policy.get().is_none() {
--- /dev/null
+++ b/crates/scheduler/tests/peers/adoption.rs
@@ -0,0 +1,90 @@
+//! Adoption of the workers of a dead owner while the store is down.
+
+use std::time::Duration;
+
+use crate::cluster::{Cluster, Tuning, eventually};
+use lagoon_core::unit::Millis;
+use lagoon_standin::fault::{FaultMode, FaultRule, FaultTarget};
+use tokio::time::sleep;
+
+/// Tasks stop before the job of a test ends unless somebody renews them.
+const SHORT_TASKS: Tuning = Tuning {
+    lease_ttl: Millis::new(500),
+    task_ttl: Millis::new(1_500),
+    hand_over_after: Millis::new(600_000),
+};
+const RUN: Millis = Millis::new(4_000);
+
+fn store_down(cluster: &Cluster) {
+    let down = FaultRule::new(FaultTarget::Store, FaultMode::Unreachable);
+    cluster.platform.store.faults().add(down);
+}
+
+async fn all_workers(cluster: &Cluster, index: usize, shards: &[u16]) -> usize {
+    let mut count = 0;
+    for shard in shards {
+        count += cluster.calls(index).workers(*shard).await;
+    }
+    count
+}
+
+cluster_cases! {
+    /// Guards against executors and tasks of a dead owner that are lost to an outage of the store, and against adopted
+    /// workers that are kept when the shard has an owner again.
+    dead_owner_and_store_down(2, SHORT_TASKS): cluster => {
+        let shards: Vec<u16> = (0..4).collect();
+        let (lost, kept): (Vec<u16>, Vec<u16>) =
+            shards.iter().partition(|shard| cluster.preferred(**shard, 2) == 0);
+        for shard in &shards {
+            cluster.wait_owner(*shard, Some(cluster.preferred(*shard, 2))).await;
+        }
+        let own = async || all_workers(&cluster, 0, &lost).await + all_workers(&cluster, 1, &kept).await == 16;
+        eventually("all workers are leased", own).await;
+        let own = all_workers(&cluster, 1, &kept).await;
+        let work = cluster.calls(0).submit(lost[0], "k", RUN).await;
+        let running = async || cluster.calls(0).state(&work).await == "running";
+        eventually("the job runs", running).await;
+        store_down(&cluster);
+        cluster.crash(0);
+        let adopted = async || all_workers(&cluster, 1, &kept).await == 16;
+        eventually("the survivor uses all workers", adopted).await;
+        let tickets = cluster.calls(1).tickets(kept[0], 1).await;
+        assert_eq!(cluster.calls(1).run(kept[0], &tickets[0], "echo:a").await, "a");
+        sleep(Duration::from_millis(2_500)).await;
+        cluster.platform.store.faults().clear(&FaultTarget::All);
+        for shard in &lost {
+            cluster.wait_owner(*shard, Some(1)).await;
+        }
+        let returned = async || all_workers(&cluster, 1, &kept).await == own;
+        eventually("the workers are given back", returned).await;
+        let taken = async || all_workers(&cluster, 1, &lost).await == 16 - own;
+        eventually("the home shards use them", taken).await;
+        let ended = async || cluster.calls(1).state(&work).await == "ended";
+        eventually("the job ended", ended).await;
+        assert_eq!(cluster.calls(1).output(&work).await.as_deref(), Some("job"));
+    }
+
+    /// Guards against workers that are taken from a live owner because the store is down.
+    live_owner_keeps_its_workers(2, SHORT_TASKS): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        cluster.wait_owner(shard, Some(0)).await;
+        let shards: Vec<u16> = (0..4).collect();
+        let leased = async || {
+            all_workers(&cluster, 0, &shards).await + all_workers(&cluster, 1, &shards).await == 16
+        };
+        eventually("all workers are leased", leased).await;
+        let before = cluster.calls(0).workers(shard).await;
+        store_down(&cluster);
+        sleep(Duration::from_millis(2_000)).await;
+        assert_eq!(cluster.calls(0).workers(shard).await, before);
+        cluster.platform.store.faults().clear(&FaultTarget::All);
+    }
+
+    /// Guards against an adoption where the store could name a new owner at once.
+    store_up(2, SHORT_TASKS): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        let (_, epoch) = cluster.wait_owner(shard, Some(0)).await;
+        cluster.crash(0);
+        assert_eq!(cluster.wait_owner(shard, Some(1)).await, (1, epoch + 1));
+    }
+}
--- a/crates/scheduler/tests/cluster/calls.rs
+++ b/crates/scheduler/tests/peers/cluster/calls.rs
@@ -67,11 +67,13 @@
     }
 
     /// Submits a batch run and returns its id.
-    pub(crate) async fn submit(&self, number: u16, key: &str) -> String {
+    pub(crate) async fn submit(&self, number: u16, key: &str, run_time: Millis) -> String {
+        let mut job = spec(WorkKind::Batch, "echo:job");
+        job.run_time = run_time;
         let req = v1::SubmitJobRequest {
             shard: shard(number).to_string(),
             key: key.to_owned(),
-            spec: Some(spec_to_wire(&spec(WorkKind::Batch, "echo:job"))),
+            spec: Some(spec_to_wire(&job)),
         };
         let answer = self.scheduler().submit_job(req).await.unwrap().into_inner();
         assert_eq!(answer.refusal, None);
@@ -80,10 +82,32 @@
 
     /// Returns the state of a job; empty if it is not known here.
     pub(crate) async fn state(&self, work: &str) -> String {
+        let status = self.status(work).await;
+        status.map(|status| status.state).unwrap_or_default()
+    }
+
+    /// Returns the output of a job that ended well, or the name of the refusal.
+    pub(crate) async fn output(&self, work: &str) -> Option<String> {
+        let status = self.status(work).await?;
+        match status.outcome?.kind? {
+            Kind::Succeeded(text) | Kind::Failed(text) => Some(text),
+            Kind::Refused(refusal) => Some(name_of(&refusal)),
+        }
+    }
+
+    async fn status(&self, work: &str) -> Option<v1::WorkStatus> {
         let work = work.to_owned();
         let answer = self.scheduler().get_job(v1::GetJobRequest { work }).await;
-        let status = answer.ok().and_then(|answer| answer.into_inner().status);
-        status.map(|status| status.state).unwrap_or_default()
+        answer.ok().and_then(|answer| answer.into_inner().status)
+    }
+
+    /// Returns the number of workers that a shard holds leases of.
+    pub(crate) async fn workers(&self, number: u16) -> usize {
+        let id = shard(number).to_string();
+        let shards = self.shards().await;
+        let status = shards.iter().find(|status| status.shard == id);
+        let workers = status.into_iter().flat_map(|status| &status.workers);
+        workers.filter(|worker| worker.state == "leased").count()
     }
 
     /// Hands a shard over as an operator; returns the number of changes or the name of the refusal.
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/peers/cluster/mod.rs
@@ -137,3 +137,14 @@
         self.platform.stop().await;
     }
 }
+
+/// Waits until a condition holds.
+pub(crate) async fn eventually<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
+    let met = async {
+        while !condition().await {
+            sleep(LOOK.to_duration()).await;
+        }
+    };
+    let met = timeout(PATIENCE.to_duration(), met).await;
+    met.unwrap_or_else(|_| panic!("not so in time: {what}"));
+}
--- a/crates/scheduler/tests/cluster/settings.rs
+++ b/crates/scheduler/tests/peers/cluster/settings.rs
@@ -18,6 +18,7 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Tuning {
     pub(crate) lease_ttl: Millis,
+    pub(crate) task_ttl: Millis,
     pub(crate) hand_over_after: Millis,
 }
 
@@ -25,6 +26,7 @@
     fn default() -> Self {
         Self {
             lease_ttl: Millis::new(1_000),
+            task_ttl: Millis::new(60_000),
             // Longer than any test, so that only tests of it see shards move by preference.
             hand_over_after: Millis::new(600_000),
         }
@@ -82,7 +84,7 @@
         host_list: Address::new(platform.hosts.address()),
         lease: LeaseSettings {
             ttl: tuning.lease_ttl,
-            task_ttl: Millis::new(60_000),
+            task_ttl: tuning.task_ttl,
             margin: Millis::new(100),
         },
         store_writes: Rate::per_second(100),
--- a/crates/scheduler/tests/hand_over.rs
+++ b/crates/scheduler/tests/peers/hand_over.rs
@@ -1,38 +1,26 @@
 //! Planned handover and graceful stop between scheduler processes.
 
-mod cluster;
-
 use std::time::Duration;
 
-use cluster::{Cluster, Tuning};
+use crate::cluster::{Cluster, Tuning, eventually};
 use lagoon_core::unit::Millis;
 use lagoon_standin::fault::{FaultMode, FaultRule, FaultTarget};
 use tokio::time::sleep;
 
 /// Longer than the patience of any wait, so that a successor that must wait for a lease to end fails the test.
 const LONG_LEASE: Tuning = Tuning {
-    lease_ttl: Millis::new(60_000),
+    lease_ttl: Millis::new(20_000),
+    task_ttl: Millis::new(120_000),
     hand_over_after: Millis::new(600_000),
 };
 const EAGER: Tuning = Tuning {
     lease_ttl: Millis::new(1_000),
+    task_ttl: Millis::new(60_000),
     hand_over_after: Millis::new(1_000),
 };
 
-macro_rules! cluster_cases {
-    ($($(#[$doc:meta])* $name:ident($processes:literal, $tuning:expr): $cluster:ident => $body:block)*) => {
-        $(
-            $(#[$doc])*
-            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-            async fn $name() {
-                #[allow(unused_mut)]
-                let mut $cluster = Cluster::spawn($processes, $tuning).await;
-                $body
-                $cluster.finish().await;
-            }
-        )*
-    };
-}
+/// Run time of a job that is still running when its shard moves.
+const RUN: Millis = Millis::new(1_500);
 
 /// Repeats a request as a gateway does while the shard is on its way to another owner.
 async fn run(cluster: &Cluster, shard: u16, ticket: &str, payload: &str) -> String {
@@ -89,25 +77,24 @@
 
     /// Guards against a stop that hangs or loses recorded work when no peer can take over.
     stop_alone(1, LONG_LEASE): cluster => {
-        let work = cluster.calls(0).submit(0, "k").await;
+        let work = cluster.calls(0).submit(0, "k", RUN).await;
         cluster.stop(0).await;
         let next = cluster.start().await;
         cluster.wait_owner(0, Some(next)).await;
-        while cluster.calls(next).state(&work).await != "ended" {
-            sleep(Duration::from_millis(50)).await;
-        }
+        let ended = async || cluster.calls(next).state(&work).await == "ended";
+        eventually("the job ended", ended).await;
     }
 
     /// Guards against a job that is lost, started again or not followed after its shard moved.
     running_job(2, LONG_LEASE): cluster => {
         let shard = cluster.shard_of(0, 2);
         cluster.wait_owner(shard, Some(0)).await;
-        let work = cluster.calls(0).submit(shard, "k").await;
+        let work = cluster.calls(0).submit(shard, "k", RUN).await;
         assert_eq!(cluster.calls(0).hand_over(shard, "scheduler-1").await, Ok(1));
         cluster.wait_owner(shard, Some(1)).await;
-        while cluster.calls(1).state(&work).await != "ended" {
-            sleep(Duration::from_millis(50)).await;
-        }
+        let ended = async || cluster.calls(1).state(&work).await == "ended";
+        eventually("the job ended", ended).await;
+        assert_eq!(cluster.calls(1).output(&work).await.as_deref(), Some("job"));
     }
 
     /// Guards against an operator's choice that is undone by preference, and against a repeat that moves the shard again.
--- /dev/null
+++ b/crates/scheduler/tests/peers/main.rs
@@ -0,0 +1,20 @@
+//! Scheduler processes of one failure domain: handover, graceful stop, and adoption of workers.
+
+macro_rules! cluster_cases {
+    ($($(#[$doc:meta])* $name:ident($processes:literal, $tuning:expr): $cluster:ident => $body:block)*) => {
+        $(
+            $(#[$doc])*
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                #[allow(unused_mut)]
+                let mut $cluster = crate::cluster::Cluster::spawn($processes, $tuning).await;
+                $body
+                $cluster.finish().await;
+            }
+        )*
+    };
+}
+
+mod adoption;
+mod cluster;
+mod hand_over;
