--- a/crates/scheduler/tests/peers/adoption.rs
+++ b/crates/scheduler/tests/peers/adoption.rs
@@ -11,6 +11,7 @@
 const SHORT_TASKS: Tuning = Tuning {
     lease_ttl: Millis::new(500),
     task_ttl: Millis::new(1_500),
+    heartbeat: Millis::new(100),
     hand_over_after: Millis::new(600_000),
 };
 const RUN: Millis = Millis::new(4_000);
--- a/crates/scheduler/tests/peers/cluster/mod.rs
+++ b/crates/scheduler/tests/peers/cluster/mod.rs
@@ -145,6 +145,11 @@
             sleep(LOOK.to_duration()).await;
         }
     };
-    let met = timeout(PATIENCE.to_duration(), met).await;
-    met.unwrap_or_else(|_| panic!("not so in time: {what}"));
+    in_time(what, met).await;
+}
+
+/// Waits for a result.
+pub(crate) async fn in_time<T>(what: &str, result: impl Future<Output = T>) -> T {
+    let result = timeout(PATIENCE.to_duration(), result).await;
+    result.unwrap_or_else(|_| panic!("not in time: {what}"))
 }
--- a/crates/scheduler/tests/peers/cluster/settings.rs
+++ b/crates/scheduler/tests/peers/cluster/settings.rs
@@ -19,6 +19,8 @@
 pub(crate) struct Tuning {
     pub(crate) lease_ttl: Millis,
     pub(crate) task_ttl: Millis,
+    /// A fifth of the time after which a silent peer is suspected.
+    pub(crate) heartbeat: Millis,
     pub(crate) hand_over_after: Millis,
 }
 
@@ -27,6 +29,7 @@
         Self {
             lease_ttl: Millis::new(1_000),
             task_ttl: Millis::new(60_000),
+            heartbeat: Millis::new(100),
             // Longer than any test, so that only tests of it see shards move by preference.
             hand_over_after: Millis::new(600_000),
         }
@@ -88,8 +91,8 @@
             margin: Millis::new(100),
         },
         store_writes: Rate::per_second(100),
-        heartbeat: Millis::new(100),
-        suspect_after: Millis::new(500),
+        heartbeat: tuning.heartbeat,
+        suspect_after: Millis::new(5 * tuning.heartbeat.get()),
         record_timeout: Millis::new(2_000),
         host_list_interval: Millis::new(100),
         drain_timeout: Millis::new(5_000),
--- a/crates/scheduler/tests/peers/hand_over.rs
+++ b/crates/scheduler/tests/peers/hand_over.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::cluster::{Cluster, Tuning, eventually};
+use crate::cluster::{Cluster, Tuning, eventually, in_time};
 use lagoon_core::unit::Millis;
 use lagoon_standin::fault::{FaultMode, FaultRule, FaultTarget};
 use tokio::time::sleep;
@@ -11,11 +11,13 @@
 const LONG_LEASE: Tuning = Tuning {
     lease_ttl: Millis::new(20_000),
     task_ttl: Millis::new(120_000),
+    heartbeat: Millis::new(100),
     hand_over_after: Millis::new(600_000),
 };
 const EAGER: Tuning = Tuning {
     lease_ttl: Millis::new(1_000),
     task_ttl: Millis::new(60_000),
+    heartbeat: Millis::new(100),
     hand_over_after: Millis::new(1_000),
 };
 
@@ -24,15 +26,18 @@
 
 /// Repeats a request as a gateway does while the shard is on its way to another owner.
 async fn run(cluster: &Cluster, shard: u16, ticket: &str, payload: &str) -> String {
-    loop {
-        let (owner, _) = cluster.wait_owner(shard, None).await;
-        let answer = cluster.calls(owner).run(shard, ticket, payload).await;
-        let moving = ["handing_over", "not_owner", "not_serving", "draining"];
-        if !moving.contains(&answer.as_str()) {
-            return answer;
+    let moving = ["handing_over", "not_owner", "not_serving", "draining"];
+    let answered = async {
+        loop {
+            let (owner, _) = cluster.wait_owner(shard, None).await;
+            let answer = cluster.calls(owner).run(shard, ticket, payload).await;
+            if !moving.contains(&answer.as_str()) {
+                return answer;
+            }
+            sleep(Duration::from_millis(20)).await;
         }
-        sleep(Duration::from_millis(20)).await;
-    }
+    };
+    in_time("the request is answered", answered).await
 }
 
 cluster_cases! {
@@ -47,7 +52,8 @@
         let in_flight = tokio::spawn(async move {
             calls.run(shard, &slow, "sleep:700;echo:slow").await
         });
-        sleep(Duration::from_millis(200)).await;
+        let sent = async || cluster.platform.executors.runs().len() == 2;
+        eventually("the slow request runs", sent).await;
         cluster.stop(0).await;
         assert_eq!(in_flight.await.unwrap(), "slow");
         assert_eq!(cluster.wait_owner(shard, Some(1)).await, (1, epoch + 1));
@@ -63,14 +69,16 @@
         cluster.wait_owner(shard, Some(0)).await;
         let calls = cluster.calls(0).clone();
         let ticket = calls.tickets(shard, 1).await.remove(0);
-        let slow = tokio::spawn(async move { calls.run(shard, &ticket, "sleep:800;echo:a").await });
-        sleep(Duration::from_millis(200)).await;
+        let slow =
+            tokio::spawn(async move { calls.run(shard, &ticket, "sleep:2000;echo:a").await });
+        let sent = async || cluster.platform.executors.runs().len() == 1;
+        eventually("the slow request runs", sent).await;
         let process = cluster.take(0);
         let readiness = process.readiness();
         assert!(readiness.reason().is_none());
         let stopping = tokio::spawn(process.stop());
-        sleep(Duration::from_millis(200)).await;
-        assert!(readiness.reason().is_some() && !stopping.is_finished());
+        eventually("readiness is off", async || readiness.reason().is_some()).await;
+        assert!(!slow.is_finished() && !stopping.is_finished());
         assert_eq!(slow.await.unwrap(), "a");
         stopping.await.unwrap();
     }
@@ -97,14 +105,15 @@
         assert_eq!(cluster.calls(1).output(&work).await.as_deref(), Some("job"));
     }
 
-    /// Guards against an operator's choice that is undone by preference, and against a repeat that moves the shard again.
-    operator_moves_a_shard(2, EAGER): cluster => {
+    /// Guards against an operator's choice that is undone by preference or by an election before the next heartbeat, and
+    /// against a repeat that moves the shard again.
+    operator_moves_a_shard(2, Tuning { heartbeat: Millis::new(400), hand_over_after: Millis::new(2_500), ..EAGER }): cluster => {
         let shard = cluster.shard_of(0, 2);
         let (_, epoch) = cluster.wait_owner(shard, Some(0)).await;
         let ticket = cluster.calls(0).tickets(shard, 1).await.remove(0);
         assert_eq!(cluster.calls(0).hand_over(shard, "scheduler-1").await, Ok(1));
         assert_eq!(cluster.wait_owner(shard, Some(1)).await, (1, epoch + 1));
-        sleep(Duration::from_millis(2_500)).await;
+        sleep(Duration::from_millis(4_000)).await;
         assert_eq!(cluster.owner(shard).await, Some((1, epoch + 1)));
         assert_eq!(cluster.calls(0).hand_over(shard, "scheduler-1").await, Ok(0));
         assert_eq!(run(&cluster, shard, &ticket, "echo:a").await, "a");
