--- a/crates/core/src/shard/commit.rs
+++ b/crates/core/src/shard/commit.rs
@@ -30,6 +30,8 @@
         /// When it was first leased.
         at: Timestamp,
     },
+    /// Use of other shards' workers.
+    Borrowed,
     /// Proof that no successor claimed the shard after a handover that failed.
     Resumed,
     /// Anything that nobody waits for.
@@ -82,6 +84,7 @@
                 Recorded::Ended { work } => self.on_end_recorded(&work),
                 Recorded::Worker { worker, .. } => self.on_worker_recorded(&worker),
                 Recorded::Resumed => self.resume(now),
+                Recorded::Borrowed => self.on_borrowing_recorded(),
                 Recorded::Other => {}
             }
         }
--- a/crates/core/src/shard/dead_host.rs
+++ b/crates/core/src/shard/dead_host.rs
@@ -27,7 +27,13 @@
         let used =
             used.filter(|(worker, used)| used.host == *host && self.unfenced.contains(*worker));
         let unfenced: Vec<WorkerId> = used.map(|(worker, _)| worker.clone()).collect();
-        if workers.is_empty() && unfenced.is_empty() {
+        let used = self.journal.state().workers().iter();
+        let borrowed = used.filter(|(worker, used)| {
+            let known = self.workers.contains_key(*worker) || self.unfenced.contains(*worker);
+            used.host == *host && !known
+        });
+        let borrowed: Vec<WorkerId> = borrowed.map(|(worker, _)| worker.clone()).collect();
+        if workers.is_empty() && unfenced.is_empty() && borrowed.is_empty() {
             return Err(Refusal::new(
                 ResultCode::UnknownHost,
                 format!("host {host} is not known"),
@@ -41,11 +47,14 @@
         for worker in &workers {
             self.lose_tasks(worker, now);
         }
+        for worker in &borrowed {
+            self.lose_followed(worker, now);
+        }
         for worker in &unfenced {
             self.inherited_lost = true;
             self.fenced(worker, now);
         }
         self.schedule(now);
-        Ok(workers.len().max(unfenced.len()))
+        Ok(workers.len().max(unfenced.len() + borrowed.len()))
     }
 }
--- a/crates/core/src/shard/effect.rs
+++ b/crates/core/src/shard/effect.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use crate::id::{Epoch, ExecutorId, TaskId, WorkId, WorkerId};
-use crate::shard::{Reply, WaiterId};
+use crate::shard::{Borrower, Reply, WaiterId};
 use crate::unit::Millis;
 use crate::work::WorkSpec;
 
@@ -17,6 +17,22 @@
         /// Specification of its work.
         spec: Arc<WorkSpec>,
     },
+    /// Start a task of another shard; report with `on_lent_start`.
+    StartFor {
+        /// Shard and epoch that the start names.
+        borrower: Borrower,
+        /// Worker.
+        worker: WorkerId,
+        /// Task.
+        task: TaskId,
+        /// Specification of its work.
+        spec: Arc<WorkSpec>,
+    },
+    /// Reserve members of a gang job at other shards, beginning with `begin_borrowing`.
+    Borrow {
+        /// Work.
+        work: WorkId,
+    },
     /// Stop a task, or keep it from starting; the next inventory reports the result.
     Stop {
         /// Worker.
--- a/crates/core/src/shard/expire.rs
+++ b/crates/core/src/shard/expire.rs
@@ -16,6 +16,7 @@
         self.withdraw_late(now);
         self.tickets.expire(now);
         self.check_leases(now);
+        self.expire_reservations(now);
         for worker in self.health.recovered(now) {
             self.fleet.open(&worker, ClosedReason::Rested);
             self.capacity_freed();
--- /dev/null
+++ b/crates/core/src/shard/follow.rs
@@ -0,0 +1,106 @@
+//! Tasks of this shard on workers whose lease another shard holds.
+
+use std::collections::BTreeSet;
+
+use crate::id::{Incarnation, TaskId, WorkerId};
+use crate::shard::after_stop::AfterStop;
+use crate::shard::place::Place;
+use crate::shard::place_state::PlaceState;
+use crate::shard::{Effect, Shard, TaskReport};
+use crate::unit::{Millis, Timestamp};
+
+/// Time after which a member that its worker does not list counts as not started.
+const START_GRACE: Millis = Millis::new(3_000);
+
+impl Shard {
+    /// Returns the workers of other shards that may run tasks of this one.
+    pub fn followed(&self) -> BTreeSet<WorkerId> {
+        let places = self.works.values().flat_map(|record| &record.places);
+        let open = places.filter(|place| {
+            !place.is_finished()
+                && !self.workers.contains_key(&place.worker)
+                && !self.unfenced.contains(&place.worker)
+        });
+        open.map(|place| place.worker.clone()).collect()
+    }
+
+    /// Takes what a followed worker says about the tasks of this shard.
+    pub fn on_followed(
+        &mut self,
+        worker: &WorkerId,
+        incarnation: Incarnation,
+        tasks: Vec<TaskReport>,
+        now: Timestamp,
+    ) {
+        let used = self.journal.state().workers().get(worker);
+        let restarted = used.is_some_and(|used| used.incarnation < incarnation);
+        let listed: BTreeSet<TaskId> = tasks.iter().map(|report| report.task.clone()).collect();
+        for report in tasks {
+            self.on_phase(worker, &report.task, report.phase, now);
+        }
+        for (task, place, due) in self.unlisted(worker, &listed, now) {
+            match place.state {
+                _ if restarted => self.on_lost(worker, &task, now),
+                PlaceState::Starting | PlaceState::InDoubt if place.stopping => {
+                    let worker = worker.clone();
+                    self.effects.push(Effect::Stop { worker, task });
+                }
+                PlaceState::Starting | PlaceState::InDoubt if due => {
+                    self.stop_all(task.work(), AfterStop::Requeue);
+                }
+                _ => {}
+            }
+        }
+        self.schedule(now);
+    }
+
+    /// Returns the open places on a worker that it does not list, and whether a start must have arrived by now.
+    fn unlisted(
+        &self,
+        worker: &WorkerId,
+        listed: &BTreeSet<TaskId>,
+        now: Timestamp,
+    ) -> Vec<(TaskId, Place, bool)> {
+        let mut unlisted = Vec::new();
+        for record in self.works.values() {
+            let due = record
+                .placed_at
+                .is_none_or(|at| now >= at.after(START_GRACE));
+            let open = record.places.iter();
+            let open = open.filter(|place| place.worker == *worker && !place.is_finished());
+            for place in open {
+                let task = place.task(&record.id);
+                if !listed.contains(&task) {
+                    unlisted.push((task, place.clone(), due));
+                }
+            }
+        }
+        unlisted
+    }
+
+    /// Takes an operator's word that a worker of another shard is dead.
+    pub(super) fn lose_followed(&mut self, worker: &WorkerId, now: Timestamp) {
+        for (task, _, _) in self.unlisted(worker, &BTreeSet::new(), now) {
+            self.on_lost(worker, &task, now);
+        }
+    }
+
+    /// Records that nothing runs any more on workers that were borrowed, so that a successor need not ask them.
+    pub fn release_followed(&mut self) {
+        // Before the host list is known, own workers look like borrowed ones.
+        if self.workers.is_empty() || self.borrowing.is_some() {
+            return;
+        }
+        let places = self.works.values().flat_map(|record| &record.places);
+        let placed: BTreeSet<&WorkerId> = places.map(|place| &place.worker).collect();
+        let used = self.journal.state().workers().keys();
+        let unused =
+            used.filter(|worker| !placed.contains(worker) && !self.workers.contains_key(*worker));
+        let unused: Vec<WorkerId> = unused.cloned().collect();
+        if self.journal.is_idle() {
+            for worker in &unused {
+                self.record_worker_released(worker);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/lend.rs
@@ -0,0 +1,224 @@
+//! Capacity for members of gang jobs whose home is another shard.
+//!
+//! Only the holder of a worker's lease accounts for its capacity and starts tasks there, so a borrower reserves members,
+//! and the lender starts them when the borrower commits. From then on the borrower follows, stops and acknowledges its
+//! tasks at the worker itself. What holds when one side dies:
+//!
+//! - The borrower dies before the commit: the reservation expires.
+//! - The borrower dies after the commit: its successor fences the worker, which is in its journal, and finds the task. A
+//!   start that is still on its way names the earlier epoch, and the worker refuses it.
+//! - The lender dies before the commit, or restarts: it does not know the reservation and refuses the commit, and the
+//!   borrower stops every member.
+//! - The lender dies after the commit: a member that was not started never is. The borrower misses it in the worker's
+//!   list, stops it there, which also keeps a late start from taking effect, and stops the other members.
+//! - The answer to a commit is lost: the borrower treats it as refused and stops every member at its worker.
+
+use smallvec::SmallVec;
+
+use crate::code::{Refusal, ResultCode};
+use crate::id::{Epoch, ShardId, TaskId, WorkerId};
+use crate::shard::reservation::Reservation;
+use crate::shard::{Borrower, Effect, ReservationId, Shard, StartResult, TaskPhase};
+use crate::unit::{Millis, Resources, Timestamp};
+use crate::work::{PlacementPolicy, WorkSpec};
+
+/// Longest time for which capacity is kept for a borrower.
+const MAX_TTL: Millis = Millis::new(30_000);
+
+impl Shard {
+    /// Reserves as many of `members` tasks as fit. Their capacity is kept for `ttl`.
+    ///
+    /// # Errors
+    ///
+    /// Refused while the shard is not served, for a borrower's earlier epoch, and if no member fits.
+    pub fn reserve(
+        &mut self,
+        borrower: Borrower,
+        members: u32,
+        need: Resources,
+        placement: &PlacementPolicy,
+        ttl: Millis,
+        now: Timestamp,
+    ) -> Result<(ReservationId, SmallVec<[WorkerId; 8]>), Refusal> {
+        self.check_accepting()?;
+        self.see_borrower(&borrower)?;
+        let workers = match need == Resources::ZERO {
+            true => SmallVec::new(),
+            false => self.place_most(members, &need, placement),
+        };
+        if workers.is_empty() {
+            let text = format!("shard {}: no member fits now", self.config.shard);
+            return Err(Refusal::new(ResultCode::ReservationRefused, text));
+        }
+        let id = ReservationId::new(self.epoch, self.next_reservation);
+        self.next_reservation = self.next_reservation.next();
+        let reservation = Reservation {
+            borrower,
+            need,
+            workers: workers.clone(),
+            expires: now.after(ttl.min(MAX_TTL)),
+            tasks: None,
+        };
+        self.reservations.insert(id, reservation);
+        Ok((id, workers))
+    }
+
+    /// Starts the reserved members, named in the order of their workers. A repeat changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Refused if the reservation is not known, has expired or is another borrower's: then nothing was or will be
+    /// started under it.
+    pub fn commit_reservation(
+        &mut self,
+        id: ReservationId,
+        borrower: &Borrower,
+        tasks: Vec<TaskId>,
+        spec: WorkSpec,
+    ) -> Result<(), Refusal> {
+        let refuse = |text: &str| {
+            let text = format!("reservation {id}: {text}");
+            Err(Refusal::new(ResultCode::ReservationRefused, text))
+        };
+        self.check_accepting()?;
+        self.see_borrower(borrower)?;
+        let Some(reservation) = self.reservations.get_mut(&id) else {
+            return refuse("it is not known or has expired");
+        };
+        if let Some(known) = &reservation.tasks {
+            return match *known == tasks {
+                true => Ok(()),
+                false => refuse("it was committed for other tasks"),
+            };
+        }
+        let own = |task: &TaskId| *task.work().shard() == borrower.shard;
+        if reservation.borrower != *borrower
+            || reservation.workers.len() != tasks.len()
+            || reservation.need != spec.resources
+            || !tasks.iter().all(own)
+        {
+            return refuse("it is for other work");
+        }
+        reservation.tasks = Some(tasks.clone());
+        let workers = reservation.workers.clone();
+        let spec = std::sync::Arc::new(spec);
+        for (worker, task) in workers.into_iter().zip(tasks) {
+            if let Some(holder) = self.workers.get_mut(&worker) {
+                holder.claims.insert(task.clone(), spec.resources);
+            }
+            self.effects.push(Effect::StartFor {
+                borrower: borrower.clone(),
+                worker,
+                task,
+                spec: spec.clone(),
+            });
+        }
+        Ok(())
+    }
+
+    /// Gives a reservation up; an unknown one is no error, because it may have expired.
+    ///
+    /// # Errors
+    ///
+    /// Refused if it was committed.
+    pub fn release_reservation(
+        &mut self,
+        id: ReservationId,
+        borrower: &Borrower,
+        now: Timestamp,
+    ) -> Result<(), Refusal> {
+        let Some(reservation) = self.reservations.get(&id) else {
+            return Ok(());
+        };
+        if reservation.tasks.is_some() || reservation.borrower != *borrower {
+            let text = format!("reservation {id} is committed or of another borrower");
+            return Err(Refusal::new(ResultCode::ReservationRefused, text));
+        }
+        self.drop_reservation(id);
+        self.schedule(now);
+        Ok(())
+    }
+
+    /// Takes the result of a start for a borrower. The borrower itself learns of it at the worker.
+    pub fn on_lent_start(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskId,
+        result: StartResult,
+        now: Timestamp,
+    ) {
+        match result {
+            StartResult::Known(TaskPhase::Running) => {}
+            // The next whole inventory tells whether it runs.
+            StartResult::Unknown => self.forget_inventory(worker),
+            StartResult::DoesNotFit => {
+                self.forget_inventory(worker);
+                self.release_claim(worker, task);
+            }
+            StartResult::LeaseLost => {
+                self.lease_refused(worker);
+                self.release_claim(worker, task);
+            }
+            _ => self.release_claim(worker, task),
+        }
+        self.schedule(now);
+    }
+
+    /// Drops reservations past their time and frees what was not committed.
+    pub(super) fn expire_reservations(&mut self, now: Timestamp) {
+        let expired = self.reservations.iter();
+        let expired = expired.filter(|(_, reservation)| reservation.expires <= now);
+        let expired: Vec<ReservationId> = expired.map(|(id, _)| *id).collect();
+        for id in expired {
+            self.drop_reservation(id);
+        }
+    }
+
+    /// Returns the other shards whose tasks run on a worker, so that the holder of its lease renews them.
+    pub fn lent_to(&self, worker: &WorkerId) -> Vec<ShardId> {
+        let holder = self.workers.get(worker);
+        let tasks = holder.into_iter().flat_map(|holder| holder.claims.keys());
+        let foreign = tasks.map(|task| task.work().shard());
+        let mut shards: Vec<ShardId> = foreign
+            .filter(|shard| **shard != self.config.shard)
+            .cloned()
+            .collect();
+        shards.sort_unstable();
+        shards.dedup();
+        shards
+    }
+
+    fn drop_reservation(&mut self, id: ReservationId) {
+        if let Some(reservation) = self.reservations.remove(&id)
+            && reservation.tasks.is_none()
+        {
+            self.release_all(&reservation.workers, reservation.need);
+            self.capacity_freed();
+        }
+    }
+
+    /// Refuses a borrower's earlier owner, and frees what it reserved.
+    fn see_borrower(&mut self, borrower: &Borrower) -> Result<(), Refusal> {
+        let known = self.borrowers.entry(borrower.shard.clone());
+        let known: &mut Epoch = known.or_insert(borrower.epoch);
+        if borrower.epoch < *known {
+            let text = format!(
+                "shard {} has a later owner, at epoch {known}",
+                borrower.shard
+            );
+            return Err(Refusal::new(ResultCode::ReservationRefused, text));
+        }
+        if std::mem::replace(known, borrower.epoch) < borrower.epoch {
+            let reservations = self.reservations.iter();
+            let outdated = reservations.filter(|(_, reservation)| {
+                let of = &reservation.borrower;
+                of.shard == borrower.shard && of.epoch < borrower.epoch
+            });
+            let outdated: Vec<ReservationId> = outdated.map(|(id, _)| *id).collect();
+            for id in outdated {
+                self.drop_reservation(id);
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -10,6 +10,10 @@
 mod abandon;
 mod adopt;
 mod after_stop;
+mod borrow;
+mod borrow_plan;
+mod borrower;
+mod borrowing;
 mod cancel;
 mod commit;
 mod dead_host;
@@ -20,6 +24,7 @@
 mod executor_view;
 mod expire;
 mod fence;
+mod follow;
 mod hand_over;
 mod hand_over_snapshot;
 mod hand_over_step;
@@ -28,12 +33,17 @@
 mod holding;
 mod invariant;
 mod journal_answer;
+mod lend;
+mod lent_member;
 mod place;
+mod place_most;
 mod place_state;
 mod recover;
 mod reply;
 mod request_result;
 mod requests;
+mod reservation;
+mod reservation_id;
 mod route;
 mod schedule;
 mod settle;
@@ -61,9 +71,10 @@
 mod worker_view;
 
 pub use self::{
-    effect::Effect, executor_spec::ExecutorSpec, executor_view::ExecutorView,
-    hand_over_snapshot::HandOverSnapshot, heartbeat_report::HeartbeatReport,
-    journal_answer::JournalAnswer, reply::Reply, request_result::RequestResult, route::Route,
+    borrow_plan::BorrowPlan, borrower::Borrower, effect::Effect, executor_spec::ExecutorSpec,
+    executor_view::ExecutorView, hand_over_snapshot::HandOverSnapshot,
+    heartbeat_report::HeartbeatReport, journal_answer::JournalAnswer, lent_member::LentMember,
+    reply::Reply, request_result::RequestResult, reservation_id::ReservationId, route::Route,
     shard_config::ShardConfig, shard_event::ShardEvent, shard_life::ShardLife,
     shard_phase::ShardPhase, shard_state::Shard, shard_view::ShardView, start_result::StartResult,
     submission::Submission, task_phase::TaskPhase, task_report::TaskReport, waiter_id::WaiterId,
--- a/crates/core/src/shard/schedule.rs
+++ b/crates/core/src/shard/schedule.rs
@@ -121,6 +121,7 @@
                     if let Some(record) = self.works.get_mut(&entry.work) {
                         record.reason = "no host has room for it now".to_owned();
                     }
+                    self.consider_borrowing(&entry, now);
                     self.tasks.set_aside(entry);
                 }
             }
--- a/crates/core/src/shard/shard_state.rs
+++ b/crates/core/src/shard/shard_state.rs
@@ -11,13 +11,18 @@
 use crate::order::FairQueue;
 use crate::placement::Fleet;
 use crate::policy::Policy;
+use crate::shard::borrowing::Borrowing;
 use crate::shard::commit::Recorded;
 use crate::shard::hand_over_step::HandOverStep;
+use crate::shard::reservation::Reservation;
 use crate::shard::slot_table::SlotTable;
 use crate::shard::work_record::WorkRecord;
 use crate::shard::worker_record::WorkerRecord;
-use crate::shard::{Effect, Reply, ShardConfig, ShardEvent, ShardLife, ShardPhase, WaiterId};
+use crate::shard::{
+    Effect, Reply, ReservationId, ShardConfig, ShardEvent, ShardLife, ShardPhase, WaiterId,
+};
 use crate::ticket::TicketTable;
+use crate::unit::Timestamp;
 
 /// State of an owned shard.
 #[derive(Debug)]
@@ -51,6 +56,16 @@
     pub(super) uncommitted: VecDeque<(Position, Recorded)>,
     pub(super) effects: Vec<Effect>,
     pub(super) hand_over: HandOverStep,
+    /// Capacity kept for other shards.
+    pub(super) reservations: BTreeMap<ReservationId, Reservation>,
+    pub(super) next_reservation: Sequence,
+    /// Highest epoch seen of each borrower.
+    pub(super) borrowers: HashMap<ShardId, Epoch>,
+    pub(super) borrowing: Option<Borrowing>,
+    /// Nothing is borrowed before.
+    pub(super) borrow_after: Timestamp,
+    /// Workers of the failure domain as the host list names them; nothing is claimed there.
+    pub(super) domain: Fleet,
 }
 
 impl Shard {
@@ -92,6 +107,12 @@
             uncommitted: VecDeque::new(),
             effects: Vec::new(),
             hand_over: HandOverStep::None,
+            reservations: BTreeMap::new(),
+            next_reservation: Sequence::default(),
+            borrowers: HashMap::new(),
+            borrowing: None,
+            borrow_after: Timestamp::default(),
+            domain: Fleet::new(),
             policy,
             config,
         };
--- a/crates/core/src/shard/submit.rs
+++ b/crates/core/src/shard/submit.rs
@@ -279,7 +279,7 @@
             {
                 Feasibility::Fits
             }
-            _ if unknown => Feasibility::Unknown,
+            _ if unknown || self.could_borrow(spec) => Feasibility::Unknown,
             _ => Feasibility::NeverFits,
         }
     }
--- a/crates/core/src/shard/work_record.rs
+++ b/crates/core/src/shard/work_record.rs
@@ -43,6 +43,8 @@
     pub(super) charged: bool,
     /// True if the work was accepted by an earlier owner and may have been started by it.
     pub(super) inherited: bool,
+    /// When members were placed at other shards.
+    pub(super) placed_at: Option<Timestamp>,
     /// True if a call was lost, so that a host may have run the work although it waits.
     pub(super) may_have_run: bool,
     /// True if the previous owner handed the work over without having started it.
@@ -77,6 +79,7 @@
             then: None,
             charged: false,
             inherited: false,
+            placed_at: None,
             may_have_run: false,
             unsent: false,
             attempts: 0,
--- a/crates/core/tests/shard_peers/fencing.rs
+++ b/crates/core/tests/shard_peers/fencing.rs
@@ -31,10 +31,9 @@
     second.beat(WORKER, Vec::new());
     second.pump(&mut store);
     let mut third = Owner::claim(&mut store, "s3", None).unwrap();
+    third.fence(OTHER_WORKER, Vec::new());
     third.restart_workers();
     third.serve(&mut store, 3, 8, Vec::new());
-    third.fence(OTHER_WORKER, Vec::new());
-    third.pump(&mut store);
     assert_eq!(third.started(), 0);
     let waiter = third.submit(batch("k"));
     assert_eq!(third.said(waiter), "accepted");
--- a/crates/core/tests/shard_peers/main.rs
+++ b/crates/core/tests/shard_peers/main.rs
@@ -1,6 +1,8 @@
-//! A shard among other owners: handover, adoption of workers, and fencing.
+//! A shard among other owners: handover, adoption of workers, fencing, and reservations between shards.
 
 mod adoption;
+mod borrowing;
 mod fencing;
 mod handover;
+mod lending;
 mod model;
--- a/crates/core/tests/shard_peers/model/mod.rs
+++ b/crates/core/tests/shard_peers/model/mod.rs
@@ -4,6 +4,6 @@
 mod store;
 
 pub(crate) use self::{
-    owner::{OTHER_WORKER, Owner, WORKER, at, batch, request, worker},
+    owner::{OTHER_WORKER, Owner, WORKER, at, batch, gang, request, worker},
     store::Store,
 };
--- a/crates/core/tests/shard_peers/model/owner.rs
+++ b/crates/core/tests/shard_peers/model/owner.rs
@@ -29,6 +29,15 @@
     submission(route, WorkKind::Service, Resources::ZERO, true)
 }
 
+/// A gang job whose members each take half of a worker.
+pub(crate) fn gang(key: &str, members: u32) -> Submission {
+    let mut job = batch(key);
+    job.spec.kind = WorkKind::Gang;
+    job.spec.members = members;
+    job.fingerprint = job.spec.fingerprint();
+    job
+}
+
 /// A task that takes half of the worker.
 pub(crate) fn batch(key: &str) -> Submission {
     let half = Resources::new(Millicores::new(2_000), Bytes::new(1 << 30));
--- a/crates/scheduler/src/cell/shard_cell.rs
+++ b/crates/scheduler/src/cell/shard_cell.rs
@@ -22,7 +22,7 @@
     in_flight: watch::Sender<usize>,
     /// Number of calls about worker leases in flight.
     lease_calls: watch::Sender<usize>,
-    /// Signals a change of the shard during a handover.
+    /// Signals a change of the shard to whoever waits for one.
     changed: watch::Sender<()>,
     /// Phase of the ownership, for whoever waits for a change of it.
     phase: watch::Sender<ShardPhase>,
@@ -117,7 +117,7 @@
         })
     }
 
-    /// Waits until the shard meets a condition during a handover. Returns false if it did not within `limit`, or if the
+    /// Waits until the shard meets a condition. Returns false if it did not within `limit`, or if the
     /// ownership ended.
     pub(crate) async fn wait_until(
         self: &Arc<Self>,
@@ -188,19 +188,15 @@
     }
 
     fn with_owned<R>(self: &Arc<Self>, change: impl FnOnce(&mut Owned) -> R) -> Result<R, Refusal> {
-        let mut handing_over = false;
         let (result, epoch, effects) = {
             let mut guard = self.lock();
             let owned = guard.as_mut().ok_or_else(|| self.not_owner())?;
             let result = change(owned);
             self.publish(owned.shard.phase());
-            if owned.shard.phase() == ShardPhase::HandingOver {
-                handing_over = true;
-            }
             (result, owned.shard.epoch(), owned.settle())
         };
         self.carry_out(epoch, effects);
-        if handing_over {
+        if self.changed.receiver_count() > 0 {
             self.changed.send_replace(());
         }
         Ok(result)
--- a/crates/scheduler/src/drive/carry_out.rs
+++ b/crates/scheduler/src/drive/carry_out.rs
@@ -5,7 +5,7 @@
 use lagoon_core::{Refusal, ResultCode};
 
 use crate::cell::ShardCell;
-use crate::drive::{leases, requests, starts};
+use crate::drive::{borrow, leases, requests, starts};
 
 /// Carries out one effect of a change. Calls run in tasks of their own and report back under the shard's lock.
 pub(crate) fn carry_out(cell: &Arc<ShardCell>, epoch: Epoch, effect: Effect) {
@@ -14,6 +14,18 @@
         Effect::Start { worker, task, spec } => {
             tokio::spawn(starts::start(cell, epoch, worker, task, spec));
         }
+        Effect::StartFor {
+            borrower,
+            worker,
+            task,
+            spec,
+        } => {
+            let start = starts::start_for(cell, epoch, borrower, worker, task, spec);
+            tokio::spawn(start);
+        }
+        Effect::Borrow { work } => {
+            tokio::spawn(borrow::borrow(cell, epoch, work));
+        }
         Effect::Stop { worker, task } => {
             tokio::spawn(starts::stop(cell, epoch, worker, task));
         }
--- /dev/null
+++ b/crates/scheduler/src/drive/follow.rs
@@ -0,0 +1,46 @@
+use std::sync::Arc;
+
+use lagoon_core::id::{Epoch, WorkerId};
+use lagoon_core::unit::Millis;
+use lagoon_platform::worker::ShardEpoch;
+
+use crate::cell::ShardCell;
+use crate::convert::task_report;
+
+/// Wait between two looks at the tasks of the shard on workers whose lease another shard holds.
+const INTERVAL: Millis = Millis::new(250);
+
+/// Follows tasks on borrowed workers until the ownership ends. Fencing with the shard's own epoch needs no lease and lists
+/// them.
+pub(super) async fn follow(cell: Arc<ShardCell>, epoch: Epoch) {
+    let followed = |shard: &mut lagoon_core::shard::Shard| {
+        shard.release_followed();
+        shard.followed()
+    };
+    while let Some(workers) = cell.with_epoch(epoch, followed) {
+        let asked = workers.into_iter().map(|worker| ask(&cell, epoch, worker));
+        futures_util::future::join_all(asked).await;
+        tokio::time::sleep(INTERVAL.to_duration()).await;
+    }
+}
+
+async fn ask(cell: &Arc<ShardCell>, epoch: Epoch, worker: WorkerId) {
+    let cx = cell.cx();
+    let Some(client) = cx.hosts.worker(&worker, &cx.workers) else {
+        return;
+    };
+    let req = ShardEpoch {
+        shard: cell.id().clone(),
+        shard_epoch: epoch,
+    };
+    match client.fence(&req).await {
+        Ok(answer) => {
+            let tasks = answer.tasks.into_iter().map(task_report).collect();
+            let now = cx.clock.now();
+            cell.with_epoch(epoch, |shard| {
+                shard.on_followed(&worker, answer.incarnation, tasks, now);
+            });
+        }
+        Err(e) => tracing::debug!("shard: tasks on {worker}: {e}"),
+    }
+}
--- a/crates/scheduler/src/drive/heartbeats.rs
+++ b/crates/scheduler/src/drive/heartbeats.rs
@@ -7,7 +7,7 @@
 use lagoon_core::shard::Shard;
 use lagoon_core::unit::Millis;
 use lagoon_core::{Refusal, ResultCode};
-use lagoon_platform::worker::{LeaseOutcome, LeaseRefusalReason, LeaseRequest};
+use lagoon_platform::worker::{LeaseOutcome, LeaseRefusalReason, LeaseRequest, ShardEpoch};
 use tokio::task::AbortHandle;
 
 use crate::cell::ShardCell;
@@ -82,7 +82,7 @@
         ttl_ms: cx.settings.lease.ttl,
         task_ttl_ms: cx.settings.lease.task_ttl,
         known_sequence,
-        renew_tasks_of: cx.adoption.to_renew(worker, cx.settings.shards),
+        renew_tasks_of: to_renew(cell, epoch, worker),
     };
     cx.metrics.count("lease.heartbeats", 1);
     let answer = client.lease(&req).await;
@@ -116,3 +116,17 @@
     drop(call);
     taken.is_some()
 }
+
+/// Returns the other shards whose tasks on a worker are to continue: those of live borrowers, and of the worker's home
+/// shard while that has no owner.
+fn to_renew(cell: &Arc<ShardCell>, epoch: Epoch, worker: &WorkerId) -> Vec<ShardEpoch> {
+    let cx = cell.cx();
+    let lent_to = cell.with_epoch(epoch, |shard| shard.lent_to(worker));
+    let lent_to = lent_to.into_iter().flatten().filter_map(|shard| {
+        let shard_epoch = cx.members.live_epoch(&shard, cx.clock.now())?;
+        Some(ShardEpoch { shard, shard_epoch })
+    });
+    let mut renewed = cx.adoption.to_renew(worker, cx.settings.shards);
+    renewed.extend(lent_to);
+    renewed
+}
--- a/crates/scheduler/src/drive/mod.rs
+++ b/crates/scheduler/src/drive/mod.rs
@@ -4,15 +4,18 @@
 //! owner by election ([`elect`]) or by a planned handover ([`hand_over`] at the owner, [`take_over`] at the successor).
 
 mod balance;
+mod borrow;
 mod carry_out;
 mod claim;
 mod commits;
 mod elect;
 mod fencing;
+mod follow;
 mod give_up;
 mod hand_over;
 mod heartbeats;
 mod leases;
+mod lenders;
 mod ownership;
 mod requests;
 mod starts;
--- a/crates/scheduler/src/drive/ownership.rs
+++ b/crates/scheduler/src/drive/ownership.rs
@@ -4,7 +4,7 @@
 use tokio::task::JoinSet;
 
 use crate::cell::{PlacedBy, ShardCell};
-use crate::drive::{commits, fencing, heartbeats, ticks};
+use crate::drive::{commits, fencing, follow, heartbeats, ticks};
 
 /// Puts a claimed shard in place; the result drives it until the ownership ends.
 pub(super) fn begin(
@@ -23,6 +23,7 @@
         tasks.spawn(ticks::ticks(cell.clone(), epoch));
         tasks.spawn(commits::commits(cell.clone(), epoch));
         tasks.spawn(heartbeats::heartbeats(cell.clone(), epoch));
+        tasks.spawn(follow::follow(cell.clone(), epoch));
         tasks.spawn(fencing::fencing(cell.clone(), epoch));
         let ended =
             |phase: &ShardPhase| matches!(phase, ShardPhase::Standby | ShardPhase::Claiming);
--- a/crates/scheduler/src/drive/starts.rs
+++ b/crates/scheduler/src/drive/starts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use lagoon_core::id::{Epoch, TaskId, WorkerId};
-use lagoon_core::shard::StartResult;
+use lagoon_core::shard::{Borrower, StartResult};
 use lagoon_core::work::WorkSpec;
 use lagoon_platform::worker::{
     AcknowledgeRequest, ShardEpoch, StartOutcome, StartRefusalReason, StartRequest, TaskState,
@@ -20,14 +20,35 @@
     task: TaskId,
     spec: Arc<WorkSpec>,
 ) {
-    let result = try_start(&cell, epoch, &worker, &task, &spec).await;
+    let own = Borrower {
+        shard: cell.id().clone(),
+        epoch,
+    };
+    let result = try_start(&cell, epoch, &own, &worker, &task, &spec).await;
     let now = cell.cx().clock.now();
     cell.with_epoch(epoch, |shard| shard.on_start(&worker, &task, result, now));
 }
 
+/// Starts a task of another shard under this shard's lease.
+pub(super) async fn start_for(
+    cell: Arc<ShardCell>,
+    epoch: Epoch,
+    borrower: Borrower,
+    worker: WorkerId,
+    task: TaskId,
+    spec: Arc<WorkSpec>,
+) {
+    let result = try_start(&cell, epoch, &borrower, &worker, &task, &spec).await;
+    let now = cell.cx().clock.now();
+    cell.with_epoch(epoch, |shard| {
+        shard.on_lent_start(&worker, &task, result, now);
+    });
+}
+
 async fn try_start(
     cell: &Arc<ShardCell>,
     epoch: Epoch,
+    on_behalf_of: &Borrower,
     worker: &WorkerId,
     task: &TaskId,
     spec: &WorkSpec,
@@ -47,8 +68,8 @@
     let req = StartRequest {
         epoch: lease,
         task: task.clone(),
-        shard: cell.id().clone(),
-        shard_epoch: epoch,
+        shard: on_behalf_of.shard.clone(),
+        shard_epoch: on_behalf_of.epoch,
         resources: spec.resources,
         run_ms: spec.run_time,
         payload: spec.payload.clone(),
--- a/crates/scheduler/src/drive/ticks.rs
+++ b/crates/scheduler/src/drive/ticks.rs
@@ -14,6 +14,7 @@
     let cx = cell.cx();
     let mut timer = tokio::time::interval(TICK.to_duration());
     timer.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut seen = 0;
     loop {
         timer.tick().await;
         let now = cx.clock.now();
@@ -21,11 +22,15 @@
         let (workers, leaving) = cx.hosts.of_shard(cell.id(), cx.settings.shards);
         let assigned = |worker: &_| cx.adoption.assigns(worker, cell.id(), cx.settings.shards);
         let adopted = cx.hosts.staying(assigned);
+        let domain = cx.hosts.changed(&mut seen);
         let known = cx.hosts.is_known();
         let applied = cell.with_epoch(epoch, |shard| {
             if let Some(policy) = &policy {
                 shard.set_policy(policy);
             }
+            if let Some(domain) = &domain {
+                shard.set_domain(domain);
+            }
             if known {
                 shard.set_workers(&workers, &leaving, now);
                 shard.set_adopted(&adopted, now);
--- a/crates/scheduler/src/hosts/host_directory.rs
+++ b/crates/scheduler/src/hosts/host_directory.rs
@@ -20,6 +20,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     known: bool,
+    readings: u64,
     workers: Vec<WorkerSpec>,
     leaving: BTreeSet<HostId>,
     worker_addresses: HashMap<WorkerId, Endpoint>,
@@ -33,6 +34,7 @@
     pub(crate) fn set(&self, entries: &[HostEntry], domain: &FailureDomain) {
         let mut inner = self.inner.write().unwrap_or_else(PoisonError::into_inner);
         inner.known = true;
+        inner.readings += 1;
         inner.workers.clear();
         inner.leaving.clear();
         for entry in entries
@@ -70,6 +72,20 @@
         inner.workers.iter().filter(stays).cloned().collect()
     }
 
+    /// Returns what the list says about a worker.
+    pub(crate) fn spec(&self, worker: &WorkerId) -> Option<WorkerSpec> {
+        let inner = self.read();
+        let found = inner.workers.iter().find(|spec| spec.worker == *worker);
+        found.cloned()
+    }
+
+    /// Returns all workers of the failure domain if the list was read again since `seen`, which is updated.
+    pub(crate) fn changed(&self, seen: &mut u64) -> Option<Vec<WorkerSpec>> {
+        let inner = self.read();
+        let before = std::mem::replace(seen, inner.readings);
+        (before != inner.readings).then(|| inner.workers.clone())
+    }
+
     /// Returns the client of a worker.
     pub(crate) fn worker(&self, worker: &WorkerId, transport: &Transport) -> Option<WorkerClient> {
         if let Some(client) = self.read().worker_clients.get(worker) {
--- a/crates/scheduler/src/members/adopt.rs
+++ b/crates/scheduler/src/members/adopt.rs
@@ -18,6 +18,7 @@
     let cx = &node.cx;
     loop {
         tokio::time::sleep(INTERVAL.to_duration()).await;
+        cx.members.set_own(node.own_epochs());
         let mut orphans = node.ownerless(cx.clock.now());
         let adopted = cx.adoption.orphans();
         let news = orphans.keys().find(|shard| !adopted.contains(shard));
--- a/crates/scheduler/src/members/member_table.rs
+++ b/crates/scheduler/src/members/member_table.rs
@@ -20,15 +20,15 @@
 #[derive(Debug)]
 pub(crate) struct MemberTable {
     process: ProcessId,
-    domain: FailureDomain,
+    pub(super) domain: FailureDomain,
     suspect_after: Millis,
     address: OnceLock<String>,
     inner: Mutex<Inner>,
 }
 
 #[derive(Debug)]
-struct Inner {
-    members: Members,
+pub(super) struct Inner {
+    pub(super) members: Members,
     /// Addresses that are asked even if no member is known there.
     addresses: BTreeSet<String>,
     /// When this process began to listen; before the first suspicion could arise it claims nothing.
@@ -40,6 +40,8 @@
     up: BTreeMap<ProcessId, (Millis, Timestamp)>,
     /// Shards that this process handed over, with the successor and the time.
     handed_over: BTreeMap<ShardId, (ProcessId, Timestamp)>,
+    /// Shards that this process owns.
+    pub(super) own: BTreeMap<ShardId, Epoch>,
     /// Owners and epochs of shards, as members report them.
     claims: BTreeMap<ShardId, v1::ShardClaim>,
 }
@@ -60,6 +62,7 @@
                 stopping: BTreeSet::new(),
                 up: BTreeMap::new(),
                 handed_over: BTreeMap::new(),
+                own: BTreeMap::new(),
                 claims: BTreeMap::new(),
             }),
         }
@@ -238,7 +241,7 @@
         peers.map(successor).collect()
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/scheduler/src/members/mod.rs
+++ b/crates/scheduler/src/members/mod.rs
@@ -3,6 +3,7 @@
 mod adopt;
 mod adoption;
 mod heartbeats;
+mod lenders;
 mod member_table;
 mod parse;
 mod register;
--- a/crates/scheduler/src/service/mod.rs
+++ b/crates/scheduler/src/service/mod.rs
@@ -1,5 +1,6 @@
 //! gRPC services: adapters between messages and the shards of this process.
 
+mod lending;
 mod node;
 mod operator_service;
 mod peer_service;
--- a/crates/scheduler/src/service/node.rs
+++ b/crates/scheduler/src/service/node.rs
@@ -102,6 +102,14 @@
         }
     }
 
+    /// Returns the shards that this process owns.
+    pub(crate) fn own_epochs(&self) -> BTreeMap<ShardId, Epoch> {
+        let cells = self.cells.values();
+        cells
+            .filter_map(|cell| Some((cell.id().clone(), cell.epoch()?)))
+            .collect()
+    }
+
     /// Returns the shards of the failure domain that a live process owns.
     pub(crate) fn owned(&self, now: Timestamp) -> BTreeSet<ShardId> {
         let mut owned = self.cx.members.owned_shards(now);
--- a/crates/scheduler/src/service/peer_service.rs
+++ b/crates/scheduler/src/service/peer_service.rs
@@ -10,7 +10,7 @@
 
 use crate::cell::PlacedBy;
 use crate::drive::{self, Offer};
-use crate::service::Node;
+use crate::service::{Node, lending};
 
 type Answer<T> = Result<Response<T>, Status>;
 
@@ -81,27 +81,36 @@
         }))
     }
 
-    async fn reserve(&self, _: Request<v1::ReserveRequest>) -> Answer<v1::ReserveResponse> {
-        let refusal = self.not_served("reservations");
-        Ok(Response::new(v1::ReserveResponse {
-            refusal,
-            ..Default::default()
-        }))
+    async fn reserve(&self, req: Request<v1::ReserveRequest>) -> Answer<v1::ReserveResponse> {
+        let answer = match lending::reserve(&self.node, &req.into_inner()) {
+            Ok((reservation, workers)) => v1::ReserveResponse {
+                reservation: reservation.to_string(),
+                workers: workers.iter().map(ToString::to_string).collect(),
+                refusal: None,
+            },
+            Err(refusal) => v1::ReserveResponse {
+                refusal: Some(refusal_to_wire(&refusal)),
+                ..Default::default()
+            },
+        };
+        Ok(Response::new(answer))
     }
 
     async fn commit_reservation(
         &self,
-        _: Request<v1::CommitReservationRequest>,
+        req: Request<v1::CommitReservationRequest>,
     ) -> Answer<v1::CommitReservationResponse> {
-        let refusal = self.not_served("reservations");
+        let refusal = lending::commit(&self.node, &req.into_inner()).err();
+        let refusal = refusal.map(|refusal| refusal_to_wire(&refusal));
         Ok(Response::new(v1::CommitReservationResponse { refusal }))
     }
 
     async fn release_reservation(
         &self,
-        _: Request<v1::ReleaseReservationRequest>,
+        req: Request<v1::ReleaseReservationRequest>,
     ) -> Answer<v1::ReleaseReservationResponse> {
-        let refusal = self.not_served("reservations");
+        let refusal = lending::release(&self.node, &req.into_inner()).err();
+        let refusal = refusal.map(|refusal| refusal_to_wire(&refusal));
         Ok(Response::new(v1::ReleaseReservationResponse { refusal }))
     }
 
--- a/crates/standin/src/workers/worker_tasks.rs
+++ b/crates/standin/src/workers/worker_tasks.rs
@@ -62,7 +62,9 @@
             observed: Self::scale(req.resources, self.observed_factor),
         };
         let until = now + self.task_ttl;
-        self.tasks_until.entry(req.shard.clone()).or_insert(until);
+        // A start is a sign of life: without it, a shard whose earlier renewals have lapsed would lose the task at once.
+        let known = self.tasks_until.entry(req.shard.clone()).or_insert(until);
+        *known = until.max(*known);
         self.insert(report, now + run_time, ends_as);
         StartOutcome::Started
     }
