--- a/crates/core/tests/shard_peers/borrowing.rs
+++ b/crates/core/tests/shard_peers/borrowing.rs
@@ -251,7 +251,7 @@
         let work = wanted(&owner).unwrap();
         owner.shard.begin_borrowing(&work, at(0)).unwrap();
         let offer = owner.export(&mut store);
-        assert_eq!(offer.unsent, [work.clone()]);
+        assert_eq!(offer.unsent, std::slice::from_ref(&work));
         assert!(owner.shard.record_borrowing(&work, &[lent(1)], at(0)).is_none());
     }
 }
--- a/crates/scheduler/tests/peers/adoption.rs
+++ b/crates/scheduler/tests/peers/adoption.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::cluster::{Cluster, Tuning, eventually};
+use crate::cluster::{Cluster, Tuning, WORKERS, eventually};
 use lagoon_core::unit::Millis;
 use lagoon_standin::fault::{FaultMode, FaultRule, FaultTarget};
 use tokio::time::sleep;
@@ -39,15 +39,14 @@
         for shard in &shards {
             cluster.wait_owner(*shard, Some(cluster.preferred(*shard, 2))).await;
         }
-        let own = async || all_workers(&cluster, 0, &lost).await + all_workers(&cluster, 1, &kept).await == 16;
-        eventually("all workers are leased", own).await;
+        cluster.wait_workers().await;
         let own = all_workers(&cluster, 1, &kept).await;
         let work = cluster.calls(0).submit(lost[0], "k", RUN).await;
         let running = async || cluster.calls(0).state(&work).await == "running";
         eventually("the job runs", running).await;
         store_down(&cluster);
         cluster.crash(0);
-        let adopted = async || all_workers(&cluster, 1, &kept).await == 16;
+        let adopted = async || all_workers(&cluster, 1, &kept).await == WORKERS;
         eventually("the survivor uses all workers", adopted).await;
         let tickets = cluster.calls(1).tickets(kept[0], 1).await;
         assert_eq!(cluster.calls(1).run(kept[0], &tickets[0], "echo:a").await, "a");
@@ -58,7 +57,7 @@
         }
         let returned = async || all_workers(&cluster, 1, &kept).await == own;
         eventually("the workers are given back", returned).await;
-        let taken = async || all_workers(&cluster, 1, &lost).await == 16 - own;
+        let taken = async || all_workers(&cluster, 1, &lost).await == WORKERS - own;
         eventually("the home shards use them", taken).await;
         let ended = async || cluster.calls(1).state(&work).await == "ended";
         eventually("the job ended", ended).await;
@@ -69,15 +68,13 @@
     live_owner_keeps_its_workers(2, SHORT_TASKS): cluster => {
         let shard = cluster.shard_of(0, 2);
         cluster.wait_owner(shard, Some(0)).await;
-        let shards: Vec<u16> = (0..4).collect();
-        let leased = async || {
-            all_workers(&cluster, 0, &shards).await + all_workers(&cluster, 1, &shards).await == 16
-        };
-        eventually("all workers are leased", leased).await;
+        cluster.wait_workers().await;
         let before = cluster.calls(0).workers(shard).await;
         store_down(&cluster);
         sleep(Duration::from_millis(2_000)).await;
         assert_eq!(cluster.calls(0).workers(shard).await, before);
+        let wanted = cluster.calls(0).wanted_workers().await + cluster.calls(1).wanted_workers().await;
+        assert_eq!(wanted, WORKERS);
         cluster.platform.store.faults().clear(&FaultTarget::All);
     }
 
--- a/crates/scheduler/tests/peers/cluster/calls.rs
+++ b/crates/scheduler/tests/peers/cluster/calls.rs
@@ -10,7 +10,7 @@
 use lagoon_wire::v1::scheduler_client::SchedulerClient;
 use tonic::transport::{Channel, Endpoint};
 
-use super::settings::{SERVICE, TEAM, shard};
+use super::settings::{SERVICE, TEAM, WORKER, shard};
 
 /// Calls of a gateway and of the admin process to one scheduler.
 #[derive(Clone)]
@@ -70,6 +70,25 @@
     pub(crate) async fn submit(&self, number: u16, key: &str, run_time: Millis) -> String {
         let mut job = spec(WorkKind::Batch, "echo:job");
         job.run_time = run_time;
+        self.submit_job(number, key, job).await
+    }
+
+    /// Submits a gang job whose members take a whole worker each, and returns its id.
+    pub(crate) async fn submit_gang(
+        &self,
+        number: u16,
+        key: &str,
+        members: usize,
+        run_time: Millis,
+    ) -> String {
+        let mut job = spec(WorkKind::Gang, "echo:job");
+        job.members = u32::try_from(members).unwrap();
+        job.resources = WORKER;
+        job.run_time = run_time;
+        self.submit_job(number, key, job).await
+    }
+
+    async fn submit_job(&self, number: u16, key: &str, job: WorkSpec) -> String {
         let req = v1::SubmitJobRequest {
             shard: shard(number).to_string(),
             key: key.to_owned(),
@@ -101,6 +120,12 @@
         answer.ok().and_then(|answer| answer.into_inner().status)
     }
 
+    /// Returns the number of workers that all shards of the process use or want to use.
+    pub(crate) async fn wanted_workers(&self) -> usize {
+        let shards = self.shards().await;
+        shards.iter().map(|status| status.workers.len()).sum()
+    }
+
     /// Returns the number of workers that a shard holds leases of.
     pub(crate) async fn workers(&self, number: u16) -> usize {
         let id = shard(number).to_string();
--- a/crates/scheduler/tests/peers/cluster/mod.rs
+++ b/crates/scheduler/tests/peers/cluster/mod.rs
@@ -14,7 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use self::process::Process;
-pub(crate) use self::settings::Tuning;
+pub(crate) use self::settings::{SHARDS, Tuning, WORKERS};
 
 /// Longest wait for anything; only reached by a test that fails.
 const PATIENCE: Millis = Millis::new(15_000);
@@ -126,6 +126,34 @@
         &self.processes[index].as_ref().unwrap().calls
     }
 
+    /// Waits until every worker is leased by a shard.
+    pub(crate) async fn wait_workers(&self) {
+        let all = async || {
+            let mut leased = 0;
+            for process in self.processes.iter().flatten() {
+                for shard in 0..SHARDS {
+                    leased += process.calls.workers(shard).await;
+                }
+            }
+            leased == WORKERS
+        };
+        eventually("all workers are leased", all).await;
+    }
+
+    /// Waits until a job ended, wherever its shard is served, and returns its output or the name of the refusal.
+    pub(crate) async fn wait_output(&self, shard: u16, work: &str) -> String {
+        let ended = async {
+            loop {
+                let (owner, _) = self.wait_owner(shard, None).await;
+                if let Some(output) = self.calls(owner).output(work).await {
+                    return output;
+                }
+                sleep(LOOK.to_duration()).await;
+            }
+        };
+        in_time("the job ended", ended).await
+    }
+
     /// Asserts that no request and no task ran twice and no worker was given too much, and stops everything.
     pub(crate) async fn finish(mut self) {
         for process in self.processes.iter_mut().filter_map(Option::take) {
--- a/crates/scheduler/tests/peers/cluster/settings.rs
+++ b/crates/scheduler/tests/peers/cluster/settings.rs
@@ -13,6 +13,10 @@
 pub(crate) const SERVICE: &str = "planner";
 pub(crate) const TEAM: &str = "turf";
 pub(crate) const SHARDS: u16 = 4;
+/// Workers of the failure domain.
+pub(crate) const WORKERS: usize = 16;
+/// Resources of each worker.
+pub(crate) const WORKER: Resources = Resources::new(Millicores::new(16_000), Bytes::new(32 << 30));
 
 /// Times that tests choose.
 #[derive(Clone, Copy)]
@@ -48,7 +52,8 @@
     PlatformSettings {
         domains: vec![DOMAIN.parse().unwrap()],
         // With fewer, some shards have no worker.
-        workers: 16,
+        workers: WORKERS as u32,
+        capacity: WORKER,
         racks: 2,
         executors: 16,
         ..PlatformSettings::default()
--- a/crates/scheduler/tests/peers/hand_over.rs
+++ b/crates/scheduler/tests/peers/hand_over.rs
@@ -70,12 +70,13 @@
         let calls = cluster.calls(0).clone();
         let ticket = calls.tickets(shard, 1).await.remove(0);
         let slow =
-            tokio::spawn(async move { calls.run(shard, &ticket, "sleep:2000;echo:a").await });
+            tokio::spawn(async move { calls.run(shard, &ticket, "sleep:4000;echo:a").await });
         let sent = async || cluster.platform.executors.runs().len() == 1;
         eventually("the slow request runs", sent).await;
         let process = cluster.take(0);
         let readiness = process.readiness();
-        assert!(readiness.reason().is_none());
+        // It knows the owners of all shards only after a heartbeat.
+        eventually("readiness is on", async || readiness.reason().is_none()).await;
         let stopping = tokio::spawn(process.stop());
         eventually("readiness is off", async || readiness.reason().is_some()).await;
         assert!(!slow.is_finished() && !stopping.is_finished());
--- a/crates/scheduler/tests/peers/main.rs
+++ b/crates/scheduler/tests/peers/main.rs
@@ -1,4 +1,5 @@
-//! Scheduler processes of one failure domain: handover, graceful stop, and adoption of workers.
+//! Scheduler processes of one failure domain: handover, graceful stop, adoption of workers, and gang jobs over
+//! several shards.
 
 macro_rules! cluster_cases {
     ($($(#[$doc:meta])* $name:ident($processes:literal, $tuning:expr): $cluster:ident => $body:block)*) => {
@@ -18,3 +19,4 @@
 mod adoption;
 mod cluster;
 mod hand_over;
+mod reservations;
--- /dev/null
+++ b/crates/scheduler/tests/peers/reservations.rs
@@ -0,0 +1,103 @@
+//! Gang jobs that need the workers of several shards.
+
+use std::time::Duration;
+
+use crate::cluster::{Cluster, Tuning, WORKERS, eventually};
+use lagoon_core::unit::Millis;
+use tokio::time::sleep;
+
+const RUN: Millis = Millis::new(2_000);
+const SHORT_RUN: Millis = Millis::new(500);
+/// Tasks stop before a job ends unless somebody renews them.
+const SHORT_TASKS: Tuning = Tuning {
+    lease_ttl: Millis::new(500),
+    task_ttl: Millis::new(1_500),
+    heartbeat: Millis::new(100),
+    hand_over_after: Millis::new(600_000),
+};
+
+/// Submits a gang job that takes all workers and waits until it runs; returns its id.
+async fn start_on_all(cluster: &Cluster, owner: usize, shard: u16, run_time: Millis) -> String {
+    cluster.wait_owner(shard, Some(owner)).await;
+    cluster.wait_workers().await;
+    let calls = cluster.calls(owner);
+    let work = calls.submit_gang(shard, "gang", WORKERS, run_time).await;
+    let running = async || calls.state(&work).await == "running";
+    eventually("all members run", running).await;
+    work
+}
+
+cluster_cases! {
+    /// Guards against a gang job that waits for good because no shard alone has room for it.
+    over_all_shards(2, Tuning::default()): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        let work = start_on_all(&cluster, 0, shard, SHORT_RUN).await;
+        let output = cluster.wait_output(shard, &work).await;
+        assert_eq!(output, vec!["job"; WORKERS].join("\n"));
+    }
+
+    /// Guards against members at other shards that stop because their own owner holds no lease there.
+    members_are_renewed(2, SHORT_TASKS): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        let work = start_on_all(&cluster, 0, shard, Millis::new(4_000)).await;
+        let output = cluster.wait_output(shard, &work).await;
+        assert_eq!(output, vec!["job"; WORKERS].join("\n"));
+    }
+
+    /// Guards against a job that is lost or started again when the borrower dies.
+    borrower_dies(2, Tuning::default()): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        let work = start_on_all(&cluster, 0, shard, RUN).await;
+        cluster.crash(0);
+        cluster.wait_owner(shard, Some(1)).await;
+        let output = cluster.wait_output(shard, &work).await;
+        assert_eq!(output, vec!["job"; WORKERS].join("\n"));
+    }
+
+    /// Guards against a job that is lost or started again when a lender dies.
+    lender_dies(2, Tuning::default()): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        let work = start_on_all(&cluster, 0, shard, RUN).await;
+        cluster.crash(1);
+        let output = cluster.wait_output(shard, &work).await;
+        assert_eq!(output, vec!["job"; WORKERS].join("\n"));
+    }
+
+    /// Guards against a job that loses members when both shards move as planned.
+    handed_over_while_running(2, Tuning::default()): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        let work = start_on_all(&cluster, 0, shard, RUN).await;
+        cluster.stop(0).await;
+        let output = cluster.wait_output(shard, &work).await;
+        assert_eq!(output, vec!["job"; WORKERS].join("\n"));
+    }
+
+    /// Guards against reservations that are kept by a job that could not get all its members, and against a job that is
+    /// not tried again.
+    waits_for_room(2, Tuning::default()): cluster => {
+        let (first, second) = (cluster.shard_of(0, 2), cluster.shard_of(1, 2));
+        let before = start_on_all(&cluster, 0, first, SHORT_RUN).await;
+        cluster.wait_owner(second, Some(1)).await;
+        let calls = cluster.calls(1);
+        let work = calls.submit_gang(second, "next", WORKERS, SHORT_RUN).await;
+        cluster.wait_output(first, &before).await;
+        let output = cluster.wait_output(second, &work).await;
+        assert_eq!(output, vec!["job"; WORKERS].join("\n"));
+    }
+
+    /// Guards against two borrowers that hold what the other needs for good.
+    two_borrowers(2, Tuning::default()): cluster => {
+        cluster.wait_workers().await;
+        let (first, second) = (cluster.shard_of(0, 2), cluster.shard_of(1, 2));
+        cluster.wait_owner(first, Some(0)).await;
+        cluster.wait_owner(second, Some(1)).await;
+        let (one, other) = (cluster.calls(0), cluster.calls(1));
+        let (a, b) = tokio::join!(
+            one.submit_gang(first, "a", WORKERS, SHORT_RUN),
+            other.submit_gang(second, "b", WORKERS, SHORT_RUN),
+        );
+        cluster.wait_output(first, &a).await;
+        cluster.wait_output(second, &b).await;
+        sleep(Duration::from_millis(100)).await;
+    }
+}
