Refuse renewals of a lapsed lease and bound when tasks have stopped

Cause: a renewal that was delayed in the buffers of a paused worker could take effect after its sender had counted the tasks there as stopped, so a restartable job could run in two places. Ruled out: a larger margin, because the delay has no bound. Before: a lapsed lease was renewed and its tasks with it. After: the worker refuses a renewal of a lapsed lease, a request for a new lease renews no tasks, and the holder adds one time to live for each renewal without an answer. Conclusion: the bounds of two lease tests moved from 6.4 s to 8.4 s and from 7.6 s to 10.4 s, which is stricter.

--- a/crates/core/src/lease/worker_lease.rs
+++ b/crates/core/src/lease/worker_lease.rs
@@ -6,6 +6,10 @@
 /// A renewal is due after this part of the time to live, which leaves room for two more tries.
 const RENEWALS_PER_TTL: u64 = 4;
 
+/// Renewals without an answer after which the holder asks for a new epoch, so that the time after which tasks have
+/// certainly stopped stays bounded.
+const MAX_UNCONFIRMED: u64 = 4;
+
 /// Lease of one worker as its holder sees it. Create a new one for each epoch of the shard.
 #[derive(Debug)]
 pub struct WorkerLease {
@@ -14,8 +18,16 @@
     // Kept after the lease ends, because the worker refuses lower epochs for good.
     highest: Option<(Epoch, Incarnation)>,
     pending: Option<Timestamp>,
-    // Latest time at which the worker may have handled a renewal, with the task time to live asked for.
-    last_effect: Option<(Timestamp, Millis)>,
+    confirmed: Option<Confirmed>,
+    // Renewals of the current epoch without an answer. Each may still reach the worker while the lease is valid there.
+    unconfirmed: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Confirmed {
+    received_at: Timestamp,
+    ttl: Millis,
+    task_ttl: Millis,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -32,7 +44,8 @@
             grant: None,
             highest: None,
             pending: None,
-            last_effect: None,
+            confirmed: None,
+            unconfirmed: 0,
         }
     }
 
@@ -67,7 +80,15 @@
         };
         self.pending = None;
         self.highest = Some((epoch, incarnation));
-        self.note_effect(received_at, task_ttl);
+        if change != LeaseChange::Renewed {
+            // The worker refuses renewals of an earlier epoch, however late they arrive.
+            self.unconfirmed = 0;
+        }
+        self.note_confirmed(Confirmed {
+            received_at,
+            ttl,
+            task_ttl,
+        });
         // An answer that arrives out of order must not shorten the lease.
         let newest = self.grant.is_none_or(|grant| grant.sent_at <= sent_at);
         if newest {
@@ -83,11 +104,9 @@
     }
 
     /// Notes that a request ended without an answer at `now`: the worker may have renewed until then.
-    pub fn on_unknown(&mut self, now: Timestamp) {
+    pub fn on_unknown(&mut self) {
         self.pending = None;
-        if let Some((_, task_ttl)) = self.last_effect {
-            self.note_effect(now, task_ttl);
-        }
+        self.unconfirmed += 1;
     }
 
     /// Tells whether a start sent now arrives under the lease.
@@ -114,9 +133,14 @@
 
     /// Returns when the tasks of this shard have stopped on the worker for certain; `None` if the lease was never
     /// granted in this epoch of the shard, or while a request is out.
+    ///
+    /// The worker takes a renewal only while the lease is valid there. So each renewal without an answer moves the end by
+    /// at most one time to live, and a start in doubt is taken within one more.
     pub fn tasks_lapse_at(&self) -> Option<Timestamp> {
-        let (at, task_ttl) = self.last_effect.filter(|_| self.pending.is_none())?;
-        Some(at.after(task_ttl).after(self.margin))
+        let confirmed = self.confirmed.filter(|_| self.pending.is_none())?;
+        let leases = Millis::new(confirmed.ttl.get().saturating_mul(self.unconfirmed + 1));
+        let renewed = confirmed.received_at.after(leases);
+        Some(renewed.after(confirmed.task_ttl).after(self.margin))
     }
 
     /// Tells whether the tasks of this shard have stopped on the worker for certain.
@@ -129,14 +153,19 @@
         self.highest.map(|(epoch, _)| epoch)
     }
 
-    fn note_effect(&mut self, at: Timestamp, task_ttl: Millis) {
-        let lapse = |(at, ttl): (Timestamp, Millis)| at.after(ttl);
-        let newer = (at, task_ttl);
+    /// Returns the epoch to renew; `None` if a new one must be asked for.
+    pub fn renewable(&self, now: Timestamp) -> Option<Epoch> {
+        let renewable = !self.lost(now) && self.unconfirmed < MAX_UNCONFIRMED;
+        self.epoch().filter(|_| renewable)
+    }
+
+    fn note_confirmed(&mut self, newer: Confirmed) {
+        let lapse = |known: Confirmed| known.received_at.after(known.ttl).after(known.task_ttl);
         if self
-            .last_effect
+            .confirmed
             .is_none_or(|known| lapse(known) < lapse(newer))
         {
-            self.last_effect = Some(newer);
+            self.confirmed = Some(newer);
         }
     }
 }
--- a/crates/core/src/shard/heartbeat.rs
+++ b/crates/core/src/shard/heartbeat.rs
@@ -27,8 +27,7 @@
     ) -> Option<(Option<Epoch>, Sequence)> {
         let holder = self.workers.get_mut(worker)?;
         holder.lease.on_sending(now);
-        let held = holder.lease.epoch().filter(|_| !holder.lease.lost(now));
-        Some((held, holder.sequence))
+        Some((holder.lease.renewable(now), holder.sequence))
     }
 
     /// Returns the lease epoch to put on a command for a worker.
@@ -211,9 +210,9 @@
     }
 
     /// Notes that a heartbeat was not answered.
-    pub fn on_heartbeat_lost(&mut self, worker: &WorkerId, now: Timestamp) {
+    pub fn on_heartbeat_lost(&mut self, worker: &WorkerId) {
         if let Some(holder) = self.workers.get_mut(worker) {
-            holder.lease.on_unknown(now);
+            holder.lease.on_unknown();
             let late = holder.life.handle(WorkerEvent::RenewalLate);
             if late.is_ok() {
                 self.reopen(worker);
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -30,7 +30,7 @@
         .map_err(|refusal| refusal.code)
 }
 
-/// Sent at 1000, answered at 1300: ends at 3000 for the holder, tasks stop by 6300, margin 100.
+/// Sent at 1000, answered at 1300: ends at 3000 for the holder and by 3300 at the worker, tasks stop by 8300, margin 100.
 fn granted() -> WorkerLease {
     let mut lease = WorkerLease::new(Millis::new(100));
     grant(&mut lease, 1_000, 1_300, 4, 1).unwrap();
@@ -40,7 +40,7 @@
 fn renewal_unanswered() -> WorkerLease {
     let mut lease = granted();
     lease.on_sending(at(2_000));
-    lease.on_unknown(at(2_500));
+    lease.on_unknown();
     lease
 }
 
@@ -101,13 +101,13 @@
     /// Guards against a lease given up early.
     not_lost_before_its_end: granted(), lost, 2_999 => false;
     /// Guards against a second start while the task may still run: tasks count from the answer.
-    tasks_may_run_before: granted(), tasks_certainly_lapsed, 6_399 => false;
+    tasks_may_run_before: granted(), tasks_certainly_lapsed, 8_399 => false;
     /// Guards against work that waits forever for a lost worker.
-    tasks_lapse: granted(), tasks_certainly_lapsed, 6_400 => true;
+    tasks_lapse: granted(), tasks_certainly_lapsed, 8_400 => true;
     /// Guards against a renewal that took effect although its answer was lost.
-    unanswered_renewal_extends: renewal_unanswered(), tasks_certainly_lapsed, 7_599 => false;
+    unanswered_renewal_extends: renewal_unanswered(), tasks_certainly_lapsed, 10_399 => false;
     /// Guards against an unanswered renewal that blocks for good.
-    unanswered_renewal_ends: renewal_unanswered(), tasks_certainly_lapsed, 7_600 => true;
+    unanswered_renewal_ends: renewal_unanswered(), tasks_certainly_lapsed, 10_400 => true;
     /// Guards against a renewal that takes effect after the tasks were counted as stopped.
     renewal_on_its_way: renewal_out(), tasks_certainly_lapsed, 60_000 => false;
     /// Guards against a new owner that counts on renewals that it did not make.
--- a/crates/platform/src/worker/lease_refusal_reason.rs
+++ b/crates/platform/src/worker/lease_refusal_reason.rs
@@ -6,6 +6,8 @@
 pub enum LeaseRefusalReason {
     /// Another holder's lease is valid.
     Held,
+    /// The lease to renew has ended; a new one must be asked for.
+    Lapsed,
     /// The worker has seen a higher epoch of the shard.
     LowerShardEpoch,
 }
--- a/crates/scheduler/src/drive/heartbeats.rs
+++ b/crates/scheduler/src/drive/heartbeats.rs
@@ -90,7 +90,7 @@
         }
         Err(e) => {
             tracing::debug!("lease: {worker}: {e}");
-            shard.on_heartbeat_lost(worker, now);
+            shard.on_heartbeat_lost(worker);
         }
     })
     .is_some()
--- a/crates/standin/src/workers/worker_lease.rs
+++ b/crates/standin/src/workers/worker_lease.rs
@@ -30,7 +30,12 @@
         if valid.is_some_and(|lease| lease.holder != req.holder) {
             return self.refuse_lease(LeaseRefusalReason::Held, now);
         }
-        if valid.is_none() || req.known_epoch.is_none() {
+        let renewal = req.known_epoch.is_some();
+        if renewal && (valid.is_none() || req.known_epoch != Some(self.epoch)) {
+            // A renewal that arrives late must not extend anything.
+            return self.refuse_lease(LeaseRefusalReason::Lapsed, now);
+        }
+        if !renewal {
             self.epoch = self.epoch.next();
         }
         self.lease = Some(HeldLease {
@@ -38,7 +43,8 @@
             until: now + bounded(req.ttl_ms),
         });
         self.task_ttl = bounded(req.task_ttl_ms);
-        for shard in renewed {
+        // A request for a new lease renews no tasks, because nobody knows how late it arrives.
+        for shard in renewed.into_iter().filter(|_| renewal) {
             self.tasks_until.insert(shard, now + self.task_ttl);
         }
         LeaseOutcome::Granted(Box::new(LeaseAnswer {
--- a/crates/standin/src/workers/worker_tasks.rs
+++ b/crates/standin/src/workers/worker_tasks.rs
@@ -62,7 +62,8 @@
             observed: Self::scale(req.resources, self.observed_factor),
         };
         let until = now + self.task_ttl;
-        self.tasks_until.entry(req.shard.clone()).or_insert(until);
+        let renewed = self.tasks_until.entry(req.shard.clone()).or_insert(until);
+        *renewed = until.max(*renewed);
         self.insert(report, now + run_time, ends_as);
         StartOutcome::Started
     }
--- a/crates/standin/tests/workers.rs
+++ b/crates/standin/tests/workers.rs
@@ -232,6 +232,19 @@
         assert!(fleet.clients[0].stop(&task(1), &util::owner()).await.is_err());
     }
 
+    /// Guards against a late renewal that keeps tasks running after their owner counted them as stopped.
+    lapsed_renewal_is_refused: fleet => {
+        let mut short = lease("p1");
+        short.ttl_ms = Millis::new(100);
+        let epoch = granted(fleet.clients[0].lease(&short).await.unwrap()).epoch;
+        sleep(Duration::from_millis(200)).await;
+        short.known_epoch = Some(epoch);
+        let LeaseOutcome::Refused(refusal) = fleet.clients[0].lease(&short).await.unwrap() else {
+            panic!("a lapsed lease was renewed");
+        };
+        assert_eq!(refusal.reason, LeaseRefusalReason::Lapsed);
+    }
+
     /// Guards against a second attempt at a member that no test notices while the first one runs elsewhere.
     second_attempt_elsewhere_is_reported: fleet => {
         let epoch = fleet.lease(0).await.epoch;
