--- a/crates/core/src/code/result_code.rs
+++ b/crates/core/src/code/result_code.rs
@@ -80,8 +80,6 @@
     DeadlinePassed = 2006, "deadline_passed", NotRun;
     /// The work was cancelled before it started.
     Cancelled = 2007, "cancelled", NotRun;
-    /// The store is down, so the work could not be recorded.
-    StoreUnavailable = 2008, "store_unavailable", NotRun;
     /// Every executor refused before it started the request.
     ExecutorsBusy = 2009, "executors_busy", NotRun;
     /// No policy document has reached the process yet.
@@ -118,6 +116,8 @@
     TooManyTickets = 4007, "too_many_tickets", Elsewhere;
     /// A reservation was refused or has expired.
     ReservationRefused = 4008, "reservation_refused", Elsewhere;
+    /// The store did not answer, so the work was not accepted here. An earlier attempt with the same key may have been.
+    StoreUnavailable = 4009, "store_unavailable", Elsewhere;
     /// The command is not well-formed.
     CommandSyntax = 5001, "command_syntax", NotRun;
     /// What the command touches changed since its preview.
--- a/crates/core/src/journal/group.rs
+++ b/crates/core/src/journal/group.rs
@@ -195,6 +195,7 @@
         self.committed += proposal.entries as u64;
         let up_to = self.committed_up_to();
         let mut events = vec![JournalEvent::Committed { up_to }];
+        events.extend(self.checks.confirm());
         if self.snapshot_due() && !self.snapshot_wanted {
             events.push(JournalEvent::SnapshotNeeded);
         }
--- a/crates/core/src/journal/journal_core.rs
+++ b/crates/core/src/journal/journal_core.rs
@@ -3,6 +3,7 @@
 
 use crate::code::{Refusal, ResultCode};
 use crate::id::ShardId;
+use crate::journal::checks::Checks;
 use crate::journal::group::entry_bytes;
 use crate::journal::proposal::{Proposal, Staged};
 use crate::journal::{
@@ -50,6 +51,8 @@
     pub(super) latest: Timestamp,
     pub(super) blocked_until: Timestamp,
     pub(super) stopped: bool,
+    /// Checks of the ownership: requested, covered by the outstanding call, and confirmed.
+    pub(super) checks: Checks,
 }
 
 impl Journal {
@@ -85,6 +88,7 @@
             latest: Timestamp::default(),
             blocked_until: Timestamp::default(),
             stopped: false,
+            checks: Checks::default(),
         }
     }
 
@@ -165,9 +169,7 @@
             return None;
         }
         if self.read_needed {
-            self.outstanding = Some(Call::Read);
-            let key = self.keys.head();
-            return Some(JournalWrite::ReadHead { key });
+            return Some(self.read_head());
         }
         if self.proposal.is_none() {
             if self.delete_due && !self.unreferenced.is_empty() {
@@ -182,12 +184,16 @@
         }
         if let Some(proposal) = &self.proposal {
             self.outstanding = Some(Call::Swap);
+            self.checks.covered = self.checks.requested;
             return Some(JournalWrite::SwapHead {
                 key: self.keys.head(),
                 value: proposal.head.clone(),
                 expect_version: self.version,
             });
         }
+        if self.checks.requested > self.checks.confirmed {
+            return Some(self.read_head());
+        }
         (!self.unreferenced.is_empty()).then(|| self.delete())
     }
 
@@ -267,11 +273,24 @@
             return self.commit(version);
         }
         if head == *self.head && version == self.version {
-            return Vec::new();
+            return self.checks.confirm().into_iter().collect();
         }
         self.stop("the head holds what its owner did not write")
     }
 
+    /// Asks the store whether this owner still owns the shard. The number is confirmed by `OwnershipConfirmed`.
+    pub fn request_check(&mut self) -> u64 {
+        self.checks.requested += 1;
+        self.checks.requested
+    }
+
+    fn read_head(&mut self) -> JournalWrite {
+        self.outstanding = Some(Call::Read);
+        self.checks.covered = self.checks.requested;
+        let key = self.keys.head();
+        JournalWrite::ReadHead { key }
+    }
+
     fn stop(&mut self, what: &str) -> Vec<JournalEvent> {
         self.stopped = true;
         let text = format!("{}: {what}", self.shard);
--- a/crates/core/src/journal/journal_entry.rs
+++ b/crates/core/src/journal/journal_entry.rs
@@ -52,6 +52,11 @@
         /// Work.
         work: WorkId,
     },
+    /// A start of the work was lost with its host, and the work waits for another one.
+    Restarted {
+        /// Work.
+        work: WorkId,
+    },
     /// The work was given to another failure domain.
     Delegated {
         /// Work.
--- a/crates/core/src/journal/journal_event.rs
+++ b/crates/core/src/journal/journal_event.rs
@@ -10,6 +10,11 @@
         /// Position of the last durable entry.
         up_to: Position,
     },
+    /// This owner still owned the shard after these checks were requested.
+    OwnershipConfirmed {
+        /// Number of the last check.
+        up_to: u64,
+    },
     /// Many segments have gathered; call `begin_snapshot` when convenient.
     SnapshotNeeded,
     /// Another process owns the shard now; nothing more will be committed.
--- a/crates/core/src/journal/journal_state.rs
+++ b/crates/core/src/journal/journal_state.rs
@@ -103,6 +103,7 @@
                     spec: spec.clone(),
                     accepted_at: *accepted_at,
                     held: false,
+                    ran: false,
                     delegated: None,
                 };
                 self.live.insert(work.clone(), live);
@@ -116,6 +117,7 @@
             }
             JournalEntry::Held { work } => self.update(work, |live| live.held = true),
             JournalEntry::Released { work } => self.update(work, |live| live.held = false),
+            JournalEntry::Restarted { work } => self.update(work, |live| live.ran = true),
             JournalEntry::Delegated { work, domain } => {
                 self.update(work, |live| live.delegated = Some(domain.clone()));
             }
@@ -257,10 +259,13 @@
         accepted_at: live.accepted_at,
     };
     let held = live.held.then(|| JournalEntry::Held { work: work.clone() });
+    let ran = live
+        .ran
+        .then(|| JournalEntry::Restarted { work: work.clone() });
     let delegated = live.delegated.clone();
     let delegated = delegated.map(|domain| JournalEntry::Delegated {
         work: work.clone(),
         domain,
     });
-    [Some(accepted), held, delegated].into_iter().flatten()
+    [Some(accepted), held, ran, delegated].into_iter().flatten()
 }
--- a/crates/core/src/journal/live_work.rs
+++ b/crates/core/src/journal/live_work.rs
@@ -17,6 +17,8 @@
     pub accepted_at: Timestamp,
     /// Whether an operator keeps it back.
     pub held: bool,
+    /// Whether an earlier start may have run; the work can't be refused as not run any more.
+    pub ran: bool,
     /// Failure domain to which it was given.
     pub delegated: Option<FailureDomain>,
 }
--- a/crates/core/src/journal/mod.rs
+++ b/crates/core/src/journal/mod.rs
@@ -25,6 +25,7 @@
 //! # let _ = write;
 //! ```
 
+mod checks;
 mod claim;
 mod claim_result;
 mod commit_pace;
--- a/crates/core/src/shard/abandon.rs
+++ b/crates/core/src/shard/abandon.rs
@@ -20,6 +20,7 @@
 
     /// Replies to everyone who waits, because this owner can't find out more.
     pub fn abandon(&mut self) {
+        self.abandon_refusals();
         let works: Vec<WorkId> = self.works.keys().cloned().collect();
         for work in works {
             let Some(record) = self.works.get_mut(&work) else {
@@ -46,6 +47,13 @@
         }
     }
 
+    fn abandon_refusals(&mut self) {
+        for held in std::mem::take(&mut self.unconfirmed) {
+            let refusal = Refusal::new(ResultCode::NotOwner, "the shard has another owner");
+            self.reply(held.waiter, Reply::Refused(refusal));
+        }
+    }
+
     /// Returns the workers of the shard.
     pub fn worker_ids(&self) -> BTreeSet<WorkerId> {
         self.workers.keys().cloned().collect()
--- a/crates/core/src/shard/commit.rs
+++ b/crates/core/src/shard/commit.rs
@@ -1,9 +1,9 @@
 //! What becomes durable, and what is said then.
 
 use crate::code::{Refusal, ResultCode};
-use crate::id::{WorkId, WorkerId};
+use crate::id::{TaskId, WorkId, WorkerId};
 use crate::journal::{JournalEvent, JournalWrite, Position};
-use crate::shard::{JournalAnswer, Reply, Shard};
+use crate::shard::{Effect, JournalAnswer, Reply, Shard};
 use crate::unit::Timestamp;
 use crate::work::{Outcome, WorkKind, WorkState};
 
@@ -22,6 +22,11 @@
         /// Work.
         work: WorkId,
     },
+    /// Loss of a start.
+    Restarted {
+        /// Tasks of the lost start, which their workers may forget then.
+        lost: Vec<(WorkerId, TaskId)>,
+    },
     /// Use of a worker.
     Worker {
         /// Worker.
@@ -56,6 +61,7 @@
         for event in events {
             match event {
                 JournalEvent::Committed { up_to } => self.on_committed(up_to),
+                JournalEvent::OwnershipConfirmed { up_to } => self.confirm_refusals(up_to),
                 JournalEvent::SnapshotNeeded => self.journal.begin_snapshot(),
                 JournalEvent::OwnershipLost { owner, epoch } => {
                     let shard = &self.config.shard;
@@ -73,6 +79,7 @@
             match recorded {
                 Recorded::Accepted { work, .. } => self.on_acceptance_recorded(&work),
                 Recorded::Ended { work } => self.on_end_recorded(&work),
+                Recorded::Restarted { lost } => self.acknowledge_lost(lost),
                 Recorded::Worker { worker, .. } => self.on_worker_recorded(&worker),
                 Recorded::Other => {}
             }
@@ -120,6 +127,13 @@
         }
     }
 
+    fn acknowledge_lost(&mut self, lost: Vec<(WorkerId, TaskId)>) {
+        for (worker, task) in lost {
+            let tasks = vec![task];
+            self.effects.push(Effect::Acknowledge { worker, tasks });
+        }
+    }
+
     fn on_worker_recorded(&mut self, worker: &WorkerId) {
         let used = self.journal.state().workers().get(worker);
         let recorded = used.map(|used| used.incarnation);
@@ -129,6 +143,28 @@
         }
     }
 
+    fn confirm_refusals(&mut self, up_to: u64) {
+        while let Some(held) = self.unconfirmed.pop_front_if(|held| held.check <= up_to) {
+            self.reply(held.waiter, Reply::Refused(held.refusal));
+        }
+    }
+
+    /// Answers refusals that the store did not confirm in time with a code that says less.
+    pub(super) fn release_refusals(&mut self, now: Timestamp) {
+        let timeout = self.config.record_timeout;
+        while let Some(held) = self
+            .unconfirmed
+            .pop_front_if(|held| held.at.after(timeout) <= now)
+        {
+            let text = format!(
+                "not accepted here ({}), and the store does not answer",
+                held.refusal
+            );
+            let refusal = Refusal::new(ResultCode::StoreUnavailable, text);
+            self.reply(held.waiter, Reply::Refused(refusal));
+        }
+    }
+
     /// Withdraws acceptances that the store did not record in time. What was certainly not written is refused as not
     /// run; the rest may have been recorded and stays.
     pub(super) fn withdraw_late(&mut self, now: Timestamp) {
--- a/crates/core/src/shard/expire.rs
+++ b/crates/core/src/shard/expire.rs
@@ -14,6 +14,7 @@
     pub fn tick(&mut self, now: Timestamp) {
         self.expire_waiting(now);
         self.withdraw_late(now);
+        self.release_refusals(now);
         self.tickets.expire(now);
         self.check_leases(now);
         for worker in self.health.recovered(now) {
--- a/crates/core/src/shard/fence.rs
+++ b/crates/core/src/shard/fence.rs
@@ -12,7 +12,7 @@
     pub fn unfenced(&self) -> Vec<(WorkerId, String)> {
         let used = self.journal.state().workers();
         let address = |worker: &WorkerId| used.get(worker).map(|used| used.address.clone());
-        let unfenced = self.unfenced.iter();
+        let unfenced = self.unfenced.keys();
         unfenced
             .filter_map(|worker| Some((worker.clone(), address(worker)?)))
             .collect()
@@ -32,11 +32,10 @@
         tasks: Vec<TaskReport>,
         now: Timestamp,
     ) {
-        if !self.unfenced.contains(worker) {
+        let Some(used) = self.unfenced.get(worker) else {
             return;
-        }
-        let used = self.journal.state().workers().get(worker);
-        if used.is_some_and(|used| used.incarnation != incarnation) {
+        };
+        if *used != incarnation {
             self.inherited_lost = true;
         }
         for report in tasks {
--- a/crates/core/src/shard/heartbeat.rs
+++ b/crates/core/src/shard/heartbeat.rs
@@ -8,7 +8,7 @@
 use crate::lease::{LeaseChange, WorkerEvent};
 use crate::placement::ClosedReason;
 use crate::shard::commit::Recorded;
-use crate::shard::{Effect, HeartbeatReport, Shard};
+use crate::shard::{Effect, HeartbeatReport, Shard, ShardPhase};
 use crate::unit::Timestamp;
 
 impl Shard {
@@ -75,7 +75,7 @@
         self.fleet
             .upsert_worker(worker.clone(), report.rack.clone(), report.capacity);
         if change != LeaseChange::Renewed {
-            self.claim_worker(worker, &report, now);
+            self.claim_worker(worker, now);
         }
         self.reopen(worker);
         self.take_inventory(worker, report, now);
@@ -83,31 +83,35 @@
         self.schedule(now);
     }
 
-    fn claim_worker(&mut self, worker: &WorkerId, report: &HeartbeatReport, now: Timestamp) {
+    fn claim_worker(&mut self, worker: &WorkerId, now: Timestamp) {
         let executors = self.slots.claim_worker(worker);
         let polls = executors
             .into_iter()
             .map(|executor| Effect::Poll { executor });
         self.effects.extend(polls);
-        self.record_worker(worker, report, now);
+        self.record_worker(worker, now);
     }
 
     /// Records that the shard uses the worker, so that a successor asks it before it starts inherited work again.
-    fn record_worker(&mut self, worker: &WorkerId, report: &HeartbeatReport, now: Timestamp) {
+    pub(super) fn record_worker(&mut self, worker: &WorkerId, now: Timestamp) {
+        let fencing = self.phase() == ShardPhase::Fencing;
         let used = self.journal.state().workers().get(worker);
-        let known = used.is_some_and(|used| used.incarnation == report.incarnation);
+        let used = used.map(|used| used.incarnation);
         let Some(holder) = self.workers.get_mut(worker) else {
             return;
         };
-        holder.recorded = known;
-        if known {
+        let Some(incarnation) = holder.incarnation else {
+            return;
+        };
+        holder.recorded = used == Some(incarnation);
+        if holder.recorded || (fencing && used.is_some()) {
             return;
         }
         let entry = JournalEntry::WorkerUsed {
             worker: worker.clone(),
             host: holder.host.clone(),
             address: holder.address.clone(),
-            incarnation: report.incarnation,
+            incarnation,
         };
         let appended = self.journal.append(entry);
         if let Some(position) = self.check(ResultCode::EpochInvariant, appended) {
@@ -122,7 +126,9 @@
 
     /// Records that nothing of this shard can run on a worker any more, so that a successor need not ask it.
     pub(super) fn record_worker_released(&mut self, worker: &WorkerId) {
-        if !self.journal.state().workers().contains_key(worker) || self.unfenced.contains(worker) {
+        if !self.journal.state().workers().contains_key(worker)
+            || self.unfenced.contains_key(worker)
+        {
             return;
         }
         let entry = JournalEntry::WorkerReleased {
@@ -283,7 +289,7 @@
         }
         let used = self.journal.state().workers().iter();
         let used =
-            used.filter(|(worker, used)| used.host == *host && self.unfenced.contains(*worker));
+            used.filter(|(worker, used)| used.host == *host && self.unfenced.contains_key(*worker));
         let unfenced: Vec<WorkerId> = used.map(|(worker, _)| worker.clone()).collect();
         if workers.is_empty() && unfenced.is_empty() {
             return Err(Refusal::new(
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -44,6 +44,7 @@
 mod task_phase;
 mod task_report;
 mod tasks;
+mod unconfirmed_refusal;
 mod view;
 mod waiter_id;
 mod work_record;
--- a/crates/core/src/shard/recover.rs
+++ b/crates/core/src/shard/recover.rs
@@ -11,7 +11,10 @@
 impl Shard {
     /// Takes over the live work of the journal. Until the workers of earlier owners have answered, it is unresolved.
     pub(super) fn inherit(&mut self) {
-        self.unfenced = self.journal.state().workers().keys().cloned().collect();
+        let used = self.journal.state().workers().iter();
+        self.unfenced = used
+            .map(|(worker, used)| (worker.clone(), used.incarnation))
+            .collect();
         let live = self.journal.state().live().clone();
         for (id, live) in live {
             let Some(key) = live.key else {
@@ -28,6 +31,7 @@
                 live.accepted_at,
             );
             record.inherited = true;
+            record.ran = live.ran;
             record.state = WorkState::Unresolved;
             record.reason =
                 "accepted by an earlier owner, whose workers have not all answered".to_owned();
@@ -42,6 +46,10 @@
         for work in works {
             self.resolve(&work, now);
         }
+        // Only now, because the run that the journal names shows a successor that tasks may have been lost.
+        for worker in self.worker_ids() {
+            self.record_worker(&worker, now);
+        }
     }
 
     fn resolve(&mut self, work: &WorkId, now: Timestamp) {
@@ -74,6 +82,13 @@
             self.end(work, Outcome::Refused(refusal), now);
             return;
         }
+        if may_have_run {
+            record.ran = true;
+            self.record_restart(work);
+        }
+        let Some(record) = self.works.get_mut(work) else {
+            return;
+        };
         record.state = WorkState::Waiting;
         record.reason = "waiting for its turn".to_owned();
         let then = record.then.take();
--- a/crates/core/src/shard/schedule.rs
+++ b/crates/core/src/shard/schedule.rs
@@ -2,6 +2,8 @@
 
 use smallvec::SmallVec;
 
+use crate::admission::Feasibility;
+use crate::code::{Refusal, ResultCode};
 use crate::id::{Attempt, ExecutorId, MemberIndex, ServiceName, TaskId, WorkId, WorkerId};
 use crate::order::{FairQueue, QueueEntry};
 use crate::policy::Policy;
@@ -10,7 +12,7 @@
 use crate::shard::work_record::SLOT;
 use crate::shard::{Effect, Shard};
 use crate::unit::Timestamp;
-use crate::work::{WorkKind, WorkState};
+use crate::work::{Outcome, WorkKind, WorkState};
 
 /// Entries of each kind that are tried again when a worker's capacity frees.
 const RETRIES_PER_RELEASE: usize = 16;
@@ -117,6 +119,7 @@
                     self.start_tasks(&entry, workers, now);
                     started += 1;
                 }
+                None if self.never_fits(&entry) => self.end_never_fitting(&entry, now),
                 None => {
                     if let Some(record) = self.works.get_mut(&entry.work) {
                         record.reason = "no host has room for it now".to_owned();
@@ -128,6 +131,29 @@
         self.task_rate.record(now, started, !self.tasks.is_empty());
     }
 
+    /// Tells whether the workers, all of which are known by now, could never hold work that was accepted before.
+    fn never_fits(&mut self, entry: &QueueEntry) -> bool {
+        let Some(record) = self
+            .works
+            .get(&entry.work)
+            .filter(|record| !record.feasible)
+        else {
+            return false;
+        };
+        let feasibility = self.feasibility(&record.spec.clone());
+        if let Some(record) = self.works.get_mut(&entry.work) {
+            record.feasible = feasibility == Feasibility::Fits;
+        }
+        feasibility == Feasibility::NeverFits
+    }
+
+    fn end_never_fitting(&mut self, entry: &QueueEntry, now: Timestamp) {
+        let need = entry.need;
+        let text = format!("no hosts could hold {need}, in the tasks that the work asks for");
+        let refusal = Refusal::new(ResultCode::NeverFits, text);
+        self.end(&entry.work, Outcome::Refused(refusal), now);
+    }
+
     fn place(&mut self, entry: &QueueEntry) -> Option<SmallVec<[WorkerId; 8]>> {
         let spec = &self.works.get(&entry.work)?.spec;
         match entry.kind {
--- a/crates/core/src/shard/settle.rs
+++ b/crates/core/src/shard/settle.rs
@@ -38,7 +38,7 @@
             None => record.then = None,
             Some(AfterStop::Requeue) => self.requeue(work, started, now),
             Some(AfterStop::End(outcome)) => {
-                let outcome = correct_for_start(outcome, started);
+                record.ran |= started;
                 if !started {
                     self.clear_places(work);
                 }
@@ -59,7 +59,12 @@
             return;
         }
         let attempts = record.attempts;
-        self.clear_places(work);
+        if started {
+            record.ran = true;
+            self.record_restart(work);
+        } else {
+            self.clear_places(work);
+        }
         self.discharge(work);
         if !started && attempts >= MAX_START_ATTEMPTS {
             let text = format!("{attempts} attempts to start the work were refused by hosts");
@@ -86,6 +91,7 @@
         if record.ending.is_some() {
             return;
         }
+        let outcome = correct_for_start(outcome, record.ran);
         let checked = check_not_run(record, &outcome);
         let route = record.route.clone();
         if self.check(ResultCode::RefusedInvariant, checked).is_none() {
@@ -102,6 +108,33 @@
         }
     }
 
+    /// Records that a start of the work was lost, and only then lets the workers forget it. So a successor learns of it
+    /// either from the journal or from the workers.
+    pub(super) fn record_restart(&mut self, work: &WorkId) {
+        let Some(record) = self.works.get_mut(work) else {
+            return;
+        };
+        let journalled = matches!(record.route, Route::Journal(_));
+        let places = std::mem::take(&mut record.places);
+        let mut lost = Vec::new();
+        for place in places {
+            let task = place.task(work);
+            self.release_claim(&place.worker, &task);
+            lost.push((place.worker, task));
+        }
+        if !journalled {
+            return;
+        }
+        let appended = self
+            .journal
+            .append(JournalEntry::Restarted { work: work.clone() });
+        if let Some(position) = self.check(ResultCode::EpochInvariant, appended) {
+            self.uncommitted
+                .push_back((position, Recorded::Restarted { lost }));
+            self.effects.push(Effect::Commit);
+        }
+    }
+
     fn record_end(&mut self, work: &WorkId, outcome: Outcome, now: Timestamp) {
         let entry = |outcome: &Outcome| JournalEntry::Ended {
             work: work.clone(),
--- a/crates/core/src/shard/shard_state.rs
+++ b/crates/core/src/shard/shard_state.rs
@@ -1,11 +1,12 @@
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
 use crate::admission::{Admission, ServiceEstimator};
 use crate::code::{Refusal, ResultCode};
 use crate::health::{RetryBudget, WorkerHealth};
 use crate::id::{
-    Epoch, RequestKey, Sequence, ServiceName, ShardId, TeamId, Ticket, WorkId, WorkerId,
+    Epoch, Incarnation, RequestKey, Sequence, ServiceName, ShardId, TeamId, Ticket, WorkId,
+    WorkerId,
 };
 use crate::journal::{Head, Journal, JournalState, Position, StoreVersion};
 use crate::order::FairQueue;
@@ -13,6 +14,7 @@
 use crate::policy::Policy;
 use crate::shard::commit::Recorded;
 use crate::shard::slot_table::SlotTable;
+use crate::shard::unconfirmed_refusal::UnconfirmedRefusal;
 use crate::shard::work_record::WorkRecord;
 use crate::shard::worker_record::WorkerRecord;
 use crate::shard::{Effect, Reply, ShardConfig, ShardEvent, ShardLife, ShardPhase, WaiterId};
@@ -42,12 +44,14 @@
     pub(super) by_key: HashMap<(TeamId, RequestKey), WorkId>,
     pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
     pub(super) slots: SlotTable,
-    /// Workers of earlier owners that have not answered yet.
-    pub(super) unfenced: BTreeSet<WorkerId>,
+    /// Workers of earlier owners that have not answered yet, with the run in which those owners used them.
+    pub(super) unfenced: BTreeMap<WorkerId, Incarnation>,
     /// True if a worker of an earlier owner lost what it ran.
     pub(super) inherited_lost: bool,
     pub(super) next_work: Sequence,
     pub(super) uncommitted: VecDeque<(Position, Recorded)>,
+    /// Refusals that wait for a check of the ownership, in the order of the checks.
+    pub(super) unconfirmed: VecDeque<UnconfirmedRefusal>,
     pub(super) effects: Vec<Effect>,
 }
 
@@ -84,10 +88,11 @@
             by_key: HashMap::new(),
             workers: BTreeMap::new(),
             slots: SlotTable::default(),
-            unfenced: BTreeSet::new(),
+            unfenced: BTreeMap::new(),
             inherited_lost: false,
             next_work: Sequence::default(),
             uncommitted: VecDeque::new(),
+            unconfirmed: VecDeque::new(),
             effects: Vec::new(),
             policy,
             config,
--- a/crates/core/src/shard/submit.rs
+++ b/crates/core/src/shard/submit.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 
 use crate::admission::{AdmissionView, Feasibility, QueueLoad};
-use crate::code::{Refusal, ResultCode};
+use crate::code::{Refusal, RefusalClass, ResultCode};
 use crate::id::{RequestKey, Ticket, WorkId};
 use crate::journal::{EndedWork, JournalEntry};
 use crate::shard::commit::Recorded;
+use crate::shard::unconfirmed_refusal::UnconfirmedRefusal;
 use crate::shard::view::ended_view;
 use crate::shard::work_record::WorkRecord;
 use crate::shard::{Effect, Reply, Route, Shard, Submission, WaiterId};
@@ -32,12 +33,15 @@
 
     /// Takes a piece of work, or a repeat of one, and replies to `waiter` at once or later.
     pub fn submit(&mut self, waiter: WaiterId, submission: Submission, now: Timestamp) {
-        let result = match submission.route.clone() {
+        let refused = match submission.route.clone() {
             Route::Ticket(ticket) => self.submit_with_ticket(waiter, &ticket, submission, now),
-            Route::Journal(key) => self.submit_with_key(waiter, &key, submission, now),
+            Route::Journal(key) => {
+                let refused = self.submit_with_key(waiter, &key, submission, now);
+                refused.or_else(|refusal| self.refuse_with_key(waiter, refusal, now))
+            }
             Route::Once => self.admit(waiter, submission, now),
         };
-        if let Err(refusal) = result {
+        if let Err(refusal) = refused {
             self.reply(waiter, Reply::Refused(refusal));
         }
         self.schedule(now);
@@ -103,6 +107,29 @@
         self.admit(waiter, submission, now)
     }
 
+    /// Holds a refusal as "not run" back until the store has confirmed the ownership. A later owner may have accepted an
+    /// earlier attempt with the same key, and then the refusal would be wrong.
+    fn refuse_with_key(
+        &mut self,
+        waiter: WaiterId,
+        refusal: Refusal,
+        now: Timestamp,
+    ) -> Result<(), Refusal> {
+        let binding = refusal.class() == RefusalClass::NotRun;
+        if !binding || refusal.code == ResultCode::KeyConflict {
+            return Err(refusal);
+        }
+        let check = self.journal.request_check();
+        self.unconfirmed.push_back(UnconfirmedRefusal {
+            check,
+            waiter,
+            refusal,
+            at: now,
+        });
+        self.effects.push(Effect::Commit);
+        Ok(())
+    }
+
     fn repeat_live(
         &mut self,
         waiter: WaiterId,
@@ -264,7 +291,7 @@
         }
     }
 
-    fn feasibility(&self, spec: &WorkSpec) -> Feasibility {
+    pub(super) fn feasibility(&self, spec: &WorkSpec) -> Feasibility {
         // A shard that still learns its workers must not refuse work for good.
         let unknown = self.workers.is_empty()
             || self
--- a/crates/core/src/shard/work_record.rs
+++ b/crates/core/src/shard/work_record.rs
@@ -43,8 +43,12 @@
     pub(super) charged: bool,
     /// True if the work was accepted by an earlier owner and may have been started by it.
     pub(super) inherited: bool,
+    /// True once a start of the work may have run, though nothing of it runs any more.
+    pub(super) ran: bool,
     /// Refused starts so far.
     pub(super) attempts: u32,
+    /// True once the known workers were found able to hold the work.
+    pub(super) feasible: bool,
 }
 
 impl WorkRecord {
@@ -73,7 +77,9 @@
             then: None,
             charged: false,
             inherited: false,
+            ran: false,
             attempts: 0,
+            feasible: false,
         }
     }
 
--- a/crates/core/tests/journal_model/world.rs
+++ b/crates/core/tests/journal_model/world.rs
@@ -189,6 +189,7 @@
                     self.committed.extend(&appended[reported..up_to]);
                     reported = up_to;
                 }
+                JournalEvent::OwnershipConfirmed { .. } => {}
                 JournalEvent::SnapshotNeeded => journal.begin_snapshot(),
                 JournalEvent::OwnershipLost { epoch, .. } => {
                     assert!(epoch > journal.head().epoch);
--- /dev/null
+++ b/crates/core/tests/shard_model/message.rs
@@ -0,0 +1,49 @@
+use std::sync::Arc;
+
+use lagoon_core::id::{Epoch, TaskId, WorkId};
+use lagoon_core::journal::JournalWrite;
+use lagoon_core::unit::Timestamp;
+use lagoon_core::work::WorkSpec;
+
+/// A call that is on its way, with the process and the ownership that made it.
+#[derive(Debug, Clone)]
+pub(crate) struct Message {
+    pub(crate) process: usize,
+    pub(crate) epoch: Epoch,
+    pub(crate) call: Call,
+    /// True if the answer will be lost.
+    pub(crate) answer_lost: bool,
+}
+
+/// What is called.
+#[derive(Debug, Clone)]
+pub(crate) enum Call {
+    Lease {
+        worker: usize,
+        sent_at: Timestamp,
+        known: Option<Epoch>,
+    },
+    Start {
+        worker: usize,
+        lease: Epoch,
+        task: TaskId,
+        spec: Arc<WorkSpec>,
+    },
+    Stop {
+        worker: usize,
+        task: TaskId,
+    },
+    Acknowledge {
+        worker: usize,
+        tasks: Vec<TaskId>,
+    },
+    Fence {
+        worker: usize,
+    },
+    Request {
+        work: WorkId,
+        spec: Arc<WorkSpec>,
+    },
+    Status,
+    Store(JournalWrite),
+}
--- /dev/null
+++ b/crates/core/tests/shard_model/store.rs
@@ -0,0 +1,70 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use lagoon_core::journal::{Head, JournalWrite, Segment, StoreVersion};
+use lagoon_core::shard::JournalAnswer;
+
+/// Keys of one shard with compare-and-swap.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    pub(crate) down: bool,
+    head: Option<(Arc<Head>, StoreVersion)>,
+    segments: HashMap<String, Arc<Segment>>,
+    version: u64,
+}
+
+impl Store {
+    pub(crate) fn head(&self) -> Option<(Head, StoreVersion)> {
+        self.head
+            .as_ref()
+            .map(|(head, version)| (Head::clone(head), *version))
+    }
+
+    pub(crate) fn segment(&self, key: &str) -> Arc<Segment> {
+        self.segments
+            .get(key)
+            .cloned()
+            .unwrap_or_else(|| panic!("{key} is missing"))
+    }
+
+    /// Performs a call; `None` while the store is down.
+    pub(crate) fn perform(&mut self, write: &JournalWrite) -> Option<JournalAnswer> {
+        if self.down {
+            return None;
+        }
+        Some(match write {
+            JournalWrite::PutSegment { key, value } | JournalWrite::PutSnapshot { key, value } => {
+                self.segments.insert(key.clone(), value.clone());
+                JournalAnswer::Written(self.next())
+            }
+            JournalWrite::SwapHead {
+                value,
+                expect_version,
+                ..
+            } => {
+                let current = self
+                    .head
+                    .as_ref()
+                    .map_or(StoreVersion::new(0), |(_, version)| *version);
+                if current != *expect_version {
+                    return Some(JournalAnswer::Conflict(current));
+                }
+                let version = self.next();
+                self.head = Some((value.clone(), version));
+                JournalAnswer::Written(version)
+            }
+            JournalWrite::ReadHead { .. } => JournalAnswer::Head(self.head().map(Box::new)),
+            JournalWrite::DeleteKeys { keys } => {
+                for key in keys {
+                    self.segments.remove(key);
+                }
+                JournalAnswer::Written(self.next())
+            }
+        })
+    }
+
+    fn next(&mut self) -> StoreVersion {
+        self.version += 1;
+        StoreVersion::new(self.version)
+    }
+}
