Send each idempotency key to one home failure domain

A key's home shard was hashed over the shards of the gateway's own failure domain, so a retry through a gateway of another domain could run the work twice. The home domain is now the body's, else the setting default_home; a request with a key and neither is refused.

--- a/crates/ctl/src/args/batch_args.rs
+++ b/crates/ctl/src/args/batch_args.rs
@@ -1,5 +1,5 @@
 use argh::FromArgs;
-use lagoon_core::id::{RequestKey, TeamId};
+use lagoon_core::id::{FailureDomain, RequestKey, TeamId};
 use lagoon_core::unit::{Accelerators, Bytes, Millicores, Millis, Priority};
 
 /// Submit a batch run: one task on one host.
@@ -40,4 +40,7 @@
     /// idempotency key; one is generated and printed if none is given
     #[argh(option)]
     pub(crate) key: Option<RequestKey>,
+    /// failure domain that knows the key; a repetition needs the same one, and the gateway has a default
+    #[argh(option, arg_name = "domain")]
+    pub(crate) home: Option<FailureDomain>,
 }
--- a/crates/ctl/src/args/request_args.rs
+++ b/crates/ctl/src/args/request_args.rs
@@ -1,5 +1,5 @@
 use argh::FromArgs;
-use lagoon_core::id::{RequestKey, ServiceName, TeamId, Ticket};
+use lagoon_core::id::{FailureDomain, RequestKey, ServiceName, TeamId, Ticket};
 use lagoon_core::unit::{Millis, Priority};
 
 /// Send a request to a service and print its answer.
@@ -31,4 +31,7 @@
     /// idempotency key; one is generated and printed if neither key nor ticket is given
     #[argh(option)]
     pub(crate) key: Option<RequestKey>,
+    /// failure domain that knows the key; a repetition needs the same one, and the gateway has a default
+    #[argh(option, arg_name = "domain")]
+    pub(crate) home: Option<FailureDomain>,
 }
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -1,7 +1,7 @@
 use std::io::Write;
 
 use hyper::Method;
-use lagoon_core::id::{RequestKey, WorkId};
+use lagoon_core::id::{FailureDomain, RequestKey, WorkId};
 use lagoon_core::unit::Millis;
 use lagoon_process::exit;
 use serde_json::{Value, json};
@@ -25,14 +25,14 @@
     let answer = match args.command.as_ref().ok_or_else(missing)? {
         Command::Submit(submit) => match &submit.kind {
             SubmitKind::Batch(batch) => {
-                let key = key_or_new(batch.key.as_ref(), err);
+                let key = key_or_new(batch.key.as_ref(), batch.home.as_ref(), err);
                 let body = batch_body(batch);
                 client
                     .call(Method::POST, "/v1/jobs", Some(&key), Some(&body))
                     .await?
             }
             SubmitKind::Gang(gang) => {
-                let key = key_or_new(gang.key.as_ref(), err);
+                let key = key_or_new(gang.key.as_ref(), gang.home.as_ref(), err);
                 let body = gang_body(gang);
                 client
                     .call(Method::POST, "/v1/jobs", Some(&key), Some(&body))
@@ -104,6 +104,7 @@
         "priority": request.priority,
         "deadline_ms": request.deadline.map(Millis::get),
         "ticket": request.ticket,
+        "home": request.home,
         "payload": request.payload,
     });
     let key = match (&request.ticket, &request.key) {
@@ -111,8 +112,12 @@
             let message = "--ticket and --key exclude each other";
             return Err(Failure::Usage(message.to_owned()));
         }
+        (Some(_), None) if request.home.is_some() => {
+            let message = "--home needs a key, and --ticket names its own failure domain";
+            return Err(Failure::Usage(message.to_owned()));
+        }
         (Some(_), None) => None,
-        (None, key) => Some(key_or_new(key.as_ref(), err)),
+        (None, key) => Some(key_or_new(key.as_ref(), request.home.as_ref(), err)),
     };
     client
         .call(Method::POST, "/v1/requests", key.as_ref(), Some(&body))
@@ -120,12 +125,19 @@
 }
 
 /// Prints a generated key before anything is sent, so that it is known even if no answer comes.
-fn key_or_new(key: Option<&RequestKey>, err: &mut dyn Write) -> RequestKey {
+fn key_or_new(
+    key: Option<&RequestKey>,
+    home: Option<&FailureDomain>,
+    err: &mut dyn Write,
+) -> RequestKey {
     key.cloned().unwrap_or_else(|| {
         let key = key::generate();
+        let home = home
+            .map(|home| format!(" --home {home}"))
+            .unwrap_or_default();
         let _ = writeln!(
             err,
-            "idempotency key: {key} (repeat safely with --key {key})"
+            "idempotency key: {key} (repeat safely with --key {key}{home})"
         );
         key
     })
@@ -135,6 +147,7 @@
     json!({
         "kind": "batch",
         "team": batch.team,
+        "home": batch.home,
         "priority": batch.priority,
         "deadline_ms": batch.deadline.map(Millis::get),
         "resources": {
@@ -152,6 +165,7 @@
     json!({
         "kind": "gang",
         "team": gang.team,
+        "home": gang.home,
         "priority": gang.priority,
         "deadline_ms": gang.deadline.map(Millis::get),
         "resources": {
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -103,6 +103,11 @@
     /// Guards against two identities for one request.
     ticket_and_key: "submit request --service s --team a --ticket t:c:0:1:1 --key k", 200, json!({})
         => 2, 0 calls;
+    /// Guards against a home that has no effect, because the ticket names the shard.
+    ticket_and_home: "submit request --service s --team a --ticket t:c:0:1:1 --home c", 200, json!({})
+        => 2, 0 calls;
+    /// Guards against text that is sent as a failure domain.
+    broken_home: "submit request --service s --team a --home c:1", 200, json!({}) => 2, 0 calls;
     /// Guards against an address that is looked up as a name.
     gateway_by_name: "--gateway localhost:1 list", 200, json!({}) => 2, 0 calls;
     /// Guards against a batch of cancellations that stops at the first refusal.
@@ -123,6 +128,30 @@
     assert_ne!(*key, second.received[0].2);
 }
 
+macro_rules! homes {
+    ($($(#[$guard:meta])* $name:ident: $args:literal;)*) => {
+        $(
+            $(#[$guard])*
+            #[tokio::test]
+            async fn $name() {
+                let ran = run(200, json!({}), concat!("submit ", $args, " --home iasi")).await;
+                assert_eq!(ran.received[0].4["home"], "iasi", "{}", ran.err);
+                let hint = format!("--key {} --home iasi", ran.received[0].2);
+                assert!(ran.err.contains(&hint), "{}", ran.err);
+            }
+        )*
+    };
+}
+
+homes! {
+    /// Guards against a batch run whose home is lost, or is missing in the hint for a repetition.
+    home_of_a_batch_run: "batch --team a --cpu 1 --memory 2GiB --run 10m";
+    /// Guards against a gang job whose home is lost, or is missing in the hint for a repetition.
+    home_of_a_gang_job: "gang --team a --members 4 --cpu 1 --memory 16GiB --run 1h";
+    /// Guards against a request whose home is lost, or is missing in the hint for a repetition.
+    home_of_a_request: "request --service s --team a";
+}
+
 /// Guards against a body that the gateway doesn't understand.
 #[tokio::test]
 async fn gang_body_has_units() {
--- a/crates/dev/src/cluster/dev_settings.rs
+++ b/crates/dev/src/cluster/dev_settings.rs
@@ -95,6 +95,7 @@
             .parse()
             .expect("the name is valid"),
         failure_domain: domain(),
+        default_home: Some(domain()),
         shards: SHARDS,
         listen: any_port(),
         schedulers,
--- a/crates/gateway/src/api/job_body.rs
+++ b/crates/gateway/src/api/job_body.rs
@@ -1,5 +1,5 @@
 use lagoon_core::Refusal;
-use lagoon_core::id::TeamId;
+use lagoon_core::id::{FailureDomain, TeamId};
 use lagoon_core::unit::{Millis, Priority, Resources, Timestamp};
 use lagoon_core::work::{PlacementPolicy, Repeatability, WorkKind, WorkSpec};
 use serde::Deserialize;
@@ -13,6 +13,9 @@
 pub(crate) struct JobBody {
     kind: WorkKind,
     pub(crate) team: TeamId,
+    /// Failure domain whose shards know the key; a retry needs the same one.
+    #[serde(default)]
+    pub(crate) home: Option<FailureDomain>,
     #[serde(default)]
     priority: Priority,
     /// Time from now until the job must have started.
--- a/crates/gateway/src/api/job_list.rs
+++ b/crates/gateway/src/api/job_list.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use lagoon_core::id::{ShardId, ShardNumber, TeamId};
+use lagoon_core::id::{FailureDomain, ShardId, ShardNumber, TeamId};
 use lagoon_core::unit::Millis;
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_wire::v1;
@@ -16,7 +16,8 @@
 /// A list answers with what it has after this time instead of waiting for a shard that is being taken over.
 const LONGEST_WAIT: Millis = Millis::new(2_000);
 
-/// JSON form of a list, merged over the shards of the failure domain; newest jobs come first.
+/// JSON form of a list, merged over the shards of the own failure domain and of the default home, where
+/// jobs that name no home are kept; newest jobs come first.
 #[derive(Debug, Serialize)]
 pub(crate) struct JobList {
     jobs: Vec<JobView>,
@@ -38,8 +39,7 @@
             incomplete: Vec::new(),
         };
         let mut calls = JoinSet::new();
-        for number in 0..api.shards {
-            let shard = ShardId::new(api.domain.clone(), ShardNumber::new(number));
+        for shard in shards(api) {
             for team in teams(caller, query) {
                 let message = v1::ListJobsRequest {
                     shard: shard.to_string(),
@@ -85,6 +85,20 @@
     }
 }
 
+fn shards(api: &Api) -> Vec<ShardId> {
+    let other = api.homes.default_home.as_ref();
+    let other = other.filter(|home| **home != api.domain);
+    let numbers = |domain: &FailureDomain| {
+        let domain = domain.clone();
+        let shard = move |number| ShardId::new(domain.clone(), ShardNumber::new(number));
+        (0..api.shards).map(shard)
+    };
+    std::iter::once(&api.domain)
+        .chain(other)
+        .flat_map(numbers)
+        .collect()
+}
+
 /// Returns the teams to ask for, one question each; `None` asks for every team.
 fn teams(caller: &Caller, query: &ListQuery) -> Vec<Option<TeamId>> {
     match (&query.team, caller.teams()) {
--- a/crates/gateway/src/api/mod.rs
+++ b/crates/gateway/src/api/mod.rs
@@ -28,12 +28,14 @@
 use self::api_error::ApiError;
 use crate::access::AccessList;
 use crate::forward::Forwarder;
+use crate::routing::Homes;
 
 /// What the handlers share.
 #[derive(Debug)]
 pub(crate) struct Api {
     pub(crate) domain: FailureDomain,
     pub(crate) shards: u16,
+    pub(crate) homes: Homes,
     pub(crate) access: AccessList,
     pub(crate) forwarder: Forwarder,
     pub(crate) request_timeout: Millis,
--- a/crates/gateway/src/api/request_body.rs
+++ b/crates/gateway/src/api/request_body.rs
@@ -1,4 +1,4 @@
-use lagoon_core::id::{ServiceName, TeamId, Ticket};
+use lagoon_core::id::{FailureDomain, ServiceName, TeamId, Ticket};
 use lagoon_core::unit::{Millis, Priority, Resources, Timestamp};
 use lagoon_core::work::{PlacementPolicy, Repeatability, WorkKind, WorkSpec};
 use serde::Deserialize;
@@ -9,6 +9,9 @@
 pub(crate) struct RequestBody {
     pub(crate) service: ServiceName,
     pub(crate) team: TeamId,
+    /// Failure domain whose shards know the key; a retry needs the same one.
+    #[serde(default)]
+    pub(crate) home: Option<FailureDomain>,
     #[serde(default)]
     pub(crate) priority: Priority,
     /// Time from now until the request must have started.
--- a/crates/gateway/src/api/submission.rs
+++ b/crates/gateway/src/api/submission.rs
@@ -8,7 +8,7 @@
 use axum::http::HeaderMap;
 use axum::response::{IntoResponse, Response};
 use axum::{Json, http::StatusCode};
-use lagoon_core::id::{RequestKey, ShardId};
+use lagoon_core::id::ShardId;
 use lagoon_core::work::Outcome;
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_process::answer::ErrorBody;
@@ -24,7 +24,6 @@
 use crate::api::request_body::RequestBody;
 use crate::api::{Api, ApiError};
 use crate::forward::{Client, Repeat, Target};
-use crate::routing::home_shard;
 
 /// Request in state `S`.
 struct Submission<S> {
@@ -98,9 +97,14 @@
         let ticket = body.ticket.clone();
         let one = ticket.is_none() || key.is_none();
         require(one, "expected a ticket or an Idempotency-Key, not both")?;
+        let keyed = body.home.is_none() || key.is_some();
+        require(keyed, "home: expected only with an Idempotency-Key")?;
         let (target, repeat) = match (&ticket, &key) {
             (Some(ticket), _) => (Target::Shard(ticket.shard().clone()), Repeat::Safe),
-            (None, Some(key)) => (home(api, key), Repeat::Safe),
+            (None, Some(key)) => {
+                let shard = api.homes.shard(body.home.clone(), key)?;
+                (Target::Home(shard), Repeat::Safe)
+            }
             (None, None) => (Target::AnyServing, Repeat::Never),
         };
         let message = v1::RunRequestRequest {
@@ -116,13 +120,15 @@
         let key = require_key(&self.state.headers)?;
         let body: JobBody = parse_json(&self.state.body)?;
         self.state.caller.require(&body.team)?;
+        let given = body.home.clone();
         let spec = body.into_spec(api.clock.now())?;
+        let target = Target::Home(api.homes.shard(given, &key)?);
         let message = v1::SubmitJobRequest {
             shard: String::new(),
             key: key.to_string(),
             spec: Some(convert::spec_to_wire(&spec)),
         };
-        Ok(Submission::admitted(home(api, &key), Repeat::Safe, message))
+        Ok(Submission::admitted(target, Repeat::Safe, message))
     }
 }
 
@@ -218,7 +224,3 @@
         outcome => Ok(v1::RunRequestResponse { outcome, ..answer }),
     }
 }
-
-fn home(api: &Api, key: &RequestKey) -> Target {
-    Target::Shard(home_shard(&api.domain, api.shards, key))
-}
--- a/crates/gateway/src/forward/forwarder.rs
+++ b/crates/gateway/src/forward/forwarder.rs
@@ -18,6 +18,8 @@
 
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// A failure domain out of reach is given this time to answer a heartbeat, as after the start of the gateway.
+const DOMAIN_WAIT: Duration = Duration::from_millis(2_000);
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Client of one scheduler.
@@ -48,7 +50,8 @@
         F: Fn(Client, ShardId) -> Fut,
         Fut: Future<Output = Reply<R>>,
     {
-        let deadline = Instant::now() + limit.to_duration();
+        let started = Instant::now();
+        let deadline = started + limit.to_duration();
         let mut changes = self.table.watch();
         let mut hint = None;
         let mut last = None;
@@ -77,6 +80,12 @@
                 self.metrics.count("calls.repeated", 1);
             }
             let wake = Instant::now() + pause;
+            let unreachable = self.unreachable_home(target).filter(|_| !lost);
+            if let Some(domain) = unreachable
+                && (wake >= deadline || started.elapsed() >= DOMAIN_WAIT)
+            {
+                return Err(domain_unreachable(domain));
+            }
             if wake >= deadline {
                 return Err(last.unwrap_or_else(|| not_served(target)));
             }
@@ -89,7 +98,7 @@
     /// Chooses the shard and the address for the next attempt.
     fn owner(&self, target: &Target, hint: Option<SocketAddr>) -> Option<(ShardId, SocketAddr)> {
         match target {
-            Target::Shard(shard) => {
+            Target::Shard(shard) | Target::Home(shard) => {
                 let known = || self.table.get(shard).map(|route| route.owner);
                 Some((shard.clone(), hint.or_else(known)?))
             }
@@ -101,6 +110,13 @@
         }
     }
 
+    /// Returns the failure domain of a call with a key if no scheduler of that domain can be reached.
+    fn unreachable_home<'a>(&self, target: &'a Target) -> Option<&'a FailureDomain> {
+        let domain = target.home()?;
+        let reachable = self.table.is_reachable(domain, self.clock.now());
+        (!reachable).then_some(domain)
+    }
+
     fn client(&self, owner: SocketAddr) -> Client {
         SchedulerClient::new(self.channels.get(owner)).max_decoding_message_size(MAX_ANSWER_BYTES)
     }
@@ -113,8 +129,13 @@
 
 fn not_served(target: &Target) -> Refusal {
     let message = match target {
-        Target::Shard(shard) => format!("shard {shard} has no known owner"),
+        Target::Shard(shard) | Target::Home(shard) => format!("shard {shard} has no known owner"),
         Target::AnyServing => "no shard of the failure domain is being served".to_owned(),
     };
     Refusal::new(ResultCode::NotServing, message)
 }
+
+fn domain_unreachable(domain: &FailureDomain) -> Refusal {
+    let message = format!("no scheduler of the home failure domain {domain} can be reached");
+    Refusal::new(ResultCode::DomainUnreachable, message)
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 use crate::access::AccessList;
 use crate::api::{self, Api};
 use crate::forward::{Channels, Forwarder};
-use crate::routing::{Heartbeats, Members, RoutingTable};
+use crate::routing::{Heartbeats, Homes, Members, RoutingTable};
 use crate::settings::GatewaySettings;
 
 /// Time on top of the longest request for its answer to be written.
@@ -60,6 +60,11 @@
             metrics: metrics.clone(),
             stopping: is_stopping,
         };
+        let homes = Homes {
+            default_home: settings.default_home.clone(),
+            shards: settings.shards,
+            table: table.clone(),
+        };
         let forwarder = Forwarder {
             domain: settings.failure_domain.clone(),
             table,
@@ -70,6 +75,7 @@
         let api = Api {
             domain: settings.failure_domain.clone(),
             shards: settings.shards,
+            homes,
             access: AccessList::new(settings.tokens.as_deref()),
             forwarder,
             request_timeout: settings.request_timeout,
--- /dev/null
+++ b/crates/gateway/src/routing/domain_info.rs
@@ -0,0 +1,10 @@
+use lagoon_core::unit::Timestamp;
+
+/// What the gateway knows about a failure domain.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct DomainInfo {
+    /// Last heartbeat that a scheduler of the domain answered itself.
+    pub(crate) heard: Option<Timestamp>,
+    /// Highest shard number that anyone claims.
+    pub(crate) highest: Option<u16>,
+}
--- /dev/null
+++ b/crates/gateway/src/routing/homes.rs
@@ -0,0 +1,47 @@
+use std::sync::Arc;
+
+use lagoon_core::id::{FailureDomain, RequestKey, ShardId};
+use lagoon_core::{Refusal, ResultCode};
+
+use crate::routing::{RoutingTable, home_shard};
+
+/// Chooses the home shard of an idempotency key.
+///
+/// The choice depends only on the request and on settings that all gateways of an installation share, so that a retry
+/// through a gateway of another failure domain reaches the shard that knows the key.
+#[derive(Debug)]
+pub(crate) struct Homes {
+    pub(crate) default_home: Option<FailureDomain>,
+    pub(crate) shards: u16,
+    pub(crate) table: Arc<RoutingTable>,
+}
+
+impl Homes {
+    /// Returns the home shard of `key`; `given` is the failure domain that the request names.
+    ///
+    /// # Errors
+    ///
+    /// `invalid_value` if neither the request nor the settings name a failure domain, and `not_serving` if the domain
+    /// has shards that the settings don't count.
+    pub(crate) fn shard(
+        &self,
+        given: Option<FailureDomain>,
+        key: &RequestKey,
+    ) -> Result<ShardId, Refusal> {
+        let missing = || {
+            let message = "home: expected a failure domain, because the gateway has no default_home and a retry \
+                           elsewhere could not be recognized";
+            Refusal::new(ResultCode::InvalidValue, message)
+        };
+        let domain = given
+            .or_else(|| self.default_home.clone())
+            .ok_or_else(missing)?;
+        let claimed = self.table.highest_number(&domain);
+        if claimed.is_some_and(|number| number >= self.shards) {
+            // Another gateway, with the right number, may have sent this key to another shard before.
+            let message = format!("{domain} has more shards than the settings of this gateway");
+            return Err(Refusal::new(ResultCode::NotServing, message));
+        }
+        Ok(home_shard(&domain, self.shards, key))
+    }
+}
--- a/crates/gateway/src/routing/mod.rs
+++ b/crates/gateway/src/routing/mod.rs
@@ -1,11 +1,14 @@
 //! Which process owns which shard, as learned from heartbeats. A higher epoch wins, and a route never goes back.
 
+mod domain_info;
 mod heartbeats;
 mod home;
+mod homes;
 mod members;
 mod route;
 mod table;
 
 pub(crate) use self::{
-    heartbeats::Heartbeats, home::home_shard, members::Members, route::Route, table::RoutingTable,
+    domain_info::DomainInfo, heartbeats::Heartbeats, home::home_shard, homes::Homes,
+    members::Members, route::Route, table::RoutingTable,
 };
--- a/crates/gateway/src/routing/route.rs
+++ b/crates/gateway/src/routing/route.rs
@@ -4,7 +4,7 @@
 use lagoon_core::unit::{Millis, Timestamp};
 
 /// An owner that was not heard of for this time is not counted as serving.
-const SUSPECT_AFTER: Millis = Millis::new(1_500);
+pub(super) const SUSPECT_AFTER: Millis = Millis::new(1_500);
 
 /// Owner of a shard.
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/routing/table.rs
+++ b/crates/gateway/src/routing/table.rs
@@ -6,13 +6,15 @@
 use lagoon_wire::v1;
 use tokio::sync::watch;
 
-use crate::routing::Route;
+use crate::routing::route::SUSPECT_AFTER;
+use crate::routing::{DomainInfo, Route};
 use crate::util::Sharded;
 
 /// Routes of all shards that the gateway has heard of, and the newest policy version.
 #[derive(Debug)]
 pub(crate) struct RoutingTable {
     routes: Sharded<ShardId, Route>,
+    domains: Sharded<FailureDomain, DomainInfo>,
     policy: AtomicU64,
     turn: AtomicUsize,
     /// Counts changes, so that requests that wait for an owner look again.
@@ -23,6 +25,7 @@
     pub(crate) fn new() -> Self {
         Self {
             routes: Sharded::new(),
+            domains: Sharded::new(),
             policy: AtomicU64::new(0),
             turn: AtomicUsize::new(0),
             changes: watch::Sender::new(0),
@@ -33,6 +36,9 @@
     pub(crate) fn learn(&self, member: &v1::Member, direct: bool, now: Timestamp) {
         self.policy
             .fetch_max(member.policy_version, Ordering::AcqRel);
+        if direct && let Ok(domain) = member.domain.parse::<FailureDomain>() {
+            self.update_domain(&domain, |info| info.heard = Some(now));
+        }
         let mut changed = false;
         for claim in &member.shards {
             let Ok(shard) = claim.shard.parse::<ShardId>() else {
@@ -61,6 +67,10 @@
     }
 
     fn merge(&self, shard: ShardId, route: Route) -> bool {
+        let number = shard.number().get();
+        self.update_domain(shard.domain(), |info| {
+            info.highest = info.highest.max(Some(number));
+        });
         self.routes
             .with(&shard, |routes| match routes.get_mut(&shard) {
                 Some(current) => current.merge(&route),
@@ -71,6 +81,26 @@
             })
     }
 
+    fn update_domain(&self, domain: &FailureDomain, change: impl FnOnce(&mut DomainInfo)) {
+        self.domains
+            .with(domain, |domains| match domains.get_mut(domain) {
+                Some(info) => change(info),
+                None => change(domains.entry(domain.clone()).or_default()),
+            });
+    }
+
+    /// Tells whether a scheduler of `domain` has answered a heartbeat lately.
+    pub(crate) fn is_reachable(&self, domain: &FailureDomain, now: Timestamp) -> bool {
+        let heard = self.domain_info(domain).heard;
+        heard.is_some_and(|heard| now.since(heard) <= SUSPECT_AFTER)
+    }
+
+    fn domain_info(&self, domain: &FailureDomain) -> DomainInfo {
+        self.domains.with(domain, |domains| {
+            domains.get(domain).copied().unwrap_or_default()
+        })
+    }
+
     /// Returns the route of a shard.
     pub(crate) fn get(&self, shard: &ShardId) -> Option<Route> {
         self.routes.with(shard, |routes| routes.get(shard).copied())
@@ -97,12 +127,7 @@
 
     /// Returns the highest shard number of `domain` that anyone claims.
     pub(crate) fn highest_number(&self, domain: &FailureDomain) -> Option<u16> {
-        let mut highest = None;
-        self.routes.each(|routes| {
-            let own = routes.keys().filter(|shard| shard.domain() == domain);
-            highest = highest.max(own.map(|shard| shard.number().get()).max());
-        });
-        highest
+        self.domain_info(domain).highest
     }
 
     /// Returns the newest policy version.
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -17,8 +17,12 @@
     pub process: ProcessId,
     /// Failure domain that takes work without a ticket.
     pub failure_domain: FailureDomain,
-    /// Number of shards of the failure domain. All gateways and schedulers of the domain need the same number: it
-    /// decides which shard an idempotency key belongs to.
+    /// Failure domain that knows the idempotency keys of requests that name no `home`. All gateways of an installation
+    /// need the same one, because a retry may arrive through any of them. Without it, such requests are refused.
+    #[serde(default)]
+    pub default_home: Option<FailureDomain>,
+    /// Number of shards of each failure domain. All gateways and schedulers of an installation need the same number,
+    /// because it decides which shard an idempotency key belongs to.
     pub shards: u16,
     /// Address of the callers' API.
     pub listen: Address,
--- a/crates/gateway/tests/gateway/fake.rs
+++ b/crates/gateway/tests/gateway/fake.rs
@@ -41,6 +41,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Service {
     pub(crate) name: String,
+    pub(crate) domain: String,
     pub(crate) address: SocketAddr,
     pub(crate) state: Arc<Mutex<State>>,
 }
@@ -55,7 +56,12 @@
 }
 
 impl Fake {
+    /// Starts a scheduler of the failure domain `cluj`.
     pub(crate) fn start(name: &str) -> Self {
+        Self::start_in(name, "cluj")
+    }
+
+    pub(crate) fn start_in(name: &str, domain: &str) -> Self {
         let runtime = Runtime::new().unwrap();
         let guard = runtime.enter();
         let incoming = TcpIncoming::bind("127.0.0.1:0".parse().unwrap()).unwrap();
@@ -66,6 +72,7 @@
         }));
         let service = Service {
             name: name.to_owned(),
+            domain: domain.to_owned(),
             address,
             state: state.clone(),
         };
--- a/crates/gateway/tests/gateway/fake_peer.rs
+++ b/crates/gateway/tests/gateway/fake_peer.rs
@@ -19,7 +19,7 @@
                     receiver: Some(v1::Member {
                         process: self.name.clone(),
                         role: "scheduler".to_owned(),
-                        domain: "cluj".to_owned(),
+                        domain: self.domain.clone(),
                         address: self.address.to_string(),
                         policy_version: state.policy,
                         shards: state.claims.clone(),
--- /dev/null
+++ b/crates/gateway/tests/gateway/homes.rs
@@ -0,0 +1,195 @@
+//! The home failure domain of an idempotency key: every gateway sends a key to the same shard.
+
+use lagoon_core::ResultCode;
+use serde_json::Value;
+
+use crate::fake::{Fake, Reply};
+use crate::site::{send, start_ready};
+
+const KEY: &[&str] = &["idempotency-key: k1"];
+const NO_DEFAULT: &str = "default_home: null";
+
+/// Body of a service request with `home`, if there is one.
+fn request(home: &str) -> String {
+    format!(r#"{{"service":"s","team":"a"{}}}"#, field(home))
+}
+
+/// Body of a job with `home`, if there is one.
+fn job(home: &str) -> String {
+    let resources = r#"{"cpu":"500m","memory":"2GiB"}"#;
+    let home = field(home);
+    format!(r#"{{"kind":"batch","team":"a","run_ms":1000,"resources":{resources}{home}}}"#)
+}
+
+fn field(home: &str) -> String {
+    match home {
+        "" => String::new(),
+        home => format!(r#","home":"{home}""#),
+    }
+}
+
+/// A gateway of cluj in front of a scheduler of cluj and one of iasi. Returns the answer and the calls of each.
+async fn sent(settings: &str, path: &str, headers: &[&str], body: String) -> (Value, usize, usize) {
+    let (own, other) = (Fake::start("s1"), Fake::start_in("s2", "iasi"));
+    own.claim("cluj:0", 1);
+    other.claim("iasi:0", 1);
+    let gateway = start_ready(&[&own, &other], settings).await;
+    let (_, answer) = send(gateway.address(), "POST", path, headers, body).await;
+    gateway.stop().await;
+    (answer, own.calls().len(), other.calls().len())
+}
+
+macro_rules! sent_to {
+    ($($(#[$guard:meta])* $name:ident: $settings:expr, $path:literal $headers:expr, $body:expr
+        => $own:literal in cluj, $other:literal in iasi;)*) => {
+        $(
+            $(#[$guard])*
+            #[tokio::test]
+            async fn $name() {
+                let (answer, own, other) = sent($settings, $path, $headers, $body).await;
+                assert_eq!((own, other), ($own, $other), "{answer}");
+                assert!(answer.get("code").is_none(), "{answer}");
+            }
+        )*
+    };
+}
+
+sent_to! {
+    /// Guards against a job that the gateway's own domain takes although its key is known elsewhere.
+    job_with_home: "", "/v1/jobs" KEY, job("iasi") => 0 in cluj, 1 in iasi;
+    /// Guards against a request that the gateway's own domain runs although its key is known elsewhere.
+    request_with_home: "", "/v1/requests" KEY, request("iasi") => 0 in cluj, 1 in iasi;
+    /// Guards against a default that wins over the body.
+    body_wins: "default_home: iasi", "/v1/jobs" KEY, job("cluj") => 1 in cluj, 0 in iasi;
+    /// Guards against a gateway that ignores the default and takes its own domain.
+    default_of_the_settings: "default_home: iasi", "/v1/jobs" KEY, job("") => 0 in cluj, 1 in iasi;
+    /// Guards against a need for a default where the body names the domain.
+    no_default_needed: NO_DEFAULT, "/v1/requests" KEY, request("iasi") => 0 in cluj, 1 in iasi;
+    /// Guards against a request without a key that leaves its failure domain.
+    neither_ticket_nor_key: "default_home: iasi", "/v1/requests" &[], request("") => 1 in cluj, 0 in iasi;
+    /// Guards against a ticket that is sent to the default home instead of its shard.
+    ticket: "default_home: iasi", "/v1/requests" &[],
+        r#"{"service":"s","team":"a","ticket":"t:cluj:0:1:5"}"#.to_owned() => 1 in cluj, 0 in iasi;
+}
+
+macro_rules! refused {
+    ($($(#[$guard:meta])* $name:ident: $settings:expr, $path:literal $headers:expr, $body:expr
+        => $code:ident, $text:literal;)*) => {
+        $(
+            $(#[$guard])*
+            #[tokio::test]
+            async fn $name() {
+                let (answer, own, other) = sent($settings, $path, $headers, $body).await;
+                assert_eq!(answer["code"], ResultCode::$code.number(), "{answer}");
+                assert!(answer["message"].as_str().unwrap().contains($text), "{answer}");
+                assert_eq!((own, other), (0, 0));
+            }
+        )*
+    };
+}
+
+refused! {
+    /// Guards against a job that a retry through another failure domain would run twice.
+    job_without_any_home: NO_DEFAULT, "/v1/jobs" KEY, job("") => InvalidValue, "home: ";
+    /// Guards against a request that a retry through another failure domain would run twice.
+    request_without_any_home: NO_DEFAULT, "/v1/requests" KEY, request("") => InvalidValue, "home: ";
+    /// Guards against a home that is taken for a choice of place where it has no effect.
+    home_without_key: "", "/v1/requests" &[], request("iasi") => InvalidValue, "home: ";
+    /// Guards against text that is no failure domain.
+    broken_home: "", "/v1/jobs" KEY, job("a b") => InvalidValue, "a b";
+    /// Guards against a domain out of reach that holds the caller for the whole request time.
+    unknown_domain: "", "/v1/jobs" KEY, job("mars") => DomainUnreachable, "mars";
+}
+
+/// Guards against one key at two shards: gateways of both domains, with the default and with the body's home.
+#[tokio::test]
+async fn gateways_of_two_domains_choose_one_shard() {
+    let (cluj, iasi) = (Fake::start("s1"), Fake::start_in("s2", "iasi"));
+    for number in 0..4 {
+        cluj.claim(&format!("cluj:{number}"), 1);
+        iasi.claim(&format!("iasi:{number}"), 1);
+    }
+    let settings = "shards: 4\ndefault_home: iasi";
+    let first = start_ready(&[&cluj, &iasi], settings).await;
+    let other_domain = format!("{settings}\nfailure_domain: iasi");
+    let second = start_ready(&[&cluj, &iasi], &other_domain).await;
+    for key in ["k1", "k2", "k3", "k4", "k5"] {
+        let header = format!("idempotency-key: {key}");
+        let mut works = Vec::new();
+        for (gateway, home) in [(&first, ""), (&second, ""), (&first, "iasi")] {
+            let address = gateway.address();
+            let (_, answer) = send(address, "POST", "/v1/jobs", &[&header], job(home)).await;
+            works.push(answer["work"].clone());
+        }
+        assert_eq!(works[0], works[1]);
+        assert_eq!(works[0], works[2]);
+    }
+    assert_eq!((cluj.calls().len(), iasi.calls().len()), (0, 15));
+    first.stop().await;
+    second.stop().await;
+}
+
+/// Guards against a retry that is sent elsewhere, or kept until the request time ends, after its home domain died.
+#[tokio::test]
+async fn home_domain_dies() {
+    let (own, mut other) = (Fake::start("s1"), Fake::start_in("s2", "iasi"));
+    own.claim("cluj:0", 1);
+    other.claim("iasi:0", 1);
+    let gateway = start_ready(&[&own, &other], "").await;
+    let address = gateway.address();
+    let (_, answer) = send(address, "POST", "/v1/jobs", KEY, job("iasi")).await;
+    assert_eq!(answer["work"], "w:iasi:0:1:1", "{answer}");
+    other.kill();
+    let (status, answer) = send(address, "POST", "/v1/jobs", KEY, job("iasi")).await;
+    assert_eq!((status, &answer["code"]), (503, &4006.into()), "{answer}");
+    assert_eq!(answer["class"], "elsewhere");
+    assert_eq!(own.calls(), [""; 0]);
+    gateway.stop().await;
+}
+
+/// Guards against "elsewhere" about a call that was sent and lost before its home domain died.
+#[tokio::test]
+async fn home_domain_dies_after_the_call_was_lost() {
+    let (own, mut other) = (Fake::start("s1"), Fake::start_in("s2", "iasi"));
+    own.claim("cluj:0", 1);
+    other.claim("iasi:0", 1);
+    other.reply(&[Reply::AnswerAfter(std::time::Duration::from_secs(60))]);
+    let gateway = start_ready(&[&own, &other], "request_timeout: 4s").await;
+    let address = gateway.address();
+    let call = tokio::spawn(send(address, "POST", "/v1/jobs", KEY, job("iasi")));
+    while other.calls().is_empty() {
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    other.kill();
+    let (_, answer) = call.await.unwrap();
+    assert_eq!(answer["name"], "answer_lost", "{answer}");
+    gateway.stop().await;
+}
+
+/// Guards against a key that is sent to another shard than by gateways that count the shards right.
+#[tokio::test]
+async fn home_domain_with_more_shards() {
+    let (own, other) = (Fake::start("s1"), Fake::start_in("s2", "iasi"));
+    own.claim("cluj:0", 1);
+    other.claim("iasi:1", 1);
+    let gateway = start_ready(&[&own, &other], "").await;
+    tokio::time::sleep(std::time::Duration::from_millis(800)).await;
+    let (_, answer) = send(gateway.address(), "POST", "/v1/jobs", KEY, job("iasi")).await;
+    assert_eq!(answer["name"], "not_serving", "{answer}");
+    assert_eq!(other.calls(), [""; 0]);
+    gateway.stop().await;
+}
+
+/// Guards against a list that leaves out the jobs whose keys the default home knows.
+#[tokio::test]
+async fn list_covers_the_default_home() {
+    let (own, other) = (Fake::start("s1"), Fake::start_in("s2", "iasi"));
+    own.claim("cluj:0", 1);
+    other.claim("iasi:0", 1);
+    other.with(|state| state.jobs = vec![crate::jobs::job("w:iasi:0:1:1", "a", 1)]);
+    let gateway = start_ready(&[&own, &other], "default_home: iasi").await;
+    let (_, answer) = send(gateway.address(), "GET", "/v1/jobs", &[], "").await;
+    assert_eq!(answer["jobs"][0]["work"], "w:iasi:0:1:1", "{answer}");
+    assert_eq!(answer["incomplete"], serde_json::json!([]));
+    gateway.stop().await;
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod fake;
 mod fake_peer;
+mod homes;
 mod jobs;
 mod life_cycle;
 mod retries;
--- a/crates/gateway/tests/gateway/site.rs
+++ b/crates/gateway/tests/gateway/site.rs
@@ -24,7 +24,7 @@
 pub(crate) const TICKETED: &str =
     r#"{"service":"settle","team":"a","payload":"hello","ticket":"t:cluj:0:1:5"}"#;
 
-/// Starts a gateway with one shard in front of `fakes`; `extra` is added to its settings.
+/// Starts a gateway with one shard and a default home in front of `fakes`; `extra` is added to its settings.
 pub(crate) async fn start(fakes: &[&Fake], extra: &str) -> Gateway {
     let seeds: Vec<String> = fakes.iter().map(|fake| fake.address.to_string()).collect();
     let shards = if extra.contains("shards:") {
@@ -32,9 +32,19 @@
     } else {
         "shards: 1"
     };
+    let home = if extra.contains("default_home:") {
+        ""
+    } else {
+        "default_home: cluj"
+    };
+    let domain = if extra.contains("failure_domain:") {
+        ""
+    } else {
+        "failure_domain: cluj"
+    };
     let text = format!(
-        "process: g1\nfailure_domain: cluj\nlisten: 127.0.0.1:0\nschedulers: [{}]\n\
-         max_body: 1KiB\nread_timeout: 300ms\ndrain_wait: 50ms\n{shards}\n{extra}\n",
+        "process: g1\n{domain}\nlisten: 127.0.0.1:0\nschedulers: [{}]\n\
+         max_body: 1KiB\nread_timeout: 300ms\ndrain_wait: 50ms\n{shards}\n{home}\n{extra}\n",
         seeds.join(", "),
     );
     let settings: GatewaySettings = settings::parse(Path::new("test.yaml"), &text).unwrap();
