Bound the requests in flight in a gateway, in all and for each team

A flood could fill a gateway's memory with waiting requests, and one team's flood left no room for other teams. Both bounds refuse as overloaded before anything is forwarded; the first one before the body is read.

--- a/crates/dev/src/cluster/dev_settings.rs
+++ b/crates/dev/src/cluster/dev_settings.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use lagoon_core::id::{FailureDomain, PolicyVersion};
-use lagoon_core::policy::{Policy, ServicePolicy, TeamPolicy, Weight};
+use lagoon_core::policy::{Percent, Policy, ServicePolicy, TeamPolicy, Weight};
 use lagoon_core::unit::{Bytes, Millicores, Millis, Rate, Resources};
 use lagoon_gateway::GatewaySettings;
 use lagoon_process::logging::LogSettings;
@@ -103,6 +103,8 @@
         read_timeout: Millis::new(5_000),
         request_timeout: Millis::new(30_000),
         drain_wait: Millis::new(100),
+        max_in_flight: 10_000,
+        team_in_flight_share: Percent::new(50),
         tokens: None,
         log: LogSettings::default(),
         metrics: MetricsSettings::default(),
--- a/crates/gateway/src/api/mod.rs
+++ b/crates/gateway/src/api/mod.rs
@@ -28,6 +28,7 @@
 use self::api_error::ApiError;
 use crate::access::AccessList;
 use crate::forward::Forwarder;
+use crate::limit::InFlight;
 use crate::routing::Homes;
 
 /// What the handlers share.
@@ -38,6 +39,7 @@
     pub(crate) homes: Homes,
     pub(crate) access: AccessList,
     pub(crate) forwarder: Forwarder,
+    pub(crate) in_flight: Arc<InFlight>,
     pub(crate) request_timeout: Millis,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
--- a/crates/gateway/src/api/submission.rs
+++ b/crates/gateway/src/api/submission.rs
@@ -24,6 +24,7 @@
 use crate::api::request_body::RequestBody;
 use crate::api::{Api, ApiError};
 use crate::forward::{Client, Repeat, Target};
+use crate::limit::{Held, TeamPermit};
 
 /// Request in state `S`.
 struct Submission<S> {
@@ -39,6 +40,7 @@
 
 /// Checked; may be sent.
 struct Admitted<M> {
+    permit: TeamPermit,
     target: Target,
     repeat: Repeat,
     message: M,
@@ -46,6 +48,7 @@
 
 /// Answered by the owner.
 struct Answered<R> {
+    permit: TeamPermit,
     answer: R,
 }
 
@@ -107,34 +110,37 @@
             }
             (None, None) => (Target::AnyServing, Repeat::Never),
         };
+        let permit = api.in_flight.enter_team(&body.team)?;
         let message = v1::RunRequestRequest {
             shard: String::new(),
             ticket: ticket.map(|ticket| ticket.to_string()).unwrap_or_default(),
             key: key.map(|key| key.to_string()).unwrap_or_default(),
             spec: Some(convert::spec_to_wire(&body.into_spec(api.clock.now()))),
         };
-        Ok(Submission::admitted(target, repeat, message))
+        Ok(Submission::admitted(permit, target, repeat, message))
     }
 
     fn admit_job(self, api: &Api) -> Result<Submission<Admitted<v1::SubmitJobRequest>>, Refusal> {
         let key = require_key(&self.state.headers)?;
         let body: JobBody = parse_json(&self.state.body)?;
         self.state.caller.require(&body.team)?;
-        let given = body.home.clone();
+        let (given, team) = (body.home.clone(), body.team.clone());
         let spec = body.into_spec(api.clock.now())?;
         let target = Target::Home(api.homes.shard(given, &key)?);
+        let permit = api.in_flight.enter_team(&team)?;
         let message = v1::SubmitJobRequest {
             shard: String::new(),
             key: key.to_string(),
             spec: Some(convert::spec_to_wire(&spec)),
         };
-        Ok(Submission::admitted(target, Repeat::Safe, message))
+        Ok(Submission::admitted(permit, target, Repeat::Safe, message))
     }
 }
 
 impl<M> Submission<Admitted<M>> {
-    fn admitted(target: Target, repeat: Repeat, message: M) -> Self {
+    fn admitted(permit: TeamPermit, target: Target, repeat: Repeat, message: M) -> Self {
         let state = Admitted {
+            permit,
             target,
             repeat,
             message,
@@ -146,6 +152,7 @@
 impl Submission<Admitted<v1::RunRequestRequest>> {
     async fn run(self, api: &Api) -> Result<Submission<Answered<v1::RunRequestResponse>>, Refusal> {
         let Admitted {
+            permit,
             target,
             repeat,
             message,
@@ -160,7 +167,7 @@
         };
         let limit = api.request_timeout;
         let answer = api.forwarder.send(&target, repeat, limit, call).await?;
-        let state = Answered { answer };
+        let state = Answered { permit, answer };
         Ok(Submission { state })
     }
 }
@@ -171,6 +178,7 @@
         api: &Api,
     ) -> Result<Submission<Answered<v1::SubmitJobResponse>>, Refusal> {
         let Admitted {
+            permit,
             target,
             repeat,
             message,
@@ -185,25 +193,26 @@
         };
         let limit = api.request_timeout;
         let answer = api.forwarder.send(&target, repeat, limit, call).await?;
-        let state = Answered { answer };
+        let state = Answered { permit, answer };
         Ok(Submission { state })
     }
 }
 
 impl Submission<Answered<v1::RunRequestResponse>> {
     fn response(self) -> Response {
-        let answer = self.state.answer;
+        let Answered { permit, answer } = self.state;
         let empty = v1::Outcome::default();
-        match convert::outcome_from_wire(answer.outcome.as_ref().unwrap_or(&empty)) {
+        let response = match convert::outcome_from_wire(answer.outcome.as_ref().unwrap_or(&empty)) {
             Outcome::Refused(refusal) => ErrorBody::response(&refusal),
             outcome => Json(OutcomeView::from(outcome)).into_response(),
-        }
+        };
+        Held::response(response, permit)
     }
 }
 
 impl Submission<Answered<v1::SubmitJobResponse>> {
     fn response(self) -> Result<Response, Refusal> {
-        let answer = self.state.answer;
+        let Answered { permit, answer } = self.state;
         let missing = || {
             let message = "the scheduler's answer has no state";
             Refusal::new(ResultCode::AnswerLost, message)
@@ -211,7 +220,8 @@
         let (view, _) = JobView::from_wire(answer.status.ok_or_else(missing)?)?;
         let mut body = json!(view);
         body["repeated"] = json!(answer.repeated);
-        Ok((StatusCode::OK, Json(body)).into_response())
+        let response = (StatusCode::OK, Json(body)).into_response();
+        Ok(Held::response(response, permit))
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use crate::access::AccessList;
 use crate::api::{self, Api};
 use crate::forward::{Channels, Forwarder};
+use crate::limit::{InFlight, gated};
 use crate::routing::{Heartbeats, Homes, Members, RoutingTable};
 use crate::settings::GatewaySettings;
 
@@ -45,6 +46,11 @@
         let server = Server::bind(settings.listen, limits).await?;
         let table = Arc::new(RoutingTable::new());
         let seeds = settings.schedulers.iter().map(|seed| seed.get()).collect();
+        let in_flight = InFlight::new(
+            settings.max_in_flight,
+            settings.team_in_flight_share,
+            metrics.clone(),
+        );
         let (stopping, is_stopping) = Signal::manual();
         let (ended, is_ended) = Signal::manual();
         let heartbeats = Heartbeats {
@@ -58,6 +64,7 @@
             readiness: readiness.clone(),
             clock,
             metrics: metrics.clone(),
+            in_flight: in_flight.clone(),
             stopping: is_stopping,
         };
         let homes = Homes {
@@ -78,6 +85,7 @@
             homes,
             access: AccessList::new(settings.tokens.as_deref()),
             forwarder,
+            in_flight: in_flight.clone(),
             request_timeout: settings.request_timeout,
             clock,
             metrics: metrics.clone(),
@@ -85,7 +93,7 @@
         let router = api::router(Arc::new(api))
             .merge(health::router(&readiness))
             .merge(metrics.router());
-        let server = server.serve(router);
+        let server = server.serve_within(router, |router| gated(router, in_flight, limits));
         tracing::info!(
             "gateway: {} listens on {}",
             settings.process,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod api;
 mod forward;
 mod gateway;
+mod limit;
 mod routing;
 mod settings;
 mod util;
--- /dev/null
+++ b/crates/gateway/src/limit/held.rs
@@ -0,0 +1,45 @@
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use axum::body::{Body, Bytes, HttpBody};
+use axum::response::Response;
+use hyper::body::{Frame, SizeHint};
+
+/// Body of an answer that keeps a permit until it is written, because a slow reader keeps the memory as well.
+#[derive(Debug)]
+pub(crate) struct Held<P> {
+    body: Body,
+    _permit: P,
+}
+
+impl<P: Unpin + Send + 'static> Held<P> {
+    /// Ties `permit` to the body of `response`.
+    pub(crate) fn response(response: Response, permit: P) -> Response {
+        response.map(|body| {
+            Body::new(Self {
+                body,
+                _permit: permit,
+            })
+        })
+    }
+}
+
+impl<P: Unpin> HttpBody for Held<P> {
+    type Data = Bytes;
+    type Error = axum::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/limit/in_flight.rs
@@ -0,0 +1,112 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use lagoon_core::id::TeamId;
+use lagoon_core::policy::Percent;
+use lagoon_core::unit::Millis;
+use lagoon_core::{Refusal, ResultCode};
+use lagoon_process::Metrics;
+
+use crate::limit::{Permit, TeamPermit};
+use crate::util::Sharded;
+
+/// Shortest useful wait of a refused caller. Requests mostly end within a second.
+const RETRY_AFTER: Millis = Millis::new(1_000);
+
+/// Counts requests in flight, in all and for each team.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    limit: u64,
+    team_limit: u64,
+    total: AtomicU64,
+    /// Teams with a request in flight; no others, so that invented names don't fill the memory.
+    teams: Sharded<TeamId, u64>,
+    metrics: Metrics,
+}
+
+impl InFlight {
+    /// `team_share` is the share of `limit` that one team can take, at least one request.
+    pub(crate) fn new(limit: u64, team_share: Percent, metrics: Metrics) -> Arc<Self> {
+        Arc::new(Self {
+            limit,
+            team_limit: team_share.of(limit).max(1),
+            total: AtomicU64::new(0),
+            teams: Sharded::new(),
+            metrics,
+        })
+    }
+
+    /// Returns the number of requests in flight.
+    pub(crate) fn total(&self) -> u64 {
+        self.total.load(Ordering::Relaxed)
+    }
+
+    /// Takes a place for a request.
+    ///
+    /// # Errors
+    ///
+    /// `overloaded` when all places are taken.
+    pub(crate) fn enter(self: &Arc<Self>) -> Result<Permit, Refusal> {
+        let next = |total| (total < self.limit).then_some(total + 1);
+        let entered = self
+            .total
+            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, next);
+        if entered.is_err() {
+            self.metrics.count("requests.overloaded", 1);
+            let limit = self.limit;
+            return Err(overloaded(format!("the gateway has {limit} requests")));
+        }
+        Ok(Permit {
+            in_flight: self.clone(),
+        })
+    }
+
+    /// Takes a place of `team` for a request that has a place already.
+    ///
+    /// # Errors
+    ///
+    /// `overloaded` when all places of the team are taken.
+    pub(crate) fn enter_team(self: &Arc<Self>, team: &TeamId) -> Result<TeamPermit, Refusal> {
+        let entered = self.teams.with(team, |teams| match teams.get_mut(team) {
+            Some(count) if *count >= self.team_limit => false,
+            Some(count) => {
+                *count += 1;
+                true
+            }
+            None => {
+                teams.insert(team.clone(), 1);
+                true
+            }
+        });
+        if !entered {
+            self.metrics.count("requests.team_overloaded", 1);
+            let limit = self.team_limit;
+            return Err(overloaded(format!("team {team} has {limit} requests")));
+        }
+        Ok(TeamPermit {
+            in_flight: self.clone(),
+            team: team.clone(),
+        })
+    }
+
+    pub(super) fn leave(&self) {
+        self.total.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    pub(super) fn leave_team(&self, team: &TeamId) {
+        self.teams.with(team, |teams| {
+            let Some(count) = teams.get_mut(team) else {
+                return;
+            };
+            *count -= 1;
+            if *count == 0 {
+                teams.remove(team);
+            }
+        });
+    }
+}
+
+fn overloaded(who: String) -> Refusal {
+    let message = format!("{who} in flight, which is the limit; this call was not forwarded");
+    Refusal::new(ResultCode::Overloaded, message).retry_after(RETRY_AFTER)
+}
--- a/crates/gateway/src/routing/heartbeats.rs
+++ b/crates/gateway/src/routing/heartbeats.rs
@@ -12,6 +12,7 @@
 use tokio::time::{MissedTickBehavior, timeout};
 
 use crate::forward::Channels;
+use crate::limit::InFlight;
 use crate::routing::{Members, RoutingTable};
 
 const EVERY: Duration = Duration::from_millis(500);
@@ -32,6 +33,7 @@
     pub(crate) readiness: Readiness,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
+    pub(crate) in_flight: Arc<InFlight>,
     /// Set when the gateway has begun to stop and must not become ready again.
     pub(crate) stopping: Signal,
 }
@@ -54,6 +56,8 @@
     }
 
     fn start_calls(&self, calls: &mut JoinSet<()>) {
+        self.metrics
+            .gauge("requests.in_flight", self.in_flight.total());
         self.members.forget_old(self.clock.now());
         for address in self.members.all() {
             let Some(turn) = self.members.take_turn(address) else {
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -1,4 +1,5 @@
 use lagoon_core::id::{FailureDomain, ProcessId};
+use lagoon_core::policy::Percent;
 use lagoon_core::unit::{Bytes, Millis};
 use lagoon_process::logging::LogSettings;
 use lagoon_process::metrics::MetricsSettings;
@@ -15,7 +16,7 @@
 pub struct GatewaySettings {
     /// Name of this process.
     pub process: ProcessId,
-    /// Failure domain that takes work without a ticket.
+    /// Failure domain that takes requests with neither a ticket nor a key.
     pub failure_domain: FailureDomain,
     /// Failure domain that knows the idempotency keys of requests that name no `home`. All gateways of an installation
     /// need the same one, because a retry may arrive through any of them. Without it, such requests are refused.
@@ -40,6 +41,12 @@
     /// Time between the end of readiness and the end of new connections on a stop.
     #[serde(default = "default_drain_wait", deserialize_with = "text")]
     pub drain_wait: Millis,
+    /// Largest number of requests in flight; further ones are refused as overloaded.
+    #[serde(default = "default_max_in_flight")]
+    pub max_in_flight: u64,
+    /// Share of `max_in_flight` that one team can take, so that its flood leaves room for the others.
+    #[serde(default = "default_team_share", deserialize_with = "text")]
+    pub team_in_flight_share: Percent,
     /// Callers; without any, requests need no token.
     #[serde(default)]
     pub tokens: Option<Vec<TokenSettings>>,
@@ -64,10 +71,13 @@
             ("max_body", self.max_body.get()),
             ("read_timeout", self.read_timeout.get()),
             ("request_timeout", self.request_timeout.get()),
+            ("max_in_flight", self.max_in_flight),
         ];
         for (key, value) in positive {
             problems.require(value > 0, key, "more than zero");
         }
+        let share = (Percent::new(1)..=Percent::ALL).contains(&self.team_in_flight_share);
+        problems.require(share, "team_in_flight_share", "from 1% to 100%");
         if let Some(tokens) = &self.tokens {
             problems.require(
                 !tokens.is_empty(),
@@ -102,3 +112,11 @@
 fn default_drain_wait() -> Millis {
     Millis::new(5_000)
 }
+
+fn default_max_in_flight() -> u64 {
+    10_000
+}
+
+fn default_team_share() -> Percent {
+    Percent::new(50)
+}
--- a/crates/gateway/tests/gateway/fake.rs
+++ b/crates/gateway/tests/gateway/fake.rs
@@ -35,6 +35,9 @@
     pub(crate) cancelled: Vec<String>,
     pub(crate) policy: u64,
     pub(crate) leaving: bool,
+    /// Slow calls at this moment, and their largest number so far.
+    pub(crate) running: usize,
+    pub(crate) peak: usize,
 }
 
 /// The services of a fake.
@@ -145,7 +148,13 @@
             })),
             Reply::Lose => Err(Status::unavailable("the connection broke")),
             Reply::AnswerAfter(wait) => {
+                {
+                    let mut state = self.state.lock().unwrap();
+                    state.running += 1;
+                    state.peak = state.peak.max(state.running);
+                }
                 tokio::time::sleep(wait).await;
+                self.state.lock().unwrap().running -= 1;
                 Ok(None)
             }
         }
--- /dev/null
+++ b/crates/gateway/tests/gateway/limits.rs
@@ -0,0 +1,170 @@
+//! Bounds on requests in flight.
+
+use std::time::Duration;
+
+use lagoon_core::ResultCode;
+use lagoon_gateway::Gateway;
+use tokio::task::JoinSet;
+
+use crate::fake::{Fake, Reply};
+use crate::site::{Answer, send, start_ready};
+
+const SLOW: Reply = Reply::AnswerAfter(Duration::from_millis(1_500));
+
+fn request(team: &str) -> String {
+    format!(r#"{{"service":"s","team":"{team}"}}"#)
+}
+
+async fn post(gateway: &Gateway, path: &str, headers: &[&str], body: String) -> Answer {
+    send(gateway.address(), "POST", path, headers, body).await
+}
+
+/// Sends slow requests, one of each team of `teams`, and waits until the scheduler has them.
+async fn occupy(gateway: &Gateway, fake: &Fake, teams: &[&str]) -> JoinSet<Answer> {
+    fake.reply(&vec![SLOW; teams.len()]);
+    let mut calls = JoinSet::new();
+    for team in teams {
+        let (address, body) = (gateway.address(), request(team));
+        calls.spawn(async move { send(address, "POST", "/v1/requests", &[], body).await });
+    }
+    while fake.calls().len() < teams.len() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    calls
+}
+
+/// Refused as overloaded, with a hint, and not forwarded.
+fn assert_overloaded((status, answer): &Answer) {
+    assert_eq!(
+        answer["code"],
+        ResultCode::Overloaded.number(),
+        "{status} {answer}"
+    );
+    assert_eq!((*status, &answer["class"]), (503, &"not_run".into()));
+    assert_eq!(answer["retry_after_ms"], 1_000);
+}
+
+macro_rules! beyond_the_limit {
+    ($($(#[$guard:meta])* $name:ident: $settings:literal, [$($team:literal),*]
+        then $path:literal $headers:expr, $body:expr => $expected:literal;)*) => {
+        $(
+            $(#[$guard])*
+            #[tokio::test]
+            async fn $name() {
+                let fake = Fake::start("s1");
+                fake.claim("cluj:0", 1);
+                let gateway = start_ready(&[&fake], $settings).await;
+                let occupied = [$($team),*];
+                let calls = occupy(&gateway, &fake, &occupied).await;
+                let answer = post(&gateway, $path, $headers, $body).await;
+                if $expected == "overloaded" {
+                    assert_overloaded(&answer);
+                    assert_eq!(fake.calls().len(), occupied.len());
+                } else {
+                    assert_eq!(answer.1["outcome"], $expected, "{}", answer.1);
+                }
+                for (status, answer) in calls.join_all().await {
+                    assert_eq!(status, 200, "{answer}");
+                }
+                gateway.stop().await;
+            }
+        )*
+    };
+}
+
+const JOB: &str = r#"{"kind":"batch","team":"c","run_ms":1,"resources":{"cpu":"1","memory":"1B"}}"#;
+
+beyond_the_limit! {
+    /// Guards against a flood of many teams that fills the memory.
+    all_places_taken: "max_in_flight: 3", ["a", "b", "c"]
+        then "/v1/requests" &[], request("d") => "overloaded";
+    /// Guards against jobs that pass the limit of requests.
+    job_counts: "max_in_flight: 2", ["a", "b"]
+        then "/v1/jobs" &["idempotency-key: k"], JOB.to_owned() => "overloaded";
+    /// Guards against an answer that the sender loses because its body was not read.
+    large_body: "max_in_flight: 2", ["a", "b"]
+        then "/v1/requests" &[], "x".repeat(4_000) => "overloaded";
+    /// Guards against a path without a handler whose bodies fill the memory.
+    unknown_path: "max_in_flight: 2", ["a", "b"] then "/v2/x" &[], request("c") => "overloaded";
+    /// Guards against one team that takes all places.
+    all_places_of_a_team_taken: "max_in_flight: 4", ["a", "a"]
+        then "/v1/requests" &[], request("a") => "overloaded";
+    /// Guards against a flood of one team that leaves no room for another.
+    other_team_has_room: "max_in_flight: 4", ["a", "a"]
+        then "/v1/requests" &[], request("b") => "succeeded";
+    /// Guards against a share that is ignored.
+    whole_share: "max_in_flight: 4\nteam_in_flight_share: 100%", ["a", "a", "a"]
+        then "/v1/requests" &[], request("a") => "succeeded";
+    /// Guards against a small share that leaves a team no place at all.
+    least_share: "max_in_flight: 10\nteam_in_flight_share: 1%", []
+        then "/v1/requests" &[], request("a") => "succeeded";
+}
+
+/// Guards against places that are lost after an answer, a refusal or a caller that gave up.
+#[tokio::test]
+async fn places_are_freed() {
+    let fake = Fake::start("s1");
+    fake.claim("cluj:0", 1);
+    let settings = "max_in_flight: 2\nteam_in_flight_share: 100%";
+    let gateway = start_ready(&[&fake], settings).await;
+    occupy(&gateway, &fake, &["a", "a"]).await.abort_all();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for _ in 0..3 {
+        let (status, answer) = post(&gateway, "/v1/requests", &[], request("a")).await;
+        assert_eq!(status, 200, "{answer}");
+        let (status, _) = post(&gateway, "/v1/requests", &[], "{".to_owned()).await;
+        assert_eq!(status, 400);
+    }
+    fake.with(|state| state.calls.clear());
+    let calls = occupy(&gateway, &fake, &["a", "a"]).await;
+    assert_overloaded(&post(&gateway, "/v1/requests", &[], request("b")).await);
+    calls.join_all().await;
+    let (status, answer) = post(&gateway, "/v1/requests", &[], request("b")).await;
+    assert_eq!(status, 200, "{answer}");
+    gateway.stop().await;
+}
+
+/// Guards against a gateway that looks dead to its operators during a flood.
+#[tokio::test]
+async fn operators_are_answered_during_a_flood() {
+    let fake = Fake::start("s1");
+    fake.claim("cluj:0", 1);
+    let gateway = start_ready(&[&fake], "max_in_flight: 1").await;
+    let calls = occupy(&gateway, &fake, &["a"]).await;
+    assert_overloaded(&post(&gateway, "/v1/requests", &[], request("b")).await);
+    for path in ["/healthz", "/readyz"] {
+        let (status, _) = send(gateway.address(), "GET", path, &[], "").await;
+        assert_eq!(status, 200, "{path}");
+    }
+    let (_, metrics) = send(gateway.address(), "GET", "/metrics", &[], "").await;
+    assert_eq!(metrics["requests.overloaded"], 1, "{metrics}");
+    let answer = send(gateway.address(), "GET", "/healthz", &[], "body").await;
+    assert_overloaded(&answer);
+    calls.join_all().await;
+    gateway.stop().await;
+}
+
+/// Guards against a bound that lets more in than it says when requests arrive at one time.
+#[tokio::test(flavor = "multi_thread")]
+async fn bound_holds_in_a_flood() {
+    let fake = Fake::start("s1");
+    fake.claim("cluj:0", 1);
+    fake.reply(&vec![SLOW; 200]);
+    let gateway = start_ready(&[&fake], "max_in_flight: 20\nteam_in_flight_share: 50%").await;
+    let mut calls = JoinSet::new();
+    for i in 0..200 {
+        let (address, body) = (gateway.address(), request(["a", "b", "c"][i % 3]));
+        calls.spawn(async move { send(address, "POST", "/v1/requests", &[], body).await });
+    }
+    let answers = calls.join_all().await;
+    let taken = answers.iter().filter(|(status, _)| *status == 200).count();
+    let refused: Vec<&Answer> = answers
+        .iter()
+        .filter(|(status, _)| *status != 200)
+        .collect();
+    refused.iter().for_each(|answer| assert_overloaded(answer));
+    assert_eq!(taken, fake.calls().len());
+    let peak = fake.with(|state| state.peak);
+    assert!((1..=20).contains(&peak), "{peak} at one time");
+    gateway.stop().await;
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,5 +7,6 @@
 mod homes;
 mod jobs;
 mod life_cycle;
+mod limits;
 mod retries;
 mod site;
--- a/crates/process/src/server/body.rs
+++ b/crates/process/src/server/body.rs
@@ -61,3 +61,19 @@
     }
     Ok(buf.into())
 }
+
+/// Reads and drops the body of a refused request, within the limits, so that its sender doesn't lose the answer.
+pub async fn discard(mut body: Body, limits: Limits) {
+    let most = limits.max_body.get().saturating_mul(DROPPED_MULTIPLE);
+    let read = async {
+        let mut size: u64 = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            size += frame.data_ref().map_or(0, |data| data.len() as u64);
+            if size > most {
+                break;
+            }
+        }
+    };
+    // A sender that is too slow loses the answer.
+    let _ = timeout(limits.read_timeout.to_duration(), read).await;
+}
--- a/crates/process/src/settings/placeholder.rs
+++ b/crates/process/src/settings/placeholder.rs
@@ -2,7 +2,7 @@
 
 /// Values that stand in for a wrong or missing one, so that the rest of the file can still be read.
 pub(crate) fn candidates() -> Vec<Value> {
-    let texts = ["a", "1s", "1B", "127.0.0.1:1", "1/s", "text", "a:1"];
+    let texts = ["a", "1s", "1B", "127.0.0.1:1", "1/s", "1%", "text", "a:1"];
     let mut all: Vec<Value> = texts.iter().map(|text| json!(text)).collect();
     all.extend([json!(1), json!(true), json!([]), json!({}), Value::Null]);
     all
