--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,8 @@
 use crate::access::AccessList;
 use crate::api::{self, Api};
 use crate::forward::{Channels, Forwarder};
-use crate::routing::{Heartbeats, Members, RoutingTable};
+use crate::limit::{InFlight, gated};
+use crate::routing::{Heartbeats, Homes, Members, RoutingTable};
 use crate::settings::GatewaySettings;
 
 /// Time on top of the longest request for its answer to be written.
@@ -45,6 +46,11 @@
         let server = Server::bind(settings.listen, limits).await?;
         let table = Arc::new(RoutingTable::new());
         let seeds = settings.schedulers.iter().map(|seed| seed.get()).collect();
+        let in_flight = InFlight::new(
+            settings.max_in_flight,
+            settings.team_in_flight_share,
+            metrics.clone(),
+        );
         let (stopping, is_stopping) = Signal::manual();
         let (ended, is_ended) = Signal::manual();
         let heartbeats = Heartbeats {
@@ -58,8 +64,14 @@
             readiness: readiness.clone(),
             clock,
             metrics: metrics.clone(),
+            in_flight: in_flight.clone(),
             stopping: is_stopping,
         };
+        let homes = Homes {
+            default_home: settings.default_home.clone(),
+            shards: settings.shards,
+            table: table.clone(),
+        };
         let forwarder = Forwarder {
             domain: settings.failure_domain.clone(),
             table,
@@ -70,8 +82,10 @@
         let api = Api {
             domain: settings.failure_domain.clone(),
             shards: settings.shards,
+            homes,
             access: AccessList::new(settings.tokens.as_deref()),
             forwarder,
+            in_flight: in_flight.clone(),
             request_timeout: settings.request_timeout,
             clock,
             metrics: metrics.clone(),
@@ -79,7 +93,7 @@
         let router = api::router(Arc::new(api))
             .merge(health::router(&readiness))
             .merge(metrics.router());
-        let server = server.serve(router);
+        let server = server.serve_within(router, |router| gated(router, in_flight, limits));
         tracing::info!(
             "gateway: {} listens on {}",
             settings.process,
--- a/crates/gateway/tests/gateway/fake.rs
+++ b/crates/gateway/tests/gateway/fake.rs
@@ -35,12 +35,16 @@
     pub(crate) cancelled: Vec<String>,
     pub(crate) policy: u64,
     pub(crate) leaving: bool,
+    /// Slow calls at this moment, and their largest number so far.
+    pub(crate) running: usize,
+    pub(crate) peak: usize,
 }
 
 /// The services of a fake.
 #[derive(Debug, Clone)]
 pub(crate) struct Service {
     pub(crate) name: String,
+    pub(crate) domain: String,
     pub(crate) address: SocketAddr,
     pub(crate) state: Arc<Mutex<State>>,
 }
@@ -55,7 +59,12 @@
 }
 
 impl Fake {
+    /// Starts a scheduler of the failure domain `cluj`.
     pub(crate) fn start(name: &str) -> Self {
+        Self::start_in(name, "cluj")
+    }
+
+    pub(crate) fn start_in(name: &str, domain: &str) -> Self {
         let runtime = Runtime::new().unwrap();
         let guard = runtime.enter();
         let incoming = TcpIncoming::bind("127.0.0.1:0".parse().unwrap()).unwrap();
@@ -66,6 +75,7 @@
         }));
         let service = Service {
             name: name.to_owned(),
+            domain: domain.to_owned(),
             address,
             state: state.clone(),
         };
@@ -138,7 +148,13 @@
             })),
             Reply::Lose => Err(Status::unavailable("the connection broke")),
             Reply::AnswerAfter(wait) => {
+                {
+                    let mut state = self.state.lock().unwrap();
+                    state.running += 1;
+                    state.peak = state.peak.max(state.running);
+                }
                 tokio::time::sleep(wait).await;
+                self.state.lock().unwrap().running -= 1;
                 Ok(None)
             }
         }
