--- /dev/null
+++ b/crates/language/src/syntax/statement.rs
@@ -0,0 +1,21 @@
+use std::fmt;
+
+use crate::syntax::{Command, Query};
+
+/// A query or a command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Statement {
+    /// Only reads.
+    Query(Query),
+    /// Changes something.
+    Command(Command),
+}
+
+impl fmt::Display for Statement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Query(query) => query.fmt(f),
+            Self::Command(command) => command.fmt(f),
+        }
+    }
+}
--- /dev/null
+++ b/crates/language/src/syntax_error.rs
@@ -0,0 +1,64 @@
+use std::fmt;
+
+/// Text that is not a query or command: where it goes wrong and what was expected there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SyntaxError {
+    column: usize,
+    found: String,
+    expected: Vec<String>,
+}
+
+impl SyntaxError {
+    pub(crate) fn new(column: usize, found: String, expected: Vec<String>) -> Self {
+        Self {
+            column,
+            found,
+            expected,
+        }
+    }
+
+    /// Returns the position in characters, from 1.
+    pub fn column(&self) -> usize {
+        self.column
+    }
+
+    /// Returns the word or character at the position; empty at the end of the text.
+    pub fn found(&self) -> &str {
+        &self.found
+    }
+
+    /// Returns what could have stood at the position.
+    pub fn expected(&self) -> &[String] {
+        &self.expected
+    }
+
+    /// Returns `text` with a mark below the position and the message, for a terminal.
+    pub fn render(&self, text: &str) -> String {
+        let line: String = text
+            .chars()
+            .map(|c| if c.is_control() { ' ' } else { c })
+            .collect();
+        format!("{line}\n{:>column$}\n{self}", "^", column = self.column)
+    }
+}
+
+impl fmt::Display for SyntaxError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "column {}: ", self.column)?;
+        match self.found.is_empty() {
+            true => f.write_str("the text ends")?,
+            false => write!(f, "found {:?}", self.found)?,
+        }
+        for (i, expected) in self.expected.iter().enumerate() {
+            let separator = match i {
+                0 => ", expected ",
+                i if i + 1 == self.expected.len() => " or ",
+                _ => ", ",
+            };
+            write!(f, "{separator}{expected}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for SyntaxError {}
