--- /dev/null
+++ b/crates/admin/src/access/mod.rs
@@ -0,0 +1,7 @@
+//! Who calls.
+
+mod operators;
+mod token;
+
+pub(crate) use self::operators::Operators;
+pub use self::token::Token;
--- /dev/null
+++ b/crates/admin/src/audit/segment_write.rs
@@ -0,0 +1,14 @@
+use lagoon_platform::store::Expect;
+
+use crate::audit::Segment;
+
+/// The next write of the trail.
+#[derive(Debug)]
+pub(super) struct SegmentWrite {
+    pub(super) number: u64,
+    pub(super) segment: Segment,
+    pub(super) value: String,
+    pub(super) expect: Expect,
+    /// Number of new records in it.
+    pub(super) taken: usize,
+}
--- /dev/null
+++ b/crates/admin/src/change/planner.rs
@@ -0,0 +1,52 @@
+use lagoon_core::Refusal;
+use lagoon_language::Command;
+use lagoon_process::Clock;
+
+use crate::change::policy_plan::{plan_drain, plan_set};
+use crate::change::work_plan::{plan_confirm_dead, plan_hand_over, plan_work};
+use crate::change::{Plan, PolicyStore, Preview};
+use crate::fleet::Fleet;
+
+/// Largest number of examples in a preview.
+pub(super) const EXAMPLES: usize = 20;
+
+/// Finds out what commands would do.
+#[derive(Debug, Clone)]
+pub(crate) struct Planner {
+    pub(crate) fleet: Fleet,
+    pub(crate) policy: PolicyStore,
+    pub(crate) count_limit: u64,
+    pub(crate) clock: Clock,
+}
+
+impl Planner {
+    /// Shows what a command would do and the code that confirms it.
+    pub(crate) async fn preview(&self, command: &Command) -> Result<Preview, Refusal> {
+        let plan = self.plan(command).await?;
+        Ok(Preview::new(plan, self.count_limit))
+    }
+
+    pub(super) async fn plan(&self, command: &Command) -> Result<Plan, Refusal> {
+        let now = self.clock.now();
+        match command {
+            Command::Set(setting) => plan_set(command, setting, self.policy.read().await?),
+            Command::Drain(place) | Command::Undrain(place) => {
+                let drained = matches!(command, Command::Drain(_));
+                let base = self.policy.read().await?;
+                let snapshot = self.fleet.snapshot().await;
+                plan_drain(command, place, drained, base, &snapshot)
+            }
+            Command::Work(action, target) => {
+                let snapshot = self.fleet.snapshot().await;
+                plan_work(&self.fleet, snapshot, command, *action, target, now).await
+            }
+            Command::ConfirmDead(host) => {
+                plan_confirm_dead(self.fleet.snapshot().await, command, host)
+            }
+            Command::HandOver { shard, to } => {
+                let snapshot = self.fleet.snapshot().await;
+                plan_hand_over(&self.fleet, snapshot, command, shard, to, now)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/admin/src/fleet/channels.rs
@@ -0,0 +1,42 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tonic::transport::{Channel, Endpoint};
+
+use crate::util::Sharded;
+
+const CONNECT_WITHIN: Duration = Duration::from_millis(1_000);
+
+/// One connection to each scheduler, opened when it is first used.
+#[derive(Debug)]
+pub(crate) struct Channels {
+    open: Sharded<SocketAddr, Channel>,
+}
+
+impl Channels {
+    pub(crate) fn new() -> Self {
+        Self {
+            open: Sharded::new(),
+        }
+    }
+
+    pub(crate) fn get(&self, address: SocketAddr) -> Channel {
+        self.open.with(&address, |open| {
+            let channel = open.entry(address).or_insert_with(|| connect(address));
+            channel.clone()
+        })
+    }
+
+    /// Closes the connection to a scheduler that is no longer a member.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        self.open.with(&address, |open| open.remove(&address));
+    }
+}
+
+fn connect(address: SocketAddr) -> Channel {
+    Endpoint::from_shared(format!("http://{address}"))
+        .expect("a socket address is a valid authority")
+        .connect_timeout(CONNECT_WITHIN)
+        .tcp_nodelay(true)
+        .connect_lazy()
+}
--- /dev/null
+++ b/src/bin/lagoon-admin.rs
@@ -0,0 +1,5 @@
+//! Entry of the operators.
+
+fn main() -> std::process::ExitCode {
+    lagoon_admin::main()
+}
