--- a/crates/admin/src/admin.rs
+++ b/crates/admin/src/admin.rs
@@ -61,10 +61,8 @@
         let (ended, is_ended) = Signal::manual();
         let heartbeats = Heartbeats {
             sender: member(&settings, server.address()),
-            members: fleet.members.clone(),
-            channels: fleet.channels.clone(),
+            fleet: fleet.clone(),
             readiness: readiness.clone(),
-            clock,
         };
         let process = settings.process;
         let applier = Applier::new(process.clone(), planner.clone(), audit.clone());
--- a/crates/admin/src/audit/trail.rs
+++ b/crates/admin/src/audit/trail.rs
@@ -112,27 +112,30 @@
         latest
     }
 
-    /// Prepares the write of as many of `records` as fit, at least one.
+    /// Prepares the write of as many of `records` as fit, at least one. A record that is too long for the rest of the
+    /// last segment begins a new one, so that no segment outgrows the limit unless one record does.
     pub(super) fn next_write<'a>(
         &self,
         records: impl Iterator<Item = &'a Record>,
     ) -> Result<SegmentWrite, serde_json::Error> {
         let limit = self.settings.segment_bytes.get() as usize;
+        let mut records = records.peekable();
+        let first = records.peek().map_or(Ok(0), |record| size_of(record))?;
         let last = self.segments.last_key_value();
-        let open = last.filter(|(_, stored)| stored.bytes < limit);
-        let (number, mut segment, mut bytes, expect) = match (open, last) {
-            (Some((number, stored)), _) => {
+        let fits = |(_, stored): &(&u64, &Stored)| stored.bytes.saturating_add(first) <= limit;
+        let (number, mut segment, mut bytes, expect) = match last.filter(fits) {
+            Some((number, stored)) => {
                 let expect = Expect::Version(stored.version);
                 (*number, stored.segment.clone(), stored.bytes, expect)
             }
-            (None, last) => {
+            None => {
                 let number = last.map_or(1, |(number, _)| number + 1);
                 (number, Segment::default(), FRAME_BYTES, Expect::Absent)
             }
         };
         let mut taken = 0;
         for record in records {
-            bytes += serde_json::to_string(record)?.len() + 1;
+            bytes += size_of(record)?;
             if taken > 0 && bytes > limit {
                 break;
             }
@@ -166,3 +169,8 @@
         oldest.map(|(number, stored)| (*number, stored.version))
     }
 }
+
+/// Returns the size of a record in a segment, with its separator.
+fn size_of(record: &Record) -> Result<usize, serde_json::Error> {
+    Ok(serde_json::to_string(record)?.len() + 1)
+}
--- a/crates/admin/src/change/applier.rs
+++ b/crates/admin/src/change/applier.rs
@@ -143,10 +143,10 @@
     /// Compares the plan with what the operator confirmed.
     async fn check(&self, plan: &Plan, req: &ApplyRequest) -> Result<(), Refusal> {
         if plan.confirmation() != req.confirmation {
-            let count = plan.count();
             let mut text = format!(
-                "not what the preview showed: {count} {} at {}",
-                plan.unit, plan.versions
+                "not what the preview showed: {} at {}",
+                plan.counted(),
+                plan.versions
             );
             if matches!(plan.effect, Effect::Policy { .. } | Effect::Nothing) {
                 text.push_str(&self.last_policy_change().await);
@@ -155,10 +155,8 @@
         }
         let count = plan.count();
         if count > self.planner.count_limit && req.count != Some(count) {
-            let text = format!(
-                "{count} {} are touched; confirm with \"count\": {count}",
-                plan.unit
-            );
+            let counted = plan.counted();
+            let text = format!("{counted} would be touched; confirm with \"count\": {count}");
             return Err(Refusal::new(ResultCode::CountRequired, text));
         }
         Ok(())
--- a/crates/admin/src/change/mod.rs
+++ b/crates/admin/src/change/mod.rs
@@ -18,6 +18,7 @@
 mod shard_change;
 mod stored_policy;
 mod turns;
+mod unit;
 mod work_plan;
 
 pub(crate) use self::{
@@ -26,5 +27,5 @@
 };
 use self::{
     effect::Effect, plan::Plan, shard_change::ShardChange, stored_policy::StoredPolicy,
-    turns::Turns,
+    turns::Turns, unit::Unit,
 };
--- a/crates/admin/src/change/plan.rs
+++ b/crates/admin/src/change/plan.rs
@@ -1,4 +1,4 @@
-use crate::change::{Confirmation, Effect};
+use crate::change::{Confirmation, Effect, Unit};
 use crate::util::{Missing, Versions};
 
 /// What a command would do now.
@@ -6,8 +6,7 @@
 pub(super) struct Plan {
     /// Canonical text of the command.
     pub(super) text: String,
-    /// Kind of the touched things, in the plural.
-    pub(super) unit: &'static str,
+    pub(super) unit: Unit,
     /// Ids of everything that it touches.
     pub(super) touched: Vec<String>,
     /// Details of the first touched things for the preview; not part of the confirmation.
@@ -31,12 +30,17 @@
         self.touched.len() as u64
     }
 
+    /// Returns the count with the name of what is counted.
+    pub(super) fn counted(&self) -> String {
+        self.unit.count(self.count())
+    }
+
     /// Returns the preview in one line, for the audit trail.
     pub(super) fn summary(&self) -> String {
-        let count = self.count();
+        let count = self.counted();
         match self.missing.len() {
-            0 => format!("{count} {}; {}", self.unit, self.stops),
-            missing => format!("{count} {}; {}; {missing} missing", self.unit, self.stops),
+            0 => format!("{count}; {}", self.stops),
+            missing => format!("{count}; {}; {missing} missing", self.stops),
         }
     }
 }
--- a/crates/admin/src/change/policy_plan.rs
+++ b/crates/admin/src/change/policy_plan.rs
@@ -9,7 +9,7 @@
 use lagoon_language::syntax::{Place, Setting};
 
 use crate::change::planner::EXAMPLES;
-use crate::change::{Effect, Plan, StoredPolicy, edit};
+use crate::change::{Effect, Plan, StoredPolicy, Unit, edit};
 use crate::fleet::Snapshot;
 use crate::util::Versions;
 
@@ -26,11 +26,13 @@
         Some(old) => format!("{old} becomes {setting}"),
         None => format!("{setting} is new"),
     };
-    let mut plan = start(command, base, next)?;
-    plan.unit = "policy values";
-    plan.undo = undo.map(|undo| Command::Set(undo).to_string());
+    let mut plan = start(command, Unit::PolicyValue, base, next)?;
+    let changes = !matches!(plan.effect, Effect::Nothing);
+    plan.undo = undo
+        .filter(|_| changes)
+        .map(|undo| Command::Set(undo).to_string());
     plan.stops = "nothing that runs stops".to_owned();
-    if !matches!(plan.effect, Effect::Nothing) {
+    if changes {
         plan.touched = vec![key];
         plan.examples = vec![example];
     }
@@ -58,8 +60,7 @@
             changed.push(host.to_string());
         }
     }
-    let mut plan = start(command, base, next)?;
-    plan.unit = "hosts";
+    let mut plan = start(command, Unit::Host, base, next)?;
     plan.stops = match drained {
         true => "the hosts get no new work; what runs there goes on",
         false => "nothing stops; the hosts get new work again",
@@ -103,7 +104,12 @@
     Ok(hosts)
 }
 
-fn start(command: &Command, base: StoredPolicy, mut next: Policy) -> Result<Plan, Refusal> {
+fn start(
+    command: &Command,
+    unit: Unit,
+    base: StoredPolicy,
+    mut next: Policy,
+) -> Result<Plan, Refusal> {
     let mut versions = Versions::default();
     versions.add("policy", base.policy.version.get());
     let effect = match next == base.policy {
@@ -119,7 +125,7 @@
     };
     Ok(Plan {
         text: command.to_string(),
-        unit: "",
+        unit,
         touched: Vec::new(),
         examples: Vec::new(),
         stops: String::new(),
--- a/crates/admin/src/change/preview.rs
+++ b/crates/admin/src/change/preview.rs
@@ -10,8 +10,8 @@
     text: String,
     /// Number of touched things.
     count: u64,
-    /// What is counted.
-    unit: &'static str,
+    /// The count and what is counted, such as `3 hosts`.
+    touches: String,
     /// Some of the touched things.
     examples: Vec<String>,
     /// What stops.
@@ -33,10 +33,10 @@
     pub(super) fn new(plan: Plan, count_limit: u64) -> Self {
         Self {
             count: plan.count(),
+            touches: plan.counted(),
             count_required: plan.count() > count_limit,
             confirmation: plan.confirmation(),
             text: plan.text,
-            unit: plan.unit,
             examples: plan.examples,
             stops: plan.stops,
             versions: plan.versions,
--- a/crates/admin/src/change/work_plan.rs
+++ b/crates/admin/src/change/work_plan.rs
@@ -11,7 +11,7 @@
 use lagoon_wire::v1::apply_request::Change;
 
 use crate::change::planner::EXAMPLES;
-use crate::change::{Effect, Plan, ShardChange};
+use crate::change::{Effect, Plan, ShardChange, Unit};
 use crate::fleet::{Fleet, Snapshot, WorkList};
 use crate::query::matches_work;
 use crate::util::Versions;
@@ -62,7 +62,7 @@
     missing.extend(list.missing);
     Ok(Plan {
         text: command.to_string(),
-        unit: "pieces of work",
+        unit: Unit::Work,
         touched: ids.iter().map(ToString::to_string).collect(),
         examples,
         stops,
@@ -189,7 +189,7 @@
     let touched: Vec<String> = changes.iter().map(|change| change.shard.clone()).collect();
     Ok(Plan {
         text: command.to_string(),
-        unit: "shards",
+        unit: Unit::Shard,
         examples: touched.iter().take(EXAMPLES).cloned().collect(),
         touched,
         stops: format!(
@@ -230,7 +230,7 @@
     });
     Ok(Plan {
         text: command.to_string(),
-        unit: "shards",
+        unit: Unit::Shard,
         touched: vec![shard.to_string()],
         examples: vec![example],
         stops: "nothing that runs stops; the shard takes no new work during the handover"
--- a/crates/admin/src/fleet/calls.rs
+++ b/crates/admin/src/fleet/calls.rs
@@ -33,6 +33,14 @@
 }
 
 impl Fleet {
+    /// Drops what is kept about members that nobody mentions any more.
+    pub(crate) fn forget_old(&self) {
+        for address in self.members.forget_old(self.clock.now()) {
+            self.channels.forget(address);
+            self.latest.with(&address, |latest| latest.remove(&address));
+        }
+    }
+
     /// Asks every scheduler for its shards. Of one that does not answer, the latest answer is shown with its age.
     pub(crate) async fn snapshot(&self) -> Snapshot {
         let mut calls = JoinSet::new();
@@ -57,7 +65,8 @@
                 }
             }
         }
-        snapshot.parts.sort_by_key(|part| part.address);
+        let key = |part: &Part| (part.answer.process.clone(), part.address);
+        snapshot.parts.sort_by_cached_key(key);
         snapshot.missing.sort();
         snapshot
     }
@@ -188,7 +197,7 @@
         let answers = calls.join_all().await.into_iter().flatten();
         let newest = answers
             .filter(|(_, _, document)| !document.is_empty())
-            .max_by_key(|(version, ..)| *version);
+            .max_by_key(|(version, address, _)| (*version, *address));
         newest.map(|(_, address, document)| (address, document))
     }
 
@@ -199,7 +208,7 @@
     ) -> Result<T, Refusal> {
         match timeout(self.ask_timeout.to_duration(), call).await {
             Ok(Ok(answer)) => Ok(answer.into_inner()),
-            Ok(Err(status)) if status.code() == Code::Unavailable => {
+            Ok(Err(status)) if is_unreachable(&status) => {
                 let text = "the scheduler can't be reached";
                 Err(Refusal::new(ResultCode::AnswerLost, text))
             }
@@ -218,3 +227,11 @@
 fn refused(refusal: Option<v1::Refusal>) -> Result<(), Refusal> {
     refusal.map_or(Ok(()), |refusal| Err(refusal_from_wire(&refusal)))
 }
+
+/// Tells whether a connection could not be made or broke; a broken one has no code of its own.
+fn is_unreachable(status: &Status) -> bool {
+    matches!(
+        status.code(),
+        Code::Unavailable | Code::Unknown | Code::Cancelled
+    )
+}
--- a/crates/admin/src/fleet/heartbeats.rs
+++ b/crates/admin/src/fleet/heartbeats.rs
@@ -1,8 +1,6 @@
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use lagoon_process::Clock;
 use lagoon_process::health::Readiness;
 use lagoon_process::shutdown::Signal;
 use lagoon_wire::v1;
@@ -10,7 +8,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use crate::fleet::{Channels, MemberTable};
+use crate::fleet::Fleet;
 
 /// Queries ask the schedulers themselves, so heartbeats only have to find new ones.
 const EVERY: Duration = Duration::from_millis(1_000);
@@ -20,10 +18,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Heartbeats {
     pub(crate) sender: v1::Member,
-    pub(crate) members: Arc<MemberTable>,
-    pub(crate) channels: Arc<Channels>,
+    pub(crate) fleet: Fleet,
     pub(crate) readiness: Readiness,
-    pub(crate) clock: Clock,
 }
 
 impl Heartbeats {
@@ -40,11 +36,9 @@
     }
 
     async fn round(&self) {
-        for address in self.members.forget_old(self.clock.now()) {
-            self.channels.forget(address);
-        }
+        self.fleet.forget_old();
         let mut calls = JoinSet::new();
-        for address in self.members.addresses() {
+        for address in self.fleet.members.addresses() {
             let this = self.clone();
             calls.spawn(async move { this.call(address).await });
         }
@@ -59,13 +53,13 @@
             sender: Some(self.sender.clone()),
             leaving: false,
         };
-        let mut client = PeerClient::new(self.channels.get(address));
+        let mut client = PeerClient::new(self.fleet.channels.get(address));
         match timeout(ANSWER_WITHIN, client.heartbeat(req)).await {
             Ok(Ok(answer)) => {
                 let answer = answer.into_inner();
-                let now = self.clock.now();
+                let now = self.fleet.clock.now();
                 for member in answer.members.iter().chain(&answer.receiver) {
-                    self.members.learn(member, now);
+                    self.fleet.members.learn(member, now);
                 }
                 true
             }
--- a/crates/admin/src/util/mod.rs
+++ b/crates/admin/src/util/mod.rs
@@ -9,8 +9,8 @@
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_platform::PlatformError;
 
-/// Refuses because the store did not do what was asked for, and certainly changed nothing.
+/// Refuses because the store did not answer, so that nothing took effect.
 pub(crate) fn store_down(e: &PlatformError) -> Refusal {
-    let text = format!("the store does not answer, nothing is changed: {e}");
+    let text = format!("the store does not answer: {e}");
     Refusal::new(ResultCode::StoreUnavailable, text)
 }
--- /dev/null
+++ b/crates/admin/tests/util/mod.rs
@@ -0,0 +1,13 @@
+//! What the golden sessions share: a fake scheduler, a store behind a gate that loses answers, and a transcript.
+
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
+
+mod fake_scheduler;
+mod gate;
+mod session;
+
+pub(crate) use self::{
+    fake_scheduler::{FakeScheduler, work},
+    gate::{Gate, Loss},
+    session::Session,
+};
--- /dev/null
+++ b/crates/admin/tests/util/session.rs
@@ -0,0 +1,166 @@
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use axum::body::Body;
+use http_body_util::BodyExt;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use lagoon_admin::{Admin, AdminSettings};
+use lagoon_platform::{ClientSettings, StoreClient, Transport};
+use lagoon_process::Clock;
+use lagoon_standin::store::{StoreHandle, StoreSettings};
+use serde_json::{Value, json};
+
+use crate::util::{FakeScheduler, Gate};
+
+/// Fields that differ from run to run.
+const VARYING: &[&str] = &["at", "age", "age_ms"];
+const POLL: Duration = Duration::from_millis(20);
+const MAX_POLLS: usize = 500;
+
+/// A store, schedulers, an admin process and the transcript of what operators sent.
+pub(crate) struct Session {
+    pub(crate) store: StoreHandle,
+    pub(crate) gate: Gate,
+    pub(crate) schedulers: Vec<FakeScheduler>,
+    admin: Admin,
+    client: Client<HttpConnector, Body>,
+    transcript: String,
+}
+
+impl Session {
+    /// Starts with two schedulers, of which the settings name only the first.
+    pub(crate) async fn start(extra_settings: &str) -> Self {
+        let store = StoreHandle::bind(StoreSettings::default()).await.unwrap();
+        let gate = Gate::bind(store.address()).await;
+        let s2 = FakeScheduler::bind("s2", "cluj:1", &[]);
+        let s1 = FakeScheduler::bind("s1", "cluj:0", &[&s2]);
+        let text = format!(
+            "process: admin-1\nfailure_domain: cluj\nlisten: 127.0.0.1:0\nstore: {}\n\
+             schedulers: [\"{}\"]\noperators:\n\
+             - {{operator: ana, token: token-of-ana-0123}}\n\
+             - {{operator: ben, token: token-of-ben-0123}}\n{extra_settings}",
+            gate.address(),
+            s1.address()
+        );
+        let settings: AdminSettings =
+            lagoon_process::settings::parse(Path::new("admin.yaml"), &text).unwrap();
+        let admin = Admin::bind(settings, Clock::anchored()).await.unwrap();
+        let mut session = Self {
+            store,
+            gate,
+            schedulers: vec![s1, s2],
+            admin,
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            transcript: String::new(),
+        };
+        session.wait_for(2, "show processes").await;
+        session
+    }
+
+    /// Repeats a query, which stays out of the transcript, until it has as many rows.
+    pub(crate) async fn wait_for(&mut self, rows: usize, text: &str) {
+        for _ in 0..MAX_POLLS {
+            let (_, answer) = self.post("ana", "/v1/query", &json!({"text": text})).await;
+            if answer["total"] == json!(rows) {
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("{text} never had {rows} rows");
+    }
+
+    /// Returns a client of the store that the gate and the faults for other processes don't affect.
+    pub(crate) fn store_client(&self) -> StoreClient {
+        let transport = Transport::new(ClientSettings::default());
+        StoreClient::new(self.store.endpoint(), transport)
+    }
+
+    /// Sends a request and adds it with its answer to the transcript.
+    pub(crate) async fn send(&mut self, operator: &str, path: &str, body: Value) -> Value {
+        let (status, answer) = self.post(operator, path, &body).await;
+        let mut shown = answer.clone();
+        redact(&mut shown);
+        let shown = serde_json::to_string_pretty(&shown).unwrap();
+        writeln!(
+            self.transcript,
+            "{operator}: POST {path} {body}\n{status} {shown}\n"
+        )
+        .unwrap();
+        answer
+    }
+
+    /// Previews a command and applies it with the code of the preview.
+    pub(crate) async fn command(&mut self, operator: &str, id: &str, text: &str) -> Value {
+        let preview = self
+            .send(operator, "/v1/preview", json!({"text": text}))
+            .await;
+        self.apply(operator, id, text, &preview).await
+    }
+
+    /// Applies a command with the code of an earlier preview.
+    pub(crate) async fn apply(
+        &mut self,
+        operator: &str,
+        id: &str,
+        text: &str,
+        preview: &Value,
+    ) -> Value {
+        let confirmation = &preview["confirmation"];
+        let body = json!({"text": text, "confirmation": confirmation, "command_id": id});
+        self.send(operator, "/v1/apply", body).await
+    }
+
+    pub(crate) async fn query(&mut self, text: &str) -> Value {
+        self.send("ana", "/v1/query", json!({"text": text})).await
+    }
+
+    /// Adds a remark to the transcript.
+    pub(crate) fn note(&mut self, text: &str) {
+        writeln!(self.transcript, "# {text}\n").unwrap();
+    }
+
+    /// Stops everything and returns the transcript, with addresses replaced by names.
+    pub(crate) async fn finish(self) -> String {
+        assert!(self.admin.stop().await);
+        self.store.stop().await;
+        let mut text = self.transcript;
+        for (i, scheduler) in self.schedulers.iter().enumerate() {
+            let name = format!("address-of-s{}", i + 1);
+            text = text.replace(&scheduler.address().to_string(), &name);
+        }
+        let gate: SocketAddr = self.gate.address();
+        text.replace(&gate.to_string(), "address-of-the-store")
+    }
+
+    async fn post(&self, operator: &str, path: &str, body: &Value) -> (u16, Value) {
+        let req = hyper::Request::builder()
+            .method("POST")
+            .uri(format!("http://{}{path}", self.admin.address()))
+            .header("authorization", format!("Bearer token-of-{operator}-0123"))
+            .body(Body::from(body.to_string()))
+            .unwrap();
+        let answer = self.client.request(req).await.unwrap();
+        let status = answer.status().as_u16();
+        let bytes = answer.into_body().collect().await.unwrap().to_bytes();
+        (status, serde_json::from_slice(&bytes).unwrap())
+    }
+}
+
+fn redact(value: &mut Value) {
+    match value {
+        Value::Object(fields) => {
+            for (name, value) in fields {
+                match VARYING.contains(&name.as_str()) {
+                    true => *value = json!("[varies]"),
+                    false => redact(value),
+                }
+            }
+        }
+        Value::Array(items) => items.iter_mut().for_each(redact),
+        _ => {}
+    }
+}
