--- a/crates/admin/src/change/applier.rs
+++ b/crates/admin/src/change/applier.rs
@@ -198,7 +198,10 @@
             policy: Some(mark),
             ..record
         };
-        self.audit.begin(intent.clone(), found.record).await?;
+        if let Err(refusal) = self.audit.begin(intent.clone(), found.record).await {
+            // The record of the refusal waits for the store like those of commands to shards.
+            return self.finish(intent, ChangeResult::Refused(refusal)).await;
+        }
         let result = match self.policy.replace(base, next, &document).await {
             Ok(()) => ChangeResult::Applied {
                 changed,
--- a/crates/admin/tests/sessions.rs
+++ b/crates/admin/tests/sessions.rs
@@ -91,8 +91,13 @@
         let preview = session.send("ana", "/v1/preview", json!({"text": text})).await;
         session.apply("ana", "c3", text, &preview).await;
         session.apply("ana", "c3", text, &preview).await;
-        assert_eq!(session.schedulers[0].changes().len(), 1);
         session.query("show changes").await;
+        session.note("another admin process finds the results in the trail");
+        session.replace_admin().await;
+        session.apply("ana", "c3", text, &preview).await;
+        let text = "set queue.items 50";
+        session.apply("ana", "c2", text, &preview).await;
+        assert_eq!(session.schedulers[0].changes().len(), 1);
     }
 
     /// Guards against a policy change without its record, and against commands to shards that wait for the store.
@@ -116,6 +121,13 @@
         session.apply("ana", "c2", "hold where team = red", &drain).await;
         session.apply("ana", "c1", "drain host s1-h1", &drain).await;
         session.query("show changes").await;
+        session.note("the store takes no records");
+        session.gate.lose(Loss::NoTrail);
+        session.command("ana", "c3", "set queue.items 50").await;
+        session.query("show policy where key = version").await;
+        session.command("ana", "c4", "release where team = red").await;
+        session.gate.lose(None);
+        session.query("show changes where command = c3 or command = c4").await;
     }
 
     /// Guards against a wrong command that has an effect or a message that does not help.
--- a/crates/admin/tests/util/gate.rs
+++ b/crates/admin/tests/util/gate.rs
@@ -13,15 +13,17 @@
 
 const MAX_BODY: usize = 2 << 20;
 
-/// What happens to writes of the policy, which the fault switches of the store can't pick out.
+/// What happens to writes of one kind, which the fault switches of the store can't pick out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Loss {
-    /// The next one takes effect, but its answer is lost.
+    /// The next write of the policy takes effect, but its answer is lost.
     NextAnswer,
-    /// Every one is lost before it reaches the store, and the sender can't tell.
+    /// Every write of the policy is lost before it reaches the store, and the sender can't tell.
     EveryRequest,
-    /// This document is written just before the next one arrives, as by another admin process.
+    /// This document is written just before the next write of the policy, as by another admin process.
     Overtaken(String),
+    /// Every write of the audit trail is refused.
+    NoTrail,
 }
 
 /// Passes calls on to the store.
@@ -62,10 +64,12 @@
 }
 
 impl Inner {
-    /// Returns the loss that applies to a write of the policy; those for one write are used up.
-    fn take_loss(&self) -> Option<Loss> {
+    /// Returns the loss that applies to a write; those for one write are used up.
+    fn take_loss(&self, target: &str) -> Option<Loss> {
         let mut loss = self.loss.lock().unwrap();
         match *loss {
+            Some(Loss::NoTrail) => loss.clone().filter(|_| target.starts_with("/kv/audit")),
+            _ if target != "/kv/policy" => None,
             Some(Loss::EveryRequest) => loss.clone(),
             _ => loss.take(),
         }
@@ -90,9 +94,9 @@
     let target = req.uri().path_and_query().unwrap().as_str().to_owned();
     let method = req.method().as_str().to_owned();
     let body = to_bytes(req.into_body(), MAX_BODY).await.unwrap();
-    let is_policy = method == "PUT" && target == "/kv/policy";
-    let loss = is_policy.then(|| gate.take_loss()).flatten();
+    let loss = (method == "PUT").then(|| gate.take_loss(&target)).flatten();
     match loss {
+        Some(Loss::NoTrail) => return StatusCode::SERVICE_UNAVAILABLE.into_response(),
         Some(Loss::EveryRequest) => return StatusCode::INTERNAL_SERVER_ERROR.into_response(),
         Some(Loss::Overtaken(other)) => {
             gate.send("PUT", "/kv/policy", Body::from(other)).await;
--- a/crates/admin/tests/util/session.rs
+++ b/crates/admin/tests/util/session.rs
@@ -27,6 +27,7 @@
     pub(crate) gate: Gate,
     pub(crate) schedulers: Vec<FakeScheduler>,
     admin: Admin,
+    settings: String,
     client: Client<HttpConnector, Body>,
     transcript: String,
 }
@@ -38,22 +39,21 @@
         let gate = Gate::bind(store.address()).await;
         let s2 = FakeScheduler::bind("s2", "cluj:1", &[]);
         let s1 = FakeScheduler::bind("s1", "cluj:0", &[&s2]);
-        let text = format!(
-            "process: admin-1\nfailure_domain: cluj\nlisten: 127.0.0.1:0\nstore: {}\n\
+        let settings = format!(
+            "process: PROCESS\nfailure_domain: cluj\nlisten: 127.0.0.1:0\nstore: {}\n\
              schedulers: [\"{}\"]\noperators:\n\
              - {{operator: ana, token: token-of-ana-0123}}\n\
              - {{operator: ben, token: token-of-ben-0123}}\n{extra_settings}",
             gate.address(),
             s1.address()
         );
-        let settings: AdminSettings =
-            lagoon_process::settings::parse(Path::new("admin.yaml"), &text).unwrap();
-        let admin = Admin::bind(settings, Clock::anchored()).await.unwrap();
+        let admin = bind("admin-1", &settings).await;
         let mut session = Self {
             store,
             gate,
             schedulers: vec![s1, s2],
             admin,
+            settings,
             client: Client::builder(TokioExecutor::new()).build_http(),
             transcript: String::new(),
         };
@@ -61,6 +61,13 @@
         session
     }
 
+    /// Stops the admin process and starts another one, which knows nothing but its settings.
+    pub(crate) async fn replace_admin(&mut self) {
+        let next = bind("admin-2", &self.settings).await;
+        assert!(std::mem::replace(&mut self.admin, next).stop().await);
+        self.wait_for(2, "show processes").await;
+    }
+
     /// Repeats a query, which stays out of the transcript, until it has as many rows.
     pub(crate) async fn wait_for(&mut self, rows: usize, text: &str) {
         for _ in 0..MAX_POLLS {
@@ -150,6 +157,13 @@
     }
 }
 
+async fn bind(process: &str, settings: &str) -> Admin {
+    let text = settings.replace("PROCESS", process);
+    let settings: AdminSettings =
+        lagoon_process::settings::parse(Path::new("admin.yaml"), &text).unwrap();
+    Admin::bind(settings, Clock::anchored()).await.unwrap()
+}
+
 fn redact(value: &mut Value) {
     match value {
         Value::Object(fields) => {
