Test a cluster of separate processes: all kinds of work in two failure domains

The harness starts lagoon-scheduler, lagoon-gateway and lagoon-standin as child processes with settings files in a temporary directory, waits for readiness and reaps every child when its handle is dropped, also on a panic.

--- /dev/null
+++ b/tests/harness/child.rs
@@ -0,0 +1,72 @@
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Command, ExitStatus, Stdio};
+
+use crate::harness::BoxError;
+
+/// Lines of a log that a failed test prints.
+const LOG_LINES: usize = 40;
+
+/// Child process, killed and reaped on drop.
+#[derive(Debug)]
+pub(crate) struct Child {
+    name: String,
+    log: PathBuf,
+    process: std::process::Child,
+}
+
+impl Child {
+    /// Starts a program that appends its standard error to `log`.
+    pub(crate) fn spawn(
+        name: &str,
+        program: &str,
+        args: &[String],
+        log: PathBuf,
+    ) -> Result<Self, BoxError> {
+        let stderr = File::options().create(true).append(true).open(&log)?;
+        let process = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(stderr)
+            .spawn()
+            .map_err(|e| format!("{program} can't be started: {e}"))?;
+        let name = name.to_owned();
+        Ok(Self { name, log, process })
+    }
+
+    /// Reads the first line of standard output.
+    pub(crate) fn first_line(&mut self) -> Result<String, BoxError> {
+        let stdout = self.process.stdout.take().ok_or("the output was read")?;
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line)?;
+        Ok(line)
+    }
+
+    /// Returns the exit status once the child has ended.
+    pub(crate) fn exited(&mut self) -> Option<ExitStatus> {
+        self.process.try_wait().ok().flatten()
+    }
+
+    fn print_log(&self) {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        let first = lines.len().saturating_sub(LOG_LINES);
+        eprintln!("--- end of the log of {}", self.name);
+        for line in &lines[first..] {
+            eprintln!("{line}");
+        }
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.print_log();
+        }
+        // Fails only if the child has ended. A stopped process ends at SIGKILL too.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
--- /dev/null
+++ b/tests/harness/settings_files.rs
@@ -0,0 +1,74 @@
+//! Settings files of the daemons.
+
+use std::net::SocketAddr;
+
+use lagoon_platform::Endpoint;
+
+use crate::harness::ClusterPlan;
+
+/// Returns the settings of a scheduler. Leases are shorter than by default, so that a test can outlast them.
+pub(crate) fn scheduler(
+    plan: &ClusterPlan,
+    name: &str,
+    domain: &str,
+    listen: SocketAddr,
+    health: SocketAddr,
+    peers: &[SocketAddr],
+    (store, host_list): (&Endpoint, &Endpoint),
+) -> String {
+    let (shards, task_ttl) = (plan.shards, plan.task_ttl_ms);
+    let peers = list(peers);
+    format!(
+        "process: {name}
+failure_domain: {domain}
+listen: {listen}
+health: {health}
+shards: {shards}
+peers: [{peers}]
+store: {store}
+host_list: {host_list}
+lease:
+  ttl: 1000ms
+  task_ttl: {task_ttl}ms
+  margin: 100ms
+store_writes: 100/s
+heartbeat: 100ms
+suspect_after: 800ms
+record_timeout: 2000ms
+host_list_interval: 500ms
+drain_timeout: 20000ms
+log:
+  level: info
+"
+    )
+}
+
+/// Returns the settings of a gateway.
+pub(crate) fn gateway(
+    plan: &ClusterPlan,
+    name: &str,
+    domain: &str,
+    listen: SocketAddr,
+    schedulers: &[SocketAddr],
+) -> String {
+    let shards = plan.shards;
+    let schedulers = list(schedulers);
+    format!(
+        "process: {name}
+failure_domain: {domain}
+shards: {shards}
+listen: {listen}
+schedulers: [{schedulers}]
+request_timeout: 30000ms
+drain_wait: 200ms
+"
+    )
+}
+
+fn list(addresses: &[SocketAddr]) -> String {
+    let texts: Vec<String> = addresses
+        .iter()
+        .map(|address| format!("\"{address}\""))
+        .collect();
+    texts.join(", ")
+}
