Count starts and payload runs in the fakes, and let a worker fail everything

Tests of the guarantees need to see on which worker a member started, however often, and whether one payload ran under two request ids. The counts are kept by the fakes themselves and outlive a crash of the worker.

--- a/crates/standin/src/executors/executor.rs
+++ b/crates/standin/src/executors/executor.rs
@@ -14,4 +14,6 @@
     pub(crate) in_use: u32,
     /// How often each request ran.
     pub(crate) runs: BTreeMap<String, u32>,
+    /// How often each payload ran, under the beginning of its text.
+    pub(crate) payloads: BTreeMap<String, u32>,
 }
--- a/crates/standin/src/executors/executors_api.rs
+++ b/crates/standin/src/executors/executors_api.rs
@@ -40,6 +40,7 @@
             .route("/e/{executor}/run", post(Self::run))
             .route("/e/{executor}/status", get(Self::status))
             .route("/runs", get(Self::show_runs))
+            .route("/payloads", get(Self::show_payloads))
             .with_state(self)
     }
 
@@ -62,7 +63,7 @@
         let Some(executor) = api.0.get(&id) else {
             return StatusCode::NOT_FOUND.into_response();
         };
-        let Some(slot) = Slot::take(executor.clone(), &req.request) else {
+        let Some(slot) = Slot::take(executor.clone(), &req) else {
             let body = "all slots are in use";
             return (StatusCode::SERVICE_UNAVAILABLE, body).into_response();
         };
@@ -84,6 +85,20 @@
         json(200, &status)
     }
 
+    /// Returns how often each payload ran on each executor.
+    pub(crate) fn payloads(&self) -> BTreeMap<ExecutorId, BTreeMap<String, u32>> {
+        let executors = self.0.iter();
+        let payloads = executors.map(|(id, executor)| {
+            let payloads = lock(&executor.state).payloads.clone();
+            (id.clone(), payloads)
+        });
+        payloads.collect()
+    }
+
+    async fn show_payloads(State(api): Api) -> Json<BTreeMap<ExecutorId, BTreeMap<String, u32>>> {
+        Json(api.payloads())
+    }
+
     async fn show_runs(State(api): Api) -> Json<BTreeMap<String, u32>> {
         Json(api.runs())
     }
--- a/crates/standin/src/executors/slot.rs
+++ b/crates/standin/src/executors/slot.rs
@@ -1,21 +1,28 @@
 use std::sync::Arc;
 
+use lagoon_platform::executor::RunRequest;
+
 use crate::executors::executor::Executor;
 use crate::util::lock;
 
+/// Characters of a payload under which its runs are counted.
+const PAYLOAD_PREFIX_CHARS: usize = 80;
+
 /// A slot in use; dropping it frees the slot.
 #[derive(Debug)]
 pub(crate) struct Slot(Arc<Executor>);
 
 impl Slot {
-    /// Takes a slot for `request` and counts the run; `None` if all are in use.
-    pub(crate) fn take(executor: Arc<Executor>, request: &str) -> Option<Self> {
+    /// Takes a slot for a request and counts the run; `None` if all are in use.
+    pub(crate) fn take(executor: Arc<Executor>, req: &RunRequest) -> Option<Self> {
         let mut state = lock(&executor.state);
         if state.in_use >= executor.slots {
             return None;
         }
         state.in_use += 1;
-        *state.runs.entry(request.to_owned()).or_default() += 1;
+        *state.runs.entry(req.request.clone()).or_default() += 1;
+        let payload = req.payload.chars().take(PAYLOAD_PREFIX_CHARS).collect();
+        *state.payloads.entry(payload).or_default() += 1;
         drop(state);
         Some(Self(executor))
     }
--- a/crates/standin/src/workers/worker_state.rs
+++ b/crates/standin/src/workers/worker_state.rs
@@ -22,6 +22,8 @@
     pub(crate) observed_factor: f64,
     pub(crate) usage_lag: Duration,
     pub(crate) crashed: bool,
+    /// True if every task fails as soon as it has started.
+    pub(crate) failing: bool,
     pub(crate) incarnation: Incarnation,
     /// Highest epoch that was granted; survives a restart.
     pub(crate) epoch: Epoch,
@@ -33,6 +35,8 @@
     pub(crate) tasks_until: HashMap<ShardId, Instant>,
     pub(crate) tasks: HashMap<TaskId, TaskRecord>,
     pub(crate) started: HashSet<TaskId>,
+    /// How often each member was started, whatever the attempt; survives a restart.
+    pub(crate) starts: BTreeMap<TaskId, u32>,
     pub(crate) sequence: Sequence,
     /// Sequence number at the start of this run; earlier ones get a full inventory.
     pub(crate) first_sequence: Sequence,
@@ -49,6 +53,7 @@
             observed_factor: all.observed_factor,
             usage_lag: all.usage_lag.to_duration(),
             crashed: false,
+            failing: false,
             incarnation: Incarnation::new(1),
             epoch: Epoch::default(),
             lease: None,
@@ -57,6 +62,7 @@
             tasks_until: HashMap::new(),
             tasks: HashMap::new(),
             started: HashSet::new(),
+            starts: BTreeMap::new(),
             sequence: Sequence::new(1),
             first_sequence: Sequence::new(1),
             forgotten: BTreeMap::new(),
@@ -114,6 +120,16 @@
         self.incarnation = self.incarnation.next();
     }
 
+    /// Fails every task that starts from now on.
+    pub(crate) fn fail(&mut self) {
+        self.failing = true;
+    }
+
+    /// Runs tasks again as their payloads ask.
+    pub(crate) fn recover(&mut self) {
+        self.failing = false;
+    }
+
     /// Remembers an epoch of a shard; false if a higher one was seen before.
     pub(crate) fn see_shard_epoch(&mut self, shard: &ShardId, epoch: Epoch) -> bool {
         let highest = self.shard_epochs.entry(shard.clone()).or_default();
--- a/crates/standin/src/workers/worker_tasks.rs
+++ b/crates/standin/src/workers/worker_tasks.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use lagoon_core::id::{Epoch, ShardId, TaskId};
 use lagoon_core::unit::{Millicores, Resources};
 use lagoon_platform::worker::{
@@ -52,7 +54,18 @@
                 return StartOutcome::Refused(self.refuse(StartRefusalReason::StartFailed));
             }
         };
-        let run_time = bounded(req.run_ms).mul_f64(self.run_time_factor);
+        let (ends_as, run_time) = match self.failing {
+            true => {
+                let error = "the worker fails everything".to_owned();
+                (TaskState::Failed { error }, Duration::ZERO)
+            }
+            false => {
+                let run_time = bounded(req.run_ms).mul_f64(self.run_time_factor);
+                (ends_as, run_time)
+            }
+        };
+        let member = TaskId::new(req.task.work().clone(), req.task.member());
+        *self.starts.entry(member).or_default() += 1;
         let report = TaskReport {
             task: req.task.clone(),
             shard: req.shard.clone(),
--- a/crates/standin/src/workers/workers_api.rs
+++ b/crates/standin/src/workers/workers_api.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use axum::extract::{ConnectInfo, OriginalUri, Path, Request, State};
@@ -63,6 +63,9 @@
         Router::new()
             .nest("/w/{worker}", worker)
             .route("/violations", get(Self::show_violations))
+            .route("/starts", get(Self::show_starts))
+            .route("/workers/{worker}/fail", post(Self::fail_worker))
+            .route("/workers/{worker}/recover", post(Self::recover_worker))
             .route("/workers/{worker}/crash", post(Self::crash_worker))
             .route("/workers/{worker}/restart", post(Self::restart_worker))
             .with_state(self)
@@ -161,6 +164,28 @@
         Json(api.violations.answer())
     }
 
+    /// Returns how often each worker started each member.
+    pub(crate) fn starts(&self) -> BTreeMap<WorkerId, BTreeMap<TaskId, u32>> {
+        let workers = self.workers.values();
+        let starts = workers.map(|worker| {
+            let state = lock(&worker.state);
+            (worker.id.clone(), state.starts.clone())
+        });
+        starts.collect()
+    }
+
+    async fn show_starts(State(api): Api) -> Json<BTreeMap<WorkerId, BTreeMap<TaskId, u32>>> {
+        Json(api.starts())
+    }
+
+    async fn fail_worker(State(api): Api, Path(id): Path<WorkerId>) -> StatusCode {
+        api.change(&id, WorkerState::fail)
+    }
+
+    async fn recover_worker(State(api): Api, Path(id): Path<WorkerId>) -> StatusCode {
+        api.change(&id, WorkerState::recover)
+    }
+
     async fn crash_worker(State(api): Api, Path(id): Path<WorkerId>) -> StatusCode {
         api.change(&id, WorkerState::crash)
     }
--- a/crates/standin/tests/control.rs
+++ b/crates/standin/tests/control.rs
@@ -69,7 +69,11 @@
         (platform.workers.address(), "GET /violations"),
         (platform.workers.address(), "POST /workers/cluj-w0/crash"),
         (platform.workers.address(), "POST /workers/cluj-w0/restart"),
+        (platform.workers.address(), "GET /starts"),
+        (platform.workers.address(), "POST /workers/cluj-w0/fail"),
+        (platform.workers.address(), "POST /workers/cluj-w0/recover"),
         (platform.executors.address(), "GET /runs"),
+        (platform.executors.address(), "GET /payloads"),
     ];
     for (address, line) in paths {
         let answer = send(address, line, "").await;
