--- a/crates/core/src/order/mod.rs
+++ b/crates/core/src/order/mod.rs
@@ -14,10 +14,13 @@
 //!
 //! The caller takes an entry with `next`, and either starts it and calls `charge`, or calls `set_aside` if no worker
 //! fits now. Entries set aside come back with `retry`, in order of their arrival there.
+//!
+//! [`FirstGang`] names the gang job for which workers are held, and how much of the fleet.
 
 mod accounting;
 mod deadline_item;
 mod fair_queue;
+mod first_gang;
 mod kind_queue;
 mod lazy_heap;
 mod queue_entry;
@@ -28,4 +31,4 @@
 mod team_state;
 mod waiting;
 
-pub use self::{fair_queue::FairQueue, queue_entry::QueueEntry};
+pub use self::{fair_queue::FairQueue, first_gang::FirstGang, queue_entry::QueueEntry};
--- a/crates/core/src/order/waiting.rs
+++ b/crates/core/src/order/waiting.rs
@@ -48,6 +48,20 @@
         kinds.map(|kind| self.retry_kind(*kind, limit)).sum()
     }
 
+    /// Makes an entry that was set aside ready again; returns whether it was set aside.
+    pub fn retry_work(&mut self, work: &WorkId) -> bool {
+        let Some(slot) = self.by_work.get(work).copied() else {
+            return false;
+        };
+        let waiting = self.slots[slot as usize].as_ref();
+        let aside = waiting.is_some_and(|waiting| waiting.place == Place::Aside);
+        if aside {
+            self.leave_place(slot);
+            self.make_ready(slot);
+        }
+        aside
+    }
+
     /// Keeps an entry from being selected until `release`; returns whether the work waits. Its deadline still counts.
     pub fn hold(&mut self, work: &WorkId) -> bool {
         let Some(slot) = self.by_work.get(work).copied() else {
--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -3,6 +3,7 @@
 use crate::id::{RackId, WorkerId};
 use crate::placement::dimension::Dimension;
 use crate::placement::free_index::FreeIndex;
+use crate::placement::gang_hold::GangHold;
 use crate::placement::{CapacityExceeded, ClosedReason, WorkerSlot};
 use crate::policy::Percent;
 use crate::unit::Resources;
@@ -16,10 +17,11 @@
     by_id: HashMap<WorkerId, u32>,
     pub(super) racks: HashMap<RackId, Vec<u32>>,
     pub(super) shapes: HashMap<Resources, u64>,
-    index: FreeIndex,
-    totals: Resources,
+    pub(super) index: FreeIndex,
+    pub(super) totals: Resources,
     in_use: Resources,
-    reclaim_margin: Option<Percent>,
+    pub(super) reclaim_margin: Option<Percent>,
+    pub(super) hold: Option<GangHold>,
 }
 
 impl Fleet {
@@ -204,36 +206,10 @@
         self.in_use = self.in_use.saturating_sub(*need);
     }
 
-    pub(super) fn set_skipped(&mut self, slot: u32, skipped: bool) {
-        self.withdraw(slot);
-        if let Some(worker) = &mut self.slots[slot as usize] {
-            worker.skipped = skipped;
-        }
-        self.restore(slot);
-    }
-
     pub(super) fn reclaims(&self) -> bool {
         self.reclaim_margin.is_some()
     }
 
-    /// Takes a worker out of the index before its state changes.
-    fn withdraw(&mut self, slot: u32) {
-        if let Some(worker) = &self.slots[slot as usize]
-            && worker.accepts_work(self.reclaim_margin)
-        {
-            self.index.remove(slot, &worker.free(self.reclaim_margin));
-        }
-    }
-
-    /// Puts a withdrawn worker back into the index.
-    fn restore(&mut self, slot: u32) {
-        if let Some(worker) = &self.slots[slot as usize]
-            && worker.accepts_work(self.reclaim_margin)
-        {
-            self.index.insert(slot, &worker.free(self.reclaim_margin));
-        }
-    }
-
     pub(super) fn change(&mut self, id: &WorkerId, change: impl FnOnce(&mut WorkerSlot)) -> bool {
         let Some(slot) = self.by_id.get(id).copied() else {
             return false;
--- a/crates/core/src/placement/gang.rs
+++ b/crates/core/src/placement/gang.rs
@@ -4,6 +4,7 @@
 
 use crate::id::WorkerId;
 use crate::placement::Fleet;
+use crate::placement::gang_hold::times;
 use crate::unit::Resources;
 use crate::work::{PlacementPolicy, Spread};
 
@@ -92,15 +93,3 @@
         }
     }
 }
-
-/// Returns how many times `need` fits in `capacity`.
-fn times(need: &Resources, capacity: &Resources) -> u64 {
-    let cpu = capacity.cpu.get().checked_div(need.cpu.get());
-    let memory = capacity.memory.get().checked_div(need.memory.get());
-    let accelerators = capacity
-        .accelerators
-        .get()
-        .checked_div(need.accelerators.get());
-    let limits = [cpu, memory, accelerators.map(u64::from)];
-    limits.into_iter().flatten().min().unwrap_or(u64::MAX)
-}
--- /dev/null
+++ b/crates/core/src/placement/gang_hold.rs
@@ -0,0 +1,213 @@
+//! Workers held for a gang job that waits in the first place.
+//!
+//! Small tasks would take every part of a worker as it frees, so that a large member never fits. A held worker takes no
+//! new work, and what frees there accumulates for the gang job. The held share is bounded by the caller. Each call
+//! examines a bounded number of workers and continues where the last one stopped, so that no call scans the fleet.
+
+use smallvec::SmallVec;
+
+use crate::id::WorkerId;
+use crate::placement::held_worker::HeldWorker;
+use crate::placement::{Fleet, WorkerSlot};
+use crate::policy::Percent;
+use crate::unit::Resources;
+use crate::work::PlacementPolicy;
+
+/// Workers examined in one call besides those that already fit a member.
+const EXAMINED: usize = 64;
+
+/// State of the hold; a fleet has at most one.
+#[derive(Debug)]
+pub(super) struct GangHold {
+    members: u64,
+    need: Resources,
+    workers: Vec<HeldWorker>,
+    capacity: Resources,
+    /// Members that the held workers can take now.
+    ready: u64,
+    next: usize,
+}
+
+impl GangHold {
+    /// Adds or subtracts what a held worker can take, before and after its state changes.
+    pub(super) fn recount(&mut self, worker: &WorkerSlot, margin: Option<Percent>, add: bool) {
+        let members = worker.members_now(&self.need, margin);
+        self.ready = match add {
+            true => self.ready + members,
+            false => self.ready.saturating_sub(members),
+        };
+    }
+
+    fn planned(&self) -> u64 {
+        self.workers.iter().map(|held| held.planned).sum()
+    }
+}
+
+impl Fleet {
+    /// Holds workers until those held are expected to take all members, or until they have `share` of the fleet.
+    /// A hold that exists is extended; its job must be the same.
+    pub fn hold_for_gang(
+        &mut self,
+        members: u32,
+        need: &Resources,
+        policy: &PlacementPolicy,
+        share: Percent,
+    ) {
+        let hold = self.hold.get_or_insert_with(|| GangHold {
+            members: u64::from(members),
+            need: *need,
+            workers: Vec::new(),
+            capacity: Resources::ZERO,
+            ready: 0,
+            next: 0,
+        });
+        let mut missing = hold.members.saturating_sub(hold.planned());
+        while missing > 0
+            && let Some(slot) = self.find(need, policy)
+            && let Some(planned) = self.hold_worker(slot, need, share)
+        {
+            missing = missing.saturating_sub(planned);
+        }
+        for _ in 0..EXAMINED.min(self.slots.len()) {
+            if missing == 0 {
+                return;
+            }
+            let Some(slot) = self.next_candidate(policy) else {
+                continue;
+            };
+            let planned = self.hold_worker(slot, need, share);
+            missing = missing.saturating_sub(planned.unwrap_or(0));
+        }
+    }
+
+    /// Lets go of workers on which nothing was freed since the last call, such as those full of services, and plans
+    /// the others anew. `hold_for_gang` replaces them.
+    pub fn renew_hold(&mut self) {
+        let Some(hold) = &mut self.hold else {
+            return;
+        };
+        let need = hold.need;
+        let mut kept = Vec::new();
+        for mut held in std::mem::take(&mut hold.workers) {
+            let slot = held.slot;
+            let worker = self.slots[slot as usize]
+                .as_ref()
+                .filter(|worker| worker.held);
+            let Some(worker) = worker else {
+                continue;
+            };
+            let free = worker.free(self.reclaim_margin);
+            let grown = !free.fits_in(&held.free);
+            let now = worker.members_now(&need, self.reclaim_margin);
+            held.planned = match grown {
+                true => times(&need, &worker.capacity),
+                false => now,
+            };
+            held.free = free;
+            match held.planned > 0 {
+                true => kept.push(held),
+                false => self.set_held(slot, false),
+            }
+        }
+        let capacity = kept.iter().filter_map(|held| {
+            let worker = self.slots[held.slot as usize].as_ref();
+            worker.map(|worker| worker.capacity)
+        });
+        let capacity = capacity.fold(Resources::ZERO, Resources::saturating_add);
+        if let Some(hold) = &mut self.hold {
+            hold.workers = kept;
+            hold.capacity = capacity;
+        }
+    }
+
+    /// Opens the held workers for all work.
+    pub fn end_hold(&mut self) {
+        let held = self.hold.as_mut();
+        let held = held.map(|hold| std::mem::take(&mut hold.workers));
+        for held in held.into_iter().flatten() {
+            self.set_held(held.slot, false);
+        }
+        self.hold = None;
+    }
+
+    /// Places the job that the hold is for, on held and other workers. The hold ends if the job was placed.
+    pub fn place_held_gang(
+        &mut self,
+        members: u32,
+        need: &Resources,
+        policy: &PlacementPolicy,
+    ) -> Option<SmallVec<[WorkerId; 8]>> {
+        let workers = self.hold.as_ref().map(|hold| &hold.workers);
+        let slots = workers
+            .into_iter()
+            .flatten()
+            .map(|held| held.slot as usize)
+            .filter(|slot| self.slots[*slot].as_ref().is_some_and(|worker| worker.held));
+        let slots: Vec<u32> = slots.map(|slot| slot as u32).collect();
+        for slot in &slots {
+            self.set_held(*slot, false);
+        }
+        let placed = self.place_gang(members, need, policy);
+        match placed {
+            Some(_) => self.hold = None,
+            None => slots.iter().for_each(|slot| self.set_held(*slot, true)),
+        }
+        placed
+    }
+
+    /// Tells whether the held workers alone can take all members now.
+    pub fn hold_is_ready(&self) -> bool {
+        let hold = self.hold.as_ref();
+        hold.is_some_and(|hold| hold.ready >= hold.members)
+    }
+
+    /// Returns the capacity of the held workers.
+    pub fn held(&self) -> Resources {
+        self.hold
+            .as_ref()
+            .map_or(Resources::ZERO, |hold| hold.capacity)
+    }
+
+    /// Returns the next worker in turn, if it may be held.
+    fn next_candidate(&mut self, policy: &PlacementPolicy) -> Option<u32> {
+        let hold = self.hold.as_mut()?;
+        let slot = hold.next % self.slots.len();
+        hold.next = slot + 1;
+        let worker = self.slots[slot].as_ref()?;
+        let allowed = policy.racks.is_empty() || policy.racks.contains(&worker.rack);
+        (allowed && worker.accepts_work(self.reclaim_margin)).then_some(slot as u32)
+    }
+
+    /// Holds a worker and returns how many members it is expected to take; none if it can't take any or if more than
+    /// `share` of the fleet would be held.
+    fn hold_worker(&mut self, slot: u32, need: &Resources, share: Percent) -> Option<u64> {
+        let worker = self.slots[slot as usize].as_ref()?;
+        let planned = times(need, &worker.capacity);
+        let capacity = self.held().saturating_add(worker.capacity);
+        if planned == 0 || capacity.dominant_share(&self.totals) > share.as_fraction() {
+            return None;
+        }
+        let free = worker.free(self.reclaim_margin);
+        self.set_held(slot, true);
+        let hold = self.hold.as_mut()?;
+        hold.capacity = capacity;
+        hold.workers.push(HeldWorker {
+            slot,
+            planned,
+            free,
+        });
+        Some(planned)
+    }
+}
+
+/// Returns how many times `need` fits in `capacity`.
+pub(super) fn times(need: &Resources, capacity: &Resources) -> u64 {
+    let cpu = capacity.cpu.get().checked_div(need.cpu.get());
+    let memory = capacity.memory.get().checked_div(need.memory.get());
+    let accelerators = capacity
+        .accelerators
+        .get()
+        .checked_div(need.accelerators.get());
+    let limits = [cpu, memory, accelerators.map(u64::from)];
+    limits.into_iter().flatten().min().unwrap_or(u64::MAX)
+}
--- a/crates/core/src/placement/worker_slot.rs
+++ b/crates/core/src/placement/worker_slot.rs
@@ -1,5 +1,6 @@
 use crate::id::{RackId, WorkerId};
 use crate::placement::ClosedReasons;
+use crate::placement::gang_hold::times;
 use crate::policy::Percent;
 use crate::unit::{Millicores, Resources};
 
@@ -15,6 +16,8 @@
     pub(super) closed: ClosedReasons,
     /// Set only while a gang is placed: the worker's rack already holds a member.
     pub(super) skipped: bool,
+    /// Set while it is kept for a gang job.
+    pub(super) held: bool,
 }
 
 impl WorkerSlot {
@@ -28,6 +31,7 @@
             covered: Resources::ZERO,
             closed: ClosedReasons::default(),
             skipped: false,
+            held: false,
         }
     }
 
@@ -64,7 +68,17 @@
     /// Tells whether new work may be placed on it now. A worker whose capacity shrank below its claims takes none, not
     /// even work that needs nothing of the exceeded dimension.
     pub(super) fn accepts_work(&self, margin: Option<Percent>) -> bool {
-        self.closed.is_empty() && !self.skipped && self.unreserved(margin).is_some()
+        let excluded = self.skipped || self.held;
+        self.closed.is_empty() && !excluded && self.unreserved(margin).is_some()
+    }
+
+    /// Returns how many members of a gang job it can take now if it is kept for that job.
+    pub(super) fn members_now(&self, need: &Resources, margin: Option<Percent>) -> u64 {
+        let usable = self.closed.is_empty() && self.unreserved(margin).is_some();
+        match usable {
+            true => times(need, &self.free(margin)),
+            false => 0,
+        }
     }
 
     /// Returns the capacity less what is reserved; none if more is reserved than the worker holds.
--- a/crates/core/src/shard/cancel.rs
+++ b/crates/core/src/shard/cancel.rs
@@ -99,6 +99,9 @@
             true => self.queue_of(work).hold(work),
             false => self.queue_of(work).release(work),
         };
+        if held {
+            self.end_gang_wait(work);
+        }
         if journalled {
             self.record_hold(work.clone(), held);
         }
--- a/crates/core/src/shard/expire.rs
+++ b/crates/core/src/shard/expire.rs
@@ -20,6 +20,7 @@
             self.fleet.open(&worker, ClosedReason::Rested);
             self.capacity_freed();
         }
+        self.check_gang_wait(now);
         let polls = self.slots.to_poll().into_iter();
         self.effects
             .extend(polls.map(|executor| Effect::Poll { executor }));
--- /dev/null
+++ b/crates/core/src/shard/gang_wait.rs
@@ -0,0 +1,47 @@
+//! Workers held for the gang job in the first place.
+
+use crate::id::WorkId;
+use crate::order::QueueEntry;
+use crate::shard::Shard;
+use crate::unit::Timestamp;
+use crate::work::WorkKind;
+
+impl Shard {
+    /// Notes that a job does not fit now, and holds workers if it waits in the first place for long.
+    pub(super) fn note_not_placed(&mut self, entry: &QueueEntry, now: Timestamp) {
+        if entry.kind != WorkKind::Gang {
+            return;
+        }
+        let (work, enqueued) = (&entry.work, entry.enqueued);
+        let share = self.first_gang.note_not_placed(work, enqueued, now);
+        let record = self.works.get(work);
+        if let (Some(share), Some(record)) = (share, record) {
+            let spec = &record.spec;
+            let (members, need) = (spec.members, &spec.resources);
+            self.fleet
+                .hold_for_gang(members, need, &spec.placement, share);
+        }
+    }
+
+    /// Ends the hold for work that has started, has ended or is held by an operator.
+    pub(super) fn end_gang_wait(&mut self, work: &WorkId) {
+        if self.first_gang.leave(work) {
+            self.fleet.end_hold();
+            self.capacity_freed();
+        }
+    }
+
+    /// Tries the job in the first place again. A job that could not be tried for a round, such as one whose team is at
+    /// its quota, gives up the first place.
+    pub(super) fn check_gang_wait(&mut self, now: Timestamp) {
+        if let Some(work) = self.first_gang.abandoned(now) {
+            self.end_gang_wait(&work);
+        }
+        if self.first_gang.take_renewal(now) {
+            self.fleet.renew_hold();
+        }
+        if let Some(work) = self.first_gang.work() {
+            self.tasks.retry_work(work);
+        }
+    }
+}
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -18,6 +18,7 @@
 mod executor_view;
 mod expire;
 mod fence;
+mod gang_wait;
 mod heartbeat;
 mod heartbeat_report;
 mod invariant;
--- a/crates/core/src/shard/schedule.rs
+++ b/crates/core/src/shard/schedule.rs
@@ -32,6 +32,11 @@
     /// Tries entries again that did not fit, because capacity was freed.
     pub(super) fn capacity_freed(&mut self) {
         self.tasks.retry(RETRIES_PER_RELEASE);
+        if self.fleet.hold_is_ready()
+            && let Some(work) = self.first_gang.work()
+        {
+            self.tasks.retry_work(work);
+        }
     }
 
     /// Returns the queue in which a piece of work waits.
@@ -115,12 +120,14 @@
             match self.place(&entry) {
                 Some(workers) => {
                     self.start_tasks(&entry, workers, now);
+                    self.end_gang_wait(&entry.work);
                     started += 1;
                 }
                 None => {
                     if let Some(record) = self.works.get_mut(&entry.work) {
                         record.reason = "no host has room for it now".to_owned();
                     }
+                    self.note_not_placed(&entry, now);
                     self.tasks.set_aside(entry);
                 }
             }
@@ -130,10 +137,12 @@
 
     fn place(&mut self, entry: &QueueEntry) -> Option<SmallVec<[WorkerId; 8]>> {
         let spec = &self.works.get(&entry.work)?.spec;
+        let (members, need) = (spec.members, &spec.resources);
         match entry.kind {
-            WorkKind::Gang => self
-                .fleet
-                .place_gang(spec.members, &spec.resources, &spec.placement),
+            WorkKind::Gang if self.first_gang.work() == Some(&entry.work) => {
+                self.fleet.place_held_gang(members, need, &spec.placement)
+            }
+            WorkKind::Gang => self.fleet.place_gang(members, need, &spec.placement),
             _ => {
                 let worker = self.fleet.place(&spec.resources, &spec.placement)?;
                 Some(SmallVec::from_iter([worker]))
--- a/crates/core/src/shard/shard_state.rs
+++ b/crates/core/src/shard/shard_state.rs
@@ -8,7 +8,7 @@
     Epoch, RequestKey, Sequence, ServiceName, ShardId, TeamId, Ticket, WorkId, WorkerId,
 };
 use crate::journal::{Head, Journal, JournalState, Position, StoreVersion};
-use crate::order::FairQueue;
+use crate::order::{FairQueue, FirstGang};
 use crate::placement::Fleet;
 use crate::policy::Policy;
 use crate::shard::commit::Recorded;
@@ -28,6 +28,8 @@
     pub(super) fleet: Fleet,
     /// Batch runs and gang jobs, which compete for workers.
     pub(super) tasks: FairQueue,
+    /// Gang job for which workers are held.
+    pub(super) first_gang: FirstGang,
     /// Requests of each service, which compete for its slots.
     pub(super) requests: HashMap<ServiceName, FairQueue>,
     pub(super) admission: Admission,
@@ -71,6 +73,7 @@
             epoch,
             fleet: Fleet::new(),
             tasks: FairQueue::new(Policy::clone(&policy)),
+            first_gang: FirstGang::default(),
             requests: HashMap::new(),
             admission: Admission::new(Policy::clone(&policy)),
             health: WorkerHealth::new(policy.health),
