--- /dev/null
+++ b/crates/load/src/bench/decision_bench.rs
@@ -0,0 +1,133 @@
+use std::time::{Duration, Instant};
+
+use lagoon_core::id::{Epoch, Sequence, TeamId, WorkId};
+use lagoon_core::order::{FairQueue, QueueEntry};
+use lagoon_core::placement::Fleet;
+use lagoon_core::unit::{Bytes, Millis, Priority, Resources, Timestamp};
+use lagoon_core::work::{PlacementPolicy, WorkKind};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::bench::running_task::RunningTask;
+use crate::sim::shard_id;
+use crate::util::{name, sized};
+use crate::workload::{Deployment, policy};
+
+/// Entries of each kind that are tried again when capacity frees; as in the shard.
+const RETRIES: usize = 16;
+
+/// Queue and fleet of one shard, with tasks that start and end at random.
+#[derive(Debug)]
+pub(crate) struct DecisionBench {
+    fleet: Fleet,
+    queue: FairQueue,
+    teams: Vec<TeamId>,
+    running: Vec<RunningTask>,
+    rng: SmallRng,
+    numbers: u64,
+    now: Timestamp,
+}
+
+impl DecisionBench {
+    /// Fills a fleet of 32-core workers with `tasks` running tasks.
+    pub(crate) fn new(workers: usize, tasks: usize, teams: usize, seed: u64) -> Self {
+        let deployment = Deployment::settlements().with_workers(workers);
+        let mut fleet = Fleet::new();
+        for spec in deployment.specs() {
+            fleet.upsert_worker(spec.worker, spec.rack, spec.capacity);
+        }
+        let mut queue = FairQueue::new(policy(&deployment));
+        queue.set_totals(fleet.totals());
+        let mut bench = Self {
+            fleet,
+            queue,
+            teams: (0..teams).map(|n| name(&format!("team{n}"))).collect(),
+            running: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            numbers: 0,
+            now: Timestamp::from_millis(1_000_000),
+        };
+        while bench.running.len() < tasks {
+            bench.start_one();
+        }
+        bench
+    }
+
+    /// Queues one task, then takes the next one and places it; returns the time of both decisions together.
+    pub(crate) fn start_one(&mut self) -> Duration {
+        let entry = self.draw();
+        let began = Instant::now();
+        self.queue.push(entry);
+        if let Some(entry) = self.queue.next(self.now) {
+            let anywhere = PlacementPolicy::default();
+            match self.fleet.place(&entry.need, &anywhere) {
+                Some(worker) => {
+                    self.queue.charge(entry.kind, &entry.team, entry.need);
+                    let (team, need) = (entry.team, entry.need);
+                    self.running.push(RunningTask { worker, team, need });
+                }
+                None => {
+                    self.queue.set_aside(entry);
+                }
+            }
+        }
+        began.elapsed()
+    }
+
+    /// Ends a random task; returns the time it takes to free its place.
+    pub(crate) fn end_one(&mut self) -> Duration {
+        let index = self.rng.random_range(0..self.running.len());
+        let task = self.running.swap_remove(index);
+        let began = Instant::now();
+        self.fleet.release(&task.worker, task.need);
+        self.queue.discharge(WorkKind::Batch, &task.team, task.need);
+        self.queue.retry(RETRIES);
+        began.elapsed()
+    }
+
+    /// Places a gang job on the fleet and ends it again; returns the time of the placement if it fits.
+    pub(crate) fn gang(&mut self, members: u32) -> Option<Duration> {
+        let need = sized(2, 8);
+        let began = Instant::now();
+        let placed = self
+            .fleet
+            .place_gang(members, &need, &PlacementPolicy::default());
+        let took = began.elapsed();
+        for worker in placed? {
+            self.fleet.release(&worker, need);
+        }
+        Some(took)
+    }
+
+    /// Returns the assigned share of the dominant resource.
+    pub(crate) fn share(&self) -> f64 {
+        self.fleet.in_use().dominant_share(&self.fleet.totals())
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    fn draw(&mut self) -> QueueEntry {
+        self.numbers += 1;
+        let team = self.rng.random_range(0..self.teams.len());
+        let cores = self.rng.random_range(1..=10);
+        let urgent = self.rng.random_range(0..10) == 0;
+        QueueEntry {
+            work: WorkId::new(shard_id(), Epoch::new(1), Sequence::new(self.numbers)),
+            kind: WorkKind::Batch,
+            team: self.teams[team].clone(),
+            priority: match urgent {
+                true => Priority::HIGHEST,
+                false => Priority::NORMAL,
+            },
+            deadline: Some(self.now.after(Millis::new(60_000))),
+            need: Resources {
+                memory: Bytes::new(cores << 32),
+                ..sized(cores, 0)
+            },
+            bytes: Bytes::new(500),
+            enqueued: self.now,
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/report/class_row.rs
@@ -0,0 +1,27 @@
+use serde::Serialize;
+
+/// Results of one class of work. Waits are in milliseconds of virtual time; work that never started counts with its
+/// whole wait.
+#[derive(Debug, Clone, Serialize)]
+pub struct ClassRow {
+    /// Kind, urgency and whether it is part of the flood.
+    pub class: String,
+    /// Work submitted in the measured time.
+    pub submitted: u64,
+    /// Work that started.
+    pub started: u64,
+    /// Work that ran to its end.
+    pub succeeded: u64,
+    /// Work that ran and failed.
+    pub failed: u64,
+    /// Work refused, cancelled or expired.
+    pub refused: u64,
+    /// Median wait.
+    pub wait_p50: u64,
+    /// Wait at the 99th percentile.
+    pub wait_p99: u64,
+    /// Longest wait.
+    pub wait_max: u64,
+    /// Starts per second of the measured time.
+    pub starts_per_second: f64,
+}
--- /dev/null
+++ b/crates/load/src/report/measures.rs
@@ -0,0 +1,219 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use lagoon_core::code::ResultCode;
+use lagoon_core::shard::StartResult;
+use lagoon_core::unit::Timestamp;
+use lagoon_core::work::WorkKind;
+
+use crate::report::{Class, ClassRow, Cost, add, new_histogram, record};
+use crate::sim::Job;
+
+/// Slice of time for the longest waits, in milliseconds.
+const SLICE: u64 = 5_000;
+
+/// Everything counted in one run.
+#[derive(Debug)]
+pub(crate) struct Measures {
+    ends: BTreeMap<Class, Ends>,
+    rows: BTreeMap<Class, ClassRow>,
+    /// Longest wait in milliseconds by class and slice of the time of arrival.
+    longest: BTreeMap<Class, BTreeMap<u64, u64>>,
+    refusals: BTreeMap<u16, u64>,
+    /// Assigned share of the dominant resource when feasible work was first refused for lack of room.
+    pub(crate) first_refusal_share: Option<f64>,
+    pub(crate) cancelled: u64,
+    pub(crate) store_calls: u64,
+    /// Starts that a worker refused because they did not fit.
+    pub(crate) did_not_fit: u64,
+    per_start: Histogram<u64>,
+    other_calls: Histogram<u64>,
+    total: Duration,
+    starts: u64,
+    window: Option<(Timestamp, Timestamp)>,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Ends {
+    succeeded: u64,
+    failed: u64,
+    refused: u64,
+}
+
+impl Measures {
+    pub(crate) fn new() -> Self {
+        Self {
+            ends: BTreeMap::new(),
+            rows: BTreeMap::new(),
+            longest: BTreeMap::new(),
+            refusals: BTreeMap::new(),
+            first_refusal_share: None,
+            cancelled: 0,
+            store_calls: 0,
+            did_not_fit: 0,
+            per_start: new_histogram(),
+            other_calls: new_histogram(),
+            total: Duration::ZERO,
+            starts: 0,
+            window: None,
+        }
+    }
+
+    /// Counts waits and throughput only of work that was submitted in this time.
+    pub(crate) fn set_window(&mut self, from: Timestamp, until: Timestamp) {
+        self.window = Some((from, until));
+    }
+
+    pub(crate) fn record_call(&mut self, took: Duration, starts: usize) {
+        self.total += took;
+        self.starts += starts as u64;
+        match starts as u32 {
+            0 => record(&mut self.other_calls, took),
+            starts => record(&mut self.per_start, took / starts),
+        }
+    }
+
+    pub(crate) fn record_start_result(&mut self, result: &StartResult) {
+        self.did_not_fit += u64::from(*result == StartResult::DoesNotFit);
+    }
+
+    /// Counts the end of work; `share` is asked for the use of the fleet at the first refusal for lack of room.
+    pub(crate) fn record_end(
+        &mut self,
+        job: &Job,
+        failure: Option<ResultCode>,
+        share: impl FnOnce() -> f64,
+    ) {
+        let counted = self.counts(job.submitted);
+        let ends = self
+            .ends
+            .entry(Class::of(&job.spec, job.flood))
+            .or_default();
+        let Some(code) = failure else {
+            ends.succeeded += u64::from(counted);
+            return;
+        };
+        ends.refused += u64::from(counted);
+        *self.refusals.entry(code.number()).or_default() += 1;
+        let for_room = matches!(
+            code,
+            ResultCode::Overloaded
+                | ResultCode::QueueFull
+                | ResultCode::DeadlineInfeasible
+                | ResultCode::DeadlinePassed
+        );
+        if for_room && job.spec.kind != WorkKind::Service && self.first_refusal_share.is_none() {
+            self.first_refusal_share = Some(share());
+        }
+    }
+
+    pub(crate) fn record_failure(&mut self, job: &Job) {
+        let counted = self.counts(job.submitted);
+        let ends = self
+            .ends
+            .entry(Class::of(&job.spec, job.flood))
+            .or_default();
+        ends.failed += u64::from(counted);
+    }
+
+    /// Computes the rows at the end of a run.
+    pub(crate) fn finish(&mut self, jobs: &[Job], end: Timestamp) {
+        self.find_longest(jobs, end);
+        let mut waits: BTreeMap<Class, (u64, u64, Histogram<u64>)> = BTreeMap::new();
+        for job in jobs.iter().filter(|job| self.counts(job.submitted)) {
+            let class = Class::of(&job.spec, job.flood);
+            let new = || (0, 0, new_histogram());
+            let (submitted, started, waited) = waits.entry(class).or_insert_with(new);
+            *submitted += 1;
+            *started += u64::from(job.started.is_some());
+            // Refused work has no wait; work that neither started nor ended waits until the end of the run.
+            let until = job.started.or((!job.ended).then_some(end));
+            if let Some(until) = until {
+                add(waited, until.since(job.submitted).get());
+            }
+        }
+        let first = jobs.first().map_or(end, |job| job.submitted);
+        let (from, until) = self.window.unwrap_or((first, end));
+        let seconds = until.since(from).get().max(1) as f64 / 1_000.0;
+        for (class, (submitted, started, waited)) in waits {
+            let ends = self.ends.get(&class).copied().unwrap_or_default();
+            let row = ClassRow {
+                class: class.to_string(),
+                submitted,
+                started,
+                succeeded: ends.succeeded,
+                failed: ends.failed,
+                refused: ends.refused,
+                wait_p50: waited.value_at_quantile(0.5),
+                wait_p99: waited.value_at_quantile(0.99),
+                wait_max: waited.max(),
+                starts_per_second: started as f64 / seconds,
+            };
+            self.rows.insert(class, row);
+        }
+    }
+
+    fn find_longest(&mut self, jobs: &[Job], end: Timestamp) {
+        let Some(first) = jobs.first().map(|job| job.submitted) else {
+            return;
+        };
+        for job in jobs {
+            let Some(until) = job.started.or((!job.ended).then_some(end)) else {
+                continue;
+            };
+            let slice = job.submitted.since(first).get() / SLICE * SLICE;
+            let class = Class::of(&job.spec, job.flood);
+            let slices = self.longest.entry(class).or_default();
+            let longest = slices.entry(slice).or_default();
+            *longest = until.since(job.submitted).get().max(*longest);
+        }
+    }
+
+    /// Returns the longest wait in milliseconds by the second of arrival, for each class.
+    pub(crate) fn series(&self) -> BTreeMap<String, Vec<(f64, f64)>> {
+        let points = |slices: &BTreeMap<u64, u64>| {
+            let points = slices.iter();
+            let points = points.map(|(at, wait)| (*at as f64 / 1_000.0, *wait as f64));
+            points.collect()
+        };
+        let longest = self.longest.iter();
+        longest
+            .map(|(class, slices)| (class.to_string(), points(slices)))
+            .collect()
+    }
+
+    pub(crate) fn rows(&self) -> Vec<ClassRow> {
+        self.rows.values().cloned().collect()
+    }
+
+    /// Returns refusals by number and name.
+    pub(crate) fn refusals(&self) -> BTreeMap<String, u64> {
+        let name = |number: &u16| {
+            let mut codes = ResultCode::ALL.iter();
+            let code = codes.find(|code| code.number() == *number);
+            code.map_or("unknown", |code| code.name())
+        };
+        let refusals = self.refusals.iter();
+        refusals
+            .map(|(number, count)| (format!("{number} {}", name(number)), *count))
+            .collect()
+    }
+
+    pub(crate) fn costs(&self) -> Vec<Cost> {
+        vec![
+            Cost::of("call with starts, per start", &self.per_start),
+            Cost::of("other calls", &self.other_calls),
+        ]
+    }
+
+    /// Returns starts per second of wall-clock time spent in the policy, other calls included.
+    pub(crate) fn starts_per_busy_second(&self) -> f64 {
+        self.starts as f64 / self.total.as_secs_f64().max(1e-9)
+    }
+
+    fn counts(&self, submitted: Timestamp) -> bool {
+        let window = self.window;
+        window.is_none_or(|(from, until)| (from..until).contains(&submitted))
+    }
+}
--- /dev/null
+++ b/crates/load/src/report/mod.rs
@@ -0,0 +1,17 @@
+//! What is measured and how it is shown.
+
+mod check;
+mod class;
+mod class_row;
+mod cost;
+mod measures;
+mod scenario_report;
+mod table;
+
+pub use self::{check::Check, class_row::ClassRow, cost::Cost, scenario_report::ScenarioReport};
+pub(crate) use self::{
+    class::Class,
+    cost::{add, new_histogram, record},
+    measures::Measures,
+    table::print,
+};
--- /dev/null
+++ b/crates/load/src/scenario/floods.rs
@@ -0,0 +1,72 @@
+//! Floods: what the other kinds of work keep.
+
+use lagoon_core::unit::Priority;
+use lagoon_core::work::WorkKind;
+
+use crate::report::{Check, ClassRow, ScenarioReport};
+use crate::scenario::Options;
+use crate::scenario::case::Case;
+use crate::scenario::deployments::urgent_check;
+use crate::scenario::policy_kind::PolicyKind;
+use crate::workload::Deployment;
+
+/// Throughput that other kinds keep.
+const KEPT: f64 = 0.95;
+/// Largest factor of their p99 wait.
+const FACTOR: u64 = 2;
+
+pub(super) fn least(options: &Options) -> Vec<ScenarioReport> {
+    flood("flood-least", Priority::LOWEST, options)
+}
+
+pub(super) fn urgent(options: &Options) -> Vec<ScenarioReport> {
+    flood("flood-urgent", Priority::HIGHEST, options)
+}
+
+fn flood(scenario: &str, priority: Priority, options: &Options) -> Vec<ScenarioReport> {
+    let mut reports = Vec::new();
+    for deployment in [Deployment::settlements(), Deployment::plans()] {
+        let name = deployment.name;
+        let calm = Case::steady(deployment, options);
+        let times = calm.times;
+        let stream = calm.deployment.flood(priority, times.measured, times.last);
+        let flooded = calm.with_stream(stream);
+        for kind in PolicyKind::ALL {
+            let before = calm.report(scenario, &format!("{name}, no flood"), kind);
+            let mut during = flooded.report(scenario, &format!("{name}, flood"), kind);
+            during.checks = vec![urgent_check(&during)];
+            for kind in [WorkKind::Service, WorkKind::Gang] {
+                for urgent in [false, true] {
+                    let class = match urgent {
+                        true => format!("{kind} urgent"),
+                        false => kind.to_string(),
+                    };
+                    let checks = kept(&class, &before, &during);
+                    during.checks.extend(checks.into_iter().flatten());
+                }
+            }
+            reports.extend([before, during]);
+        }
+    }
+    reports
+}
+
+fn kept(class: &str, before: &ScenarioReport, during: &ScenarioReport) -> Option<[Check; 2]> {
+    let row = |report: &ScenarioReport| -> Option<ClassRow> {
+        report.rows.iter().find(|row| row.class == class).cloned()
+    };
+    let (before, during) = (row(before)?, row(during)?);
+    let part = during.succeeded as f64 / before.succeeded.max(1) as f64;
+    let throughput = Check::new(
+        format!("{class} keeps 95% of its throughput"),
+        format!("{:.1}%", part * 100.0),
+        part >= KEPT,
+    );
+    let (calm, flooded) = (before.wait_p99, during.wait_p99);
+    let wait = Check::new(
+        format!("p99 wait of {class} at most doubles"),
+        format!("{calm} ms to {flooded} ms"),
+        flooded <= calm * FACTOR,
+    );
+    Some([throughput, wait])
+}
--- /dev/null
+++ b/crates/load/src/sim/beat.rs
@@ -0,0 +1,13 @@
+use lagoon_core::id::{Incarnation, Sequence};
+use lagoon_core::shard::TaskReport;
+use lagoon_core::unit::Resources;
+
+/// What a worker says in a heartbeat.
+#[derive(Debug)]
+pub(crate) struct Beat {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) full: bool,
+    pub(crate) sequence: Sequence,
+    pub(crate) tasks: Vec<TaskReport>,
+    pub(crate) observed: Resources,
+}
--- /dev/null
+++ b/crates/load/src/slope/queue_slope.rs
@@ -0,0 +1,78 @@
+//! Memory and time for each piece of work that waits.
+
+use std::time::Instant;
+
+use lagoon_core::policy::{Policy, QueuePolicy};
+use lagoon_core::shard::{Route, Shard, Submission, WaiterId};
+use lagoon_core::unit::{Bytes, Priority};
+use lagoon_core::work::WorkSpec;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::report::ScenarioReport;
+use crate::sim::{JobNumber, new_shard};
+use crate::slope::Line;
+use crate::slope::memory::resident;
+use crate::slope::worker_slope::NOW;
+use crate::workload::{Deployment, policy};
+
+/// Waiting items at each point, by scale.
+const POINTS: [u64; 4] = [100, 250, 500, 1_000];
+
+pub(super) fn measure(scale: usize, report: &mut ScenarioReport) -> Shard {
+    // The workers are known and not leased, so that work is feasible and waits.
+    let deployment = Deployment::settlements();
+    let mut shard = new_shard(wide(policy(&deployment)), &deployment.specs(), NOW);
+    let (mut memory, mut time) = (Line::default(), Line::default());
+    let (mut number, mut spent) = (0, 0.0);
+    for point in POINTS {
+        let count = point * scale as u64;
+        let work: Vec<Submission> = (number..count)
+            .map(|number| submission(&deployment, number, Route::Once))
+            .collect();
+        let began = Instant::now();
+        for submission in work {
+            shard.submit(WaiterId::new(number), submission, NOW);
+            number += 1;
+        }
+        spent += began.elapsed().as_nanos() as f64;
+        shard.take_effects();
+        memory.add(count as f64, resident() as f64);
+        time.add(count as f64, spent);
+    }
+    memory.report_slope("memory per queued work (B)", report);
+    time.report_slope("time per submission that waits (ns)", report);
+    shard
+}
+
+/// Lifts the bounds of the queue.
+pub(super) fn wide(policy: Policy) -> Policy {
+    let team = policy.default_team.map(|mut team| {
+        team.queue_limit = 10_000_000;
+        team
+    });
+    Policy {
+        default_team: team,
+        queue: QueuePolicy {
+            items: 10_000_000,
+            bytes: Bytes::new(64 << 30),
+        },
+        ..policy
+    }
+}
+
+/// Returns a batch run of the steady load.
+pub(super) fn submission(deployment: &Deployment, number: u64, route: Route) -> Submission {
+    let mut rng = SmallRng::seed_from_u64(number);
+    let stream = deployment.flood(Priority::NORMAL, NOW, NOW);
+    let spec: WorkSpec = stream.draw(JobNumber(number), NOW, &mut rng);
+    Submission {
+        route,
+        fingerprint: spec.fingerprint(),
+        spec: WorkSpec {
+            deadline: None,
+            ..spec
+        },
+        until_end: true,
+    }
+}
--- /dev/null
+++ b/crates/load/src/workload/mod.rs
@@ -0,0 +1,8 @@
+//! What arrives, and the fleets that it arrives at.
+
+mod deployment;
+mod policy;
+mod span;
+mod stream;
+
+pub(crate) use self::{deployment::Deployment, policy::policy, span::Span, stream::Stream};
