--- a/crates/admin/tests/util/fake_scheduler.rs
+++ b/crates/admin/tests/util/fake_scheduler.rs
@@ -157,6 +157,8 @@
     fn member(&self) -> v1::Member {
         let shard = self.shard.lock().unwrap();
         v1::Member {
+            up_ms: 60_000,
+            leaving: false,
             process: self.process.clone(),
             role: "scheduler".to_owned(),
             domain: "cluj".to_owned(),
--- a/crates/core/src/lease/worker_lease.rs
+++ b/crates/core/src/lease/worker_lease.rs
@@ -153,6 +153,22 @@
         self.highest.map(|(epoch, _)| epoch)
     }
 
+    /// Tells whether tasks of this shard may still run on the worker.
+    pub fn tasks_may_run(&self, now: Timestamp) -> bool {
+        let touched = self.pending.is_some() || self.confirmed.is_some();
+        touched && !self.tasks_certainly_lapsed(now)
+    }
+
+    /// Takes the answer to a fence: from now on the worker refuses renewals by earlier owners, whose last one may have
+    /// come just before.
+    pub fn on_fenced(&mut self, received_at: Timestamp, task_ttl: Millis) {
+        self.note_confirmed(Confirmed {
+            received_at,
+            ttl: Millis::ZERO,
+            task_ttl,
+        });
+    }
+
     /// Returns the epoch to renew; `None` if a new one must be asked for.
     pub fn renewable(&self, now: Timestamp) -> Option<Epoch> {
         let renewable = !self.lost(now) && self.unconfirmed < MAX_UNCONFIRMED;
--- a/crates/core/src/shard/drain.rs
+++ b/crates/core/src/shard/drain.rs
@@ -3,11 +3,15 @@
 use std::collections::BTreeSet;
 
 use crate::id::{HostId, WorkerId};
+use crate::journal::UsedWorker;
 use crate::lease::WorkerEvent;
 use crate::placement::ClosedReason;
 use crate::shard::worker_record::WorkerRecord;
 use crate::shard::{Shard, WorkerSpec};
-use crate::unit::Timestamp;
+use crate::unit::{Resources, Timestamp};
+
+/// Rack of a worker whose rack is not known yet.
+const UNKNOWN_RACK: &str = "unknown";
 
 impl Shard {
     /// Takes the workers whose home is this shard, and the hosts that are leaving. A worker that is no longer listed
@@ -19,8 +23,11 @@
         now: Timestamp,
     ) {
         for spec in listed {
-            if !self.workers.contains_key(&spec.worker) {
-                self.add_worker(spec);
+            match self.workers.get_mut(&spec.worker) {
+                None => self.add_worker(spec),
+                Some(holder) if holder.lease.epoch().is_none() => self.update_worker(spec),
+                // The lease says more than the list.
+                Some(_) => {}
             }
             for executor in &spec.executors {
                 self.slots.upsert(executor, &spec.worker);
@@ -56,6 +63,25 @@
         self.fleet.close(&spec.worker, ClosedReason::NoLease);
     }
 
+    fn update_worker(&mut self, spec: &WorkerSpec) {
+        if let Some(holder) = self.workers.get_mut(&spec.worker) {
+            holder.address = spec.address.clone();
+            self.fleet
+                .upsert_worker(spec.worker.clone(), spec.rack.clone(), spec.capacity);
+        }
+    }
+
+    /// Adds a worker that an earlier owner used, without capacity until its lease is held or the host list names it.
+    pub(super) fn add_used_worker(&mut self, worker: WorkerId, used: UsedWorker) {
+        let margin = self.config.lease_margin;
+        let holder = WorkerRecord::new(worker.clone(), used.host, used.address, margin);
+        self.workers.insert(worker.clone(), holder);
+        let rack = UNKNOWN_RACK.parse().expect("the name is valid");
+        self.fleet
+            .upsert_worker(worker.clone(), rack, Resources::ZERO);
+        self.fleet.close(&worker, ClosedReason::NoLease);
+    }
+
     pub(super) fn set_leaving(&mut self, worker: &WorkerId, leaving: bool) {
         let Some(holder) = self.workers.get_mut(worker) else {
             return;
@@ -94,8 +120,9 @@
         let gone = |holder: &&WorkerRecord| {
             !listed.contains(&holder.worker)
                 && holder.claims.is_empty()
+                && !self.unfenced.contains_key(&holder.worker)
                 && holder.lease.lost(now)
-                && (holder.lease.epoch().is_none() || holder.lease.tasks_certainly_lapsed(now))
+                && !holder.lease.tasks_may_run(now)
         };
         let gone: Vec<WorkerId> = self
             .workers
--- a/crates/core/src/shard/fence.rs
+++ b/crates/core/src/shard/fence.rs
@@ -38,6 +38,12 @@
         if *used != incarnation {
             self.inherited_lost = true;
         }
+        let task_ttl = self.config.task_ttl;
+        if let Some(holder) = self.workers.get_mut(worker) {
+            holder.lease.on_fenced(now, task_ttl);
+            holder.incarnation.get_or_insert(incarnation);
+            holder.lapsed = false;
+        }
         for report in tasks {
             self.on_phase(worker, &report.task, report.phase, now);
         }
@@ -50,7 +56,7 @@
         self.check_fenced(now);
     }
 
-    fn check_fenced(&mut self, now: Timestamp) {
+    pub(super) fn check_fenced(&mut self, now: Timestamp) {
         if self.unfenced.is_empty() && self.phase() == ShardPhase::Fencing {
             self.life.handle(ShardEvent::Fenced);
             self.resolve_inherited(now);
--- a/crates/core/src/shard/place.rs
+++ b/crates/core/src/shard/place.rs
@@ -1,4 +1,4 @@
-use crate::id::{Attempt, MemberIndex, TaskId, WorkerId};
+use crate::id::{Attempt, Incarnation, MemberIndex, TaskId, WorkerId};
 use crate::shard::place_state::PlaceState;
 
 /// Where one member of a piece of work is.
@@ -7,6 +7,8 @@
     pub(super) member: MemberIndex,
     pub(super) worker: WorkerId,
     pub(super) attempt: Option<Attempt>,
+    /// Run of the worker in which the task was started or found.
+    pub(super) run: Option<Incarnation>,
     pub(super) state: PlaceState,
     pub(super) output: Option<String>,
     /// True once the worker was asked to stop the task.
@@ -14,22 +16,29 @@
 }
 
 impl Place {
-    pub(super) fn starting(member: MemberIndex, worker: WorkerId, attempt: Attempt) -> Self {
+    pub(super) fn starting(
+        member: MemberIndex,
+        worker: WorkerId,
+        attempt: Attempt,
+        run: Option<Incarnation>,
+    ) -> Self {
         Self {
             member,
             worker,
             attempt: Some(attempt),
+            run,
             state: PlaceState::Starting,
             output: None,
             stopping: false,
         }
     }
 
-    pub(super) fn found(task: &TaskId, worker: WorkerId) -> Self {
+    pub(super) fn found(task: &TaskId, worker: WorkerId, run: Option<Incarnation>) -> Self {
         Self {
             member: task.member(),
             worker,
             attempt: task.attempt(),
+            run,
             state: PlaceState::Starting,
             output: None,
             stopping: false,
--- a/crates/core/src/shard/schedule.rs
+++ b/crates/core/src/shard/schedule.rs
@@ -195,7 +195,13 @@
         record.places = workers
             .iter()
             .zip(0..)
-            .map(|(worker, n)| Place::starting(MemberIndex::new(n), worker.clone(), attempt))
+            .map(|(worker, n)| {
+                let run = self
+                    .workers
+                    .get(worker)
+                    .and_then(|holder| holder.incarnation);
+                Place::starting(MemberIndex::new(n), worker.clone(), attempt, run)
+            })
             .collect();
         self.tasks.charge(entry.kind, &entry.team, entry.need);
         self.budget.record_start(now);
--- a/crates/core/src/shard/shard_config.rs
+++ b/crates/core/src/shard/shard_config.rs
@@ -12,6 +12,8 @@
     pub process: ProcessId,
     /// Time by which a lease counts as ended before it ends.
     pub lease_margin: Millis,
+    /// Time after which tasks stop by themselves if the owner of their shard is not heard of.
+    pub task_ttl: Millis,
     /// Longest wait for the record of an acceptance before it is withdrawn.
     pub record_timeout: Millis,
     /// Bounds of the ticket table.
--- a/crates/core/src/shard/shard_state.rs
+++ b/crates/core/src/shard/shard_state.rs
@@ -13,6 +13,7 @@
 use crate::placement::Fleet;
 use crate::policy::Policy;
 use crate::shard::commit::Recorded;
+use crate::shard::hand_over_step::HandOverStep;
 use crate::shard::slot_table::SlotTable;
 use crate::shard::unconfirmed_refusal::UnconfirmedRefusal;
 use crate::shard::work_record::WorkRecord;
@@ -55,6 +56,7 @@
     /// Refusals that wait for a check of the ownership, in the order of the checks.
     pub(super) unconfirmed: VecDeque<UnconfirmedRefusal>,
     pub(super) effects: Vec<Effect>,
+    pub(super) hand_over: HandOverStep,
 }
 
 impl Shard {
@@ -97,6 +99,7 @@
             uncommitted: VecDeque::new(),
             unconfirmed: VecDeque::new(),
             effects: Vec::new(),
+            hand_over: HandOverStep::None,
             policy,
             config,
         };
--- a/crates/core/src/shard/submit.rs
+++ b/crates/core/src/shard/submit.rs
@@ -297,7 +297,7 @@
             || self
                 .workers
                 .values()
-                .any(|worker| worker.incarnation.is_none());
+                .any(|worker| worker.lease.epoch().is_none());
         match spec.kind {
             WorkKind::Service => Feasibility::Unknown,
             _ if self
--- a/crates/core/src/shard/tasks.rs
+++ b/crates/core/src/shard/tasks.rs
@@ -136,7 +136,11 @@
             self.effects.push(Effect::Acknowledge { worker, tasks });
             return false;
         }
-        record.places.push(Place::found(task, worker.clone()));
+        let run = self
+            .workers
+            .get(worker)
+            .and_then(|holder| holder.incarnation);
+        record.places.push(Place::found(task, worker.clone(), run));
         let queued = record.state == WorkState::Waiting;
         record.charged = true;
         let (kind, team, need) = (record.spec.kind, record.spec.team.clone(), record.need());
--- a/crates/core/src/shard/work_record.rs
+++ b/crates/core/src/shard/work_record.rs
@@ -45,6 +45,8 @@
     pub(super) inherited: bool,
     /// True once a start of the work may have run, though nothing of it runs any more.
     pub(super) ran: bool,
+    /// True if the previous owner handed the work over without having started it.
+    pub(super) unsent: bool,
     /// Refused starts so far.
     pub(super) attempts: u32,
     /// True once the known workers were found able to hold the work.
@@ -78,6 +80,7 @@
             charged: false,
             inherited: false,
             ran: false,
+            unsent: false,
             attempts: 0,
             feasible: false,
         }
--- a/crates/core/src/shard/worker_record.rs
+++ b/crates/core/src/shard/worker_record.rs
@@ -16,6 +16,8 @@
     pub(super) sequence: Sequence,
     /// Tasks that hold capacity here, of this shard and of others.
     pub(super) claims: HashMap<TaskId, Resources>,
+    /// True once the tasks of this shard were taken as stopped, until the worker is heard of again.
+    pub(super) lapsed: bool,
     /// True once the store holds that this shard uses the worker.
     pub(super) recorded: bool,
 }
@@ -36,6 +38,7 @@
             incarnation: None,
             sequence: Sequence::default(),
             claims: HashMap::new(),
+            lapsed: false,
             recorded: false,
         }
     }
--- /dev/null
+++ b/crates/core/tests/handover_model/mod.rs
@@ -0,0 +1,9 @@
+//! A shard with a store, one worker and one executor, all in memory.
+
+mod owner;
+mod store;
+
+pub(crate) use self::{
+    owner::{Owner, WORKER, at, batch, request},
+    store::Store,
+};
--- a/crates/core/tests/shard_model/message.rs
+++ b/crates/core/tests/shard_model/message.rs
@@ -37,6 +37,10 @@
         worker: usize,
         tasks: Vec<TaskId>,
     },
+    Release {
+        worker: usize,
+        lease: Epoch,
+    },
     Fence {
         worker: usize,
     },
--- a/crates/core/tests/shard_model/worker.rs
+++ b/crates/core/tests/shard_model/worker.rs
@@ -79,6 +79,13 @@
         Ok(())
     }
 
+    /// Ends the lease if the caller still has it at that epoch.
+    pub(crate) fn release(&mut self, process: usize, lease: Epoch) {
+        if self.epoch == lease && self.lease.is_some_and(|(holder, _)| holder == process) {
+            self.lease = None;
+        }
+    }
+
     pub(crate) fn fence(&mut self, shard_epoch: Epoch) -> bool {
         self.shard_epoch = self.shard_epoch.max(shard_epoch);
         shard_epoch == self.shard_epoch
--- a/crates/core/tests/shard_model/world.rs
+++ b/crates/core/tests/shard_model/world.rs
@@ -312,6 +312,13 @@
                     }
                 }
             }
+            Effect::ReleaseLease {
+                worker,
+                epoch: lease,
+            } => {
+                let worker = worker_index(&worker);
+                self.send_call(process, epoch, Call::Release { worker, lease });
+            }
             Effect::Poll { .. } => self.send_call(process, epoch, Call::Status),
             Effect::Reply { waiter, reply } => self.reply(process, waiter, reply),
             Effect::Commit => {}
@@ -527,6 +534,7 @@
             replay.add(key, lagoon_core::journal::Segment::clone(&segment));
         }
         let config = ShardConfig {
+            task_ttl: TASK_TTL,
             shard,
             process: format!("p{process}").parse().unwrap(),
             lease_margin: Millis::new(50),
@@ -653,7 +661,8 @@
                 result: RequestResult::Lost,
             },
             Call::Store(_) => Answer::Store(JournalAnswer::Unknown),
-            Call::Acknowledge { .. } | Call::Fence { .. } | Call::Status => return,
+            Call::Release { .. } | Call::Acknowledge { .. } => return,
+            Call::Fence { .. } | Call::Status => return,
         };
         self.answers.push((message.process, message.epoch, answer));
     }
@@ -744,6 +753,10 @@
                 }
                 None
             }
+            Call::Release { worker, lease } => {
+                self.reachable(worker)?.release(message.process, lease);
+                None
+            }
             Call::Fence { worker } => {
                 let found = self.reachable(worker)?;
                 if !found.fence(epoch) {
--- a/crates/load/src/sim/shard_engine.rs
+++ b/crates/load/src/sim/shard_engine.rs
@@ -88,6 +88,8 @@
                 Action::Start { worker, task, job }
             }
             Effect::Stop { worker, task } => Action::Stop { worker, task },
+            // The shard keeps its owner, so no lease is given up.
+            Effect::ReleaseLease { .. } => return,
             Effect::Acknowledge { worker, tasks } => Action::Acknowledge { worker, tasks },
             Effect::Request {
                 executor,
@@ -200,7 +202,7 @@
     }
 
     fn heartbeat_lost(&mut self, worker: &WorkerId, now: Timestamp) {
-        self.shard.on_heartbeat_lost(worker, now);
+        self.shard.on_heartbeat_lost(worker);
         self.take_effects(now);
     }
 
--- a/crates/load/src/sim/shard_setup.rs
+++ b/crates/load/src/sim/shard_setup.rs
@@ -19,6 +19,7 @@
     let id = shard_id();
     let claim = Claim::new(id.clone(), name("load"), "127.0.0.1:1".to_owned(), None);
     let config = ShardConfig {
+        task_ttl: Millis::new(60_000),
         shard: id,
         process: name("load"),
         lease_margin: Millis::new(100),
--- a/crates/load/src/slope/encoded.rs
+++ b/crates/load/src/slope/encoded.rs
@@ -132,6 +132,8 @@
             address: "10.1.17.2:7400".to_owned(),
             policy_version: 123_456,
             shards: (0..shards).map(claim).collect(),
+            up_ms: 86_400_000,
+            leaving: false,
         }),
         leaving: false,
     };
