Document every settings key from one table and check files with lagoonctl

The table in lagoon-process is rendered as docs/settings.md and printed by lagoonctl explain. Tests compare it with the settings types: each field has an entry, and each default is the one that the type has. lagoonctl check reads a file with the daemon's own type and prints every problem; a missing mapping no longer hides the problems after it.

--- a/crates/ctl/src/args/command.rs
+++ b/crates/ctl/src/args/command.rs
@@ -1,6 +1,8 @@
 use argh::FromArgs;
 
-use crate::args::{CancelArgs, ListArgs, ShowArgs, SubmitArgs, TicketsArgs};
+use crate::args::{
+    CancelArgs, CheckArgs, ExplainArgs, ListArgs, ShowArgs, SubmitArgs, TicketsArgs,
+};
 
 /// Command of `lagoonctl`.
 #[derive(Debug, FromArgs)]
@@ -11,4 +13,6 @@
     Show(ShowArgs),
     Cancel(CancelArgs),
     Tickets(TicketsArgs),
+    Check(CheckArgs),
+    Explain(ExplainArgs),
 }
--- a/crates/ctl/src/args/ctl_args.rs
+++ b/crates/ctl/src/args/ctl_args.rs
@@ -5,14 +5,14 @@
 
 use crate::args::{Command, OutputFormat};
 
-/// Client of the lagoonspindle cluster scheduler. Submits work, shows it and cancels it.
+/// Client of the lagoonspindle cluster scheduler. Submits work, shows it and cancels it, and checks files.
 #[derive(Debug, FromArgs)]
 #[argh(
     example = "lagoonctl --gateway 127.0.0.1:7000 list --team a",
     note = "The environment variable LAGOON_GATEWAY replaces --gateway.",
     error_code(0, "Done."),
     error_code(1, "Refused or failed; the numbered code is printed."),
-    error_code(2, "Wrong usage."),
+    error_code(2, "Wrong usage, or a checked file is not valid."),
     error_code(
         3,
         "Not known whether the work ran; repeat with the same key or ticket."
--- /dev/null
+++ b/crates/ctl/src/args/explain_args.rs
@@ -0,0 +1,14 @@
+use argh::FromArgs;
+
+/// Explain a key of the settings or of the policy document: meaning, unit, default and range. Asks no gateway.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "explain",
+    example = "lagoonctl explain teams.TEAM.weight"
+)]
+pub(crate) struct ExplainArgs {
+    /// key, or the beginning of one such as log; without it, the whole reference is printed
+    #[argh(positional)]
+    pub(crate) key: Option<String>,
+}
--- a/crates/ctl/src/args/mod.rs
+++ b/crates/ctl/src/args/mod.rs
@@ -2,8 +2,10 @@
 
 mod batch_args;
 mod cancel_args;
+mod check_args;
 mod command;
 mod ctl_args;
+mod explain_args;
 mod gang_args;
 mod list_args;
 mod output_format;
@@ -13,8 +15,8 @@
 mod tickets_args;
 
 pub(crate) use self::{
-    batch_args::BatchArgs, cancel_args::CancelArgs, command::Command, ctl_args::CtlArgs,
-    gang_args::GangArgs, list_args::ListArgs, output_format::OutputFormat,
-    request_args::RequestArgs, show_args::ShowArgs, submit_args::SubmitArgs,
-    submit_args::SubmitKind, tickets_args::TicketsArgs,
+    batch_args::BatchArgs, cancel_args::CancelArgs, check_args::CheckArgs, command::Command,
+    ctl_args::CtlArgs, explain_args::ExplainArgs, gang_args::GangArgs, list_args::ListArgs,
+    output_format::OutputFormat, request_args::RequestArgs, show_args::ShowArgs,
+    submit_args::SubmitArgs, submit_args::SubmitKind, tickets_args::TicketsArgs,
 };
--- /dev/null
+++ b/crates/ctl/src/check.rs
@@ -0,0 +1,30 @@
+use std::io::Write;
+use std::path::Path;
+
+use lagoon_core::ResultCode;
+use lagoon_core::policy::Policy;
+use lagoon_gateway::GatewaySettings;
+use lagoon_process::exit;
+use lagoon_process::reference::Kind;
+use lagoon_process::settings::{SettingsErrors, load};
+use lagoon_scheduler::SchedulerSettings;
+
+use crate::args::CheckArgs;
+use crate::failure::Failure;
+
+/// Checks a file with the type that the daemon itself reads it with.
+pub(crate) fn check(args: &CheckArgs, out: &mut dyn Write) -> Result<u8, Failure> {
+    check_file(args.kind, &args.file).map_err(Failure::File)?;
+    let _ = writeln!(out, "{}: valid", args.file.display());
+    Ok(exit::DONE)
+}
+
+fn check_file(kind: Kind, file: &Path) -> Result<(), SettingsErrors> {
+    match kind {
+        Kind::Gateway => load::<GatewaySettings>(file).map(drop),
+        Kind::Scheduler => load::<SchedulerSettings>(file).map(drop),
+        Kind::Policy => load::<Policy>(file)
+            .map(drop)
+            .map_err(|e| e.with_code(ResultCode::InvalidPolicy)),
+    }
+}
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -9,7 +9,9 @@
 use crate::args::{
     BatchArgs, Command, CtlArgs, GangArgs, ListArgs, RequestArgs, SubmitKind, TicketsArgs,
 };
+use crate::check::check;
 use crate::client::Client;
+use crate::explain::explain;
 use crate::failure::Failure;
 use crate::key;
 use crate::render::render;
@@ -17,14 +19,18 @@
 /// Runs the command of `args` and returns the exit code.
 pub(crate) async fn run(
     args: &CtlArgs,
-    client: &Client,
+    gateway: Option<&str>,
     out: &mut dyn Write,
     err: &mut dyn Write,
 ) -> Result<u8, Failure> {
     let missing = || Failure::Usage("a command is missing; see lagoonctl --help".to_owned());
+    let open = || Client::open(args, gateway);
     let answer = match args.command.as_ref().ok_or_else(missing)? {
+        Command::Check(file) => return check(file, out),
+        Command::Explain(key) => return explain(key, args.output, out),
         Command::Submit(submit) => match &submit.kind {
             SubmitKind::Batch(batch) => {
+                let client = open()?;
                 let key = key_or_new(batch.key.as_ref(), batch.home.as_ref(), err);
                 let body = batch_body(batch);
                 client
@@ -32,27 +38,28 @@
                     .await?
             }
             SubmitKind::Gang(gang) => {
+                let client = open()?;
                 let key = key_or_new(gang.key.as_ref(), gang.home.as_ref(), err);
                 let body = gang_body(gang);
                 client
                     .call(Method::POST, "/v1/jobs", Some(&key), Some(&body))
                     .await?
             }
-            SubmitKind::Request(request) => run_request(request, client, err).await?,
+            SubmitKind::Request(request) => run_request(request, &open()?, err).await?,
         },
         Command::List(list) => {
-            client
+            open()?
                 .call(Method::GET, &list_path(list), None, None)
                 .await?
         }
         Command::Show(show) => {
-            client
+            open()?
                 .call(Method::GET, &job_path(&show.work), None, None)
                 .await?
         }
         Command::Tickets(tickets) => {
             let body = tickets_body(tickets);
-            client
+            open()?
                 .call(Method::POST, "/v1/tickets", None, Some(&body))
                 .await?
         }
@@ -60,7 +67,7 @@
             if cancel.work.is_empty() {
                 return Err(Failure::Usage("cancel needs at least one id".to_owned()));
             }
-            return Ok(cancel_all(args, &cancel.work, client, out, err).await);
+            return Ok(cancel_all(args, &cancel.work, &open()?, out, err).await);
         }
     };
     let _ = writeln!(out, "{}", render(args.output, &answer));
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,6 +1,6 @@
 //! Command-line client of the callers' API.
 //!
-//! The exit code tells scripts what they may do next: 0 done, 1 refused or failed, 2 wrong usage, 3 not known. After 3, a
+//! The exit code tells scripts what they may do next: 0 done, 1 refused or failed, 2 wrong usage or a checked file that is not valid, 3 not known. After 3, a
 //! repetition with the printed idempotency key is safe:
 //!
 //! ```text
@@ -9,8 +9,10 @@
 //! ```
 
 mod args;
+mod check;
 mod client;
 mod commands;
+mod explain;
 mod failure;
 mod key;
 mod render;
@@ -22,7 +24,6 @@
 use lagoon_process::exit;
 
 use crate::args::CtlArgs;
-use crate::client::Client;
 
 const PROGRAM: &str = "lagoonctl";
 const GATEWAY_VARIABLE: &str = "LAGOON_GATEWAY";
@@ -73,11 +74,7 @@
         let _ = writeln!(out, "{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
         return exit::DONE;
     }
-    let result = match Client::open(&args, gateway) {
-        Ok(client) => commands::run(&args, &client, out, err).await,
-        Err(failure) => Err(failure),
-    };
-    match result {
+    match commands::run(&args, gateway, out, err).await {
         Ok(code) => code,
         Err(failure) => {
             let _ = writeln!(err, "{PROGRAM}: {failure}");
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod health;
 pub mod logging;
 pub mod metrics;
+pub mod reference;
 pub mod server;
 pub mod settings;
 pub mod shutdown;
--- /dev/null
+++ b/crates/process/src/reference/page.rs
@@ -0,0 +1,55 @@
+use std::fmt::Write;
+
+use crate::reference::Kind;
+
+const HEAD: &str = "\
+# Settings
+
+This page is printed by `lagoonctl explain`; a test compares it with the code. `lagoonctl explain KEY` prints one entry,
+and `lagoonctl check --kind KIND FILE` reports every problem of a file at once.
+
+A key such as `log.level` is the key `level` below `log`. A part in capitals stands for a name or a number that the file
+chooses.
+";
+
+const GATEWAY: &str = "\
+YAML file of `lagoon-gateway --settings FILE`. A duration is a number with `ms`, `s`, `m`, `h` or `d`, a size one with
+`B`, `KB`, `KiB`, `MB`, `MiB`, `GB` or `GiB`, a percentage one with `%`, and an address is an IP address with a port. A
+name has 1 to 64 of `a-z A-Z 0-9 . _ -`.
+";
+
+const SCHEDULER: &str = "\
+YAML file of `lagoon-scheduler --settings FILE`, with values in the same forms; a rate is a number with `/s` or `/m`.
+";
+
+const POLICY: &str = "\
+Value of the key `policy` in the store, as JSON. `lagoonctl check FILE` takes JSON and YAML. Values are plain numbers in
+the unit that the table names.
+";
+
+/// Renders docs/settings.md.
+pub fn page() -> String {
+    let mut page = HEAD.to_owned();
+    for kind in Kind::ALL {
+        let (title, text) = match kind {
+            Kind::Gateway => ("Gateway", GATEWAY),
+            Kind::Scheduler => ("Scheduler", SCHEDULER),
+            Kind::Policy => ("Policy document", POLICY),
+        };
+        let _ = write!(page, "\n## {title}\n\n{text}\n");
+        page.push_str("| key | unit | default | range | meaning |\n");
+        page.push_str("| --- | --- | --- | --- | --- |\n");
+        for entry in kind.entries() {
+            let default = match entry.default_text() {
+                text @ ("required" | "none") => text.to_owned(),
+                text => format!("`{text}`"),
+            };
+            let _ = writeln!(
+                page,
+                "| `{}` | {} | {default} | {} | {} |",
+                entry.key, entry.unit, entry.range, entry.meaning
+            );
+        }
+    }
+    page
+}
--- a/crates/process/src/settings/load.rs
+++ b/crates/process/src/settings/load.rs
@@ -39,14 +39,18 @@
 ///
 /// Every problem of the text.
 pub fn parse<T: DeserializeOwned + Checked>(path: &Path, text: &str) -> Result<T, SettingsErrors> {
-    let value: Value = serde_saphyr::from_str(text).map_err(|e| {
-        let key = String::new();
-        // The parser adds an excerpt of the file; the first line names the place.
-        let detail = e.to_string();
-        let place = detail.lines().next().unwrap_or_default();
-        let message = format!("is not valid YAML: {place}");
-        SettingsErrors::new(path, vec![Problem { key, message }])
-    })?;
+    // YAML doesn't allow all of JSON, such as tabs for indentation.
+    let json = serde_json::from_str(text);
+    let value: Value =
+        json.or_else(|_| serde_saphyr::from_str(text))
+            .map_err(|e: serde_saphyr::Error| {
+                let key = String::new();
+                // The parser adds an excerpt of the file; the first line names the place.
+                let detail = e.to_string();
+                let place = detail.lines().next().unwrap_or_default();
+                let message = format!("is not valid YAML: {place}");
+                SettingsErrors::new(path, vec![Problem { key, message }])
+            })?;
     let (settings, mut found, replaced) = read_all::<T>(value);
     if let Some(settings) = &settings {
         let mut problems = Problems::default();
@@ -70,13 +74,12 @@
             Ok(settings) => return (Some(settings), found, replaced),
             Err(error) => error,
         };
-        let mut path = error.path;
-        if let Some(field) = quoted_after(&error.message, "missing field ") {
-            path.push(field.to_owned());
-        }
+        let path = error.path;
         let key = path.join(".");
         let stuck = replaced.contains(&key) || found.len() >= MAX_PROBLEMS;
-        if !stuck {
+        // The parts of a mapping that is wrong as a whole are no problems of their own.
+        let is_below = |outer: &String| key.starts_with(&format!("{outer}."));
+        if !stuck && !replaced.iter().any(is_below) {
             let message = error.message.clone();
             found.push(Problem {
                 key: key.clone(),
@@ -100,9 +103,13 @@
         value,
         trace: &trace,
     };
-    T::deserialize(tracked).map_err(|e| ReadError {
-        message: e.to_string(),
-        path: trace.into_failed(),
+    T::deserialize(tracked).map_err(|e| {
+        let message = e.to_string();
+        let mut path = trace.into_failed();
+        if let Some(field) = quoted_after(&message, "missing field ") {
+            path.push(field.to_owned());
+        }
+        ReadError { path, message }
     })
 }
 
@@ -110,10 +117,12 @@
 fn replace<T: DeserializeOwned>(value: &mut Value, path: &[String]) -> bool {
     candidates().into_iter().any(|candidate| {
         let mut trial = value.clone();
-        let accepted = put(&mut trial, path, Some(candidate))
-            && read::<T>(&trial)
-                .err()
-                .is_none_or(|e| !e.path.starts_with(path));
+        let is_mapping = candidate.is_object();
+        // An empty mapping gets past its key if only keys below it are missing; those are replaced next.
+        let gets_past =
+            |e: ReadError| !e.path.starts_with(path) || (is_mapping && e.path.len() > path.len());
+        let accepted =
+            put(&mut trial, path, Some(candidate)) && read::<T>(&trial).err().is_none_or(gets_past);
         if accepted {
             *value = trial;
         }
--- a/crates/process/src/settings/mod.rs
+++ b/crates/process/src/settings/mod.rs
@@ -1,4 +1,4 @@
-//! Settings files in YAML. All problems of a file are reported at once, each with file, key and expected form.
+//! Settings files in YAML or JSON. All problems of a file are reported at once, each with file, key and expected form.
 //!
 //! Serde stops at the first error, so the file is parsed to a generic value first. Each error's key is then replaced by
 //! a value that the type accepts, and the rest is read again until everything has been checked.
@@ -7,6 +7,7 @@
 mod checked;
 mod load;
 mod placeholder;
+mod policy_rules;
 mod problem;
 mod problems;
 mod settings_errors;
--- a/crates/process/src/settings/settings_errors.rs
+++ b/crates/process/src/settings/settings_errors.rs
@@ -5,9 +5,10 @@
 
 use crate::settings::Problem;
 
-/// Every problem of a settings file.
+/// Every problem of a settings file or a policy document.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SettingsErrors {
+    code: ResultCode,
     file: PathBuf,
     problems: Vec<Problem>,
 }
@@ -15,11 +16,18 @@
 impl SettingsErrors {
     pub(crate) fn new(file: &Path, problems: Vec<Problem>) -> Self {
         Self {
+            code: ResultCode::InvalidSettings,
             file: file.to_owned(),
             problems,
         }
     }
 
+    /// Returns the same problems under another code.
+    pub fn with_code(mut self, code: ResultCode) -> Self {
+        self.code = code;
+        self
+    }
+
     /// The command line names no settings file.
     pub(crate) fn no_file() -> Self {
         let message = "--settings FILE is missing".to_owned();
@@ -35,7 +43,7 @@
 
 impl fmt::Display for SettingsErrors {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", ResultCode::InvalidSettings)?;
+        write!(f, "{}", self.code)?;
         for problem in &self.problems {
             write!(f, "\n{}: {problem}", self.file.display())?;
         }
--- a/crates/process/tests/settings.rs
+++ b/crates/process/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use lagoon_core::policy::Policy;
 use lagoon_core::unit::{Bytes, Millis};
 use lagoon_process::logging::LogSettings;
 use lagoon_process::settings::{Address, Checked, Problems, parse, text};
@@ -110,3 +111,40 @@
     /// Guards against a panic or an endless loop on a file that is no mapping.
     not_a_mapping: [("wait", "{"), ("size", "["), ("shards", "]")] => [""];
 }
+
+macro_rules! policy_problems {
+    ($($(#[$guard:meta])* $name:ident: $text:expr => [$($key:literal),*];)*) => {
+        $(
+            $(#[$guard])*
+            #[test]
+            fn $name() {
+                let problems = match parse::<Policy>(Path::new("policy.json"), $text) {
+                    Ok(_) => Vec::new(),
+                    Err(errors) => errors.problems().to_vec(),
+                };
+                let mut keys: Vec<String> = problems.into_iter().map(|p| p.key).collect();
+                keys.sort();
+                assert_eq!(keys, [$($key),*] as [&str; _]);
+            }
+        )*
+    };
+}
+
+policy_problems! {
+    /// Guards against a valid policy document that is rejected.
+    valid_policy: "version: 1\nteams: {a: {quota: {cpu: 1000, memory: 1024}}}" => [];
+    /// Guards against JSON that is refused because YAML allows no tabs.
+    policy_in_json_with_tabs: "{\n\t\"version\": 3,\n\t\"services\": {\"s\": {}}\n}" => [];
+    /// Guards against a report that stops at a missing mapping.
+    missing_quota: "version: 0\nteams: {a: {weight: 0}}\nqueue: {items: 0}"
+        => ["queue.items", "teams.a.quota", "teams.a.weight", "version"];
+    /// Guards against a mapping of the wrong type that hides what follows it.
+    quota_of_the_wrong_type: "version: 1\nteams: {a: {quota: 5, weight: x}, b: {queue_limit: 0}}"
+        => ["teams.a.quota", "teams.a.weight", "teams.b.queue_limit", "teams.b.quota"];
+    /// Guards against a part of a mapping that is reported without its path.
+    missing_part: "version: 1\nteams: {a: {quota: {cpu: 1}}}\ndefault_team: {quota: {memory: 1}}"
+        => ["default_team.quota.cpu", "teams.a.quota.memory"];
+    /// Guards against broken rules that are only reported once the form is right.
+    form_and_rules: "version: x\nhealth: {failures: 0, rset: 1}\nkinds: {gang: {ceiling_percent: 120}}"
+        => ["health.failures", "health.rset", "kinds.gang.ceiling_percent", "version"];
+}
