--- /dev/null
+++ b/crates/process/tests/glossary.rs
@@ -0,0 +1,129 @@
+//! The page docs/glossary.md.
+
+use lagoon_core::work::{WorkKind, WorkState};
+
+const PAGE: &str = include_str!("../../../docs/glossary.md");
+
+fn rows() -> Vec<Vec<&'static str>> {
+    let rows = PAGE.lines().filter(|line| line.starts_with("| ")).skip(2);
+    rows.map(|line| line.trim_matches('|').split('|').map(str::trim).collect())
+        .collect()
+}
+
+fn terms() -> Vec<&'static str> {
+    rows().into_iter().map(|row| row[0]).collect()
+}
+
+/// Returns the name without what tells two uses of it apart.
+fn plain(name: &str) -> &str {
+    name.split(" (").next().unwrap()
+}
+
+/// Guards against a line without the standard term or the meaning.
+#[test]
+fn lines_are_whole() {
+    assert!(rows().len() > 50);
+    for row in rows() {
+        assert!(
+            row.len() == 3 && row.iter().all(|cell| !cell.is_empty()),
+            "{row:?}"
+        );
+        assert!(row[2].ends_with('.'), "{row:?}");
+    }
+}
+
+/// Guards against a term that is there twice, or is not found where a reader looks for it.
+#[test]
+fn names_are_in_order() {
+    let names: Vec<String> = terms()
+        .iter()
+        .map(|name| plain(name).to_lowercase())
+        .collect();
+    assert!(names.is_sorted(), "{names:?}");
+    let mut all = terms();
+    all.sort_unstable();
+    all.dedup();
+    assert_eq!(all.len(), names.len(), "a name is there twice");
+}
+
+macro_rules! mapped {
+    ($($(#[$guard:meta])* $name:ident: $term:literal => $standard:literal;)*) => {
+        $(
+            $(#[$guard])*
+            #[test]
+            fn $name() {
+                let found = rows().into_iter().find(|row| plain(row[0]) == $term);
+                let row = found.unwrap_or_else(|| panic!("{} is not in the glossary", $term));
+                assert!(row[1].split(", ").any(|term| term == $standard), "{row:?}");
+            }
+        )*
+    };
+}
+
+mapped! {
+    /// Guards against a reader who looks for machines.
+    host: "host" => "machine";
+    /// Guards against a reader who looks for zones.
+    failure_domain: "failure domain" => "zone";
+    /// Guards against a reader who looks for customers.
+    caller: "caller" => "customer";
+    /// Guards against a reader who looks for back ends.
+    backend_server: "backend server" => "back end";
+    /// Guards against a reader who doesn't know what a shard is a part of.
+    shard: "shard" => "partition";
+    /// Guards against a reader who looks for terms of a leader.
+    epoch: "epoch" => "term";
+    /// Guards against a reader who looks for a log.
+    journal: "journal" => "write-ahead log";
+    /// Guards against a reader who looks for tenants.
+    team: "team" => "tenant";
+}
+
+/// Guards against names of the API and of core's folders that nobody explains.
+#[test]
+fn names_of_the_code_are_explained() {
+    let states = [WorkState::Held, WorkState::Unresolved];
+    let states = states.iter().map(|state| state.as_str().to_owned());
+    let kinds = [
+        "lease",
+        "ticket",
+        "journal",
+        "placement",
+        "admission",
+        "membership",
+        "policy",
+    ];
+    let ids = [
+        "command id",
+        "executor",
+        "host",
+        "incarnation",
+        "rack",
+        "service",
+        "task",
+        "worker",
+    ];
+    let parts = [
+        "head",
+        "segment",
+        "snapshot",
+        "fencing",
+        "handover",
+        "reservation",
+        "gang job",
+    ];
+    let names = kinds
+        .iter()
+        .chain(&ids)
+        .chain(&parts)
+        .map(|name| (*name).to_owned());
+    let terms = terms();
+    for name in names.chain(states) {
+        assert!(terms.iter().any(|term| plain(term) == name), "{name}");
+    }
+    assert_eq!(
+        WorkKind::ALL.len(),
+        3,
+        "a new kind of work needs a line in the glossary"
+    );
+}
