--- a/crates/admin/src/change/applier.rs
+++ b/crates/admin/src/change/applier.rs
@@ -117,6 +117,9 @@
     ) -> Result<Option<Applied>, Refusal> {
         let current = self.policy.read().await?.policy;
         if current.version > mark.version {
+            if self.is_by_another(earlier, mark).await? {
+                return Ok(None);
+            }
             let text = format!(
                 "the policy is at version {} by now; whether version {} was written by this command is not known",
                 current.version, mark.version
@@ -140,6 +143,18 @@
         self.finish(record, result).await.map(Some)
     }
 
+    /// Tells whether another command wrote the version that this one would have written. Each version is written once.
+    async fn is_by_another(&self, earlier: &Record, mark: PolicyMark) -> Result<bool, Refusal> {
+        let (records, _) = self.audit.all().await?;
+        Ok(records.iter().any(|record| {
+            record.command != earlier.command
+                && matches!(record.result, ChangeResult::Applied { .. })
+                && record
+                    .policy
+                    .is_some_and(|other| other.version == mark.version)
+        }))
+    }
+
     /// Compares the plan with what the operator confirmed.
     async fn check(&self, plan: &Plan, req: &ApplyRequest) -> Result<(), Refusal> {
         if plan.confirmation() != req.confirmation {
--- a/crates/admin/tests/sessions.rs
+++ b/crates/admin/tests/sessions.rs
@@ -86,6 +86,16 @@
         session.query("show changes where command = c2").await;
         session.gate.lose(None);
         session.apply("ana", "c2", text, &preview).await;
+        session.note("the same, but ben writes that version before ana repeats");
+        session.gate.lose(Loss::EveryRequest);
+        let text = "set queue.items 60";
+        let preview = session.send("ana", "/v1/preview", json!({"text": text})).await;
+        session.apply("ana", "c4", text, &preview).await;
+        session.gate.lose(None);
+        session.command("ben", "c5", "set queue.items 70").await;
+        session.apply("ana", "c4", text, &preview).await;
+        session.command("ben", "c6", "set queue.items 80").await;
+        session.apply("ana", "c4", text, &preview).await;
         session.note("a command to a shard");
         let text = "cancel w:cluj:0:7:1";
         let preview = session.send("ana", "/v1/preview", json!({"text": text})).await;
--- a/crates/admin/tests/util/mod.rs
+++ b/crates/admin/tests/util/mod.rs
@@ -2,11 +2,13 @@
 
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
+mod client;
 mod fake_scheduler;
 mod gate;
 mod session;
 
 pub(crate) use self::{
+    client::Client,
     fake_scheduler::{FakeScheduler, work},
     gate::{Gate, Loss},
     session::Session,
--- a/crates/admin/tests/util/session.rs
+++ b/crates/admin/tests/util/session.rs
@@ -3,18 +3,13 @@
 use std::path::Path;
 use std::time::Duration;
 
-use axum::body::Body;
-use http_body_util::BodyExt;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use lagoon_admin::{Admin, AdminSettings};
 use lagoon_platform::{ClientSettings, StoreClient, Transport};
 use lagoon_process::Clock;
 use lagoon_standin::store::{StoreHandle, StoreSettings};
 use serde_json::{Value, json};
 
-use crate::util::{FakeScheduler, Gate};
+use crate::util::{Client, FakeScheduler, Gate};
 
 /// Fields that differ from run to run.
 const VARYING: &[&str] = &["at", "age", "age_ms"];
@@ -28,7 +23,7 @@
     pub(crate) schedulers: Vec<FakeScheduler>,
     admin: Admin,
     settings: String,
-    client: Client<HttpConnector, Body>,
+    client: Client,
     transcript: String,
 }
 
@@ -54,7 +49,7 @@
             schedulers: vec![s1, s2],
             admin,
             settings,
-            client: Client::builder(TokioExecutor::new()).build_http(),
+            client: Client::new(),
             transcript: String::new(),
         };
         session.wait_for(2, "show processes").await;
@@ -144,16 +139,8 @@
     }
 
     async fn post(&self, operator: &str, path: &str, body: &Value) -> (u16, Value) {
-        let req = hyper::Request::builder()
-            .method("POST")
-            .uri(format!("http://{}{path}", self.admin.address()))
-            .header("authorization", format!("Bearer token-of-{operator}-0123"))
-            .body(Body::from(body.to_string()))
-            .unwrap();
-        let answer = self.client.request(req).await.unwrap();
-        let status = answer.status().as_u16();
-        let bytes = answer.into_body().collect().await.unwrap().to_bytes();
-        (status, serde_json::from_slice(&bytes).unwrap())
+        let address = self.admin.address();
+        self.client.post(address, operator, path, body).await
     }
 }
 
--- a/crates/language/src/parse/filter.rs
+++ b/crates/language/src/parse/filter.rs
@@ -2,9 +2,9 @@
 use winnow::combinator::separated;
 use winnow::error::EmptyError;
 
-use crate::parse::Parsed;
 use crate::parse::input::Input;
-use crate::parse::token::{field, keyword, symbol, value};
+use crate::parse::token::{field, keyword, note, symbol, value};
+use crate::parse::{Expected, Parsed};
 use crate::syntax::{Comparison, Filter, Operator, Table, ValueKind};
 
 /// Largest depth of `not` and parentheses; bounds the recursion.
@@ -46,6 +46,8 @@
             symbol(input, ")")?;
             return Ok(inner);
         }
+    } else {
+        note(input, Expected::Form("no deeper nesting"));
     }
     comparison(input, table).map(Filter::Is)
 }
--- a/crates/language/src/parse/token.rs
+++ b/crates/language/src/parse/token.rs
@@ -4,7 +4,7 @@
 
 use winnow::Parser;
 use winnow::ascii::multispace0;
-use winnow::combinator::{eof, opt, preceded};
+use winnow::combinator::{eof, fail, opt, preceded};
 use winnow::error::EmptyError;
 use winnow::stream::{Location, Stream};
 use winnow::token::{any, literal, take_while};
@@ -32,6 +32,12 @@
     parsed
 }
 
+/// Notes `expected` at the next item without reading it.
+pub(super) fn note(input: &mut Input<'_>, expected: Expected) {
+    // `fail` takes nothing, so the input stays where it is.
+    let _ = expect(input, &[expected], fail::<_, (), EmptyError>);
+}
+
 /// A word that `read` accepts.
 pub(super) fn word<'a, T>(
     input: &mut Input<'a>,
