--- a/crates/core/src/order/fair_queue.rs
+++ b/crates/core/src/order/fair_queue.rs
@@ -211,12 +211,8 @@
                 self.refresh_lane(kind, team);
             }
             Place::Aside => {
-                let kind = &mut self.kinds[kind as usize];
-                kind.aside_stale += 1;
-                if kind.aside_stale * 2 > kind.aside.len() {
-                    kind.aside.retain(|item| is_live(item.0, item.1));
-                    kind.aside_stale = 0;
-                }
+                let aside = self.kinds[kind as usize].aside_mut(priority);
+                aside.note_stale(is_live);
             }
             Place::Held | Place::Expired => {}
         }
--- a/crates/core/src/order/mod.rs
+++ b/crates/core/src/order/mod.rs
@@ -13,11 +13,12 @@
 //! item in the heap of its team, which is dropped when it reaches the top or when half of the heap is stale.
 //!
 //! The caller takes an entry with `next`, and either starts it and calls `charge`, or calls `set_aside` if no worker
-//! fits now. Entries set aside come back with `retry`, in order of their arrival there.
+//! fits now. Entries set aside come back with `retry`, urgent ones first, in order of their arrival there.
 //!
 //! [`FirstGang`] names the gang job for which workers are held, and how much of the fleet.
 
 mod accounting;
+mod aside_list;
 mod deadline_item;
 mod fair_queue;
 mod first_gang;
--- a/crates/core/src/order/waiting.rs
+++ b/crates/core/src/order/waiting.rs
@@ -3,32 +3,40 @@
 use crate::id::WorkId;
 use crate::order::queue_slot::Place;
 use crate::order::{FairQueue, QueueEntry};
+use crate::unit::Priority;
 use crate::work::WorkKind;
 
 impl FairQueue {
     /// Puts back an entry that `next` returned and that can't be placed now. It doesn't block others and is not
     /// selected again until `retry`. Returns false and changes nothing if the work already waits.
     pub fn set_aside(&mut self, entry: QueueEntry) -> bool {
-        let kind = entry.kind;
+        let (kind, priority) = (entry.kind, entry.priority);
         let Some(slot) = self.insert(entry) else {
             return false;
         };
         if let Some(waiting) = &mut self.slots[slot as usize] {
             waiting.place = Place::Aside;
-            let item = (slot, waiting.stamp);
-            self.kinds[kind as usize].aside.push_back(item);
+            let aside = self.kinds[kind as usize].aside_mut(priority);
+            aside.push(slot, waiting.stamp);
         }
         true
     }
 
-    /// Makes up to `limit` entries of a kind that were set aside ready again, in order; returns how many.
+    /// Makes up to `limit` urgent and `limit` regular entries of a kind that were set aside ready again, in order;
+    /// returns how many.
     ///
-    /// The limit bounds the cost of one freed worker while many large entries wait.
+    /// The limit bounds the cost of one freed worker while many large entries wait. Urgent entries have a limit of their
+    /// own, because they would otherwise wait until all regular ones were tried.
     pub fn retry_kind(&mut self, kind: WorkKind, limit: usize) -> usize {
+        let urgent = self.retry_aside(kind, Priority::HIGHEST, limit);
+        urgent + self.retry_aside(kind, Priority::LOWEST, limit)
+    }
+
+    fn retry_aside(&mut self, kind: WorkKind, priority: Priority, limit: usize) -> usize {
         let mut count = 0;
         while count < limit {
-            let queue = &mut self.kinds[kind as usize];
-            let Some((slot, stamp)) = queue.aside.pop_front() else {
+            let aside = self.kinds[kind as usize].aside_mut(priority);
+            let Some((slot, stamp)) = aside.pop() else {
                 break;
             };
             let waiting = self.slots[slot as usize].as_ref();
@@ -36,7 +44,7 @@
                 self.make_ready(slot);
                 count += 1;
             } else {
-                queue.aside_stale = queue.aside_stale.saturating_sub(1);
+                aside.popped_stale();
             }
         }
         count
--- a/crates/load/src/report/measures.rs
+++ b/crates/load/src/report/measures.rs
@@ -121,12 +121,15 @@
     pub(crate) fn finish(&mut self, jobs: &[Job], end: Timestamp) {
         self.find_longest(jobs, end);
         let mut waits: BTreeMap<Class, (u64, u64, Histogram<u64>)> = BTreeMap::new();
+        let mut in_time: BTreeMap<Class, u64> = BTreeMap::new();
         for job in jobs.iter().filter(|job| self.counts(job.submitted)) {
             let class = Class::of(&job.spec, job.flood);
             let new = || (0, 0, new_histogram());
             let (submitted, started, waited) = waits.entry(class).or_insert_with(new);
             *submitted += 1;
             *started += u64::from(job.started.is_some());
+            let counted = job.started.is_some_and(|at| self.counts(at));
+            *in_time.entry(class).or_default() += u64::from(counted);
             // Refused work has no wait; work that neither started nor ended waits until the end of the run.
             let until = job.started.or((!job.ended).then_some(end));
             if let Some(until) = until {
@@ -148,7 +151,7 @@
                 wait_p50: waited.value_at_quantile(0.5),
                 wait_p99: waited.value_at_quantile(0.99),
                 wait_max: waited.max(),
-                starts_per_second: started as f64 / seconds,
+                starts_per_second: in_time.get(&class).copied().unwrap_or(0) as f64 / seconds,
             };
             self.rows.insert(class, row);
         }
--- a/crates/load/src/scenario/floods.rs
+++ b/crates/load/src/scenario/floods.rs
@@ -56,7 +56,7 @@
         report.rows.iter().find(|row| row.class == class).cloned()
     };
     let (before, during) = (row(before)?, row(during)?);
-    let part = during.succeeded as f64 / before.succeeded.max(1) as f64;
+    let part = during.starts_per_second / before.starts_per_second.max(f64::MIN_POSITIVE);
     let throughput = Check::new(
         format!("{class} keeps 95% of its throughput"),
         format!("{:.1}%", part * 100.0),
