--- a/tests/harness/answer.rs
+++ b/tests/harness/answer.rs
@@ -8,6 +8,11 @@
 }
 
 impl Answer {
+    /// Returns the class of a refusal: `not_run`, `not_known` or `elsewhere`.
+    pub(crate) fn class(&self) -> Option<&str> {
+        self.body["class"].as_str()
+    }
+
     /// Returns the text of a field.
     pub(crate) fn text(&self, field: &str) -> &str {
         self.body[field].as_str().unwrap_or_default()
--- a/tests/harness/caller.rs
+++ b/tests/harness/caller.rs
@@ -4,41 +4,121 @@
 use hyper::Method;
 use serde_json::{Value, json};
 
-use crate::harness::{Answer, BoxError, Client, eventually};
+use crate::harness::{Answer, BoxError, Client, Ending, Route, eventually};
 
 /// Wait for the end of a job.
 const END_LIMIT: Duration = Duration::from_secs(60);
+/// Tickets that are asked for at a time.
+const TICKETS_PER_CALL: usize = 5;
+/// Tries of a request or submission.
+const TRIES: usize = 100;
+/// Pause between two tries.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Further tries after an answer that says "not known".
+const REPEATS_AFTER_NOT_KNOWN: usize = 2;
 
 /// Caller of the gateways of one failure domain.
 #[derive(Debug, Clone)]
 pub(crate) struct Caller {
     client: Client,
     gateways: Vec<SocketAddr>,
+    /// Team of its requests.
+    team: &'static str,
 }
 
 impl Caller {
     pub(crate) fn new(client: Client, gateways: Vec<SocketAddr>) -> Self {
-        Self { client, gateways }
+        Self {
+            client,
+            gateways,
+            team: "settlers",
+        }
     }
 
-    /// Gets tickets.
-    pub(crate) async fn tickets(&self, count: u32) -> Result<Vec<String>, BoxError> {
-        let body = json!({"service": "planner", "count": count});
-        let answer = self.post(0, "/v1/tickets", None, &body).await?;
-        serde_json::from_value(answer.body["tickets"].clone())
-            .map_err(|e| format!("{answer:?}: {e}").into())
+    /// Returns a caller of another team.
+    pub(crate) fn of_team(&self, team: &'static str) -> Self {
+        Self {
+            team,
+            ..self.clone()
+        }
     }
 
-    /// Sends a request with a ticket.
+    /// Gets tickets. Each call is answered by the next shard, so that several calls spread them over the shards.
+    pub(crate) async fn tickets(&self, count: usize) -> Result<Vec<String>, BoxError> {
+        let mut tickets = Vec::new();
+        while tickets.len() < count {
+            let wanted = TICKETS_PER_CALL.min(count - tickets.len());
+            let body = json!({"service": "planner", "count": wanted});
+            let answer = self.post(0, "/v1/tickets", None, &body).await?;
+            let issued: Vec<String> = serde_json::from_value(answer.body["tickets"].clone())
+                .map_err(|e| format!("{answer:?}: {e}"))?;
+            tickets.extend(issued);
+        }
+        Ok(tickets)
+    }
+
+    /// Sends a request once.
     pub(crate) async fn request(
         &self,
         gateway: usize,
-        ticket: &str,
+        route: &Route,
         payload: &str,
     ) -> Result<Answer, BoxError> {
-        let mut body = request_body(payload);
-        body["ticket"] = json!(ticket);
-        self.post(gateway, "/v1/requests", None, &body).await
+        let mut body = json!({"service": "planner", "team": self.team, "payload": payload});
+        let key = match route {
+            Route::Ticket(ticket) => {
+                body["ticket"] = json!(ticket);
+                None
+            }
+            Route::Key(key) => Some(key.as_str()),
+            Route::Once => None,
+        };
+        self.post(gateway, "/v1/requests", key, &body).await
+    }
+
+    /// Sends a request until its ending is known. Each try goes to the next gateway; also after "not known", because
+    /// a repeat must not run the request again.
+    pub(crate) async fn request_to_end(
+        &self,
+        gateway: usize,
+        route: &Route,
+        payload: &str,
+    ) -> Ending {
+        let mut ending = Ending::NotKnown(0);
+        let mut not_known = 0;
+        for attempt in 0..TRIES {
+            if let Ok(answer) = self.request(gateway + attempt, route, payload).await {
+                ending = Ending::of(&answer).unwrap_or(ending);
+            }
+            match &ending {
+                Ending::NotKnown(code) if *code != 0 => not_known += 1,
+                Ending::NotKnown(_) => {}
+                _ => return ending,
+            }
+            if not_known > REPEATS_AFTER_NOT_KNOWN {
+                return ending;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        ending
+    }
+
+    /// Submits a job until it is accepted or refused as not run. Each try goes to the next gateway.
+    pub(crate) async fn submit_to_end(
+        &self,
+        gateway: usize,
+        key: &str,
+        job: &Value,
+    ) -> Result<Answer, BoxError> {
+        for attempt in 0..TRIES {
+            if let Ok(answer) = self.submit(gateway + attempt, key, job).await
+                && (answer.status == 200 || answer.class() == Some("not_run"))
+            {
+                return Ok(answer);
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        Err(format!("no gateway took {key}").into())
     }
 
     /// Submits a job.
@@ -60,6 +140,15 @@
             .await
     }
 
+    /// Cancels a job.
+    pub(crate) async fn cancel(&self, gateway: usize, work: &str) -> Result<Answer, BoxError> {
+        let path = format!("/v1/jobs/{work}");
+        let address = self.gateway(gateway);
+        self.client
+            .send(&address, Method::DELETE, &path, None, None)
+            .await
+    }
+
     /// Waits until a job has ended and returns its result.
     pub(crate) async fn result(&self, gateway: usize, work: &str) -> Result<Value, BoxError> {
         let what = format!("{work} has ended");
@@ -108,7 +197,3 @@
     job["members"] = json!(members);
     job
 }
-
-fn request_body(payload: &str) -> Value {
-    json!({"service": "planner", "team": "settlers", "payload": payload})
-}
--- a/tests/harness/child.rs
+++ b/tests/harness/child.rs
@@ -2,11 +2,15 @@
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::{Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
 
 use crate::harness::BoxError;
 
 /// Lines of a log that a failed test prints.
 const LOG_LINES: usize = 40;
+const EXIT_POLL: Duration = Duration::from_millis(20);
 
 /// Child process, killed and reaped on drop.
 #[derive(Debug)]
@@ -44,11 +48,30 @@
         Ok(line)
     }
 
+    /// Sends a signal to this child only.
+    pub(crate) fn signal(&self, signal: Signal) -> Result<(), BoxError> {
+        Ok(kill_process(Pid::from_child(&self.process), signal)?)
+    }
+
     /// Returns the exit status once the child has ended.
     pub(crate) fn exited(&mut self) -> Option<ExitStatus> {
         self.process.try_wait().ok().flatten()
     }
 
+    /// Waits for the end of the child.
+    pub(crate) async fn wait(&mut self, limit: Duration) -> Result<ExitStatus, BoxError> {
+        let ended = async {
+            loop {
+                if let Some(status) = self.exited() {
+                    return status;
+                }
+                tokio::time::sleep(EXIT_POLL).await;
+            }
+        };
+        let ended = tokio::time::timeout(limit, ended).await;
+        ended.map_err(|_| format!("{} still runs after {limit:?}", self.name).into())
+    }
+
     fn print_log(&self) {
         let text = std::fs::read_to_string(&self.log).unwrap_or_default();
         let lines: Vec<&str> = text.lines().collect();
--- a/tests/harness/cluster.rs
+++ b/tests/harness/cluster.rs
@@ -1,5 +1,8 @@
 use std::path::Path;
+use std::time::Duration;
 
+use lagoon_core::id::ShardId;
+use lagoon_core::journal::{Head, JournalKeys};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
@@ -101,6 +104,30 @@
         Caller::new(self.client.clone(), addresses)
     }
 
+    /// Returns the number of the scheduler that owns a shard, as the store has it.
+    pub(crate) async fn owner(&self, shard: &ShardId) -> Result<usize, BoxError> {
+        let key = JournalKeys::new(shard).head();
+        let entry = self.platform.store.get(&key).await?;
+        let entry = entry.ok_or_else(|| format!("{key} is missing"))?;
+        let head: Head = serde_json::from_str(&entry.value)?;
+        let mut schedulers = self.schedulers.iter();
+        let found = schedulers.position(|daemon| daemon.name == head.owner.as_str());
+        found.ok_or_else(|| format!("{} is not a scheduler", head.owner).into())
+    }
+
+    /// Kills a scheduler, starts it again after a while and waits until it takes work.
+    pub(crate) async fn replace_scheduler(
+        &mut self,
+        number: usize,
+        down: Duration,
+    ) -> Result<(), BoxError> {
+        let daemon = &mut self.schedulers[number];
+        daemon.kill();
+        tokio::time::sleep(down).await;
+        daemon.start()?;
+        daemon.ready(&self.client).await
+    }
+
     /// Fails if a worker saw something that must never happen.
     pub(crate) async fn check_workers(&self) -> Result<(), BoxError> {
         let seen = self.platform.violations().await?;
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -4,28 +4,38 @@
 
 mod answer;
 mod caller;
+mod checks;
 mod child;
 mod client;
 mod cluster;
 mod cluster_plan;
 mod daemon;
 mod daemon_kind;
+mod ending;
 mod eventually;
+mod faults;
+mod load;
 mod platform;
 mod ports;
+mod route;
 mod settings_files;
 mod test_run;
 
 pub(crate) use self::{
     answer::Answer,
     caller::{Caller, batch, gang},
+    checks::{check_jobs, check_requests},
     child::Child,
     client::Client,
-    cluster::Cluster,
+    cluster::{Cluster, policy},
     cluster_plan::ClusterPlan,
     daemon::Daemon,
     daemon_kind::DaemonKind,
+    ending::Ending,
     eventually::eventually,
-    platform::Platform,
+    faults::Faults,
+    load::{Endings, Load, answered},
+    platform::{Counts, Platform},
+    route::Route,
     test_run::{BoxError, run},
 };
--- a/tests/proofs/kinds_of_work.rs
+++ b/tests/proofs/kinds_of_work.rs
@@ -2,7 +2,7 @@
 
 use serde_json::json;
 
-use crate::harness::{BoxError, Caller, Cluster, ClusterPlan, batch, gang};
+use crate::harness::{BoxError, Caller, Cluster, ClusterPlan, Route, batch, gang};
 
 process_cases! {
     both_failure_domains_serve_all_kinds_of_work => serve_all_kinds();
@@ -21,11 +21,12 @@
 
 /// A request with a ticket, repeated by way of the other gateway, runs once and is answered twice.
 async fn serve_request(cluster: &Cluster, caller: &Caller, domain: &str) -> Result<(), BoxError> {
-    let tickets = caller.tickets(1).await?;
+    let ticket = caller.tickets(1).await?.remove(0);
+    let route = Route::Ticket(ticket);
     let before: u32 = cluster.platform.runs().await?.values().sum();
     for gateway in 0..2 {
         let payload = format!("echo:{domain} settles");
-        let answer = caller.request(gateway, &tickets[0], &payload).await?;
+        let answer = caller.request(gateway, &route, &payload).await?;
         assert_eq!(answer.status, 200, "{answer:?}");
         assert_eq!(answer.text("answer"), format!("{domain} settles"));
     }
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -16,4 +16,12 @@
 #[path = "../harness/mod.rs"]
 mod harness;
 
+mod g1_capacity;
+mod g2_one_place;
+mod g3_whole_answers;
+mod g4_accurate_refusals;
+mod g5_at_most_once;
+mod g6_leaving_hosts;
+mod g7_graceful_stop;
+mod g8_policy;
 mod kinds_of_work;
