--- a/crates/gateway/src/api/submission.rs
+++ b/crates/gateway/src/api/submission.rs
@@ -8,7 +8,7 @@
 use axum::http::HeaderMap;
 use axum::response::{IntoResponse, Response};
 use axum::{Json, http::StatusCode};
-use lagoon_core::id::{RequestKey, ShardId};
+use lagoon_core::id::ShardId;
 use lagoon_core::work::Outcome;
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_process::answer::ErrorBody;
@@ -24,7 +24,7 @@
 use crate::api::request_body::RequestBody;
 use crate::api::{Api, ApiError};
 use crate::forward::{Client, Repeat, Target};
-use crate::routing::home_shard;
+use crate::limit::{Held, TeamPermit};
 
 /// Request in state `S`.
 struct Submission<S> {
@@ -40,6 +40,7 @@
 
 /// Checked; may be sent.
 struct Admitted<M> {
+    permit: TeamPermit,
     target: Target,
     repeat: Repeat,
     message: M,
@@ -47,6 +48,7 @@
 
 /// Answered by the owner.
 struct Answered<R> {
+    permit: TeamPermit,
     answer: R,
 }
 
@@ -98,37 +100,47 @@
         let ticket = body.ticket.clone();
         let one = ticket.is_none() || key.is_none();
         require(one, "expected a ticket or an Idempotency-Key, not both")?;
+        let keyed = body.home.is_none() || key.is_some();
+        require(keyed, "home: expected only with an Idempotency-Key")?;
         let (target, repeat) = match (&ticket, &key) {
             (Some(ticket), _) => (Target::Shard(ticket.shard().clone()), Repeat::Safe),
-            (None, Some(key)) => (home(api, key), Repeat::Safe),
+            (None, Some(key)) => {
+                let shard = api.homes.shard(body.home.clone(), key)?;
+                (Target::Home(shard), Repeat::Safe)
+            }
             (None, None) => (Target::AnyServing, Repeat::Never),
         };
+        let permit = api.in_flight.enter_team(&body.team)?;
         let message = v1::RunRequestRequest {
             shard: String::new(),
             ticket: ticket.map(|ticket| ticket.to_string()).unwrap_or_default(),
             key: key.map(|key| key.to_string()).unwrap_or_default(),
             spec: Some(convert::spec_to_wire(&body.into_spec(api.clock.now()))),
         };
-        Ok(Submission::admitted(target, repeat, message))
+        Ok(Submission::admitted(permit, target, repeat, message))
     }
 
     fn admit_job(self, api: &Api) -> Result<Submission<Admitted<v1::SubmitJobRequest>>, Refusal> {
         let key = require_key(&self.state.headers)?;
         let body: JobBody = parse_json(&self.state.body)?;
         self.state.caller.require(&body.team)?;
+        let (given, team) = (body.home.clone(), body.team.clone());
         let spec = body.into_spec(api.clock.now())?;
+        let target = Target::Home(api.homes.shard(given, &key)?);
+        let permit = api.in_flight.enter_team(&team)?;
         let message = v1::SubmitJobRequest {
             shard: String::new(),
             key: key.to_string(),
             spec: Some(convert::spec_to_wire(&spec)),
         };
-        Ok(Submission::admitted(home(api, &key), Repeat::Safe, message))
+        Ok(Submission::admitted(permit, target, Repeat::Safe, message))
     }
 }
 
 impl<M> Submission<Admitted<M>> {
-    fn admitted(target: Target, repeat: Repeat, message: M) -> Self {
+    fn admitted(permit: TeamPermit, target: Target, repeat: Repeat, message: M) -> Self {
         let state = Admitted {
+            permit,
             target,
             repeat,
             message,
@@ -140,6 +152,7 @@
 impl Submission<Admitted<v1::RunRequestRequest>> {
     async fn run(self, api: &Api) -> Result<Submission<Answered<v1::RunRequestResponse>>, Refusal> {
         let Admitted {
+            permit,
             target,
             repeat,
             message,
@@ -154,7 +167,7 @@
         };
         let limit = api.request_timeout;
         let answer = api.forwarder.send(&target, repeat, limit, call).await?;
-        let state = Answered { answer };
+        let state = Answered { permit, answer };
         Ok(Submission { state })
     }
 }
@@ -165,6 +178,7 @@
         api: &Api,
     ) -> Result<Submission<Answered<v1::SubmitJobResponse>>, Refusal> {
         let Admitted {
+            permit,
             target,
             repeat,
             message,
@@ -179,25 +193,26 @@
         };
         let limit = api.request_timeout;
         let answer = api.forwarder.send(&target, repeat, limit, call).await?;
-        let state = Answered { answer };
+        let state = Answered { permit, answer };
         Ok(Submission { state })
     }
 }
 
 impl Submission<Answered<v1::RunRequestResponse>> {
     fn response(self) -> Response {
-        let answer = self.state.answer;
+        let Answered { permit, answer } = self.state;
         let empty = v1::Outcome::default();
-        match convert::outcome_from_wire(answer.outcome.as_ref().unwrap_or(&empty)) {
+        let response = match convert::outcome_from_wire(answer.outcome.as_ref().unwrap_or(&empty)) {
             Outcome::Refused(refusal) => ErrorBody::response(&refusal),
             outcome => Json(OutcomeView::from(outcome)).into_response(),
-        }
+        };
+        Held::response(response, permit)
     }
 }
 
 impl Submission<Answered<v1::SubmitJobResponse>> {
     fn response(self) -> Result<Response, Refusal> {
-        let answer = self.state.answer;
+        let Answered { permit, answer } = self.state;
         let missing = || {
             let message = "the scheduler's answer has no state";
             Refusal::new(ResultCode::AnswerLost, message)
@@ -205,7 +220,8 @@
         let (view, _) = JobView::from_wire(answer.status.ok_or_else(missing)?)?;
         let mut body = json!(view);
         body["repeated"] = json!(answer.repeated);
-        Ok((StatusCode::OK, Json(body)).into_response())
+        let response = (StatusCode::OK, Json(body)).into_response();
+        Ok(Held::response(response, permit))
     }
 }
 
@@ -218,7 +234,3 @@
         outcome => Ok(v1::RunRequestResponse { outcome, ..answer }),
     }
 }
-
-fn home(api: &Api, key: &RequestKey) -> Target {
-    Target::Shard(home_shard(&api.domain, api.shards, key))
-}
--- a/crates/gateway/tests/gateway/fake.rs
+++ b/crates/gateway/tests/gateway/fake.rs
@@ -5,7 +5,7 @@
 
 use lagoon_core::ResultCode;
 use lagoon_wire::v1;
-use lagoon_wire::v1::peer_server::{Peer, PeerServer};
+use lagoon_wire::v1::peer_server::PeerServer;
 use lagoon_wire::v1::scheduler_server::{Scheduler, SchedulerServer};
 use tokio::runtime::Runtime;
 use tonic::transport::server::TcpIncoming;
@@ -35,13 +35,18 @@
     pub(crate) cancelled: Vec<String>,
     pub(crate) policy: u64,
     pub(crate) leaving: bool,
+    /// Slow calls at this moment, and their largest number so far.
+    pub(crate) running: usize,
+    pub(crate) peak: usize,
 }
 
+/// The services of a fake.
 #[derive(Debug, Clone)]
-struct Service {
-    name: String,
-    address: SocketAddr,
-    state: Arc<Mutex<State>>,
+pub(crate) struct Service {
+    pub(crate) name: String,
+    pub(crate) domain: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) state: Arc<Mutex<State>>,
 }
 
 /// Scheduler that answers as its test tells it; runs on threads of its own, so that it can be killed.
@@ -54,7 +59,12 @@
 }
 
 impl Fake {
+    /// Starts a scheduler of the failure domain `cluj`.
     pub(crate) fn start(name: &str) -> Self {
+        Self::start_in(name, "cluj")
+    }
+
+    pub(crate) fn start_in(name: &str, domain: &str) -> Self {
         let runtime = Runtime::new().unwrap();
         let guard = runtime.enter();
         let incoming = TcpIncoming::bind("127.0.0.1:0".parse().unwrap()).unwrap();
@@ -65,6 +75,7 @@
         }));
         let service = Service {
             name: name.to_owned(),
+            domain: domain.to_owned(),
             address,
             state: state.clone(),
         };
@@ -137,7 +148,13 @@
             })),
             Reply::Lose => Err(Status::unavailable("the connection broke")),
             Reply::AnswerAfter(wait) => {
+                {
+                    let mut state = self.state.lock().unwrap();
+                    state.running += 1;
+                    state.peak = state.peak.max(state.running);
+                }
                 tokio::time::sleep(wait).await;
+                self.state.lock().unwrap().running -= 1;
                 Ok(None)
             }
         }
@@ -257,48 +274,3 @@
         Err(Status::unimplemented("not used by the gateway"))
     }
 }
-
-macro_rules! unused_calls {
-    ($($name:ident: $req:ident => $resp:ident;)*) => {
-        #[tonic::async_trait]
-        impl Peer for Service {
-            async fn heartbeat(
-                &self,
-                req: Request<v1::HeartbeatRequest>,
-            ) -> Result<Response<v1::HeartbeatResponse>, Status> {
-                let mut state = self.state.lock().unwrap();
-                state.leaving |= req.into_inner().leaving;
-                Ok(Response::new(v1::HeartbeatResponse {
-                    receiver: Some(v1::Member {
-                        process: self.name.clone(),
-                        role: "scheduler".to_owned(),
-                        domain: "cluj".to_owned(),
-                        address: self.address.to_string(),
-                        policy_version: state.policy,
-                        shards: state.claims.clone(),
-                    }),
-                    members: Vec::new(),
-                }))
-            }
-
-            $(
-                async fn $name(
-                    &self,
-                    _: Request<v1::$req>,
-                ) -> Result<Response<v1::$resp>, Status> {
-                    Err(Status::unimplemented("not used by the gateway"))
-                }
-            )*
-        }
-    };
-}
-
-unused_calls! {
-    get_policy: GetPolicyRequest => GetPolicyResponse;
-    reserve: ReserveRequest => ReserveResponse;
-    commit_reservation: CommitReservationRequest => CommitReservationResponse;
-    release_reservation: ReleaseReservationRequest => ReleaseReservationResponse;
-    delegate: DelegateRequest => DelegateResponse;
-    delegate_outcome: DelegateOutcomeRequest => DelegateOutcomeResponse;
-    hand_over: HandOverRequest => HandOverResponse;
-}
