--- a/crates/load/src/sim/shard_engine.rs
+++ b/crates/load/src/sim/shard_engine.rs
@@ -200,7 +200,7 @@
     }
 
     fn heartbeat_lost(&mut self, worker: &WorkerId, now: Timestamp) {
-        self.shard.on_heartbeat_lost(worker, now);
+        self.shard.on_heartbeat_lost(worker);
         self.take_effects(now);
     }
 
