--- a/crates/core/src/shard/drain.rs
+++ b/crates/core/src/shard/drain.rs
@@ -6,6 +6,7 @@
 use crate::journal::UsedWorker;
 use crate::lease::WorkerEvent;
 use crate::placement::ClosedReason;
+use crate::shard::holding::Holding;
 use crate::shard::worker_record::WorkerRecord;
 use crate::shard::{Shard, WorkerSpec};
 use crate::unit::{Resources, Timestamp};
@@ -23,11 +24,10 @@
         now: Timestamp,
     ) {
         for spec in listed {
-            match self.workers.get_mut(&spec.worker) {
+            match self.workers.get(&spec.worker).map(|holder| holder.holding) {
                 None => self.add_worker(spec),
-                Some(holder) if holder.lease.epoch().is_none() => self.update_worker(spec),
-                // The lease says more than the list.
-                Some(_) => {}
+                Some(Holding::Home) => self.update_worker(spec),
+                Some(Holding::Adopted | Holding::GivenBack) => self.set_home(&spec.worker, now),
             }
             for executor in &spec.executors {
                 self.slots.upsert(executor, &spec.worker);
@@ -36,6 +36,7 @@
         }
         let listed: BTreeSet<&WorkerId> = listed.iter().map(|spec| &spec.worker).collect();
         let workers = self.workers.values();
+        let workers = workers.filter(|holder| holder.holding == Holding::Home);
         let states: Vec<(WorkerId, bool)> = workers
             .map(|holder| {
                 let gone = !listed.contains(&holder.worker) || leaving.contains(&holder.host);
@@ -49,7 +50,7 @@
         self.schedule(now);
     }
 
-    fn add_worker(&mut self, spec: &WorkerSpec) {
+    pub(super) fn add_worker(&mut self, spec: &WorkerSpec) {
         let margin = self.config.lease_margin;
         let holder = WorkerRecord::new(
             spec.worker.clone(),
@@ -63,8 +64,10 @@
         self.fleet.close(&spec.worker, ClosedReason::NoLease);
     }
 
+    /// Takes what the list says of a worker whose lease, which would say more, was never held.
     fn update_worker(&mut self, spec: &WorkerSpec) {
-        if let Some(holder) = self.workers.get_mut(&spec.worker) {
+        let holder = self.workers.get_mut(&spec.worker);
+        if let Some(holder) = holder.filter(|holder| holder.lease.epoch().is_none()) {
             holder.address = spec.address.clone();
             self.fleet
                 .upsert_worker(spec.worker.clone(), spec.rack.clone(), spec.capacity);
@@ -118,7 +121,8 @@
     /// Forgets workers that are not listed, hold nothing and whose tasks have certainly stopped.
     fn forget_gone(&mut self, listed: &BTreeSet<&WorkerId>, now: Timestamp) {
         let gone = |holder: &&WorkerRecord| {
-            !listed.contains(&holder.worker)
+            holder.holding == Holding::Home
+                && !listed.contains(&holder.worker)
                 && holder.claims.is_empty()
                 && !self.unfenced.contains_key(&holder.worker)
                 && holder.lease.lost(now)
--- a/crates/core/src/shard/heartbeat.rs
+++ b/crates/core/src/shard/heartbeat.rs
@@ -2,14 +2,12 @@
 
 use std::collections::HashSet;
 
-use crate::code::{Refusal, ResultCode};
-use crate::id::{Epoch, HostId, Incarnation, Sequence, TaskId, WorkerId};
-use crate::journal::JournalEntry;
+use crate::code::ResultCode;
+use crate::id::{Epoch, Incarnation, Sequence, TaskId, WorkerId};
 use crate::lease::{LeaseChange, WorkerEvent};
 use crate::placement::ClosedReason;
-use crate::shard::commit::Recorded;
 use crate::shard::place::Place;
-use crate::shard::{Effect, HeartbeatReport, Shard, ShardPhase};
+use crate::shard::{Effect, HeartbeatReport, Shard};
 use crate::unit::Timestamp;
 
 impl Shard {
@@ -26,7 +24,7 @@
         worker: &WorkerId,
         now: Timestamp,
     ) -> Option<(Option<Epoch>, Sequence)> {
-        if self.leases_released() {
+        if self.grant_unwanted(worker) {
             return None;
         }
         let holder = self.workers.get_mut(worker)?;
@@ -43,8 +41,8 @@
 
     /// Takes a granted or renewed lease.
     pub fn on_heartbeat(&mut self, worker: &WorkerId, report: HeartbeatReport, now: Timestamp) {
-        if self.leases_released() {
-            // It was sent before the release and may have overtaken it.
+        if self.grant_unwanted(worker) {
+            // The request was sent before the release and may have overtaken it.
             let (worker, epoch) = (worker.clone(), report.epoch);
             self.effects.push(Effect::ReleaseLease { worker, epoch });
             return;
@@ -104,55 +102,6 @@
         self.record_worker(worker, now);
     }
 
-    /// Records that the shard uses the worker, so that a successor asks it before it starts inherited work again.
-    pub(super) fn record_worker(&mut self, worker: &WorkerId, now: Timestamp) {
-        let fencing = self.phase() == ShardPhase::Fencing;
-        let used = self.journal.state().workers().get(worker);
-        let used = used.map(|used| used.incarnation);
-        let Some(holder) = self.workers.get_mut(worker) else {
-            return;
-        };
-        let Some(incarnation) = holder.incarnation else {
-            return;
-        };
-        holder.recorded = used == Some(incarnation);
-        if holder.recorded || (fencing && used.is_some()) {
-            return;
-        }
-        let entry = JournalEntry::WorkerUsed {
-            worker: worker.clone(),
-            host: holder.host.clone(),
-            address: holder.address.clone(),
-            incarnation,
-        };
-        let appended = self.journal.append(entry);
-        if let Some(position) = self.check(ResultCode::EpochInvariant, appended) {
-            let recorded = Recorded::Worker {
-                worker: worker.clone(),
-                at: now,
-            };
-            self.uncommitted.push_back((position, recorded));
-            self.effects.push(Effect::Commit);
-        }
-    }
-
-    /// Records that nothing of this shard can run on a worker any more, so that a successor need not ask it.
-    pub(super) fn record_worker_released(&mut self, worker: &WorkerId) {
-        if !self.journal.state().workers().contains_key(worker)
-            || self.unfenced.contains_key(worker)
-        {
-            return;
-        }
-        let entry = JournalEntry::WorkerReleased {
-            worker: worker.clone(),
-        };
-        let appended = self.journal.append(entry);
-        if let Some(position) = self.check(ResultCode::EpochInvariant, appended) {
-            self.uncommitted.push_back((position, Recorded::Other));
-            self.effects.push(Effect::Commit);
-        }
-    }
-
     /// Opens a worker for new tasks if its lease is held and its use is recorded.
     pub(super) fn reopen(&mut self, worker: &WorkerId) {
         let Some(holder) = self.workers.get(worker) else {
@@ -306,45 +255,4 @@
         let found = places.filter(|(_, place)| place.worker == *worker && matches(place));
         found.map(|(work, place)| place.task(work)).collect()
     }
-
-    /// Takes an operator's word that a host is dead: nothing runs there any more.
-    ///
-    /// # Errors
-    ///
-    /// Refused if the host is not known or still answers.
-    pub fn confirm_dead(&mut self, host: &HostId, now: Timestamp) -> Result<usize, Refusal> {
-        let of_host = self.workers.values().filter(|holder| holder.host == *host);
-        let workers: Vec<WorkerId> = of_host.map(|holder| holder.worker.clone()).collect();
-        if workers
-            .iter()
-            .any(|worker| self.may_use_worker(worker, now))
-        {
-            let text = format!("host {host} still answers");
-            return Err(Refusal::new(ResultCode::InvalidValue, text));
-        }
-        let used = self.journal.state().workers().iter();
-        let used =
-            used.filter(|(worker, used)| used.host == *host && self.unfenced.contains_key(*worker));
-        let unfenced: Vec<WorkerId> = used.map(|(worker, _)| worker.clone()).collect();
-        if workers.is_empty() && unfenced.is_empty() {
-            return Err(Refusal::new(
-                ResultCode::UnknownHost,
-                format!("host {host} is not known"),
-            ));
-        }
-        let appended = self
-            .journal
-            .append(JournalEntry::HostDead { host: host.clone() })?;
-        self.uncommitted.push_back((appended, Recorded::Other));
-        self.effects.push(Effect::Commit);
-        for worker in &workers {
-            self.lose_tasks(worker, now);
-        }
-        for worker in &unfenced {
-            self.inherited_lost = true;
-            self.fenced(worker, now);
-        }
-        self.schedule(now);
-        Ok(workers.len().max(unfenced.len()))
-    }
 }
--- a/crates/core/src/shard/recover.rs
+++ b/crates/core/src/shard/recover.rs
@@ -49,10 +49,6 @@
         for work in works {
             self.resolve(&work, now);
         }
-        // Only now, because the run that the journal names shows a successor that tasks may have been lost.
-        for worker in self.worker_ids() {
-            self.record_worker(&worker, now);
-        }
     }
 
     fn resolve(&mut self, work: &WorkId, now: Timestamp) {
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/peers/cluster/mod.rs
@@ -137,3 +137,19 @@
         self.platform.stop().await;
     }
 }
+
+/// Waits until a condition holds.
+pub(crate) async fn eventually<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
+    let met = async {
+        while !condition().await {
+            sleep(LOOK.to_duration()).await;
+        }
+    };
+    in_time(what, met).await;
+}
+
+/// Waits for a result.
+pub(crate) async fn in_time<T>(what: &str, result: impl Future<Output = T>) -> T {
+    let result = timeout(PATIENCE.to_duration(), result).await;
+    result.unwrap_or_else(|_| panic!("not in time: {what}"))
+}
