--- a/crates/core/src/shard/invariant.rs
+++ b/crates/core/src/shard/invariant.rs
@@ -47,18 +47,9 @@
     Ok(())
 }
 
-/// Checks that a member does not get a second place while it has one.
-pub(super) fn check_one_place(
-    record: &WorkRecord,
-    place: &Place,
-    worker: &WorkerId,
-) -> Result<(), String> {
-    if place.worker != *worker && !place.is_finished() {
-        let (member, first) = (place.member, &place.worker);
-        return Err(format!(
-            "member {member} of {} runs on {worker} and may run on {first}",
-            record.id
-        ));
-    }
-    Ok(())
+/// Describes a member that runs in a place while it may run in another one.
+pub(super) fn second_place(record: &WorkRecord, place: &Place, worker: &WorkerId) -> String {
+    let (member, first) = (place.member, &place.worker);
+    let work = &record.id;
+    format!("member {member} of {work} runs on {worker} and may run on {first}")
 }
--- a/crates/core/src/shard/recover.rs
+++ b/crates/core/src/shard/recover.rs
@@ -63,14 +63,18 @@
             return;
         };
         record.inherited = false;
-        let complete = record.places.len() == record.spec.members as usize;
-        if record.state != WorkState::Unresolved || complete {
+        if record.ending.is_some() {
             return;
         }
         if !record.places.is_empty() {
-            // Some members run and others don't: a gang job starts together or not at all.
-            self.stop_all(work, AfterStop::Requeue);
-            self.settle(work, now);
+            let running = record.state == WorkState::Running;
+            let open = record.places.iter().any(|place| !place.is_finished());
+            if !running || !open {
+                // Some members don't run, and a gang job starts together or not at all.
+                record.state = WorkState::Starting;
+                self.stop_all(work, AfterStop::Requeue);
+                self.settle(work, now);
+            }
             return;
         }
         // Executors keep no inventory, so a request without an outcome may have run.
--- a/crates/core/src/shard/settle.rs
+++ b/crates/core/src/shard/settle.rs
@@ -6,6 +6,7 @@
 use crate::shard::after_stop::AfterStop;
 use crate::shard::commit::Recorded;
 use crate::shard::invariant::check_not_run;
+use crate::shard::place::Place;
 use crate::shard::place_state::PlaceState;
 use crate::shard::{Effect, Reply, Route, Shard};
 use crate::unit::Timestamp;
@@ -24,10 +25,16 @@
         if open || record.ending.is_some() || record.places.is_empty() {
             return;
         }
+        let output = |place: &Place| place.output.is_some();
+        let complete = record.places.len() == record.spec.members as usize;
+        let succeeded = complete && record.places.iter().all(output);
+        if record.inherited && !succeeded {
+            return;
+        }
         let is_started = |place: &_| matches!(place, PlaceState::Finished { started: true });
         let started = record.places.iter().any(|place| is_started(&place.state));
         match record.then.take() {
-            None if record.places.len() == record.spec.members as usize => {
+            None if complete => {
                 let outputs = record
                     .places
                     .iter()
