--- a/crates/gateway/tests/gateway/fake.rs
+++ b/crates/gateway/tests/gateway/fake.rs
@@ -8,6 +8,7 @@
 use lagoon_wire::v1::peer_server::PeerServer;
 use lagoon_wire::v1::scheduler_server::{Scheduler, SchedulerServer};
 use tokio::runtime::Runtime;
+use tokio::sync::watch;
 use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 
@@ -22,6 +23,8 @@
     Lose,
     /// Takes the call and answers after a time.
     AnswerAfter(Duration),
+    /// Takes the call and answers once the test releases it.
+    Hold,
 }
 
 /// State that the test sets and reads.
@@ -35,7 +38,7 @@
     pub(crate) cancelled: Vec<String>,
     pub(crate) policy: u64,
     pub(crate) leaving: bool,
-    /// Slow calls at this moment, and their largest number so far.
+    /// Calls held at this moment, and their largest number so far.
     pub(crate) running: usize,
     pub(crate) peak: usize,
 }
@@ -47,6 +50,7 @@
     pub(crate) domain: String,
     pub(crate) address: SocketAddr,
     pub(crate) state: Arc<Mutex<State>>,
+    released: watch::Receiver<bool>,
 }
 
 /// Scheduler that answers as its test tells it; runs on threads of its own, so that it can be killed.
@@ -55,6 +59,7 @@
     pub(crate) address: SocketAddr,
     name: String,
     state: Arc<Mutex<State>>,
+    released: watch::Sender<bool>,
     runtime: Option<Runtime>,
 }
 
@@ -73,11 +78,13 @@
             policy: 1,
             ..State::default()
         }));
+        let (released, is_released) = watch::channel(false);
         let service = Service {
             name: name.to_owned(),
             domain: domain.to_owned(),
             address,
             state: state.clone(),
+            released: is_released,
         };
         let server = tonic::transport::Server::builder()
             .add_service(SchedulerServer::new(service.clone()))
@@ -89,6 +96,7 @@
             address,
             name: name.to_owned(),
             state,
+            released,
             runtime: Some(runtime),
         }
     }
@@ -113,6 +121,11 @@
         self.with(|state| state.replies.extend(replies.iter().cloned()));
     }
 
+    /// Releases held calls and later ones, or holds later ones again.
+    pub(crate) fn release(&self, released: bool) {
+        self.released.send_replace(released);
+    }
+
     pub(crate) fn calls(&self) -> Vec<String> {
         self.with(|state| state.calls.clone())
     }
@@ -148,12 +161,17 @@
             })),
             Reply::Lose => Err(Status::unavailable("the connection broke")),
             Reply::AnswerAfter(wait) => {
+                tokio::time::sleep(wait).await;
+                Ok(None)
+            }
+            Reply::Hold => {
                 {
                     let mut state = self.state.lock().unwrap();
                     state.running += 1;
                     state.peak = state.peak.max(state.running);
                 }
-                tokio::time::sleep(wait).await;
+                let mut released = self.released.clone();
+                let _ = released.wait_for(|released| *released).await;
                 self.state.lock().unwrap().running -= 1;
                 Ok(None)
             }
--- a/crates/gateway/tests/gateway/homes.rs
+++ b/crates/gateway/tests/gateway/homes.rs
@@ -101,6 +101,33 @@
     unknown_domain: "", "/v1/jobs" KEY, job("mars") => DomainUnreachable, "mars";
 }
 
+macro_rules! home_shards {
+    ($($(#[$guard:meta])* $name:ident: $key:literal of $shards:literal => $work:literal;)*) => {
+        $(
+            $(#[$guard])*
+            #[tokio::test]
+            async fn $name() {
+                let fake = Fake::start("s1");
+                (0..$shards).for_each(|number| fake.claim(&format!("cluj:{number}"), 1));
+                let settings = format!("shards: {}", $shards);
+                let gateway = start_ready(&[&fake], &settings).await;
+                let headers = [concat!("idempotency-key: ", $key)];
+                let (_, answer) =
+                    send(gateway.address(), "POST", "/v1/jobs", &headers, job("")).await;
+                gateway.stop().await;
+                assert_eq!(answer["work"], $work);
+            }
+        )*
+    };
+}
+
+home_shards! {
+    /// Guards against a new version that sends the keys of the previous one to other shards.
+    key_of_four_shards: "k2" of 4 => "w:cluj:3:1:1";
+    /// Guards against a hash that depends on the machine or the toolchain.
+    key_of_sixteen_shards: "crew-check-1" of 16 => "w:cluj:15:1:1";
+}
+
 /// Guards against one key at two shards: gateways of both domains, with the default and with the body's home.
 #[tokio::test]
 async fn gateways_of_two_domains_choose_one_shard() {
@@ -172,9 +199,14 @@
     let (own, other) = (Fake::start("s1"), Fake::start_in("s2", "iasi"));
     own.claim("cluj:0", 1);
     other.claim("iasi:1", 1);
-    let gateway = start_ready(&[&own, &other], "").await;
-    tokio::time::sleep(std::time::Duration::from_millis(800)).await;
-    let (_, answer) = send(gateway.address(), "POST", "/v1/jobs", KEY, job("iasi")).await;
+    let gateway = start_ready(&[&own, &other], "request_timeout: 200ms").await;
+    let address = gateway.address();
+    // Until the first heartbeat of iasi is answered, its shards are not known.
+    let mut answer = Value::Null;
+    while !answer["message"].to_string().contains("more shards") {
+        (_, answer) = send(address, "POST", "/v1/jobs", KEY, job("iasi")).await;
+        assert_eq!(answer["class"], "elsewhere", "{answer}");
+    }
     assert_eq!(answer["name"], "not_serving", "{answer}");
     assert_eq!(other.calls(), [""; 0]);
     gateway.stop().await;
--- a/crates/gateway/tests/gateway/limits.rs
+++ b/crates/gateway/tests/gateway/limits.rs
@@ -9,19 +9,18 @@
 use crate::fake::{Fake, Reply};
 use crate::site::{Answer, send, start_ready};
 
-const SLOW: Reply = Reply::AnswerAfter(Duration::from_millis(1_500));
-
+/// Body of a request whose answer is the name of its team.
 fn request(team: &str) -> String {
-    format!(r#"{{"service":"s","team":"{team}"}}"#)
+    format!(r#"{{"service":"s","team":"{team}","payload":"{team}"}}"#)
 }
 
 async fn post(gateway: &Gateway, path: &str, headers: &[&str], body: String) -> Answer {
     send(gateway.address(), "POST", path, headers, body).await
 }
 
-/// Sends slow requests, one of each team of `teams`, and waits until the scheduler has them.
+/// Sends requests, one of each team of `teams`, and waits until the scheduler has them and holds them.
 async fn occupy(gateway: &Gateway, fake: &Fake, teams: &[&str]) -> JoinSet<Answer> {
-    fake.reply(&vec![SLOW; teams.len()]);
+    fake.reply(&vec![Reply::Hold; teams.len()]);
     let mut calls = JoinSet::new();
     for team in teams {
         let (address, body) = (gateway.address(), request(team));
@@ -63,6 +62,7 @@
                 } else {
                     assert_eq!(answer.1["outcome"], $expected, "{}", answer.1);
                 }
+                fake.release(true);
                 for (status, answer) in calls.join_all().await {
                     assert_eq!(status, 200, "{answer}");
                 }
@@ -108,7 +108,10 @@
     let settings = "max_in_flight: 2\nteam_in_flight_share: 100%";
     let gateway = start_ready(&[&fake], settings).await;
     occupy(&gateway, &fake, &["a", "a"]).await.abort_all();
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    // The gateway notices that the callers are gone a moment later.
+    while post(&gateway, "/v1/requests", &[], request("a")).await.0 != 200 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
     for _ in 0..3 {
         let (status, answer) = post(&gateway, "/v1/requests", &[], request("a")).await;
         assert_eq!(status, 200, "{answer}");
@@ -118,6 +121,7 @@
     fake.with(|state| state.calls.clear());
     let calls = occupy(&gateway, &fake, &["a", "a"]).await;
     assert_overloaded(&post(&gateway, "/v1/requests", &[], request("b")).await);
+    fake.release(true);
     calls.join_all().await;
     let (status, answer) = post(&gateway, "/v1/requests", &[], request("b")).await;
     assert_eq!(status, 200, "{answer}");
@@ -140,31 +144,45 @@
     assert_eq!(metrics["requests.overloaded"], 1, "{metrics}");
     let answer = send(gateway.address(), "GET", "/healthz", &[], "body").await;
     assert_overloaded(&answer);
+    fake.release(true);
     calls.join_all().await;
     gateway.stop().await;
 }
 
-/// Guards against a bound that lets more in than it says when requests arrive at one time.
+/// Guards against bounds that let more in than they say when requests arrive at one time.
 #[tokio::test(flavor = "multi_thread")]
-async fn bound_holds_in_a_flood() {
+async fn bounds_hold_in_a_flood() {
+    const TEAMS: [&str; 3] = ["a", "b", "c"];
     let fake = Fake::start("s1");
     fake.claim("cluj:0", 1);
-    fake.reply(&vec![SLOW; 200]);
-    let gateway = start_ready(&[&fake], "max_in_flight: 20\nteam_in_flight_share: 50%").await;
+    fake.reply(&vec![Reply::Hold; 150]);
+    let settings = "max_in_flight: 20\nteam_in_flight_share: 40%";
+    let gateway = start_ready(&[&fake], settings).await;
     let mut calls = JoinSet::new();
-    for i in 0..200 {
-        let (address, body) = (gateway.address(), request(["a", "b", "c"][i % 3]));
+    for team in TEAMS.iter().cycle().take(150) {
+        let (address, body) = (gateway.address(), request(team));
         calls.spawn(async move { send(address, "POST", "/v1/requests", &[], body).await });
     }
-    let answers = calls.join_all().await;
-    let taken = answers.iter().filter(|(status, _)| *status == 200).count();
-    let refused: Vec<&Answer> = answers
-        .iter()
-        .filter(|(status, _)| *status != 200)
-        .collect();
-    refused.iter().for_each(|answer| assert_overloaded(answer));
-    assert_eq!(taken, fake.calls().len());
+    // Every call is refused or held before the first one is released.
+    let mut answers = Vec::new();
+    while answers.len() + fake.calls().len() < 150 {
+        let answer = tokio::time::timeout(Duration::from_millis(20), calls.join_next());
+        if let Ok(Some(answer)) = answer.await {
+            answers.push(answer.unwrap());
+        }
+    }
+    answers.iter().for_each(assert_overloaded);
+    fake.release(true);
+    answers.clear();
+    answers.extend(calls.join_all().await);
+    for team in TEAMS {
+        let taken = answers
+            .iter()
+            .filter(|(_, answer)| answer["answer"] == team);
+        assert!(taken.count() <= 8, "team {team} took more than its share");
+    }
     let peak = fake.with(|state| state.peak);
     assert!((1..=20).contains(&peak), "{peak} at one time");
+    assert_eq!(answers.len(), peak);
     gateway.stop().await;
 }
