--- a/crates/admin/tests/util/mod.rs
+++ b/crates/admin/tests/util/mod.rs
@@ -4,6 +4,7 @@
 
 mod client;
 mod fake_scheduler;
+mod fake_services;
 mod gate;
 mod session;
 
