Let teams take turns among entries set aside, and hold workers for the oldest gang job

Entries of a flood filled the one list of entries set aside, so that fair share applied only to the few that were retried. Gang jobs below their guarantee waited 10 s for a hold and then for whole workers to drain.

--- a/crates/core/src/order/fair_queue.rs
+++ b/crates/core/src/order/fair_queue.rs
@@ -196,7 +196,7 @@
         };
         waiting.stamp = stamp;
         let (kind, team, place) = (waiting.entry.kind, waiting.team, waiting.place);
-        let priority = waiting.entry.priority;
+        let (priority, enqueued) = (waiting.entry.priority, waiting.entry.enqueued);
         let slots = &self.slots;
         let is_live = |slot: u32, stamp: u64| {
             let waiting = slots[slot as usize].as_ref();
@@ -211,8 +211,10 @@
                 self.refresh_lane(kind, team);
             }
             Place::Aside => {
-                let aside = self.kinds[kind as usize].aside_mut(priority);
-                aside.note_stale(is_live);
+                let queue = &mut self.kinds[kind as usize];
+                queue.gangs_aside.remove(&(enqueued, slot));
+                let lane = self.teams[team as usize].lane_mut(kind);
+                lane.aside_mut(priority).note_stale(is_live);
             }
             Place::Held | Place::Expired => {}
         }
--- a/crates/core/src/order/first_gang.rs
+++ b/crates/core/src/order/first_gang.rs
@@ -2,8 +2,8 @@
 use crate::policy::Percent;
 use crate::unit::{Millis, Timestamp};
 
-/// Time in the first place before workers are held.
-const HOLD_AFTER: Millis = Millis::new(10_000);
+/// Wait before workers are held. A job that fits somewhere is usually placed in this time.
+const HOLD_AFTER: Millis = Millis::new(1_000);
 /// Time after which more of the fleet may be held, and after which a job that was not tried gives up the first place.
 const ROUND: Millis = Millis::new(30_000);
 /// Part of the fleet that may be held in the first round; one more such part is added in each later round. A job that
@@ -27,6 +27,23 @@
     renewed_at: Timestamp,
 }
 
+impl Place {
+    fn new(work: &WorkId, enqueued: Timestamp, now: Timestamp) -> Self {
+        Self {
+            work: work.clone(),
+            enqueued,
+            since: now,
+            tried_at: now,
+            renewed_at: now,
+        }
+    }
+
+    /// Returns the time from which workers are held.
+    fn holds_from(&self) -> Timestamp {
+        self.since.max(self.enqueued.after(HOLD_AFTER))
+    }
+}
+
 impl FirstGang {
     /// Notes that a job did not fit; returns the share of the fleet to hold for it, none if it waits unaided.
     pub fn note_not_placed(
@@ -35,28 +52,31 @@
         enqueued: Timestamp,
         now: Timestamp,
     ) -> Option<Percent> {
-        let place = self.place.get_or_insert_with(|| Place {
-            work: work.clone(),
-            enqueued,
-            since: now,
-            tried_at: now,
-            renewed_at: now.after(HOLD_AFTER),
-        });
+        let place = self
+            .place
+            .get_or_insert_with(|| Place::new(work, enqueued, now));
         if place.work != *work {
-            if enqueued >= place.enqueued || is_due(place.since, HOLD_AFTER, now) {
+            if enqueued >= place.enqueued || place.holds_from() <= now {
                 return None;
             }
-            place.work = work.clone();
-            place.enqueued = enqueued;
+            *place = Place::new(work, enqueued, now);
         }
         place.tried_at = now;
-        let waited = now.since(place.since);
-        let held_for = waited.checked_sub(HOLD_AFTER)?;
-        let rounds = held_for.get() / ROUND.get() + 1;
+        let from = place.holds_from();
+        if now < from {
+            return None;
+        }
+        let rounds = now.since(from).get() / ROUND.get() + 1;
         let share = rounds.saturating_mul(SHARE_PER_ROUND).min(100);
         Some(Percent::new(share as u8))
     }
 
+    /// Gives the first place to a job if nobody has it.
+    pub fn take(&mut self, work: &WorkId, enqueued: Timestamp, now: Timestamp) {
+        self.place
+            .get_or_insert_with(|| Place::new(work, enqueued, now));
+    }
+
     /// Gives up the first place if `work` has it; returns whether it had.
     pub fn leave(&mut self, work: &WorkId) -> bool {
         let left = self.place.take_if(|place| place.work == *work);
--- a/crates/core/src/order/kind_queue.rs
+++ b/crates/core/src/order/kind_queue.rs
@@ -1,8 +1,7 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
-use crate::order::aside_list::AsideList;
 use crate::order::team_lane::LaneKey;
-use crate::unit::{Bytes, Priority, Resources};
+use crate::unit::{Bytes, Resources, Timestamp};
 
 /// Lanes and totals of one kind of work.
 #[derive(Debug, Default)]
@@ -11,8 +10,10 @@
     pub(super) ready: BTreeSet<LaneKey>,
     /// Lanes with ready urgent work.
     pub(super) urgent: BTreeSet<LaneKey>,
-    /// Entries set aside: regular ones, and urgent ones.
-    pub(super) aside: [AsideList; 2],
+    /// Teams with regular and with urgent entries set aside, in turn.
+    pub(super) aside_teams: [VecDeque<u32>; 2],
+    /// Time of acceptance and slot of the gang jobs set aside.
+    pub(super) gangs_aside: BTreeSet<(Timestamp, u32)>,
     pub(super) in_use: Resources,
     pub(super) len: u64,
     pub(super) bytes: Bytes,
@@ -20,10 +21,3 @@
     pub(super) last_turn: u64,
     pub(super) paused: bool,
 }
-
-impl KindQueue {
-    /// Returns the list of entries of that urgency that were set aside.
-    pub(super) fn aside_mut(&mut self, priority: Priority) -> &mut AsideList {
-        &mut self.aside[usize::from(priority.is_urgent())]
-    }
-}
--- a/crates/core/src/order/mod.rs
+++ b/crates/core/src/order/mod.rs
@@ -13,7 +13,8 @@
 //! item in the heap of its team, which is dropped when it reaches the top or when half of the heap is stale.
 //!
 //! The caller takes an entry with `next`, and either starts it and calls `charge`, or calls `set_aside` if no worker
-//! fits now. Entries set aside come back with `retry`, urgent ones first, in order of their arrival there.
+//! fits now. Entries set aside come back with `retry`, urgent ones first. Teams take turns there, because a flood
+//! of one team would otherwise be tried before the work of the others.
 //!
 //! [`FirstGang`] names the gang job for which workers are held, and how much of the fleet.
 
--- a/crates/core/src/order/team_lane.rs
+++ b/crates/core/src/order/team_lane.rs
@@ -1,3 +1,4 @@
+use crate::order::aside_list::AsideList;
 use crate::order::lazy_heap::LazyHeap;
 use crate::order::ready_item::ReadyItem;
 use crate::unit::{Priority, Resources};
@@ -10,6 +11,8 @@
 pub(super) struct TeamLane {
     pub(super) urgent: LazyHeap<ReadyItem>,
     pub(super) regular: LazyHeap<ReadyItem>,
+    /// Entries set aside: regular ones, and urgent ones.
+    aside: [AsideList; 2],
     pub(super) in_use: Resources,
     /// Number of the selection that last took from this lane.
     pub(super) last_turn: u64,
@@ -25,6 +28,7 @@
         Self {
             urgent: LazyHeap::new(),
             regular: LazyHeap::new(),
+            aside: Default::default(),
             in_use: Resources::ZERO,
             last_turn: 0,
             over_quota: false,
@@ -40,6 +44,11 @@
         }
     }
 
+    /// Returns the list of entries of that urgency that were set aside.
+    pub(super) fn aside_mut(&mut self, priority: Priority) -> &mut AsideList {
+        &mut self.aside[usize::from(priority.is_urgent())]
+    }
+
     /// Returns the heap whose top goes first.
     pub(super) fn first_heap_mut(&mut self) -> &mut LazyHeap<ReadyItem> {
         match self.urgent.is_empty() {
--- a/crates/core/src/order/waiting.rs
+++ b/crates/core/src/order/waiting.rs
@@ -10,20 +10,28 @@
     /// Puts back an entry that `next` returned and that can't be placed now. It doesn't block others and is not
     /// selected again until `retry`. Returns false and changes nothing if the work already waits.
     pub fn set_aside(&mut self, entry: QueueEntry) -> bool {
-        let (kind, priority) = (entry.kind, entry.priority);
+        let (kind, priority, enqueued) = (entry.kind, entry.priority, entry.enqueued);
         let Some(slot) = self.insert(entry) else {
             return false;
         };
         if let Some(waiting) = &mut self.slots[slot as usize] {
             waiting.place = Place::Aside;
-            let aside = self.kinds[kind as usize].aside_mut(priority);
-            aside.push(slot, waiting.stamp);
+            let (team, stamp) = (waiting.team, waiting.stamp);
+            let queue = &mut self.kinds[kind as usize];
+            let aside = self.teams[team as usize].lane_mut(kind).aside_mut(priority);
+            if aside.is_empty() {
+                queue.aside_teams[usize::from(priority.is_urgent())].push_back(team);
+            }
+            aside.push(slot, stamp);
+            if kind == WorkKind::Gang {
+                queue.gangs_aside.insert((enqueued, slot));
+            }
         }
         true
     }
 
-    /// Makes up to `limit` urgent and `limit` regular entries of a kind that were set aside ready again, in order;
-    /// returns how many.
+    /// Makes up to `limit` urgent and `limit` regular entries of a kind that were set aside ready again;
+    /// returns how many. Teams take turns, and the entries of a team go in order.
     ///
     /// The limit bounds the cost of one freed worker while many large entries wait. Urgent entries have a limit of their
     /// own, because they would otherwise wait until all regular ones were tried.
@@ -35,17 +43,29 @@
     fn retry_aside(&mut self, kind: WorkKind, priority: Priority, limit: usize) -> usize {
         let mut count = 0;
         while count < limit {
-            let aside = self.kinds[kind as usize].aside_mut(priority);
-            let Some((slot, stamp)) = aside.pop() else {
+            let teams = &mut self.kinds[kind as usize].aside_teams;
+            let Some(team) = teams[usize::from(priority.is_urgent())].pop_front() else {
                 break;
             };
-            let waiting = self.slots[slot as usize].as_ref();
-            if waiting.is_some_and(|waiting| waiting.stamp == stamp) {
-                self.make_ready(slot);
-                count += 1;
-            } else {
-                aside.popped_stale();
+            let lane = self.teams[team as usize].lane_mut(kind);
+            let popped = lane.aside_mut(priority).pop();
+            if !lane.aside_mut(priority).is_empty() {
+                let teams = &mut self.kinds[kind as usize].aside_teams;
+                teams[usize::from(priority.is_urgent())].push_back(team);
             }
+            let Some((slot, stamp)) = popped else {
+                continue;
+            };
+            let waiting = self.slots[slot as usize].as_ref();
+            let Some(waiting) = waiting.filter(|waiting| waiting.stamp == stamp) else {
+                let lane = self.teams[team as usize].lane_mut(kind);
+                lane.aside_mut(priority).popped_stale();
+                continue;
+            };
+            let aged = (waiting.entry.enqueued, slot);
+            self.kinds[kind as usize].gangs_aside.remove(&aged);
+            self.make_ready(slot);
+            count += 1;
         }
         count
     }
@@ -56,6 +76,13 @@
         kinds.map(|kind| self.retry_kind(*kind, limit)).sum()
     }
 
+    /// Returns the gang job that was accepted first of those set aside.
+    pub fn oldest_gang_aside(&self) -> Option<&QueueEntry> {
+        let (_, slot) = self.kind(WorkKind::Gang).gangs_aside.first()?;
+        let waiting = self.slots[*slot as usize].as_ref();
+        waiting.map(|waiting| &waiting.entry)
+    }
+
     /// Makes an entry that was set aside ready again; returns whether it was set aside.
     pub fn retry_work(&mut self, work: &WorkId) -> bool {
         let Some(slot) = self.by_work.get(work).copied() else {
--- a/crates/core/src/placement/gang_hold.rs
+++ b/crates/core/src/placement/gang_hold.rs
@@ -15,6 +15,9 @@
 
 /// Workers examined in one call besides those that already fit a member.
 const EXAMINED: usize = 64;
+/// Part of the members that could share an empty worker which a held worker is expected to take. Waiting for a whole
+/// worker takes as long as its longest task; the same capacity frees on several workers in a fraction of that time.
+const PLANNED_PART: u64 = 8;
 
 /// State of the hold; a fleet has at most one.
 #[derive(Debug)]
@@ -100,7 +103,7 @@
             let grown = !free.fits_in(&held.free);
             let now = worker.members_now(&need, self.reclaim_margin);
             held.planned = match grown {
-                true => times(&need, &worker.capacity),
+                true => planned(&need, worker, now),
                 false => now,
             };
             held.free = free;
@@ -182,7 +185,8 @@
     /// `share` of the fleet would be held.
     fn hold_worker(&mut self, slot: u32, need: &Resources, share: Percent) -> Option<u64> {
         let worker = self.slots[slot as usize].as_ref()?;
-        let planned = times(need, &worker.capacity);
+        let now = worker.members_now(need, self.reclaim_margin);
+        let planned = planned(need, worker, now);
         let capacity = self.held().saturating_add(worker.capacity);
         if planned == 0 || capacity.dominant_share(&self.totals) > share.as_fraction() {
             return None;
@@ -200,6 +204,13 @@
     }
 }
 
+/// Returns how many members a worker is expected to take soon, given how many it can take now.
+fn planned(need: &Resources, worker: &WorkerSlot, now: u64) -> u64 {
+    times(need, &worker.capacity)
+        .div_ceil(PLANNED_PART)
+        .max(now)
+}
+
 /// Returns how many times `need` fits in `capacity`.
 pub(super) fn times(need: &Resources, capacity: &Resources) -> u64 {
     let cpu = capacity.cpu.get().checked_div(need.cpu.get());
--- a/crates/core/src/shard/cancel.rs
+++ b/crates/core/src/shard/cancel.rs
@@ -100,7 +100,7 @@
             false => self.queue_of(work).release(work),
         };
         if held {
-            self.end_gang_wait(work);
+            self.leave_first_place(work);
         }
         if journalled {
             self.record_hold(work.clone(), held);
--- a/crates/core/src/shard/gang_wait.rs
+++ b/crates/core/src/shard/gang_wait.rs
@@ -23,19 +23,34 @@
         }
     }
 
-    /// Ends the hold for work that has started, has ended or is held by an operator.
-    pub(super) fn end_gang_wait(&mut self, work: &WorkId) {
-        if self.first_gang.leave(work) {
+    /// Ends the hold for work that an operator holds; returns whether it had the first place.
+    pub(super) fn leave_first_place(&mut self, work: &WorkId) -> bool {
+        let left = self.first_gang.leave(work);
+        if left {
             self.fleet.end_hold();
             self.capacity_freed();
         }
+        left
+    }
+
+    /// Ends the hold for work that has started or ended. The oldest job that did not fit gets the first place.
+    pub(super) fn end_gang_wait(&mut self, work: &WorkId, now: Timestamp) {
+        if !self.leave_first_place(work) {
+            return;
+        }
+        if let Some(next) = self.tasks.oldest_gang_aside() {
+            self.first_gang.take(&next.work, next.enqueued, now);
+        }
+        if let Some(work) = self.first_gang.work() {
+            self.tasks.retry_work(work);
+        }
     }
 
     /// Tries the job in the first place again. A job that could not be tried for a round, such as one whose team is at
     /// its quota, gives up the first place.
     pub(super) fn check_gang_wait(&mut self, now: Timestamp) {
         if let Some(work) = self.first_gang.abandoned(now) {
-            self.end_gang_wait(&work);
+            self.end_gang_wait(&work, now);
         }
         if self.first_gang.take_renewal(now) {
             self.fleet.renew_hold();
--- a/crates/core/src/shard/schedule.rs
+++ b/crates/core/src/shard/schedule.rs
@@ -120,7 +120,7 @@
             match self.place(&entry) {
                 Some(workers) => {
                     self.start_tasks(&entry, workers, now);
-                    self.end_gang_wait(&entry.work);
+                    self.end_gang_wait(&entry.work, now);
                     started += 1;
                 }
                 None => {
--- a/crates/core/src/shard/settle.rs
+++ b/crates/core/src/shard/settle.rs
@@ -79,7 +79,7 @@
     /// Ends work. On the journal route callers learn of it once it is recorded.
     pub(super) fn end(&mut self, work: &WorkId, outcome: Outcome, now: Timestamp) {
         self.queue_of(work).remove(work);
-        self.end_gang_wait(work);
+        self.end_gang_wait(work, now);
         self.discharge(work);
         let Some(record) = self.works.get_mut(work) else {
             return;
