Say answer_lost at once after a lost call whose home domain is out of reach

The gateway kept such a caller until the request time was over. After a lost call, a later call that is not answered in time is reported as answer_lost as well, which the test lost_then_elsewhere_until_the_end expects; it failed once under load with answer_timeout.

--- a/crates/gateway/src/forward/forwarder.rs
+++ b/crates/gateway/src/forward/forwarder.rs
@@ -63,7 +63,7 @@
                 self.metrics.count("calls", 1);
                 let reply = timeout_at(deadline, call(self.client(owner), shard)).await;
                 let Ok(reply) = reply else {
-                    return Err(timed_out(limit));
+                    return Err(after_loss(last, lost).unwrap_or_else(|| timed_out(limit)));
                 };
                 let attempt = Attempt::from_reply(reply);
                 lost |= matches!(attempt, Attempt::Lost);
@@ -80,11 +80,10 @@
                 self.metrics.count("calls.repeated", 1);
             }
             let wake = Instant::now() + pause;
-            let unreachable = self.unreachable_home(target).filter(|_| !lost);
-            if let Some(domain) = unreachable
+            if let Some(domain) = self.unreachable_home(target)
                 && (wake >= deadline || started.elapsed() >= DOMAIN_WAIT)
             {
-                return Err(domain_unreachable(domain));
+                return Err(after_loss(last, lost).unwrap_or_else(|| domain_unreachable(domain)));
             }
             if wake >= deadline {
                 return Err(last.unwrap_or_else(|| not_served(target)));
@@ -122,6 +121,12 @@
     }
 }
 
+/// Returns the refusal of a request of which a call was lost. It says "not known", and so must everything that the
+/// gateway says by itself afterwards.
+fn after_loss(last: Option<Refusal>, lost: bool) -> Option<Refusal> {
+    last.filter(|_| lost)
+}
+
 fn timed_out(limit: Millis) -> Refusal {
     let message = format!("no answer came within {limit}");
     Refusal::new(ResultCode::AnswerTimeout, message)
