--- a/crates/core/src/order/fair_queue.rs
+++ b/crates/core/src/order/fair_queue.rs
@@ -196,7 +196,7 @@
         };
         waiting.stamp = stamp;
         let (kind, team, place) = (waiting.entry.kind, waiting.team, waiting.place);
-        let priority = waiting.entry.priority;
+        let (priority, enqueued) = (waiting.entry.priority, waiting.entry.enqueued);
         let slots = &self.slots;
         let is_live = |slot: u32, stamp: u64| {
             let waiting = slots[slot as usize].as_ref();
@@ -211,12 +211,10 @@
                 self.refresh_lane(kind, team);
             }
             Place::Aside => {
-                let kind = &mut self.kinds[kind as usize];
-                kind.aside_stale += 1;
-                if kind.aside_stale * 2 > kind.aside.len() {
-                    kind.aside.retain(|item| is_live(item.0, item.1));
-                    kind.aside_stale = 0;
-                }
+                let queue = &mut self.kinds[kind as usize];
+                queue.gangs_aside.remove(&(enqueued, slot));
+                let lane = self.teams[team as usize].lane_mut(kind);
+                lane.aside_mut(priority).note_stale(is_live);
             }
             Place::Held | Place::Expired => {}
         }
--- a/crates/core/src/order/kind_queue.rs
+++ b/crates/core/src/order/kind_queue.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use crate::order::team_lane::LaneKey;
-use crate::unit::{Bytes, Resources};
+use crate::unit::{Bytes, Resources, Timestamp};
 
 /// Lanes and totals of one kind of work.
 #[derive(Debug, Default)]
@@ -10,9 +10,10 @@
     pub(super) ready: BTreeSet<LaneKey>,
     /// Lanes with ready urgent work.
     pub(super) urgent: BTreeSet<LaneKey>,
-    /// Slot and stamp of entries set aside, in order.
-    pub(super) aside: VecDeque<(u32, u64)>,
-    pub(super) aside_stale: usize,
+    /// Teams with regular and with urgent entries set aside, in turn.
+    pub(super) aside_teams: [VecDeque<u32>; 2],
+    /// Time of acceptance and slot of the gang jobs set aside.
+    pub(super) gangs_aside: BTreeSet<(Timestamp, u32)>,
     pub(super) in_use: Resources,
     pub(super) len: u64,
     pub(super) bytes: Bytes,
--- a/crates/core/src/order/mod.rs
+++ b/crates/core/src/order/mod.rs
@@ -13,11 +13,16 @@
 //! item in the heap of its team, which is dropped when it reaches the top or when half of the heap is stale.
 //!
 //! The caller takes an entry with `next`, and either starts it and calls `charge`, or calls `set_aside` if no worker
-//! fits now. Entries set aside come back with `retry`, in order of their arrival there.
+//! fits now. Entries set aside come back with `retry`, urgent ones first. Teams take turns there, because a flood
+//! of one team would otherwise be tried before the work of the others.
+//!
+//! [`FirstGang`] names the gang job for which workers are held, and how much of the fleet.
 
 mod accounting;
+mod aside_list;
 mod deadline_item;
 mod fair_queue;
+mod first_gang;
 mod kind_queue;
 mod lazy_heap;
 mod queue_entry;
@@ -28,4 +33,4 @@
 mod team_state;
 mod waiting;
 
-pub use self::{fair_queue::FairQueue, queue_entry::QueueEntry};
+pub use self::{fair_queue::FairQueue, first_gang::FirstGang, queue_entry::QueueEntry};
--- a/crates/core/src/shard/borrow.rs
+++ b/crates/core/src/shard/borrow.rs
@@ -19,6 +19,11 @@
 
 /// Wait after an attempt that failed, so that reservations do not keep capacity from others all the time.
 const BACKOFF: Millis = Millis::new(1_000);
+/// Further wait for each shard number, so that two borrowers that took members from each other do not do so again.
+const BACKOFF_STEP: Millis = Millis::new(170);
+const BACKOFF_STEPS: u16 = 8;
+/// Jobs that are tried again without a sign that they fit.
+const MAX_WAITING: usize = 64;
 
 impl Shard {
     /// Takes all workers of the failure domain, to tell whether a gang job could ever fit there.
@@ -41,26 +46,66 @@
         spec.kind == WorkKind::Gang && plain && holds()
     }
 
-    /// Begins to borrow for a job that has no room now.
+    /// Tells whether a job can only start with members at other shards. One that fits on the own workers waits for them:
+    /// they are held for it in its turn. For the others nothing is held, because two of them would hold each other's
+    /// workers for good.
+    pub(super) fn needs_others(&self, work: &WorkId) -> bool {
+        let record = self.works.get(work);
+        record.is_some_and(|record| {
+            let spec = &record.spec;
+            let alone = self
+                .fleet
+                .could_ever_hold(spec.members, &spec.resources, &spec.placement);
+            !alone && self.could_borrow(spec)
+        })
+    }
+
+    /// Begins to borrow for a job that needs others, or lets it wait for its turn.
     pub(super) fn consider_borrowing(&mut self, entry: &QueueEntry, now: Timestamp) {
-        let spec = self.works.get(&entry.work).map(|record| &record.spec);
-        let wanted = spec.is_some_and(|spec| self.could_borrow(spec));
-        if wanted
-            && self.borrowing.is_none()
+        let work = &entry.work;
+        if self.borrowing.is_some()
+            || now < self.borrow_after
+            || self.phase() != ShardPhase::Serving
+        {
+            self.await_borrowing(work);
+            return;
+        }
+        let Some(record) = self.works.get(work) else {
+            return;
+        };
+        self.borrowing = Some(Borrowing {
+            work: work.clone(),
+            need: record.spec.resources,
+            local: Default::default(),
+            recorded: false,
+        });
+        let work = work.clone();
+        self.effects.push(Effect::Borrow { work });
+    }
+
+    /// Tries the next job that waits for other shards; nothing else tells that they have room.
+    pub(super) fn retry_borrowing(&mut self, now: Timestamp) {
+        if self.borrowing.is_none()
             && now >= self.borrow_after
-            && self.phase() == ShardPhase::Serving
+            && let Some(work) = self.borrow_queue.pop_front()
         {
-            let work = entry.work.clone();
-            self.borrowing = Some(Borrowing {
-                work: work.clone(),
-                need: entry_need(self, &work),
-                local: Default::default(),
-                recorded: false,
-            });
-            self.effects.push(Effect::Borrow { work });
+            self.tasks.retry_work(&work);
         }
     }
 
+    fn await_borrowing(&mut self, work: &WorkId) {
+        if self.borrow_queue.len() < MAX_WAITING && !self.borrow_queue.contains(work) {
+            self.borrow_queue.push_back(work.clone());
+        }
+    }
+
+    fn back_off(&mut self, work: &WorkId, now: Timestamp) {
+        let step = u64::from(self.config.shard.number().get() % BACKOFF_STEPS);
+        let wait = Millis::new(BACKOFF.get() + step * BACKOFF_STEP.get());
+        self.borrow_after = now.after(wait);
+        self.await_borrowing(work);
+    }
+
     /// Takes the job out of its queue and claims own workers for as many members as fit.
     pub fn begin_borrowing(&mut self, work: &WorkId, now: Timestamp) -> Option<BorrowPlan> {
         let waits = |state: &WorkState| *state == WorkState::Waiting;
@@ -89,7 +134,7 @@
             return;
         };
         self.release_all(&borrowing.local, borrowing.need);
-        self.borrow_after = now.after(BACKOFF);
+        self.back_off(work, now);
         let record = self.works.get_mut(work);
         let record = record.filter(|record| record.places.is_empty() && record.ending.is_none());
         if let Some(record) = record {
@@ -140,10 +185,19 @@
         record.placed_at = Some(now);
         let attempt = Attempt::new(epoch, record.attempts);
         let spec = record.spec.clone();
-        let workers = local.iter().chain(lent.iter().map(|member| &member.worker));
-        record.places = workers
+        let own = local.iter().map(|worker| {
+            let holder = self.workers.get(worker);
+            (worker, holder.and_then(|holder| holder.incarnation))
+        });
+        let others = lent
+            .iter()
+            .map(|member| (&member.worker, Some(member.incarnation)));
+        record.places = own
+            .chain(others)
             .zip(0..)
-            .map(|(worker, n)| Place::starting(MemberIndex::new(n), worker.clone(), attempt))
+            .map(|((worker, run), n)| {
+                Place::starting(MemberIndex::new(n), worker.clone(), attempt, run)
+            })
             .collect();
         let tasks: Vec<TaskId> = record.places.iter().map(|place| place.task(work)).collect();
         let entry = record.queue_entry();
@@ -204,7 +258,7 @@
             return;
         }
         if !committed {
-            self.borrow_after = now.after(BACKOFF);
+            self.back_off(work, now);
             self.stop_all(work, AfterStop::Requeue);
             self.schedule(now);
             return;
@@ -225,8 +279,3 @@
         self.effects.extend(starts);
     }
 }
-
-fn entry_need(shard: &Shard, work: &WorkId) -> crate::unit::Resources {
-    let record = shard.works.get(work);
-    record.map_or(crate::unit::Resources::ZERO, |record| record.spec.resources)
-}
--- a/crates/core/src/shard/dead_host.rs
+++ b/crates/core/src/shard/dead_host.rs
@@ -25,11 +25,11 @@
         }
         let used = self.journal.state().workers().iter();
         let used =
-            used.filter(|(worker, used)| used.host == *host && self.unfenced.contains(*worker));
+            used.filter(|(worker, used)| used.host == *host && self.unfenced.contains_key(*worker));
         let unfenced: Vec<WorkerId> = used.map(|(worker, _)| worker.clone()).collect();
         let used = self.journal.state().workers().iter();
         let borrowed = used.filter(|(worker, used)| {
-            let known = self.workers.contains_key(*worker) || self.unfenced.contains(*worker);
+            let known = self.workers.contains_key(*worker) || self.unfenced.contains_key(*worker);
             used.host == *host && !known
         });
         let borrowed: Vec<WorkerId> = borrowed.map(|(worker, _)| worker.clone()).collect();
--- a/crates/core/src/shard/drain.rs
+++ b/crates/core/src/shard/drain.rs
@@ -3,12 +3,16 @@
 use std::collections::BTreeSet;
 
 use crate::id::{HostId, WorkerId};
+use crate::journal::UsedWorker;
 use crate::lease::WorkerEvent;
 use crate::placement::ClosedReason;
 use crate::shard::holding::Holding;
 use crate::shard::worker_record::WorkerRecord;
 use crate::shard::{Shard, WorkerSpec};
-use crate::unit::Timestamp;
+use crate::unit::{Resources, Timestamp};
+
+/// Rack of a worker whose rack is not known yet.
+const UNKNOWN_RACK: &str = "unknown";
 
 impl Shard {
     /// Takes the workers whose home is this shard, and the hosts that are leaving. A worker that is no longer listed
@@ -22,7 +26,7 @@
         for spec in listed {
             match self.workers.get(&spec.worker).map(|holder| holder.holding) {
                 None => self.add_worker(spec),
-                Some(Holding::Home) => {}
+                Some(Holding::Home) => self.update_worker(spec),
                 Some(Holding::Adopted | Holding::GivenBack) => self.set_home(&spec.worker, now),
             }
             for executor in &spec.executors {
@@ -60,6 +64,27 @@
         self.fleet.close(&spec.worker, ClosedReason::NoLease);
     }
 
+    /// Takes what the list says of a worker whose lease, which would say more, was never held.
+    fn update_worker(&mut self, spec: &WorkerSpec) {
+        let holder = self.workers.get_mut(&spec.worker);
+        if let Some(holder) = holder.filter(|holder| holder.lease.epoch().is_none()) {
+            holder.address = spec.address.clone();
+            self.fleet
+                .upsert_worker(spec.worker.clone(), spec.rack.clone(), spec.capacity);
+        }
+    }
+
+    /// Adds a worker that an earlier owner used, without capacity until its lease is held or the host list names it.
+    pub(super) fn add_used_worker(&mut self, worker: WorkerId, used: UsedWorker) {
+        let margin = self.config.lease_margin;
+        let holder = WorkerRecord::new(worker.clone(), used.host, used.address, margin);
+        self.workers.insert(worker.clone(), holder);
+        let rack = UNKNOWN_RACK.parse().expect("the name is valid");
+        self.fleet
+            .upsert_worker(worker.clone(), rack, Resources::ZERO);
+        self.fleet.close(&worker, ClosedReason::NoLease);
+    }
+
     pub(super) fn set_leaving(&mut self, worker: &WorkerId, leaving: bool) {
         let Some(holder) = self.workers.get_mut(worker) else {
             return;
@@ -99,8 +124,9 @@
             holder.holding == Holding::Home
                 && !listed.contains(&holder.worker)
                 && holder.claims.is_empty()
+                && !self.unfenced.contains_key(&holder.worker)
                 && holder.lease.lost(now)
-                && (holder.lease.epoch().is_none() || holder.lease.tasks_certainly_lapsed(now))
+                && !holder.lease.tasks_may_run(now)
         };
         let gone: Vec<WorkerId> = self
             .workers
--- a/crates/core/src/shard/expire.rs
+++ b/crates/core/src/shard/expire.rs
@@ -14,13 +14,16 @@
     pub fn tick(&mut self, now: Timestamp) {
         self.expire_waiting(now);
         self.withdraw_late(now);
+        self.release_refusals(now);
         self.tickets.expire(now);
         self.check_leases(now);
         self.expire_reservations(now);
+        self.retry_borrowing(now);
         for worker in self.health.recovered(now) {
             self.fleet.open(&worker, ClosedReason::Rested);
             self.capacity_freed();
         }
+        self.check_gang_wait(now);
         let polls = self.slots.to_poll().into_iter();
         self.effects
             .extend(polls.map(|executor| Effect::Poll { executor }));
--- a/crates/core/src/shard/fence.rs
+++ b/crates/core/src/shard/fence.rs
@@ -12,7 +12,7 @@
     pub fn unfenced(&self) -> Vec<(WorkerId, String)> {
         let used = self.journal.state().workers();
         let address = |worker: &WorkerId| used.get(worker).map(|used| used.address.clone());
-        let unfenced = self.unfenced.iter();
+        let unfenced = self.unfenced.keys();
         unfenced
             .filter_map(|worker| Some((worker.clone(), address(worker)?)))
             .collect()
@@ -32,13 +32,18 @@
         tasks: Vec<TaskReport>,
         now: Timestamp,
     ) {
-        if !self.unfenced.contains(worker) {
+        let Some(used) = self.unfenced.get(worker) else {
             return;
-        }
-        let used = self.journal.state().workers().get(worker);
-        if used.is_some_and(|used| used.incarnation != incarnation) {
+        };
+        if *used != incarnation {
             self.inherited_lost = true;
         }
+        let task_ttl = self.config.task_ttl;
+        if let Some(holder) = self.workers.get_mut(worker) {
+            holder.lease.on_fenced(now, task_ttl);
+            holder.incarnation.get_or_insert(incarnation);
+            holder.lapsed = false;
+        }
         for report in tasks {
             self.on_phase(worker, &report.task, report.phase, now);
         }
--- a/crates/core/src/shard/hand_over.rs
+++ b/crates/core/src/shard/hand_over.rs
@@ -145,9 +145,10 @@
     /// Returns recorded work that no host can have started.
     fn unsent(&self) -> Vec<WorkId> {
         let waits = |state: &WorkState| matches!(state, WorkState::Waiting | WorkState::Held);
-        let works = self.works.values().filter(|record| {
-            waits(&record.state) && !record.may_have_started() && !record.may_have_run
-        });
+        let works = self
+            .works
+            .values()
+            .filter(|record| waits(&record.state) && !record.may_have_started() && !record.ran);
         works.map(|record| record.id.clone()).collect()
     }
 }
--- a/crates/core/src/shard/heartbeat.rs
+++ b/crates/core/src/shard/heartbeat.rs
@@ -3,9 +3,11 @@
 use std::collections::HashSet;
 
 use crate::code::ResultCode;
-use crate::id::{Epoch, Sequence, TaskId, WorkerId};
+use crate::id::{Epoch, Incarnation, Sequence, TaskId, WorkerId};
 use crate::lease::{LeaseChange, WorkerEvent};
 use crate::placement::ClosedReason;
+use crate::shard::holding::Holding;
+use crate::shard::place::Place;
 use crate::shard::{Effect, HeartbeatReport, Shard};
 use crate::unit::Timestamp;
 
@@ -28,8 +30,7 @@
         }
         let holder = self.workers.get_mut(worker)?;
         holder.lease.on_sending(now);
-        let held = holder.lease.epoch().filter(|_| !holder.lease.lost(now));
-        Some((held, holder.sequence))
+        Some((holder.lease.renewable(now), holder.sequence))
     }
 
     /// Returns the lease epoch to put on a command for a worker.
@@ -63,6 +64,7 @@
                 .incarnation
                 .is_some_and(|known| known != report.incarnation);
             holder.incarnation = Some(report.incarnation);
+            holder.lapsed = false;
             (change, restarted)
         });
         let Some((change, restarted)) = self.check(ResultCode::EpochInvariant, granted) else {
@@ -83,6 +85,7 @@
         self.fleet
             .upsert_worker(worker.clone(), report.rack.clone(), report.capacity);
         if change != LeaseChange::Renewed {
+            self.lose_earlier_runs(worker, report.incarnation, now);
             self.claim_worker(worker, now);
         }
         self.reopen(worker);
@@ -175,9 +178,9 @@
     }
 
     /// Notes that a heartbeat was not answered.
-    pub fn on_heartbeat_lost(&mut self, worker: &WorkerId, now: Timestamp) {
+    pub fn on_heartbeat_lost(&mut self, worker: &WorkerId) {
         if let Some(holder) = self.workers.get_mut(worker) {
-            holder.lease.on_unknown(now);
+            holder.lease.on_unknown();
             let late = holder.life.handle(WorkerEvent::RenewalLate);
             if late.is_ok() {
                 self.reopen(worker);
@@ -205,11 +208,18 @@
         for worker in &lost {
             self.lease_refused(worker);
         }
-        let workers = self.workers.values();
-        let lapsed: Vec<WorkerId> = workers
-            .filter(|holder| !holder.claims.is_empty() && holder.lease.lost(now))
-            .filter(|holder| holder.lease.tasks_certainly_lapsed(now))
-            .map(|holder| holder.worker.clone())
+        let workers = self.workers.values_mut();
+        let lapsed = workers.filter(|holder| {
+            let home = holder.holding == Holding::Home;
+            home && !holder.lapsed
+                && holder.lease.lost(now)
+                && holder.lease.tasks_certainly_lapsed(now)
+        });
+        let lapsed: Vec<WorkerId> = lapsed
+            .map(|holder| {
+                holder.lapsed = true;
+                holder.worker.clone()
+            })
             .collect();
         for worker in &lapsed {
             self.lose_tasks(worker, now);
@@ -222,12 +232,31 @@
             return;
         };
         holder.sequence = Sequence::default();
-        let tasks: Vec<TaskId> = holder.claims.keys().cloned().collect();
-        for task in tasks {
-            match task.work().shard() == &self.config.shard {
-                true => self.on_lost(worker, &task, now),
-                false => self.release_claim(worker, &task),
-            }
+        let foreign = holder.claims.keys();
+        let foreign = foreign.filter(|task| task.work().shard() != &self.config.shard);
+        let foreign: Vec<TaskId> = foreign.cloned().collect();
+        for task in foreign {
+            self.release_claim(worker, &task);
+        }
+        for task in self.own_tasks(worker, |_| true) {
+            self.on_lost(worker, &task, now);
         }
     }
+
+    /// Takes the tasks of earlier runs of a worker as lost.
+    fn lose_earlier_runs(&mut self, worker: &WorkerId, current: Incarnation, now: Timestamp) {
+        for task in self.own_tasks(worker, |place| place.run.is_some_and(|run| run < current)) {
+            self.on_lost(worker, &task, now);
+        }
+    }
+
+    /// Returns the tasks of this shard that may run on a worker.
+    fn own_tasks(&self, worker: &WorkerId, matches: impl Fn(&Place) -> bool) -> Vec<TaskId> {
+        let places = self.works.values().flat_map(|record| {
+            let open = record.places.iter().filter(|place| !place.is_finished());
+            open.map(|place| (&record.id, place))
+        });
+        let found = places.filter(|(_, place)| place.worker == *worker && matches(place));
+        found.map(|(work, place)| place.task(work)).collect()
+    }
 }
--- a/crates/core/src/shard/recover.rs
+++ b/crates/core/src/shard/recover.rs
@@ -11,7 +11,13 @@
 impl Shard {
     /// Takes over the live work of the journal. Until the workers of earlier owners have answered, it is unresolved.
     pub(super) fn inherit(&mut self) {
-        self.unfenced = self.journal.state().workers().keys().cloned().collect();
+        let used = self.journal.state().workers().iter();
+        self.unfenced = used
+            .map(|(worker, used)| (worker.clone(), used.incarnation))
+            .collect();
+        for (worker, used) in self.journal.state().workers().clone() {
+            self.add_used_worker(worker, used);
+        }
         let live = self.journal.state().live().clone();
         for (id, live) in live {
             let Some(key) = live.key else {
@@ -28,6 +34,7 @@
                 live.accepted_at,
             );
             record.inherited = true;
+            record.ran = live.ran;
             record.state = WorkState::Unresolved;
             record.reason =
                 "accepted by an earlier owner, whose workers have not all answered".to_owned();
@@ -56,14 +63,18 @@
             return;
         };
         record.inherited = false;
-        let complete = record.places.len() == record.spec.members as usize;
-        if record.state != WorkState::Unresolved || complete {
+        if record.ending.is_some() {
             return;
         }
         if !record.places.is_empty() {
-            // Some members run and others don't: a gang job starts together or not at all.
-            self.stop_all(work, AfterStop::Requeue);
-            self.settle(work, now);
+            let running = record.state == WorkState::Running;
+            let open = record.places.iter().any(|place| !place.is_finished());
+            if !running || !open {
+                // Some members don't run, and a gang job starts together or not at all.
+                record.state = WorkState::Starting;
+                self.stop_all(work, AfterStop::Requeue);
+                self.settle(work, now);
+            }
             return;
         }
         // Executors keep no inventory, so a request without an outcome may have run.
@@ -75,6 +86,13 @@
             self.end(work, Outcome::Refused(refusal), now);
             return;
         }
+        if may_have_run {
+            record.ran = true;
+            self.record_restart(work);
+        }
+        let Some(record) = self.works.get_mut(work) else {
+            return;
+        };
         record.state = WorkState::Waiting;
         record.reason = "waiting for its turn".to_owned();
         let then = record.then.take();
--- a/crates/core/src/shard/requests.rs
+++ b/crates/core/src/shard/requests.rs
@@ -60,7 +60,7 @@
         let Some(record) = self.works.get_mut(work) else {
             return;
         };
-        record.may_have_run = true;
+        record.ran = true;
         let restartable = record.spec.repeatability == Repeatability::Restartable;
         match restartable && self.budget.try_retry(now) {
             true => self.queue_request_again(work),
--- a/crates/core/src/shard/settle.rs
+++ b/crates/core/src/shard/settle.rs
@@ -6,6 +6,7 @@
 use crate::shard::after_stop::AfterStop;
 use crate::shard::commit::Recorded;
 use crate::shard::invariant::check_not_run;
+use crate::shard::place::Place;
 use crate::shard::place_state::PlaceState;
 use crate::shard::{Effect, Reply, Route, Shard};
 use crate::unit::Timestamp;
@@ -24,10 +25,16 @@
         if open || record.ending.is_some() || record.places.is_empty() {
             return;
         }
+        let output = |place: &Place| place.output.is_some();
+        let complete = record.places.len() == record.spec.members as usize;
+        let succeeded = complete && record.places.iter().all(output);
+        if record.inherited && !succeeded {
+            return;
+        }
         let is_started = |place: &_| matches!(place, PlaceState::Finished { started: true });
         let started = record.places.iter().any(|place| is_started(&place.state));
         match record.then.take() {
-            None if record.places.len() == record.spec.members as usize => {
+            None if complete => {
                 let outputs = record
                     .places
                     .iter()
@@ -38,7 +45,7 @@
             None => record.then = None,
             Some(AfterStop::Requeue) => self.requeue(work, started, now),
             Some(AfterStop::End(outcome)) => {
-                let outcome = correct_for_start(outcome, started);
+                record.ran |= started;
                 if !started {
                     self.clear_places(work);
                 }
@@ -59,7 +66,12 @@
             return;
         }
         let attempts = record.attempts;
-        self.clear_places(work);
+        if started {
+            record.ran = true;
+            self.record_restart(work);
+        } else {
+            self.clear_places(work);
+        }
         self.discharge(work);
         if !started && attempts >= MAX_START_ATTEMPTS {
             let text = format!("{attempts} attempts to start the work were refused by hosts");
@@ -79,6 +91,7 @@
     /// Ends work. On the journal route callers learn of it once it is recorded.
     pub(super) fn end(&mut self, work: &WorkId, outcome: Outcome, now: Timestamp) {
         self.queue_of(work).remove(work);
+        self.end_gang_wait(work, now);
         self.discharge(work);
         let Some(record) = self.works.get_mut(work) else {
             return;
@@ -86,6 +99,7 @@
         if record.ending.is_some() {
             return;
         }
+        let outcome = correct_for_start(outcome, record.ran);
         let checked = check_not_run(record, &outcome);
         let route = record.route.clone();
         if self.check(ResultCode::RefusedInvariant, checked).is_none() {
@@ -102,6 +116,33 @@
         }
     }
 
+    /// Records that a start of the work was lost, and only then lets the workers forget it. So a successor learns of it
+    /// either from the journal or from the workers.
+    pub(super) fn record_restart(&mut self, work: &WorkId) {
+        let Some(record) = self.works.get_mut(work) else {
+            return;
+        };
+        let journalled = matches!(record.route, Route::Journal(_));
+        let places = std::mem::take(&mut record.places);
+        let mut lost = Vec::new();
+        for place in places {
+            let task = place.task(work);
+            self.release_claim(&place.worker, &task);
+            lost.push((place.worker, task));
+        }
+        if !journalled {
+            return;
+        }
+        let appended = self
+            .journal
+            .append(JournalEntry::Restarted { work: work.clone() });
+        if let Some(position) = self.check(ResultCode::EpochInvariant, appended) {
+            self.uncommitted
+                .push_back((position, Recorded::Restarted { lost }));
+            self.effects.push(Effect::Commit);
+        }
+    }
+
     fn record_end(&mut self, work: &WorkId, outcome: Outcome, now: Timestamp) {
         let entry = |outcome: &Outcome| JournalEntry::Ended {
             work: work.clone(),
--- a/crates/core/src/shard/shard_state.rs
+++ b/crates/core/src/shard/shard_state.rs
@@ -1,14 +1,15 @@
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
 use crate::admission::{Admission, ServiceEstimator};
 use crate::code::{Refusal, ResultCode};
 use crate::health::{RetryBudget, WorkerHealth};
 use crate::id::{
-    Epoch, RequestKey, Sequence, ServiceName, ShardId, TeamId, Ticket, WorkId, WorkerId,
+    Epoch, Incarnation, RequestKey, Sequence, ServiceName, ShardId, TeamId, Ticket, WorkId,
+    WorkerId,
 };
 use crate::journal::{Head, Journal, JournalState, Position, StoreVersion};
-use crate::order::FairQueue;
+use crate::order::{FairQueue, FirstGang};
 use crate::placement::Fleet;
 use crate::policy::Policy;
 use crate::shard::borrowing::Borrowing;
@@ -16,6 +17,7 @@
 use crate::shard::hand_over_step::HandOverStep;
 use crate::shard::reservation::Reservation;
 use crate::shard::slot_table::SlotTable;
+use crate::shard::unconfirmed_refusal::UnconfirmedRefusal;
 use crate::shard::work_record::WorkRecord;
 use crate::shard::worker_record::WorkerRecord;
 use crate::shard::{
@@ -34,6 +36,8 @@
     pub(super) fleet: Fleet,
     /// Batch runs and gang jobs, which compete for workers.
     pub(super) tasks: FairQueue,
+    /// Gang job for which workers are held.
+    pub(super) first_gang: FirstGang,
     /// Requests of each service, which compete for its slots.
     pub(super) requests: HashMap<ServiceName, FairQueue>,
     pub(super) admission: Admission,
@@ -48,12 +52,14 @@
     pub(super) by_key: HashMap<(TeamId, RequestKey), WorkId>,
     pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
     pub(super) slots: SlotTable,
-    /// Workers of earlier owners that have not answered yet.
-    pub(super) unfenced: BTreeSet<WorkerId>,
+    /// Workers of earlier owners that have not answered yet, with the run in which those owners used them.
+    pub(super) unfenced: BTreeMap<WorkerId, Incarnation>,
     /// True if a worker of an earlier owner lost what it ran.
     pub(super) inherited_lost: bool,
     pub(super) next_work: Sequence,
     pub(super) uncommitted: VecDeque<(Position, Recorded)>,
+    /// Refusals that wait for a check of the ownership, in the order of the checks.
+    pub(super) unconfirmed: VecDeque<UnconfirmedRefusal>,
     pub(super) effects: Vec<Effect>,
     pub(super) hand_over: HandOverStep,
     /// Capacity kept for other shards.
@@ -62,6 +68,8 @@
     /// Highest epoch seen of each borrower.
     pub(super) borrowers: HashMap<ShardId, Epoch>,
     pub(super) borrowing: Option<Borrowing>,
+    /// Jobs that need other shards and wait for their turn to be tried.
+    pub(super) borrow_queue: VecDeque<WorkId>,
     /// Nothing is borrowed before.
     pub(super) borrow_after: Timestamp,
     /// Workers of the failure domain as the host list names them; nothing is claimed there.
@@ -88,6 +96,7 @@
             epoch,
             fleet: Fleet::new(),
             tasks: FairQueue::new(Policy::clone(&policy)),
+            first_gang: FirstGang::default(),
             requests: HashMap::new(),
             admission: Admission::new(Policy::clone(&policy)),
             health: WorkerHealth::new(policy.health),
@@ -101,16 +110,18 @@
             by_key: HashMap::new(),
             workers: BTreeMap::new(),
             slots: SlotTable::default(),
-            unfenced: BTreeSet::new(),
+            unfenced: BTreeMap::new(),
             inherited_lost: false,
             next_work: Sequence::default(),
             uncommitted: VecDeque::new(),
+            unconfirmed: VecDeque::new(),
             effects: Vec::new(),
             hand_over: HandOverStep::None,
             reservations: BTreeMap::new(),
             next_reservation: Sequence::default(),
             borrowers: HashMap::new(),
             borrowing: None,
+            borrow_queue: VecDeque::new(),
             borrow_after: Timestamp::default(),
             domain: Fleet::new(),
             policy,
--- a/crates/core/src/shard/withdraw.rs
+++ b/crates/core/src/shard/withdraw.rs
@@ -14,7 +14,7 @@
             record.state == WorkState::Waiting
                 && !matches!(record.route, Route::Journal(_))
                 && !record.may_have_started()
-                && !record.may_have_run
+                && !record.ran
         });
         let waiting: Vec<(WorkId, Route)> = waiting
             .map(|record| (record.id.clone(), record.route.clone()))
--- a/crates/core/src/shard/work_record.rs
+++ b/crates/core/src/shard/work_record.rs
@@ -45,12 +45,14 @@
     pub(super) inherited: bool,
     /// When members were placed at other shards.
     pub(super) placed_at: Option<Timestamp>,
-    /// True if a call was lost, so that a host may have run the work although it waits.
-    pub(super) may_have_run: bool,
+    /// True once a start of the work may have run, though nothing of it runs any more.
+    pub(super) ran: bool,
     /// True if the previous owner handed the work over without having started it.
     pub(super) unsent: bool,
     /// Refused starts so far.
     pub(super) attempts: u32,
+    /// True once the known workers were found able to hold the work.
+    pub(super) feasible: bool,
 }
 
 impl WorkRecord {
@@ -80,9 +82,10 @@
             charged: false,
             inherited: false,
             placed_at: None,
-            may_have_run: false,
+            ran: false,
             unsent: false,
             attempts: 0,
+            feasible: false,
         }
     }
 
--- a/crates/core/src/shard/worker_use.rs
+++ b/crates/core/src/shard/worker_use.rs
@@ -54,7 +54,9 @@
 
     /// Records that nothing of this shard can run on a worker any more, so that a successor need not ask it.
     pub(super) fn record_worker_released(&mut self, worker: &WorkerId) {
-        if !self.journal.state().workers().contains_key(worker) || self.unfenced.contains(worker) {
+        if !self.journal.state().workers().contains_key(worker)
+            || self.unfenced.contains_key(worker)
+        {
             return;
         }
         let entry = JournalEntry::WorkerReleased {
--- a/crates/core/tests/shard_peers/model/owner.rs
+++ b/crates/core/tests/shard_peers/model/owner.rs
@@ -87,6 +87,7 @@
         let id: ShardId = "cluj:3".parse().unwrap();
         let (head, version, state) = store.claim(&id, process, replaces)?;
         let config = ShardConfig {
+            task_ttl: Millis::new(60_000),
             shard: id,
             process: process.parse().unwrap(),
             lease_margin: Millis::new(100),
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -1,7 +1,7 @@
 use std::io::Write;
 
 use hyper::Method;
-use lagoon_core::id::{RequestKey, WorkId};
+use lagoon_core::id::{FailureDomain, RequestKey, WorkId};
 use lagoon_core::unit::Millis;
 use lagoon_process::exit;
 use serde_json::{Value, json};
@@ -9,7 +9,9 @@
 use crate::args::{
     BatchArgs, Command, CtlArgs, GangArgs, ListArgs, RequestArgs, SubmitKind, TicketsArgs,
 };
+use crate::check::check;
 use crate::client::Client;
+use crate::explain::explain;
 use crate::failure::Failure;
 use crate::key;
 use crate::render::render;
@@ -17,42 +19,47 @@
 /// Runs the command of `args` and returns the exit code.
 pub(crate) async fn run(
     args: &CtlArgs,
-    client: &Client,
+    gateway: Option<&str>,
     out: &mut dyn Write,
     err: &mut dyn Write,
 ) -> Result<u8, Failure> {
     let missing = || Failure::Usage("a command is missing; see lagoonctl --help".to_owned());
+    let open = || Client::open(args, gateway);
     let answer = match args.command.as_ref().ok_or_else(missing)? {
+        Command::Check(file) => return check(file, out),
+        Command::Explain(key) => return explain(key, args.output, out),
         Command::Submit(submit) => match &submit.kind {
             SubmitKind::Batch(batch) => {
-                let key = key_or_new(batch.key.as_ref(), err);
+                let client = open()?;
+                let key = key_or_new(batch.key.as_ref(), batch.home.as_ref(), err);
                 let body = batch_body(batch);
                 client
                     .call(Method::POST, "/v1/jobs", Some(&key), Some(&body))
                     .await?
             }
             SubmitKind::Gang(gang) => {
-                let key = key_or_new(gang.key.as_ref(), err);
+                let client = open()?;
+                let key = key_or_new(gang.key.as_ref(), gang.home.as_ref(), err);
                 let body = gang_body(gang);
                 client
                     .call(Method::POST, "/v1/jobs", Some(&key), Some(&body))
                     .await?
             }
-            SubmitKind::Request(request) => run_request(request, client, err).await?,
+            SubmitKind::Request(request) => run_request(request, &open()?, err).await?,
         },
         Command::List(list) => {
-            client
+            open()?
                 .call(Method::GET, &list_path(list), None, None)
                 .await?
         }
         Command::Show(show) => {
-            client
+            open()?
                 .call(Method::GET, &job_path(&show.work), None, None)
                 .await?
         }
         Command::Tickets(tickets) => {
             let body = tickets_body(tickets);
-            client
+            open()?
                 .call(Method::POST, "/v1/tickets", None, Some(&body))
                 .await?
         }
@@ -60,7 +67,7 @@
             if cancel.work.is_empty() {
                 return Err(Failure::Usage("cancel needs at least one id".to_owned()));
             }
-            return Ok(cancel_all(args, &cancel.work, client, out, err).await);
+            return Ok(cancel_all(args, &cancel.work, &open()?, out, err).await);
         }
     };
     let _ = writeln!(out, "{}", render(args.output, &answer));
@@ -104,6 +111,7 @@
         "priority": request.priority,
         "deadline_ms": request.deadline.map(Millis::get),
         "ticket": request.ticket,
+        "home": request.home,
         "payload": request.payload,
     });
     let key = match (&request.ticket, &request.key) {
@@ -111,8 +119,12 @@
             let message = "--ticket and --key exclude each other";
             return Err(Failure::Usage(message.to_owned()));
         }
+        (Some(_), None) if request.home.is_some() => {
+            let message = "--home needs a key, and --ticket names its own failure domain";
+            return Err(Failure::Usage(message.to_owned()));
+        }
         (Some(_), None) => None,
-        (None, key) => Some(key_or_new(key.as_ref(), err)),
+        (None, key) => Some(key_or_new(key.as_ref(), request.home.as_ref(), err)),
     };
     client
         .call(Method::POST, "/v1/requests", key.as_ref(), Some(&body))
@@ -120,12 +132,19 @@
 }
 
 /// Prints a generated key before anything is sent, so that it is known even if no answer comes.
-fn key_or_new(key: Option<&RequestKey>, err: &mut dyn Write) -> RequestKey {
+fn key_or_new(
+    key: Option<&RequestKey>,
+    home: Option<&FailureDomain>,
+    err: &mut dyn Write,
+) -> RequestKey {
     key.cloned().unwrap_or_else(|| {
         let key = key::generate();
+        let home = home
+            .map(|home| format!(" --home {home}"))
+            .unwrap_or_default();
         let _ = writeln!(
             err,
-            "idempotency key: {key} (repeat safely with --key {key})"
+            "idempotency key: {key} (repeat safely with --key {key}{home})"
         );
         key
     })
@@ -135,6 +154,7 @@
     json!({
         "kind": "batch",
         "team": batch.team,
+        "home": batch.home,
         "priority": batch.priority,
         "deadline_ms": batch.deadline.map(Millis::get),
         "resources": {
@@ -152,6 +172,7 @@
     json!({
         "kind": "gang",
         "team": gang.team,
+        "home": gang.home,
         "priority": gang.priority,
         "deadline_ms": gang.deadline.map(Millis::get),
         "resources": {
--- a/crates/scheduler/src/drive/claim.rs
+++ b/crates/scheduler/src/drive/claim.rs
@@ -3,6 +3,7 @@
 use lagoon_core::journal::{
     Claim, ClaimResult, Head, JournalKeys, JournalLimits, Replay, Segment, StoreVersion,
 };
+use lagoon_core::membership::home_shard;
 use lagoon_core::shard::{Shard, ShardConfig};
 use lagoon_core::ticket::TicketLimits;
 use lagoon_core::unit::Millis;
@@ -55,6 +56,7 @@
     }
     let state = replay.finish()?;
     let config = ShardConfig {
+        task_ttl: cx.settings.lease.task_ttl,
         shard: cell.id().clone(),
         process,
         lease_margin: cx.settings.lease.margin,
@@ -62,13 +64,10 @@
         tickets: TicketLimits::default(),
         journal: limits,
     };
-    Ok(Some(Shard::new(
-        config,
-        claim.head().clone(),
-        version,
-        state,
-        policy,
-    )))
+    let mut shard = Shard::new(config, claim.head().clone(), version, state, policy);
+    let number = cell.id().number();
+    shard.forget_borrowed(|worker| home_shard(worker, cx.settings.shards) == Some(number));
+    Ok(Some(shard))
 }
 
 /// Reads a part of the journal. The claim has taken effect, so giving up early would leave the shard without an owner.
--- a/crates/scheduler/src/drive/heartbeats.rs
+++ b/crates/scheduler/src/drive/heartbeats.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use lagoon_core::id::{Epoch, WorkerId};
+use lagoon_core::membership::home_shard;
 use lagoon_core::shard::Shard;
 use lagoon_core::unit::Millis;
 use lagoon_core::{Refusal, ResultCode};
@@ -106,7 +107,7 @@
         }
         Err(e) => {
             tracing::debug!("lease: {worker}: {e}");
-            shard.on_heartbeat_lost(worker, now);
+            shard.on_heartbeat_lost(worker);
         }
     });
     if let (None, Some(granted)) = (taken, granted) {
@@ -117,16 +118,17 @@
     taken.is_some()
 }
 
-/// Returns the other shards whose tasks on a worker are to continue: those of live borrowers, and of the worker's home
-/// shard while that has no owner.
+/// Returns the other shards whose tasks on a worker are to continue: those with a live owner, but not the worker's home
+/// shard. The owner of that counts on its tasks to stop when it can't renew them itself, even while it is only cut off.
 fn to_renew(cell: &Arc<ShardCell>, epoch: Epoch, worker: &WorkerId) -> Vec<ShardEpoch> {
     let cx = cell.cx();
+    let home = home_shard(worker, cx.settings.shards);
     let lent_to = cell.with_epoch(epoch, |shard| shard.lent_to(worker));
-    let lent_to = lent_to.into_iter().flatten().filter_map(|shard| {
+    let lent_to = lent_to.into_iter().flatten();
+    let others = lent_to.filter(|shard| Some(shard.number()) != home);
+    let renewed = others.filter_map(|shard| {
         let shard_epoch = cx.members.live_epoch(&shard, cx.clock.now())?;
         Some(ShardEpoch { shard, shard_epoch })
     });
-    let mut renewed = cx.adoption.to_renew(worker, cx.settings.shards);
-    renewed.extend(lent_to);
-    renewed
+    renewed.collect()
 }
--- a/crates/scheduler/src/service/node.rs
+++ b/crates/scheduler/src/service/node.rs
@@ -119,17 +119,16 @@
         owned
     }
 
-    /// Returns the shards without a live owner, with their last known epochs. Empty until this process has listened for
-    /// long enough to know who is alive.
-    pub(crate) fn ownerless(&self, now: Timestamp) -> BTreeMap<ShardId, Option<Epoch>> {
+    /// Returns the shards without a live owner. Empty until this process has listened for long enough to know who is
+    /// alive.
+    pub(crate) fn ownerless(&self, now: Timestamp) -> BTreeSet<ShardId> {
         let members = &self.cx.members;
         if members.is_leaving() || members.up(now) < self.cx.settings.suspect_after {
-            return BTreeMap::new();
+            return BTreeSet::new();
         }
         let owned = self.owned(now);
         let orphans = self.cells.keys().filter(|shard| !owned.contains(*shard));
-        let epoch = |shard| members.owner(shard).map(|(.., epoch)| epoch);
-        orphans.map(|shard| (shard.clone(), epoch(shard))).collect()
+        orphans.cloned().collect()
     }
 
     /// Returns why this process is not ready to take work.
--- a/crates/scheduler/tests/peers/adoption.rs
+++ b/crates/scheduler/tests/peers/adoption.rs
@@ -7,10 +7,9 @@
 use lagoon_standin::fault::{FaultMode, FaultRule, FaultTarget};
 use tokio::time::sleep;
 
-/// Tasks stop before the job of a test ends unless somebody renews them.
-const SHORT_TASKS: Tuning = Tuning {
+const SHORT_LEASE: Tuning = Tuning {
     lease_ttl: Millis::new(500),
-    task_ttl: Millis::new(1_500),
+    task_ttl: Millis::new(60_000),
     heartbeat: Millis::new(100),
     hand_over_after: Millis::new(600_000),
 };
@@ -32,7 +31,7 @@
 cluster_cases! {
     /// Guards against executors and tasks of a dead owner that are lost to an outage of the store, and against adopted
     /// workers that are kept when the shard has an owner again.
-    dead_owner_and_store_down(2, SHORT_TASKS): cluster => {
+    dead_owner_and_store_down(2, SHORT_LEASE): cluster => {
         let shards: Vec<u16> = (0..4).collect();
         let (lost, kept): (Vec<u16>, Vec<u16>) =
             shards.iter().partition(|shard| cluster.preferred(**shard, 2) == 0);
@@ -64,8 +63,24 @@
         assert_eq!(cluster.calls(1).output(&work).await.as_deref(), Some("job"));
     }
 
+    /// Guards against tasks that an adopter keeps alive: their owner may only be cut off, and starts them again elsewhere
+    /// once they must have stopped.
+    tasks_of_the_dead_owner_lapse(2, Tuning { task_ttl: Millis::new(1_500), ..SHORT_LEASE }): cluster => {
+        let shard = cluster.shard_of(0, 2);
+        cluster.wait_owner(shard, Some(0)).await;
+        cluster.wait_workers().await;
+        let work = cluster.calls(0).submit(shard, "k", RUN).await;
+        let running = async || cluster.calls(0).state(&work).await == "running";
+        eventually("the job runs", running).await;
+        store_down(&cluster);
+        cluster.crash(0);
+        sleep(Duration::from_millis(2_500)).await;
+        cluster.platform.store.faults().clear(&FaultTarget::All);
+        assert_eq!(cluster.wait_output(shard, &work).await, "host_lost");
+    }
+
     /// Guards against workers that are taken from a live owner because the store is down.
-    live_owner_keeps_its_workers(2, SHORT_TASKS): cluster => {
+    live_owner_keeps_its_workers(2, SHORT_LEASE): cluster => {
         let shard = cluster.shard_of(0, 2);
         cluster.wait_owner(shard, Some(0)).await;
         cluster.wait_workers().await;
@@ -79,7 +94,7 @@
     }
 
     /// Guards against an adoption where the store could name a new owner at once.
-    store_up(2, SHORT_TASKS): cluster => {
+    store_up(2, SHORT_LEASE): cluster => {
         let shard = cluster.shard_of(0, 2);
         let (_, epoch) = cluster.wait_owner(shard, Some(0)).await;
         cluster.crash(0);
--- /dev/null
+++ b/tests/proofs/main.rs
@@ -0,0 +1,27 @@
+//! The guarantees of the design page, shown on separate processes under faults.
+
+/// Names each case and runs it while no other one runs.
+macro_rules! process_cases {
+    ($($(#[$meta:meta])* $name:ident => $body:expr;)*) => {
+        $(
+            $(#[$meta])*
+            #[test]
+            fn $name() {
+                $crate::harness::run($body);
+            }
+        )*
+    };
+}
+
+#[path = "../harness/mod.rs"]
+mod harness;
+
+mod g1_capacity;
+mod g2_one_place;
+mod g3_whole_answers;
+mod g4_accurate_refusals;
+mod g5_at_most_once;
+mod g6_leaving_hosts;
+mod g7_graceful_stop;
+mod g8_policy;
+mod kinds_of_work;
