--- a/crates/core/src/code/result_code.rs
+++ b/crates/core/src/code/result_code.rs
@@ -118,6 +118,8 @@
     ReservationRefused = 4008, "reservation_refused", Elsewhere;
     /// The store did not answer, so the work was not accepted here. An earlier attempt with the same key may have been.
     StoreUnavailable = 4009, "store_unavailable", Elsewhere;
+    /// The gateway has too many requests in flight.
+    GatewayBusy = 4010, "gateway_busy", Elsewhere;
     /// The command is not well-formed.
     CommandSyntax = 5001, "command_syntax", NotRun;
     /// What the command touches changed since its preview.
--- a/crates/gateway/src/limit/in_flight.rs
+++ b/crates/gateway/src/limit/in_flight.rs
@@ -45,7 +45,7 @@
     ///
     /// # Errors
     ///
-    /// `overloaded` when all places are taken.
+    /// `gateway_busy` when all places are taken.
     pub(crate) fn enter(self: &Arc<Self>) -> Result<Permit, Refusal> {
         let next = |total| (total < self.limit).then_some(total + 1);
         let entered = self
@@ -54,7 +54,7 @@
         if entered.is_err() {
             self.metrics.count("requests.overloaded", 1);
             let limit = self.limit;
-            return Err(overloaded(format!("the gateway has {limit} requests")));
+            return Err(busy(format!("the gateway has {limit} requests")));
         }
         Ok(Permit {
             in_flight: self.clone(),
@@ -65,7 +65,7 @@
     ///
     /// # Errors
     ///
-    /// `overloaded` when all places of the team are taken.
+    /// `gateway_busy` when all places of the team are taken.
     pub(crate) fn enter_team(self: &Arc<Self>, team: &TeamId) -> Result<TeamPermit, Refusal> {
         let entered = self.teams.with(team, |teams| match teams.get_mut(team) {
             Some(count) if *count >= self.team_limit => false,
@@ -81,7 +81,7 @@
         if !entered {
             self.metrics.count("requests.team_overloaded", 1);
             let limit = self.team_limit;
-            return Err(overloaded(format!("team {team} has {limit} requests")));
+            return Err(busy(format!("team {team} has {limit} requests")));
         }
         Ok(TeamPermit {
             in_flight: self.clone(),
@@ -106,7 +106,7 @@
     }
 }
 
-fn overloaded(who: String) -> Refusal {
+fn busy(who: String) -> Refusal {
     let message = format!("{who} in flight, which is the limit; this call was not forwarded");
-    Refusal::new(ResultCode::Overloaded, message).retry_after(RETRY_AFTER)
+    Refusal::new(ResultCode::GatewayBusy, message).retry_after(RETRY_AFTER)
 }
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -41,7 +41,7 @@
     /// Time between the end of readiness and the end of new connections on a stop.
     #[serde(default = "default_drain_wait", deserialize_with = "text")]
     pub drain_wait: Millis,
-    /// Largest number of requests in flight; further ones are refused as overloaded.
+    /// Largest number of requests in flight; further ones are refused as busy.
     #[serde(default = "default_max_in_flight")]
     pub max_in_flight: u64,
     /// Share of `max_in_flight` that one team can take, so that its flood leaves room for the others.
--- a/crates/process/src/reference/scheduler.rs
+++ b/crates/process/src/reference/scheduler.rs
@@ -25,4 +25,6 @@
     "record_timeout": "duration", "2s", "above 0ms", "Longest wait for the store to record an acceptance.";
     "host_list_interval": "duration", "1s", "at least 10ms", "Wait between readings of the host list.";
     "drain_timeout": "duration", "30s", "any", "Longest wait for requests in flight when the process stops.";
+    "hand_over_after": "duration", "30s", "more than `suspect_after`",
+        "How long a better suited process must have been up, and the shard have been here, before it is handed over.";
 };
--- a/tests/harness/settings_files.rs
+++ b/tests/harness/settings_files.rs
@@ -56,6 +56,7 @@
     format!(
         "process: {name}
 failure_domain: {domain}
+default_home: {domain}
 shards: {shards}
 listen: {listen}
 schedulers: [{schedulers}]
