Hold more workers than a gang job has members within a quarter of the fleet

The same capacity frees sooner on more workers. A walk that stopped at the allowed share skipped the rest of the fleet; found by the test of replaced workers.

--- a/crates/core/src/order/first_gang.rs
+++ b/crates/core/src/order/first_gang.rs
@@ -71,12 +71,6 @@
         Some(Percent::new(share as u8))
     }
 
-    /// Gives the first place to a job if nobody has it.
-    pub fn take(&mut self, work: &WorkId, enqueued: Timestamp, now: Timestamp) {
-        self.place
-            .get_or_insert_with(|| Place::new(work, enqueued, now));
-    }
-
     /// Gives up the first place if `work` has it; returns whether it had.
     pub fn leave(&mut self, work: &WorkId) -> bool {
         let left = self.place.take_if(|place| place.work == *work);
--- a/crates/core/src/placement/gang_hold.rs
+++ b/crates/core/src/placement/gang_hold.rs
@@ -18,6 +18,11 @@
 /// Part of the members that could share an empty worker which a held worker is expected to take. Waiting for a whole
 /// worker takes as long as its longest task; the same capacity frees on several workers in a fraction of that time.
 const PLANNED_PART: u64 = 8;
+/// Members for which room is planned, for each member of the job. More held workers free the same capacity sooner, and
+/// jobs that wait behind this one use what is left.
+const PLANNED_TIMES: u64 = 8;
+/// Largest share of the fleet that is held for more members than the job has.
+const MORE_SHARE: Percent = Percent::new(25);
 
 /// State of the hold; a fleet has at most one.
 #[derive(Debug)]
@@ -64,7 +69,22 @@
             ready: 0,
             next: 0,
         });
-        let mut missing = hold.members.saturating_sub(hold.planned());
+        let members = hold.members;
+        let more = members.saturating_mul(PLANNED_TIMES);
+        self.extend_hold(more, need, policy, share.min(MORE_SHARE));
+        self.extend_hold(members, need, policy, share);
+    }
+
+    /// Holds workers until they are expected to take `wanted` members.
+    fn extend_hold(
+        &mut self,
+        wanted: u64,
+        need: &Resources,
+        policy: &PlacementPolicy,
+        share: Percent,
+    ) {
+        let planned = self.hold.as_ref().map_or(0, GangHold::planned);
+        let mut missing = wanted.saturating_sub(planned);
         while missing > 0
             && let Some(slot) = self.find(need, policy)
             && let Some(planned) = self.hold_worker(slot, need, share)
@@ -78,11 +98,26 @@
             let Some(slot) = self.next_candidate(policy) else {
                 continue;
             };
+            if !self.within_share(slot, share) {
+                // The next call starts with this worker again, so that all get their turn.
+                self.hold
+                    .iter_mut()
+                    .for_each(|hold| hold.next = slot as usize);
+                return;
+            }
             let planned = self.hold_worker(slot, need, share);
             missing = missing.saturating_sub(planned.unwrap_or(0));
         }
     }
 
+    fn within_share(&self, slot: u32, share: Percent) -> bool {
+        let worker = self.slots[slot as usize].as_ref();
+        worker.is_some_and(|worker| {
+            let capacity = self.held().saturating_add(worker.capacity);
+            capacity.dominant_share(&self.totals) <= share.as_fraction()
+        })
+    }
+
     /// Lets go of workers on which nothing was freed since the last call, such as those full of services, and plans
     /// the others anew. `hold_for_gang` replaces them.
     pub fn renew_hold(&mut self) {
@@ -188,7 +223,7 @@
         let now = worker.members_now(need, self.reclaim_margin);
         let planned = planned(need, worker, now);
         let capacity = self.held().saturating_add(worker.capacity);
-        if planned == 0 || capacity.dominant_share(&self.totals) > share.as_fraction() {
+        if planned == 0 || !self.within_share(slot, share) {
             return None;
         }
         let free = worker.free(self.reclaim_margin);
--- a/crates/core/src/shard/gang_wait.rs
+++ b/crates/core/src/shard/gang_wait.rs
@@ -38,11 +38,10 @@
         if !self.leave_first_place(work) {
             return;
         }
-        if let Some(next) = self.tasks.oldest_gang_aside() {
-            self.first_gang.take(&next.work, next.enqueued, now);
-        }
-        if let Some(work) = self.first_gang.work() {
-            self.tasks.retry_work(work);
+        // Before other work is tried, because what was freed on the held workers is meant for gang jobs.
+        if let Some(next) = self.tasks.oldest_gang_aside().cloned() {
+            self.note_not_placed(&next, now);
+            self.tasks.retry_work(&next.work);
         }
     }
 
