--- a/crates/core/src/order/aside_list.rs
+++ b/crates/core/src/order/aside_list.rs
@@ -5,6 +5,8 @@
 pub(super) struct AsideList {
     items: VecDeque<(u32, u64)>,
     stale: usize,
+    /// True while the team is in the list of teams that take turns.
+    pub(super) listed: bool,
 }
 
 impl AsideList {
--- a/crates/core/src/order/waiting.rs
+++ b/crates/core/src/order/waiting.rs
@@ -19,7 +19,7 @@
             let (team, stamp) = (waiting.team, waiting.stamp);
             let queue = &mut self.kinds[kind as usize];
             let aside = self.teams[team as usize].lane_mut(kind).aside_mut(priority);
-            if aside.is_empty() {
+            if !std::mem::replace(&mut aside.listed, true) {
                 queue.aside_teams[usize::from(priority.is_urgent())].push_back(team);
             }
             aside.push(slot, stamp);
@@ -48,8 +48,10 @@
                 break;
             };
             let lane = self.teams[team as usize].lane_mut(kind);
-            let popped = lane.aside_mut(priority).pop();
-            if !lane.aside_mut(priority).is_empty() {
+            let aside = lane.aside_mut(priority);
+            let popped = aside.pop();
+            aside.listed = !aside.is_empty();
+            if aside.listed {
                 let teams = &mut self.kinds[kind as usize].aside_teams;
                 teams[usize::from(priority.is_urgent())].push_back(team);
             }
--- a/crates/core/tests/order.rs
+++ b/crates/core/tests/order.rs
@@ -96,6 +96,56 @@
 }
 
 cases! {
+    /// Guards against urgent work that waits until all regular entries that were set aside have been tried.
+    urgent_is_retried_first(queue) {
+        for number in 0..10 {
+            queue.push(batch(number, "light"));
+        }
+        queue.push(entry(10, WorkKind::Batch, "light", Priority::HIGHEST));
+        while let Some(entry) = queue.next(START) {
+            queue.set_aside(entry);
+        }
+        queue.retry(1);
+        assert_eq!(queue.next(START).map(|entry| entry.work), Some(work(10)));
+    }
+
+    /// Guards against a flood of one team that fills the retries while other teams wait.
+    teams_take_turns_in_retries(queue) {
+        for number in 0..100 {
+            queue.push(batch(number, "flood"));
+        }
+        while let Some(entry) = queue.next(START) {
+            queue.set_aside(entry);
+        }
+        queue.push(batch(200, "light"));
+        let late = queue.next(START).unwrap();
+        queue.set_aside(late);
+        queue.retry(2);
+        let retried = start(&mut queue, 10);
+        assert_eq!(count(&retried, |entry| entry.team == team("light")), 1);
+        assert_eq!(retried.len(), 2);
+    }
+
+    /// Guards against a first place that goes to a newer gang job, or to one that no longer waits.
+    oldest_gang_aside_is_known(queue) {
+        for number in 0..3 {
+            let mut gang = entry(number, WorkKind::Gang, "light", Priority::NORMAL);
+            gang.enqueued = Timestamp::from_millis(1_000 - number);
+            queue.push(gang);
+        }
+        while let Some(entry) = queue.next(START) {
+            queue.set_aside(entry);
+        }
+        let oldest = |queue: &FairQueue| queue.oldest_gang_aside().map(|entry| entry.work.clone());
+        assert_eq!(oldest(&queue), Some(work(2)));
+        queue.remove(&work(2));
+        assert_eq!(oldest(&queue), Some(work(1)));
+        assert!(queue.retry_work(&work(1)));
+        assert_eq!(oldest(&queue), Some(work(0)));
+        queue.retry(10);
+        assert_eq!(oldest(&queue), None);
+    }
+
     /// Guards against shares that ignore the teams' weights.
     weights_divide_the_fleet(queue) {
         for number in 0..100 {
--- /dev/null
+++ b/crates/load/examples/load.rs
@@ -0,0 +1,4 @@
+//! Trial.
+fn main() -> std::process::ExitCode {
+    lagoon_load::run()
+}
