Take the first policy version from the store after a restart

Cause: a scheduler that has just started took the version of any peer that answers its heartbeat. A peer that was paused and cut off from the store still has the version before an accepted change, so the restarted process put that older version in force. Ruled out: the version check itself, which only compares with what the process knows, and it knows nothing after a restart. Conclusion: a process needs the store once after its start.

--- a/crates/scheduler/src/members/heartbeats.rs
+++ b/crates/scheduler/src/members/heartbeats.rs
@@ -88,8 +88,10 @@
         cx.members.add_address(&member.address);
     }
     node.check_claims(receiver);
-    if receiver.policy_version > cx.policy.version().get() {
-        let known_version = cx.policy.version().get();
+    let known_version = cx.policy.version().get();
+    // The first version comes from the store: after a restart, a peer that was cut off itself might name an older one
+    // than this process had in force before.
+    if known_version > 0 && receiver.policy_version > known_version {
         let policy = client
             .get_policy(v1::GetPolicyRequest { known_version })
             .await?
