Test the policy with long polls that end at the fault, and keys by way of the other failure domain's gateways

A long poll that was under way when the store was cut off still delivered the change, so that the peers' relay was not tested. Requests name the home of their key, so that a repeat may arrive at any gateway.

--- a/tests/harness/caller.rs
+++ b/tests/harness/caller.rs
@@ -17,19 +17,22 @@
 /// Further tries after an answer that says "not known".
 const REPEATS_AFTER_NOT_KNOWN: usize = 2;
 
-/// Caller of the gateways of one failure domain.
+/// Caller with work for one failure domain.
 #[derive(Debug, Clone)]
 pub(crate) struct Caller {
     client: Client,
+    /// Failure domain that knows its keys.
+    home: &'static str,
     gateways: Vec<SocketAddr>,
     /// Team of its requests.
     team: &'static str,
 }
 
 impl Caller {
-    pub(crate) fn new(client: Client, gateways: Vec<SocketAddr>) -> Self {
+    pub(crate) fn new(client: Client, home: &'static str, gateways: Vec<SocketAddr>) -> Self {
         Self {
             client,
+            home,
             gateways,
             team: "settlers",
         }
@@ -70,7 +73,10 @@
                 body["ticket"] = json!(ticket);
                 None
             }
-            Route::Key(key) => Some(key.as_str()),
+            Route::Key(key) => {
+                body["home"] = json!(self.home);
+                Some(key.as_str())
+            }
             Route::Once => None,
         };
         self.post(gateway, "/v1/requests", key, &body).await
@@ -128,7 +134,9 @@
         key: &str,
         job: &Value,
     ) -> Result<Answer, BoxError> {
-        self.post(gateway, "/v1/jobs", Some(key), job).await
+        let mut job = job.clone();
+        job["home"] = json!(self.home);
+        self.post(gateway, "/v1/jobs", Some(key), &job).await
     }
 
     /// Reads the state of a job.
--- a/tests/harness/cluster.rs
+++ b/tests/harness/cluster.rs
@@ -94,14 +94,20 @@
         Ok(())
     }
 
-    /// Returns a caller of the gateways of a failure domain.
-    pub(crate) fn caller(&self, domain: &str) -> Caller {
-        let of_domain = self
+    /// Returns a caller that uses the gateways of its failure domain.
+    pub(crate) fn caller(&self, domain: &'static str) -> Caller {
+        let own = self
             .gateways
             .iter()
             .filter(|daemon| daemon.domain == domain);
-        let addresses = of_domain.map(|daemon| daemon.address).collect();
-        Caller::new(self.client.clone(), addresses)
+        let addresses = own.map(|daemon| daemon.address).collect();
+        Caller::new(self.client.clone(), domain, addresses)
+    }
+
+    /// Returns a caller that uses the gateways of all failure domains.
+    pub(crate) fn caller_at_all(&self, domain: &'static str) -> Caller {
+        let addresses = self.gateways.iter().map(|daemon| daemon.address).collect();
+        Caller::new(self.client.clone(), domain, addresses)
     }
 
     /// Returns the number of the scheduler that owns a shard, as the store has it.
--- a/tests/proofs/g5_at_most_once.rs
+++ b/tests/proofs/g5_at_most_once.rs
@@ -15,8 +15,8 @@
 
 /// Guards against a ticket that a successor, which does not have the table, takes for a new one.
 async fn retry_tickets() -> Result<(), BoxError> {
-    let cluster = Cluster::start(&ClusterPlan::one_domain()).await?;
-    let caller = cluster.caller("malang");
+    let cluster = Cluster::start(&ClusterPlan::two_domains()).await?;
+    let caller = cluster.caller_at_all("malang");
     let tickets = caller.tickets(REQUESTS).await?;
     let routes = tickets.into_iter().map(Route::Ticket).collect();
     kill_while_retrying(cluster, &caller, routes).await
@@ -24,13 +24,13 @@
 
 /// Guards against a key whose request ran for a dead owner and which the successor runs again.
 async fn retry_keys() -> Result<(), BoxError> {
-    let cluster = Cluster::start(&ClusterPlan::one_domain()).await?;
-    let caller = cluster.caller("malang");
+    let cluster = Cluster::start(&ClusterPlan::two_domains()).await?;
+    let caller = cluster.caller_at_all("malang");
     let keys = (0..REQUESTS).map(|n| Route::Key(format!("g5-{n}")));
     kill_while_retrying(cluster, &caller, keys.collect()).await
 }
 
-/// Sends each request by way of both gateways at the same time, and again by the other one, while schedulers die.
+/// Sends each request by way of two gateways at the same time, and again by others, while schedulers die.
 async fn kill_while_retrying(
     mut cluster: Cluster,
     caller: &Caller,
@@ -41,7 +41,7 @@
         // 64 slots take a quarter of the requests at a time, so that some run and some wait at each kill.
         let payload = format!("sleep:{};echo:g5 request {n}", 400 + n % 7 * 50);
         for gateway in 0..2 {
-            load.request(caller, gateway, route.clone(), payload.clone());
+            load.request(caller, n + gateway, route.clone(), payload.clone());
         }
     }
     for _ in 0..2 {
--- a/tests/proofs/g8_policy.rs
+++ b/tests/proofs/g8_policy.rs
@@ -37,12 +37,21 @@
 async fn change_without_store() -> Result<(), BoxError> {
     let cluster = Cluster::start(&ClusterPlan::two_domains()).await?;
     for name in ["malang-scheduler-0", "kediri-scheduler-1"] {
-        let faults = cluster.platform.store_faults();
-        faults.set_for(name, FaultMode::Unreachable).await?;
+        cut_off_from_store(&cluster, name).await?;
     }
     change_in_time(&cluster).await
 }
 
+/// Cuts a process off from the store, long polls that are under way included.
+async fn cut_off_from_store(cluster: &Cluster, process: &str) -> Result<(), BoxError> {
+    let faults = cluster.platform.store_faults();
+    faults.set_for(process, FaultMode::Unreachable).await?;
+    // A write ends the long polls of all processes; the next one of this process fails.
+    cluster.platform.put_policy(&policy(1)).await?;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    Ok(())
+}
+
 /// Changes the policy and fails if one process has not put it in force after the target time.
 async fn change_in_time(cluster: &Cluster) -> Result<(), BoxError> {
     for domain in ["malang", "kediri"] {
@@ -89,16 +98,17 @@
 /// Guards against a process that has lost its memory and takes an outdated version from a peer that was paused.
 async fn restart_with_old_peer() -> Result<(), BoxError> {
     let mut cluster = Cluster::start(&ClusterPlan::one_domain()).await?;
+    let old = cluster.schedulers[1].name.clone();
+    cut_off_from_store(&cluster, &old).await?;
     cluster.schedulers[1].pause()?;
     cluster.platform.put_policy(&changed_policy(2)).await?;
     let first = &cluster.schedulers[0];
     let changed = || async { first.describe().await.filter(|(version, _)| *version == 2) };
     eventually("the policy has changed", PATIENCE, changed).await?;
-    for daemon in &cluster.schedulers {
-        let faults = cluster.platform.store_faults();
-        faults.set_for(&daemon.name, FaultMode::Unreachable).await?;
-    }
     cluster.schedulers[0].kill();
+    let faults = cluster.platform.store_faults();
+    let restarted = &cluster.schedulers[0].name;
+    faults.set_for(restarted, FaultMode::Unreachable).await?;
     cluster.schedulers[0].start()?;
     cluster.schedulers[1].resume()?;
     watch(&cluster, Duration::from_secs(3)).await?;
