Let a worker forget a task only when no call that starts it can arrive

Cause: a stop can overtake the start of the same task. The worker then remembers the task as stopped before its start, and the owner ended the work as not run and acknowledged the task at once. The worker forgot it, so the start, which arrived after that, started a task that the owner had refused and whose capacity it had given away. Conclusion: a start without an answer counts as on its way until the worker's lease has another epoch. Until then the task stays on the worker, which costs some memory there.

--- a/crates/core/src/shard/heartbeat.rs
+++ b/crates/core/src/shard/heartbeat.rs
@@ -85,6 +85,11 @@
             .upsert_worker(worker.clone(), report.rack.clone(), report.capacity);
         if change != LeaseChange::Renewed {
             self.lose_earlier_runs(worker, report.incarnation, now);
+            let tasks = self.start_calls.fenced(worker);
+            if !tasks.is_empty() {
+                let worker = worker.clone();
+                self.effects.push(Effect::Acknowledge { worker, tasks });
+            }
             self.claim_worker(worker, now);
         }
         self.reopen(worker);
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -45,6 +45,7 @@
 mod shard_state;
 mod shard_view;
 mod slot_table;
+mod start_calls;
 mod start_result;
 mod submission;
 mod submit;
--- a/crates/core/src/shard/shard_state.rs
+++ b/crates/core/src/shard/shard_state.rs
@@ -15,6 +15,7 @@
 use crate::shard::commit::Recorded;
 use crate::shard::hand_over_step::HandOverStep;
 use crate::shard::slot_table::SlotTable;
+use crate::shard::start_calls::StartCalls;
 use crate::shard::unconfirmed_refusal::UnconfirmedRefusal;
 use crate::shard::work_record::WorkRecord;
 use crate::shard::worker_record::WorkerRecord;
@@ -55,6 +56,7 @@
     pub(super) uncommitted: VecDeque<(Position, Recorded)>,
     /// Refusals that wait for a check of the ownership, in the order of the checks.
     pub(super) unconfirmed: VecDeque<UnconfirmedRefusal>,
+    pub(super) start_calls: StartCalls,
     pub(super) effects: Vec<Effect>,
     pub(super) hand_over: HandOverStep,
 }
@@ -98,6 +100,7 @@
             next_work: Sequence::default(),
             uncommitted: VecDeque::new(),
             unconfirmed: VecDeque::new(),
+            start_calls: StartCalls::default(),
             effects: Vec::new(),
             hand_over: HandOverStep::None,
             policy,
@@ -129,7 +132,19 @@
 
     /// Takes what the daemon has to do since the last call.
     pub fn take_effects(&mut self) -> Vec<Effect> {
-        std::mem::take(&mut self.effects)
+        let mut effects = std::mem::take(&mut self.effects);
+        for effect in &mut effects {
+            match effect {
+                Effect::Start { worker, task, .. } => self.start_calls.sent(worker, task),
+                Effect::Acknowledge { worker, tasks } => {
+                    tasks.retain(|task| !self.start_calls.put_off(worker, task));
+                }
+                _ => {}
+            }
+        }
+        let nothing = |effect: &Effect| matches!(effect, Effect::Acknowledge { tasks, .. } if tasks.is_empty());
+        effects.retain(|effect| !nothing(effect));
+        effects
     }
 
     /// Takes a newer policy; an older or equal version changes nothing.
--- a/crates/core/src/shard/tasks.rs
+++ b/crates/core/src/shard/tasks.rs
@@ -20,6 +20,22 @@
         task: &TaskId,
         result: StartResult,
         now: Timestamp,
+    ) {
+        let lost = matches!(result, StartResult::Unknown);
+        if self.start_calls.ended(worker, task, lost) {
+            let (worker, tasks) = (worker.clone(), vec![task.clone()]);
+            self.effects.push(Effect::Acknowledge { worker, tasks });
+        }
+        self.on_stop(worker, task, result, now);
+    }
+
+    /// Takes the result of a stop, which says nothing about a start that is on its way.
+    pub fn on_stop(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskId,
+        result: StartResult,
+        now: Timestamp,
     ) {
         match result {
             StartResult::Known(phase) => self.on_phase(worker, task, phase, now),
--- a/crates/scheduler/src/drive/starts.rs
+++ b/crates/scheduler/src/drive/starts.rs
@@ -93,7 +93,7 @@
         }
     };
     let now = cx.clock.now();
-    cell.with_epoch(epoch, |shard| shard.on_start(&worker, &task, result, now));
+    cell.with_epoch(epoch, |shard| shard.on_stop(&worker, &task, result, now));
 }
 
 pub(super) async fn acknowledge(cell: Arc<ShardCell>, worker: WorkerId, tasks: Vec<TaskId>) {
