--- a/tests/harness/child.rs
+++ b/tests/harness/child.rs
@@ -7,6 +7,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::harness::BoxError;
+use crate::harness::ended_logs::keep_log;
 
 /// Lines of a log that a failed test prints.
 const LOG_LINES: usize = 40;
@@ -72,24 +73,23 @@
         ended.map_err(|_| format!("{} still runs after {limit:?}", self.name).into())
     }
 
-    fn print_log(&self) {
+    fn end_of_log(&self) -> String {
         let text = std::fs::read_to_string(&self.log).unwrap_or_default();
         let lines: Vec<&str> = text.lines().collect();
         let first = lines.len().saturating_sub(LOG_LINES);
-        eprintln!("--- end of the log of {}", self.name);
-        for line in &lines[first..] {
-            eprintln!("{line}");
-        }
+        let name = &self.name;
+        format!(
+            "--- end of the log of {name}\n{}",
+            lines[first..].join("\n")
+        )
     }
 }
 
 impl Drop for Child {
     fn drop(&mut self) {
-        if std::thread::panicking() {
-            self.print_log();
-        }
         // Fails only if the child has ended. A stopped process ends at SIGKILL too.
         let _ = self.process.kill();
         let _ = self.process.wait();
+        keep_log(self.end_of_log());
     }
 }
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -11,6 +11,7 @@
 mod cluster_plan;
 mod daemon;
 mod daemon_kind;
+mod ended_logs;
 mod ending;
 mod eventually;
 mod faults;
--- a/tests/harness/test_run.rs
+++ b/tests/harness/test_run.rs
@@ -2,6 +2,8 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use crate::harness::ended_logs::EndedLogs;
+
 pub(crate) type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
 /// Time after which a test counts as stuck. Far above what a test needs, so that a busy machine fails none.
@@ -13,6 +15,7 @@
 /// Runs the body of a test while no other test of this binary runs.
 pub(crate) fn run<F: Future<Output = Result<(), BoxError>>>(body: F) {
     let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let _logs = EndedLogs;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
