--- a/crates/core/src/shard/commit.rs
+++ b/crates/core/src/shard/commit.rs
@@ -35,6 +35,8 @@
         /// When it was first leased.
         at: Timestamp,
     },
+    /// Use of other shards' workers.
+    Borrowed,
     /// Proof that no successor claimed the shard after a handover that failed.
     Resumed,
     /// Anything that nobody waits for.
@@ -89,6 +91,7 @@
                 Recorded::Restarted { lost } => self.acknowledge_lost(lost),
                 Recorded::Worker { worker, .. } => self.on_worker_recorded(&worker),
                 Recorded::Resumed => self.resume(now),
+                Recorded::Borrowed => self.on_borrowing_recorded(),
                 Recorded::Other => {}
             }
         }
--- a/crates/core/src/shard/fence.rs
+++ b/crates/core/src/shard/fence.rs
@@ -46,6 +46,9 @@
         }
         for report in tasks {
             self.on_phase(worker, &report.task, report.phase, now);
+            self.change_place(worker, &report.task, |place| {
+                place.run.get_or_insert(incarnation);
+            });
         }
         self.fenced(worker, now);
         self.schedule(now);
--- a/crates/core/src/shard/recover.rs
+++ b/crates/core/src/shard/recover.rs
@@ -15,9 +15,6 @@
         self.unfenced = used
             .map(|(worker, used)| (worker.clone(), used.incarnation))
             .collect();
-        for (worker, used) in self.journal.state().workers().clone() {
-            self.add_used_worker(worker, used);
-        }
         let live = self.journal.state().live().clone();
         for (id, live) in live {
             let Some(key) = live.key else {
--- a/crates/core/src/shard/schedule.rs
+++ b/crates/core/src/shard/schedule.rs
@@ -131,6 +131,7 @@
                         record.reason = "no host has room for it now".to_owned();
                     }
                     self.note_not_placed(&entry, now);
+                    self.consider_borrowing(&entry, now);
                     self.tasks.set_aside(entry);
                 }
             }
--- a/crates/core/src/shard/shard_state.rs
+++ b/crates/core/src/shard/shard_state.rs
@@ -12,15 +12,20 @@
 use crate::order::{FairQueue, FirstGang};
 use crate::placement::Fleet;
 use crate::policy::Policy;
+use crate::shard::borrowing::Borrowing;
 use crate::shard::commit::Recorded;
 use crate::shard::hand_over_step::HandOverStep;
+use crate::shard::reservation::Reservation;
 use crate::shard::slot_table::SlotTable;
 use crate::shard::start_calls::StartCalls;
 use crate::shard::unconfirmed_refusal::UnconfirmedRefusal;
 use crate::shard::work_record::WorkRecord;
 use crate::shard::worker_record::WorkerRecord;
-use crate::shard::{Effect, Reply, ShardConfig, ShardEvent, ShardLife, ShardPhase, WaiterId};
+use crate::shard::{
+    Effect, Reply, ReservationId, ShardConfig, ShardEvent, ShardLife, ShardPhase, WaiterId,
+};
 use crate::ticket::TicketTable;
+use crate::unit::Timestamp;
 
 /// State of an owned shard.
 #[derive(Debug)]
@@ -59,6 +64,16 @@
     pub(super) start_calls: StartCalls,
     pub(super) effects: Vec<Effect>,
     pub(super) hand_over: HandOverStep,
+    /// Capacity kept for other shards.
+    pub(super) reservations: BTreeMap<ReservationId, Reservation>,
+    pub(super) next_reservation: Sequence,
+    /// Highest epoch seen of each borrower.
+    pub(super) borrowers: HashMap<ShardId, Epoch>,
+    pub(super) borrowing: Option<Borrowing>,
+    /// Nothing is borrowed before.
+    pub(super) borrow_after: Timestamp,
+    /// Workers of the failure domain as the host list names them; nothing is claimed there.
+    pub(super) domain: Fleet,
 }
 
 impl Shard {
@@ -103,6 +118,12 @@
             start_calls: StartCalls::default(),
             effects: Vec::new(),
             hand_over: HandOverStep::None,
+            reservations: BTreeMap::new(),
+            next_reservation: Sequence::default(),
+            borrowers: HashMap::new(),
+            borrowing: None,
+            borrow_after: Timestamp::default(),
+            domain: Fleet::new(),
             policy,
             config,
         };
--- a/crates/core/src/shard/tasks.rs
+++ b/crates/core/src/shard/tasks.rs
@@ -292,7 +292,12 @@
         }
     }
 
-    fn change_place(&mut self, worker: &WorkerId, task: &TaskId, change: impl FnOnce(&mut Place)) {
+    pub(super) fn change_place(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskId,
+        change: impl FnOnce(&mut Place),
+    ) {
         let record = self.works.get_mut(task.work());
         let places = record
             .into_iter()
--- a/crates/core/src/shard/work_record.rs
+++ b/crates/core/src/shard/work_record.rs
@@ -45,6 +45,8 @@
     pub(super) inherited: bool,
     /// True once a start of the work may have run, though nothing of it runs any more.
     pub(super) ran: bool,
+    /// When members were placed at other shards.
+    pub(super) placed_at: Option<Timestamp>,
     /// True if the previous owner handed the work over without having started it.
     pub(super) unsent: bool,
     /// Refused starts so far.
@@ -80,6 +82,7 @@
             charged: false,
             inherited: false,
             ran: false,
+            placed_at: None,
             unsent: false,
             attempts: 0,
             feasible: false,
--- a/crates/core/tests/shard_model/world.rs
+++ b/crates/core/tests/shard_model/world.rs
@@ -327,6 +327,9 @@
             Effect::Poll { .. } => self.send_call(process, epoch, Call::Status),
             Effect::Reply { waiter, reply } => self.reply(process, waiter, reply),
             Effect::Commit => {}
+            Effect::Borrow { .. } | Effect::StartFor { .. } => {
+                unreachable!("the model has one shard")
+            }
             Effect::Halt(refusal) => self.halt(process, &refusal),
         }
     }
