--- a/crates/core/src/shard/drain.rs
+++ b/crates/core/src/shard/drain.rs
@@ -3,16 +3,12 @@
 use std::collections::BTreeSet;
 
 use crate::id::{HostId, WorkerId};
-use crate::journal::UsedWorker;
 use crate::lease::WorkerEvent;
 use crate::placement::ClosedReason;
 use crate::shard::holding::Holding;
 use crate::shard::worker_record::WorkerRecord;
 use crate::shard::{Shard, WorkerSpec};
-use crate::unit::{Resources, Timestamp};
-
-/// Rack of a worker whose rack is not known yet.
-const UNKNOWN_RACK: &str = "unknown";
+use crate::unit::Timestamp;
 
 impl Shard {
     /// Takes the workers whose home is this shard, and the hosts that are leaving. A worker that is no longer listed
@@ -74,17 +70,6 @@
         }
     }
 
-    /// Adds a worker that an earlier owner used, without capacity until its lease is held or the host list names it.
-    pub(super) fn add_used_worker(&mut self, worker: WorkerId, used: UsedWorker) {
-        let margin = self.config.lease_margin;
-        let holder = WorkerRecord::new(worker.clone(), used.host, used.address, margin);
-        self.workers.insert(worker.clone(), holder);
-        let rack = UNKNOWN_RACK.parse().expect("the name is valid");
-        self.fleet
-            .upsert_worker(worker.clone(), rack, Resources::ZERO);
-        self.fleet.close(&worker, ClosedReason::NoLease);
-    }
-
     pub(super) fn set_leaving(&mut self, worker: &WorkerId, leaving: bool) {
         let Some(holder) = self.workers.get_mut(worker) else {
             return;
--- a/crates/core/src/shard/work_record.rs
+++ b/crates/core/src/shard/work_record.rs
@@ -43,10 +43,10 @@
     pub(super) charged: bool,
     /// True if the work was accepted by an earlier owner and may have been started by it.
     pub(super) inherited: bool,
-    /// When members were placed at other shards.
-    pub(super) placed_at: Option<Timestamp>,
     /// True once a start of the work may have run, though nothing of it runs any more.
     pub(super) ran: bool,
+    /// When members were placed at other shards.
+    pub(super) placed_at: Option<Timestamp>,
     /// True if the previous owner handed the work over without having started it.
     pub(super) unsent: bool,
     /// Refused starts so far.
@@ -81,8 +81,8 @@
             then: None,
             charged: false,
             inherited: false,
-            placed_at: None,
             ran: false,
+            placed_at: None,
             unsent: false,
             attempts: 0,
             feasible: false,
--- a/crates/core/tests/shard_model/world.rs
+++ b/crates/core/tests/shard_model/world.rs
@@ -324,12 +324,12 @@
                 let worker = worker_index(&worker);
                 self.send_call(process, epoch, Call::Release { worker, lease });
             }
-            Effect::StartFor { .. } | Effect::Borrow { .. } => {
-                panic!("the world has one shard, but the effect needs another: {effect:?}")
-            }
             Effect::Poll { .. } => self.send_call(process, epoch, Call::Status),
             Effect::Reply { waiter, reply } => self.reply(process, waiter, reply),
             Effect::Commit => {}
+            Effect::Borrow { .. } | Effect::StartFor { .. } => {
+                unreachable!("the model has one shard")
+            }
             Effect::Halt(refusal) => self.halt(process, &refusal),
         }
     }
--- a/crates/load/src/sim/shard_engine.rs
+++ b/crates/load/src/sim/shard_engine.rs
@@ -88,10 +88,8 @@
                 Action::Start { worker, task, job }
             }
             Effect::Stop { worker, task } => Action::Stop { worker, task },
-            // The shard keeps its owner, so no lease is given up.
-            Effect::ReleaseLease { .. } => return,
-            // The simulation has one shard and names no failure domain, so nothing is borrowed or lent.
-            Effect::StartFor { .. } | Effect::Borrow { .. } => return,
+            // The shard keeps its owner and has no peers, so no lease is given up and nothing is lent.
+            Effect::ReleaseLease { .. } | Effect::Borrow { .. } | Effect::StartFor { .. } => return,
             Effect::Acknowledge { worker, tasks } => Action::Acknowledge { worker, tasks },
             Effect::Request {
                 executor,
--- a/crates/standin/src/workers/worker_tasks.rs
+++ b/crates/standin/src/workers/worker_tasks.rs
@@ -76,8 +76,8 @@
         };
         let until = now + self.task_ttl;
         // A start is a sign of life: without it, a shard whose earlier renewals have lapsed would lose the task at once.
-        let renewed = self.tasks_until.entry(req.shard.clone()).or_insert(until);
-        *renewed = until.max(*renewed);
+        let known = self.tasks_until.entry(req.shard.clone()).or_insert(until);
+        *known = until.max(*known);
         self.insert(report, now + run_time, ends_as);
         StartOutcome::Started
     }
