--- a/crates/scheduler/tests/peers/reservations.rs
+++ b/crates/scheduler/tests/peers/reservations.rs
@@ -54,6 +54,16 @@
         assert_eq!(output, vec!["job"; WORKERS].join("\n"));
     }
 
+    /// Guards against a successor that takes borrowed members as stopped because it does not renew them itself.
+    members_outlive_the_borrower(3, Tuning { task_ttl: Millis::new(3_000), ..SHORT_TASKS }): cluster => {
+        let shard = cluster.shard_of(0, 3);
+        let work = start_on_all(&cluster, 0, shard, Millis::new(7_000)).await;
+        cluster.crash(0);
+        cluster.wait_owner(shard, None).await;
+        let output = cluster.wait_output(shard, &work).await;
+        assert_eq!(output, vec!["job"; WORKERS].join("\n"));
+    }
+
     /// Guards against a job that is lost or started again when a lender dies.
     lender_dies(2, Tuning::default()): cluster => {
         let shard = cluster.shard_of(0, 2);
