--- a/crates/core/tests/shard_peers/model/mod.rs
+++ b/crates/core/tests/shard_peers/model/mod.rs
@@ -1,9 +1,11 @@
 //! A shard with a store, one worker and one executor, all in memory.
 
+mod fixture;
 mod owner;
 mod store;
 
 pub(crate) use self::{
-    owner::{OTHER_WORKER, Owner, WORKER, at, batch, gang, request, worker},
+    fixture::{OTHER_WORKER, WORKER, at, batch, gang, request, worker},
+    owner::Owner,
     store::Store,
 };
--- a/crates/core/tests/shard_peers/model/owner.rs
+++ b/crates/core/tests/shard_peers/model/owner.rs
@@ -1,72 +1,18 @@
 use std::sync::Arc;
 
-use lagoon_core::id::{Epoch, Incarnation, PolicyVersion, Sequence, ShardId, Ticket, WorkerId};
+use lagoon_core::id::{Epoch, Incarnation, Sequence, ShardId, Ticket};
 use lagoon_core::journal::{JournalLimits, StoreVersion};
-use lagoon_core::policy::{Policy, ServicePolicy, TeamPolicy, Weight};
 use lagoon_core::shard::{
-    Effect, ExecutorSpec, HandOverSnapshot, HeartbeatReport, Reply, RequestResult, Route, Shard,
-    ShardConfig, Submission, TaskReport, WaiterId, WorkerSpec,
+    Effect, HandOverSnapshot, HeartbeatReport, Reply, RequestResult, Shard, ShardConfig,
+    Submission, TaskReport, WaiterId,
 };
 use lagoon_core::ticket::TicketLimits;
-use lagoon_core::unit::{Bytes, Millicores, Millis, Resources, Timestamp};
-use lagoon_core::work::{Outcome, Repeatability, WorkKind, WorkSpec};
+use lagoon_core::unit::{Millis, Resources};
+use lagoon_core::work::Outcome;
 use lagoon_core::{Refusal, ResultCode};
 
 use super::Store;
-
-pub(crate) const WORKER: &str = "w1";
-/// A worker whose home is another shard.
-pub(crate) const OTHER_WORKER: &str = "w2";
-const SERVICE: &str = "planner";
-const TEAM: &str = "turf";
-const CAPACITY: Resources = Resources::new(Millicores::new(4_000), Bytes::new(8 << 30));
-
-pub(crate) fn at(ms: u64) -> Timestamp {
-    Timestamp::from_millis(ms)
-}
-
-pub(crate) fn request(route: Route) -> Submission {
-    submission(route, WorkKind::Service, Resources::ZERO, true)
-}
-
-/// A gang job whose members each take half of a worker.
-pub(crate) fn gang(key: &str, members: u32) -> Submission {
-    let mut job = batch(key);
-    job.spec.kind = WorkKind::Gang;
-    job.spec.members = members;
-    job.fingerprint = job.spec.fingerprint();
-    job
-}
-
-/// A task that takes half of the worker.
-pub(crate) fn batch(key: &str) -> Submission {
-    let half = Resources::new(Millicores::new(2_000), Bytes::new(1 << 30));
-    let route = Route::Journal(key.parse().unwrap());
-    submission(route, WorkKind::Batch, half, false)
-}
-
-fn submission(route: Route, kind: WorkKind, resources: Resources, until_end: bool) -> Submission {
-    let spec = WorkSpec {
-        kind,
-        team: TEAM.parse().unwrap(),
-        priority: Default::default(),
-        deadline: None,
-        resources,
-        members: 1,
-        run_time: Millis::new(1_000),
-        repeatability: Repeatability::AtMostOnce,
-        placement: Default::default(),
-        service: (kind == WorkKind::Service).then(|| SERVICE.parse().unwrap()),
-        payload: String::new(),
-    };
-    let fingerprint = spec.fingerprint();
-    Submission {
-        route,
-        spec,
-        fingerprint,
-        until_end,
-    }
-}
+use super::fixture::{CAPACITY, WORKER, at, policy, worker};
 
 /// One owner of the shard with what it asked for.
 pub(crate) struct Owner {
@@ -289,34 +235,3 @@
         self.effects.extend(self.shard.take_effects());
     }
 }
-
-pub(crate) fn worker(name: &str) -> WorkerSpec {
-    let worker: WorkerId = name.parse().unwrap();
-    WorkerSpec {
-        worker,
-        host: "h1".parse().unwrap(),
-        address: "127.0.0.1:7100".to_owned(),
-        rack: "r1".parse().unwrap(),
-        capacity: CAPACITY,
-        executors: vec![ExecutorSpec {
-            executor: format!("{name}-e").parse().unwrap(),
-            service: SERVICE.parse().unwrap(),
-            slots: 8,
-            connections: 60,
-        }],
-    }
-}
-
-fn policy() -> Policy {
-    let team = TeamPolicy {
-        weight: Weight::new(1),
-        quota: Resources::new(Millicores::new(200_000), Bytes::new(512 << 30)),
-        queue_limit: 10_000,
-    };
-    Policy {
-        version: PolicyVersion::new(1),
-        teams: [(TEAM.parse().unwrap(), team)].into(),
-        services: [(SERVICE.parse().unwrap(), ServicePolicy::default())].into(),
-        ..Policy::default()
-    }
-}
