--- a/crates/core/src/shard/expire.rs
+++ b/crates/core/src/shard/expire.rs
@@ -18,6 +18,7 @@
         self.tickets.expire(now);
         self.check_leases(now);
         self.expire_reservations(now);
+        self.retry_borrowing(now);
         for worker in self.health.recovered(now) {
             self.fleet.open(&worker, ClosedReason::Rested);
             self.capacity_freed();
--- a/crates/core/src/shard/follow.rs
+++ b/crates/core/src/shard/follow.rs
@@ -13,6 +13,17 @@
 const START_GRACE: Millis = Millis::new(3_000);
 
 impl Shard {
+    /// Forgets the used workers whose home is another shard; they are fenced, and then followed. To be called after a
+    /// claim. Their lease is not this shard's, and its holder renews the tasks, so no time tells that they have stopped.
+    pub fn forget_borrowed(&mut self, is_home: impl Fn(&WorkerId) -> bool) {
+        let borrowed = self.workers.keys().filter(|worker| !is_home(worker));
+        let borrowed: Vec<WorkerId> = borrowed.cloned().collect();
+        for worker in borrowed {
+            self.workers.remove(&worker);
+            self.fleet.remove_worker(&worker);
+        }
+    }
+
     /// Returns the workers of other shards that may run tasks of this one.
     pub fn followed(&self) -> BTreeSet<WorkerId> {
         let places = self.works.values().flat_map(|record| &record.places);
@@ -33,12 +44,13 @@
         now: Timestamp,
     ) {
         let used = self.journal.state().workers().get(worker);
-        let restarted = used.is_some_and(|used| used.incarnation < incarnation);
+        let used = used.map(|used| used.incarnation);
         let listed: BTreeSet<TaskId> = tasks.iter().map(|report| report.task.clone()).collect();
         for report in tasks {
             self.on_phase(worker, &report.task, report.phase, now);
         }
         for (task, place, due) in self.unlisted(worker, &listed, now) {
+            let restarted = place.run.or(used).is_some_and(|run| run < incarnation);
             match place.state {
                 _ if restarted => self.on_lost(worker, &task, now),
                 PlaceState::Starting | PlaceState::InDoubt if place.stopping => {
--- a/crates/core/src/shard/heartbeat.rs
+++ b/crates/core/src/shard/heartbeat.rs
@@ -6,6 +6,7 @@
 use crate::id::{Epoch, Incarnation, Sequence, TaskId, WorkerId};
 use crate::lease::{LeaseChange, WorkerEvent};
 use crate::placement::ClosedReason;
+use crate::shard::holding::Holding;
 use crate::shard::place::Place;
 use crate::shard::{Effect, HeartbeatReport, Shard};
 use crate::unit::Timestamp;
@@ -214,7 +215,10 @@
         }
         let workers = self.workers.values_mut();
         let lapsed = workers.filter(|holder| {
-            !holder.lapsed && holder.lease.lost(now) && holder.lease.tasks_certainly_lapsed(now)
+            let home = holder.holding == Holding::Home;
+            home && !holder.lapsed
+                && holder.lease.lost(now)
+                && holder.lease.tasks_certainly_lapsed(now)
         });
         let lapsed: Vec<WorkerId> = lapsed
             .map(|holder| {
--- a/crates/core/src/shard/schedule.rs
+++ b/crates/core/src/shard/schedule.rs
@@ -130,8 +130,10 @@
                     if let Some(record) = self.works.get_mut(&entry.work) {
                         record.reason = "no host has room for it now".to_owned();
                     }
-                    self.note_not_placed(&entry, now);
-                    self.consider_borrowing(&entry, now);
+                    match self.needs_others(&entry.work) {
+                        true => self.consider_borrowing(&entry, now),
+                        false => self.note_not_placed(&entry, now),
+                    }
                     self.tasks.set_aside(entry);
                 }
             }
--- a/crates/core/src/shard/shard_state.rs
+++ b/crates/core/src/shard/shard_state.rs
@@ -70,6 +70,8 @@
     /// Highest epoch seen of each borrower.
     pub(super) borrowers: HashMap<ShardId, Epoch>,
     pub(super) borrowing: Option<Borrowing>,
+    /// Jobs that need other shards and wait for their turn to be tried.
+    pub(super) borrow_queue: VecDeque<WorkId>,
     /// Nothing is borrowed before.
     pub(super) borrow_after: Timestamp,
     /// Workers of the failure domain as the host list names them; nothing is claimed there.
@@ -122,6 +124,7 @@
             next_reservation: Sequence::default(),
             borrowers: HashMap::new(),
             borrowing: None,
+            borrow_queue: VecDeque::new(),
             borrow_after: Timestamp::default(),
             domain: Fleet::new(),
             policy,
--- a/crates/core/tests/shard_peers/borrowing.rs
+++ b/crates/core/tests/shard_peers/borrowing.rs
@@ -173,6 +173,34 @@
         assert_eq!(owner.started(), 2);
     }
 
+    /// Guards against a job that an operator holds while its members are being reserved and that is started all the same.
+    held_meanwhile: store, owner => {
+        owner.submit(gang("g", MEMBERS));
+        owner.pump(&mut store);
+        let work = wanted(&owner).unwrap();
+        owner.shard.begin_borrowing(&work, at(0)).unwrap();
+        assert!(owner.shard.hold(&work));
+        assert!(owner.shard.record_borrowing(&work, &[lent(1)], at(0)).is_none());
+        owner.shard.end_borrowing(&work, at(0));
+        assert_eq!(state(&owner, &work), Some(WorkState::Held));
+    }
+
+    /// Guards against a job that is tried only when the shard's own workers free capacity.
+    tried_again: store, owner => {
+        owner.submit(gang("g", MEMBERS));
+        owner.pump(&mut store);
+        let work = wanted(&owner).unwrap();
+        owner.shard.begin_borrowing(&work, at(0)).unwrap();
+        owner.shard.end_borrowing(&work, at(0));
+        owner.effects.clear();
+        owner.shard.tick(at(900));
+        owner.collect();
+        assert_eq!(wanted(&owner), None);
+        owner.shard.tick(at(1_600));
+        owner.collect();
+        assert_eq!(wanted(&owner), Some(work));
+    }
+
     /// Guards against a part of the members that runs on after one lender refused.
     all_or_nothing: store, owner => {
         let (work, _) = placed(&mut owner, &mut store);
@@ -220,6 +248,7 @@
     successor_fences: store, owner => {
         let (work, tasks) = sent(&mut owner, &mut store);
         let mut next = Owner::claim(&mut store, "s2", None).unwrap();
+        next.shard.forget_borrowed(|id| *id == worker(WORKER).worker);
         let running = |task| report(task, TaskPhase::Running);
         next.serve(&mut store, 2, 8, vec![running(&tasks[0]), running(&tasks[1])]);
         assert_eq!(next.started(), 0);
--- a/crates/scheduler/src/members/adopt.rs
+++ b/crates/scheduler/src/members/adopt.rs
@@ -1,7 +1,7 @@
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use lagoon_core::id::{Epoch, ShardId};
+use lagoon_core::id::ShardId;
 use lagoon_core::journal::JournalKeys;
 use lagoon_core::unit::Millis;
 use lagoon_platform::ErrorKind;
@@ -21,13 +21,13 @@
         cx.members.set_own(node.own_epochs());
         let mut orphans = node.ownerless(cx.clock.now());
         let adopted = cx.adoption.orphans();
-        let news = orphans.keys().find(|shard| !adopted.contains(shard));
+        let news = orphans.iter().find(|shard| !adopted.contains(shard));
         let down = match news {
             Some(shard) => store_is_down(cx, shard).await,
             None => false,
         };
         if !down {
-            orphans.retain(|shard, _| adopted.contains(shard));
+            orphans.retain(|shard| adopted.contains(shard));
         }
         log_changes(&adopted, &orphans);
         cx.adoption.set(orphans, node.owned(cx.clock.now()));
@@ -43,13 +43,13 @@
     }
 }
 
-fn log_changes(before: &[ShardId], after: &BTreeMap<ShardId, Option<Epoch>>) {
-    for shard in after.keys().filter(|shard| !before.contains(shard)) {
+fn log_changes(before: &[ShardId], after: &BTreeSet<ShardId>) {
+    for shard in after.iter().filter(|shard| !before.contains(shard)) {
         tracing::warn!(
             "lease: shard {shard} has no owner and the store is down; its workers are adopted"
         );
     }
-    for shard in before.iter().filter(|shard| !after.contains_key(shard)) {
+    for shard in before.iter().filter(|shard| !after.contains(shard)) {
         tracing::info!("lease: shard {shard} has an owner; its workers are given back");
     }
 }
