Count a team's entries wherever they wait in its queue limit and wait estimate

Entries that were set aside were left out, so that a flood passed the team's limit and filled the queue of its kind: 86 of 721 urgent jobs of other teams were refused as overloaded.

--- a/crates/core/src/order/accounting.rs
+++ b/crates/core/src/order/accounting.rs
@@ -84,32 +84,27 @@
         state.map_or(Resources::ZERO, |state| state.in_use)
     }
 
-    /// Returns the number of a team's entries that are ready, over all kinds.
-    pub fn team_ready(&self, team: &TeamId) -> u64 {
+    /// Returns the number of a team's entries, over all kinds, wherever they wait.
+    pub fn team_len(&self, team: &TeamId) -> u64 {
         let Some(state) = self.team_state(team) else {
             return 0;
         };
         let lanes = WorkKind::ALL.iter().map(|kind| state.lane(*kind));
-        let live = lanes.map(|lane| lane.urgent.live() + lane.regular.live());
-        live.sum::<usize>() as u64
+        lanes.flat_map(|lane| lane.waiting).sum()
     }
 
     /// Estimates how many entries of the kind start before a new entry of the team: the team's own entries of at least
-    /// that urgency, times the number of teams that take turns, and at most all entries of the kind.
+    /// that urgency, times the number of teams that take turns, and at most all entries of the kind. Entries that were
+    /// set aside count, because they wait for the same capacity.
     pub fn ahead(&self, kind: WorkKind, team: &TeamId, priority: Priority) -> u64 {
         let lane = self.team_state(team).map(|state| state.lane(kind));
+        let [regular, urgent] = lane.map_or([0, 0], |lane| lane.waiting);
+        let [regular_teams, urgent_teams] = self.kind(kind).waiting_teams;
         let (own, turns) = match priority.is_urgent() {
-            true => (
-                lane.map_or(0, |lane| lane.urgent.live()),
-                self.kind(kind).urgent.len(),
-            ),
-            false => (
-                lane.map_or(0, |lane| lane.urgent.live() + lane.regular.live()),
-                self.kind(kind).ready.len(),
-            ),
+            true => (urgent, urgent_teams),
+            false => (urgent + regular, regular_teams.max(urgent_teams)),
         };
-        let turns = turns.max(1) as u64;
-        (own as u64).saturating_mul(turns).min(self.kind(kind).len)
+        own.saturating_mul(turns.max(1)).min(self.kind(kind).len)
     }
 
     pub(super) fn team_number(&mut self, team: &TeamId) -> u32 {
--- a/crates/core/src/order/fair_queue.rs
+++ b/crates/core/src/order/fair_queue.rs
@@ -153,6 +153,10 @@
         });
         let kind = &mut self.kinds[entry.kind as usize];
         kind.len += 1;
+        let urgent = usize::from(entry.priority.is_urgent());
+        let waiting = &mut self.teams[team as usize].lane_mut(entry.kind).waiting[urgent];
+        kind.waiting_teams[urgent] += u64::from(*waiting == 0);
+        *waiting += 1;
         kind.bytes = kind.bytes.saturating_add(entry.bytes);
         if let Some(deadline) = entry.deadline {
             let deadline = Reverse(deadline);
@@ -222,11 +226,15 @@
 
     /// Removes an entry that is in no heap or list. `deadline_stale` tells that its deadline item is still in its heap.
     fn take(&mut self, slot: u32, deadline_stale: bool) -> Option<QueueEntry> {
-        let entry = self.slots[slot as usize].take()?.entry;
+        let QueueSlot { entry, team, .. } = self.slots[slot as usize].take()?;
         self.vacant.push(slot);
         self.by_work.remove(&entry.work);
         let kind = &mut self.kinds[entry.kind as usize];
         kind.len -= 1;
+        let urgent = usize::from(entry.priority.is_urgent());
+        let waiting = &mut self.teams[team as usize].lane_mut(entry.kind).waiting[urgent];
+        *waiting -= 1;
+        kind.waiting_teams[urgent] -= u64::from(*waiting == 0);
         kind.bytes = kind.bytes.saturating_sub(entry.bytes);
         if entry.deadline.is_some() && deadline_stale {
             let slots = &self.slots;
--- a/crates/core/src/order/kind_queue.rs
+++ b/crates/core/src/order/kind_queue.rs
@@ -16,6 +16,8 @@
     pub(super) gangs_aside: BTreeSet<(Timestamp, u32)>,
     pub(super) in_use: Resources,
     pub(super) len: u64,
+    /// Teams with regular and with urgent entries, wherever they wait.
+    pub(super) waiting_teams: [u64; 2],
     pub(super) bytes: Bytes,
     /// Number of the selection that last took from this kind.
     pub(super) last_turn: u64,
--- a/crates/core/src/order/lazy_heap.rs
+++ b/crates/core/src/order/lazy_heap.rs
@@ -23,11 +23,6 @@
         self.heap.is_empty()
     }
 
-    /// Returns the number of live items.
-    pub(super) fn live(&self) -> usize {
-        self.heap.len().saturating_sub(self.stale)
-    }
-
     pub(super) fn push(&mut self, item: T) {
         self.heap.push(item);
     }
--- a/crates/core/src/order/team_lane.rs
+++ b/crates/core/src/order/team_lane.rs
@@ -13,6 +13,8 @@
     pub(super) regular: LazyHeap<ReadyItem>,
     /// Entries set aside: regular ones, and urgent ones.
     aside: [AsideList; 2],
+    /// Waiting entries, wherever they wait: regular ones, and urgent ones.
+    pub(super) waiting: [u64; 2],
     pub(super) in_use: Resources,
     /// Number of the selection that last took from this lane.
     pub(super) last_turn: u64,
@@ -29,6 +31,7 @@
             urgent: LazyHeap::new(),
             regular: LazyHeap::new(),
             aside: Default::default(),
+            waiting: [0; 2],
             in_use: Resources::ZERO,
             last_turn: 0,
             over_quota: false,
--- a/crates/core/src/shard/submit.rs
+++ b/crates/core/src/shard/submit.rs
@@ -258,7 +258,7 @@
         AdmissionView {
             now,
             queue,
-            team_queued: count(&|queue| queue.team_ready(&spec.team)),
+            team_queued: count(&|queue| queue.team_len(&spec.team)),
             team_usage: queue_of_kind
                 .map_or(Resources::ZERO, |queue| queue.team_in_use(&spec.team)),
             service_queued,
--- a/crates/core/tests/order.rs
+++ b/crates/core/tests/order.rs
@@ -96,6 +96,22 @@
 }
 
 cases! {
+    /// Guards against a team's queue limit and wait estimate that leave out its entries that were set aside.
+    entries_set_aside_still_count(queue) {
+        for number in 0..10 {
+            queue.push(batch(number, "light"));
+        }
+        queue.push(batch(10, "heavy"));
+        while let Some(entry) = queue.next(START) {
+            queue.set_aside(entry);
+        }
+        assert_eq!(queue.team_len(&team("light")), 10);
+        assert_eq!(queue.ahead(WorkKind::Batch, &team("heavy"), Priority::NORMAL), 2);
+        queue.remove(&work(10));
+        assert_eq!(queue.team_len(&team("heavy")), 0);
+        assert_eq!(queue.ahead(WorkKind::Batch, &team("light"), Priority::NORMAL), 10);
+    }
+
     /// Guards against urgent work that waits until all regular entries that were set aside have been tried.
     urgent_is_retried_first(queue) {
         for number in 0..10 {
