--- a/crates/load/src/report/class_row.rs
+++ b/crates/load/src/report/class_row.rs
@@ -22,6 +22,6 @@
     pub wait_p99: u64,
     /// Longest wait.
     pub wait_max: u64,
-    /// Starts within the measured time, per second.
+    /// Starts within the measured time, per second, of work that arrived at any time.
     pub starts_per_second: f64,
 }
--- a/crates/load/src/report/measures.rs
+++ b/crates/load/src/report/measures.rs
@@ -122,14 +122,17 @@
         self.find_longest(jobs, end);
         let mut waits: BTreeMap<Class, (u64, u64, Histogram<u64>)> = BTreeMap::new();
         let mut in_time: BTreeMap<Class, u64> = BTreeMap::new();
+        let starts = jobs.iter().filter_map(|job| Some((job, job.started?)));
+        for (job, _) in starts.filter(|(_, at)| self.counts(*at)) {
+            let class = Class::of(&job.spec, job.flood);
+            *in_time.entry(class).or_default() += 1;
+        }
         for job in jobs.iter().filter(|job| self.counts(job.submitted)) {
             let class = Class::of(&job.spec, job.flood);
             let new = || (0, 0, new_histogram());
             let (submitted, started, waited) = waits.entry(class).or_insert_with(new);
             *submitted += 1;
             *started += u64::from(job.started.is_some());
-            let counted = job.started.is_some_and(|at| self.counts(at));
-            *in_time.entry(class).or_default() += u64::from(counted);
             if let Some(until) = waited_until(job, end) {
                 add(waited, until.since(job.submitted).get());
             }
--- a/crates/load/src/scenario/floods.rs
+++ b/crates/load/src/scenario/floods.rs
@@ -29,7 +29,7 @@
         let name = deployment.name;
         let calm = Case::steady(deployment, options);
         let times = calm.times;
-        let stream = calm.deployment.flood(priority, times.measured, times.last);
+        let stream = calm.deployment.flood(priority, times.flood, times.last);
         let flooded = calm.with_stream(stream);
         for kind in PolicyKind::ALL {
             let before = calm.report(scenario, &format!("{name}, no flood"), kind);
--- a/crates/load/src/scenario/times.rs
+++ b/crates/load/src/scenario/times.rs
@@ -8,6 +8,8 @@
     pub(crate) start: Timestamp,
     /// Work arrives from here on, after the workers were leased.
     pub(crate) arrivals: Timestamp,
+    /// A flood begins, some time before it is measured: throughput is that of a flood that lasts.
+    pub(crate) flood: Timestamp,
     /// Work that arrives from here on is measured.
     pub(crate) measured: Timestamp,
     /// The last work arrives.
@@ -27,6 +29,7 @@
         Self {
             start: seconds(0, 0),
             arrivals: seconds(5, 3),
+            flood: seconds(35, 18),
             measured: seconds(65, 33),
             last: seconds(185, 93),
             // The start deadline of the last work is 120 s after its arrival.
--- a/crates/load/tests/scenarios.rs
+++ b/crates/load/tests/scenarios.rs
@@ -68,6 +68,16 @@
         assert_met(&reports, "95% of its throughput");
     }
 
+    /// Guards against urgent work of other teams that waits behind a flood of the least urgent work.
+    urgent_work_starts_soon_in_a_flood("flood-least", reports) {
+        assert_met(&reports, "within 5.3 s");
+    }
+
+    /// Guards against urgent work of other teams that waits behind a flood of the most urgent work.
+    urgent_work_starts_soon_in_an_urgent_flood("flood-urgent", reports) {
+        assert_met(&reports, "within 5.3 s");
+    }
+
     /// Guards against workers that fail everything, free their capacity at once and so attract work.
     failing_workers_attract_no_work("failing", reports) {
         assert_met(&reports, "failing workers");
