Test faults of the store, of a failure domain and of workers, and measure takeover and idle times

The store is down, refuses, is slow or loses answers for longer than every lease, also together with a killed owner or a crashed worker; a failure domain is cut off; workers fail everything. The ignored tests print figures with the default times of the settings.

--- a/tests/harness/checks.rs
+++ b/tests/harness/checks.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::harness::{BoxError, Cluster, Counts, Ending};
+use crate::harness::{BoxError, Cluster, Counts, Ending, Endings};
 
 /// Characters of a payload under which the fake executors count its runs.
 const PAYLOAD_CHARS: usize = 80;
@@ -44,6 +44,20 @@
     Ok(())
 }
 
+/// Fails if a job started that is not among `endings`, such as one whose submission was refused as "not run".
+pub(crate) async fn check_no_others(
+    cluster: &Cluster,
+    endings: &[&Endings],
+) -> Result<(), BoxError> {
+    for member in sum(&cluster.platform.starts().await?).keys() {
+        let work = member.rsplit_once(':').map_or("", |(work, _)| work);
+        let mut known = endings.iter().copied().flatten();
+        let known = known.any(|(name, _)| name == work);
+        expect(known, || format!("{work} started, but was never accepted"))?;
+    }
+    Ok(())
+}
+
 fn check(name: &str, ending: &Ending, count: u32) -> Result<(), BoxError> {
     let accurate = match ending {
         Ending::Answered(_) => count == 1,
--- a/tests/harness/cluster_plan.rs
+++ b/tests/harness/cluster_plan.rs
@@ -9,6 +9,8 @@
     pub(crate) executors: u32,
     /// Time after which the tasks of a shard without an owner stop by themselves.
     pub(crate) task_ttl_ms: u64,
+    /// Leaves the times of leases and heartbeats at the defaults of the settings.
+    pub(crate) default_times: bool,
     /// Further arguments of the fake platform.
     pub(crate) platform_args: Vec<String>,
 }
@@ -24,6 +26,7 @@
             workers: 8,
             executors: 8,
             task_ttl_ms: 20_000,
+            default_times: false,
             platform_args: Vec::new(),
         }
     }
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -25,7 +25,7 @@
 pub(crate) use self::{
     answer::Answer,
     caller::{Caller, batch, gang},
-    checks::{check_jobs, check_requests},
+    checks::{check_jobs, check_no_others, check_requests},
     child::Child,
     client::Client,
     cluster::{Cluster, policy},
--- a/tests/harness/settings_files.rs
+++ b/tests/harness/settings_files.rs
@@ -18,6 +18,20 @@
 ) -> String {
     let (shards, task_ttl) = (plan.shards, plan.task_ttl_ms);
     let peers = list(peers);
+    let times = match plan.default_times {
+        true => String::new(),
+        false => format!(
+            "lease:
+  ttl: 1000ms
+  task_ttl: {task_ttl}ms
+  margin: 100ms
+heartbeat: 100ms
+suspect_after: 800ms
+record_timeout: 2000ms
+host_list_interval: 500ms
+"
+        ),
+    };
     format!(
         "process: {name}
 failure_domain: {domain}
@@ -27,16 +41,8 @@
 peers: [{peers}]
 store: {store}
 host_list: {host_list}
-lease:
-  ttl: 1000ms
-  task_ttl: {task_ttl}ms
-  margin: 100ms
 store_writes: 100/s
-heartbeat: 100ms
-suspect_after: 800ms
-record_timeout: 2000ms
-host_list_interval: 500ms
-drain_timeout: 20000ms
+{times}drain_timeout: 20000ms
 log:
   level: info
 "
@@ -56,7 +62,6 @@
     format!(
         "process: {name}
 failure_domain: {domain}
-default_home: {domain}
 shards: {shards}
 listen: {listen}
 schedulers: [{schedulers}]
--- a/tests/proofs/g4_accurate_refusals.rs
+++ b/tests/proofs/g4_accurate_refusals.rs
@@ -7,7 +7,7 @@
 
 use crate::harness::{
     BoxError, Caller, Cluster, ClusterPlan, Ending, Endings, Load, Route, batch, check_jobs,
-    check_requests, gang,
+    check_no_others, check_requests, gang,
 };
 
 process_cases! {
@@ -49,6 +49,7 @@
     tokio::time::sleep(Duration::from_millis(2_000)).await;
     check_requests(&cluster, &requests).await?;
     check_jobs(&cluster, &jobs).await?;
+    check_no_others(&cluster, &[&jobs]).await?;
     cluster.check_workers().await
 }
 
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -16,6 +16,7 @@
 #[path = "../harness/mod.rs"]
 mod harness;
 
+mod domain_faults;
 mod g1_capacity;
 mod g2_one_place;
 mod g3_whole_answers;
@@ -25,3 +26,5 @@
 mod g7_graceful_stop;
 mod g8_policy;
 mod kinds_of_work;
+mod measure;
+mod store_faults;
