--- a/crates/load/examples/load.rs
+++ /dev/null
@@ -1,4 +0,0 @@
-//! Trial.
-fn main() -> std::process::ExitCode {
-    lagoon_load::run()
-}
--- a/crates/load/src/scenario/starvation.rs
+++ b/crates/load/src/scenario/starvation.rs
@@ -1,4 +1,4 @@
-use lagoon_core::unit::Rate;
+use lagoon_core::unit::{Millis, Rate};
 use lagoon_core::work::WorkKind;
 
 use crate::report::{Check, ScenarioReport};
@@ -7,11 +7,22 @@
 use crate::scenario::policy_kind::PolicyKind;
 use crate::workload::{Deployment, Span, Stream};
 
+/// Time in which small work arrives. A job that starts only after it waited for the small work to end.
+const SMALL_WORK: Millis = Millis::new(180_000);
+/// Time after it, longer than the start deadline of small work.
+const DRAIN: Millis = Millis::new(150_000);
+
 /// Small work fills the fleet all the time, and one gang job needs every worker as a whole.
 pub(super) fn run(options: &Options) -> Vec<ScenarioReport> {
     let mut case = Case::steady(Deployment::settlements(), options);
     let cores = case.deployment.total_cores();
-    let small = case.streams[0].clone();
+    case.times.measured = case.times.arrivals;
+    case.times.last = case.times.arrivals.after(SMALL_WORK);
+    case.times.end = case.times.last.after(DRAIN);
+    let small = Stream {
+        until: case.times.last,
+        ..case.streams[0].clone()
+    };
     let rate = small.rate_for(1.5 * cores);
     let whole = Stream {
         kind: WorkKind::Gang,
@@ -27,7 +38,6 @@
         at_most: 1,
         ..small.clone()
     };
-    case.times.measured = case.times.arrivals;
     case.streams = vec![Stream { rate, ..small }, whole];
     let report = |kind| {
         let mut report = case.report("starvation", case.deployment.name, kind);
@@ -36,9 +46,9 @@
         let (submitted, started, wait) =
             row.map_or((0, 0, 0), |row| (row.submitted, row.started, row.wait_max));
         report.checks = vec![Check::new(
-            "the largest gang job that fits starts",
+            "the largest gang job that fits starts while small work still arrives",
             format!("{started} of {submitted} started, longest wait {wait} ms"),
-            submitted > 0 && started == submitted,
+            submitted > 0 && started == submitted && wait < SMALL_WORK.get(),
         )];
         report
     };
