Retry entries set aside only when a worker opens or a tick passes, and answer reads in the load tool

Also: one failing worker of a small shard may rest, and a claim reads the policy first, because the watch of a resumed process may lag.

--- a/crates/core/src/health/worker_health.rs
+++ b/crates/core/src/health/worker_health.rs
@@ -37,7 +37,12 @@
         if !failing || record.rested_until.is_some() {
             return HealthChange::None;
         }
-        let cap = policy.rested_share_cap_percent.of(fleet as u64);
+        // In a small shard the share rounds down to nothing, and one failing worker would then fail all that it gets.
+        let at_least = u64::from(fleet > 1 && policy.rested_share_cap_percent.get() > 0);
+        let cap = policy
+            .rested_share_cap_percent
+            .of(fleet as u64)
+            .max(at_least);
         if self.rest_ends.len() as u64 >= cap {
             return HealthChange::CapReached;
         }
--- a/crates/core/src/journal/journal_core.rs
+++ b/crates/core/src/journal/journal_core.rs
@@ -163,6 +163,11 @@
         unsent && self.outstanding.is_none() && !self.read_needed
     }
 
+    /// Returns the last head known to be in the store, with its version.
+    pub fn recorded(&self) -> (Arc<Head>, StoreVersion) {
+        (self.head.clone(), self.version)
+    }
+
     /// Tells whether the ownership was lost or the head was found invalid.
     pub fn stopped(&self) -> bool {
         self.stopped
--- a/crates/core/src/shard/commit.rs
+++ b/crates/core/src/shard/commit.rs
@@ -1,8 +1,10 @@
 //! What becomes durable, and what is said then.
 
+use std::sync::Arc;
+
 use crate::code::{Refusal, ResultCode};
 use crate::id::{TaskId, WorkId, WorkerId};
-use crate::journal::{JournalEvent, JournalWrite, Position};
+use crate::journal::{Head, JournalEvent, JournalWrite, Position, StoreVersion};
 use crate::shard::hand_over_step::HandOverStep;
 use crate::shard::{Effect, JournalAnswer, Reply, Shard};
 use crate::unit::Timestamp;
@@ -53,9 +55,14 @@
         }
     }
 
-    /// Tells whether entries wait for the store.
+    /// Tells whether entries or refusals wait for the store.
     pub fn has_unrecorded(&self) -> bool {
-        self.journal.pending() > 0
+        self.journal.pending() > 0 || !self.unconfirmed.is_empty()
+    }
+
+    /// Returns the last head known to be in the store, with its version.
+    pub fn recorded_head(&self) -> (Arc<Head>, StoreVersion) {
+        self.journal.recorded()
     }
 
     /// Takes the answer of the store.
--- a/crates/core/src/shard/drain.rs
+++ b/crates/core/src/shard/drain.rs
@@ -80,11 +80,15 @@
             false => WorkerEvent::HostReturned,
         };
         let _ = holder.life.handle(event);
+        let was_open = self.is_open(worker);
         match drained {
             true => self.fleet.close(worker, ClosedReason::Draining),
             false => self.fleet.open(worker, ClosedReason::Draining),
         };
         self.reopen(worker);
+        if !was_open && self.is_open(worker) {
+            self.capacity_freed();
+        }
     }
 
     /// Applies the drained hosts of a new policy.
--- a/crates/core/src/shard/expire.rs
+++ b/crates/core/src/shard/expire.rs
@@ -24,6 +24,8 @@
             self.capacity_freed();
         }
         self.check_gang_wait(now);
+        // Observed use may have fallen, which no other event shows.
+        self.capacity_freed();
         let polls = self.slots.to_poll().into_iter();
         self.effects
             .extend(polls.map(|executor| Effect::Poll { executor }));
--- a/crates/core/src/shard/heartbeat.rs
+++ b/crates/core/src/shard/heartbeat.rs
@@ -108,8 +108,10 @@
         self.record_worker(worker, now);
     }
 
-    /// Opens a worker for new tasks if its lease is held and its use is recorded.
+    /// Opens a worker for new tasks if its lease is held and its use is recorded. Entries that were set aside are tried
+    /// again only if it was closed before, because this runs with every heartbeat.
     pub(super) fn reopen(&mut self, worker: &WorkerId) {
+        let was_open = self.is_open(worker);
         let Some(holder) = self.workers.get(worker) else {
             return;
         };
@@ -120,11 +122,17 @@
             false => self.fleet.close(worker, ClosedReason::NoLease),
         };
         self.slots.set_open(worker, leased);
-        if leased && recorded {
+        if !was_open && self.is_open(worker) {
             self.capacity_freed();
         }
     }
 
+    /// Tells whether a worker takes new tasks.
+    pub(super) fn is_open(&self, worker: &WorkerId) -> bool {
+        let slot = self.fleet.get(worker);
+        slot.is_some_and(|slot| slot.closed().is_empty())
+    }
+
     fn take_inventory(&mut self, worker: &WorkerId, report: HeartbeatReport, now: Timestamp) {
         let listed: HashSet<TaskId> = match report.full {
             true => report
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -72,6 +72,24 @@
         assert_eq!(fail(&mut health, 2, 0, 1), HealthChange::Rested(at(5_000)));
     }
 
+    /// Guards against a failing worker of a small shard that never rests.
+    one_of_few_rests(health) {
+        let mut change = HealthChange::None;
+        for _ in 0..3 {
+            change = health.record_failure(&id(0), at(0), 3);
+        }
+        assert_eq!(change, HealthChange::Rested(at(5_000)));
+        fail(&mut health, 1, 0, 2);
+        assert_eq!(health.record_failure(&id(1), at(0), 3), HealthChange::CapReached);
+    }
+
+    /// Guards against a shard that takes its only worker out of use.
+    only_worker_does_not_rest(health) {
+        health.record_failure(&id(0), at(0), 1);
+        health.record_failure(&id(0), at(0), 1);
+        assert_eq!(health.record_failure(&id(0), at(0), 1), HealthChange::CapReached);
+    }
+
     /// Guards against a rest that never ends or is reported twice.
     rest_ends(health) {
         fail(&mut health, 0, 0, 3);
--- a/crates/load/src/sim/shard_store.rs
+++ b/crates/load/src/sim/shard_store.rs
@@ -1,4 +1,6 @@
-use lagoon_core::journal::{CommitPace, JournalWrite, StoreVersion};
+use std::sync::Arc;
+
+use lagoon_core::journal::{CommitPace, Head, JournalWrite, StoreVersion};
 use lagoon_core::shard::{JournalAnswer, Shard};
 use lagoon_core::unit::{Millis, Rate, Timestamp};
 
@@ -16,6 +18,8 @@
     last: Timestamp,
     pending: Option<(Timestamp, JournalAnswer)>,
     version: u64,
+    /// Head that was written last, with its version; none while the claimed one stands.
+    head: Option<(Arc<Head>, StoreVersion)>,
     calls: u64,
 }
 
@@ -26,6 +30,7 @@
             last: Timestamp::default(),
             pending: None,
             version: 1,
+            head: None,
             calls: 0,
         }
     }
@@ -50,17 +55,34 @@
             return shard.has_unrecorded().then_some(next);
         }
         let write = shard.next_write(now)?;
-        let version = match write {
-            JournalWrite::DeleteKeys { .. } => 0,
-            _ => {
-                self.version += 1;
-                self.version
-            }
-        };
+        let answer = self.perform(write, shard);
         self.calls += 1;
         self.last = now;
         let at = now.after(LATENCY);
-        self.pending = Some((at, JournalAnswer::Written(StoreVersion::new(version))));
+        self.pending = Some((at, answer));
         Some(at)
     }
+
+    fn perform(&mut self, write: JournalWrite, shard: &Shard) -> JournalAnswer {
+        match write {
+            JournalWrite::DeleteKeys { .. } => JournalAnswer::Written(StoreVersion::new(0)),
+            JournalWrite::ReadHead { .. } => {
+                let head = self.head.clone().unwrap_or_else(|| shard.recorded_head());
+                JournalAnswer::Head(Some(Box::new((Head::clone(&head.0), head.1))))
+            }
+            JournalWrite::SwapHead { value, .. } => {
+                let version = self.next_version();
+                self.head = Some((value, version));
+                JournalAnswer::Written(version)
+            }
+            JournalWrite::PutSegment { .. } | JournalWrite::PutSnapshot { .. } => {
+                JournalAnswer::Written(self.next_version())
+            }
+        }
+    }
+
+    fn next_version(&mut self) -> StoreVersion {
+        self.version += 1;
+        StoreVersion::new(self.version)
+    }
 }
--- a/crates/scheduler/src/drive/claim.rs
+++ b/crates/scheduler/src/drive/claim.rs
@@ -11,6 +11,7 @@
 use lagoon_platform::store::{Expect, PutOutcome, StoreEntry};
 
 use crate::cell::ShardCell;
+use crate::policy::POLICY_KEY;
 use crate::util::BoxError;
 
 /// Tries of a claim whose effect is not known yet.
@@ -27,6 +28,10 @@
     replaces: Option<StoreVersion>,
 ) -> Result<Option<Shard>, BoxError> {
     let cx = cell.cx();
+    // After a pause the watch may lag behind what earlier owners already served.
+    if let Some(entry) = cx.store.get(POLICY_KEY).await? {
+        cx.policy.offer_document(&entry.value);
+    }
     let Some(policy) = cx.policy.get() else {
         return Ok(None);
     };
