Move twin types to one place and split the largest files

Cause: a map in parts and the token type stood in two crates, two ids had the same 80 lines, and the model of the randomised runs was one file of 894 lines.

--- a/crates/admin/src/admin.rs
+++ b/crates/admin/src/admin.rs
@@ -6,7 +6,7 @@
 use lagoon_process::health::{self, Readiness};
 use lagoon_process::server::{Limits, Server, Serving};
 use lagoon_process::shutdown::{Signal, Trigger};
-use lagoon_process::{Clock, Metrics, RunError};
+use lagoon_process::{Clock, Metrics, RunError, Sharded};
 use lagoon_wire::v1;
 use tokio::task::JoinHandle;
 
@@ -17,7 +17,6 @@
 use crate::fleet::{Channels, Fleet, Heartbeats, MemberTable};
 use crate::query::Queries;
 use crate::settings::AdminSettings;
-use crate::util::Sharded;
 
 /// Role in heartbeats.
 const ROLE: &str = "admin";
--- a/crates/admin/src/fleet/calls.rs
+++ b/crates/admin/src/fleet/calls.rs
@@ -5,6 +5,7 @@
 use lagoon_core::unit::Millis;
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_process::Clock;
+use lagoon_process::Sharded;
 use lagoon_wire::convert::refusal_from_wire;
 use lagoon_wire::v1;
 use lagoon_wire::v1::operator_client::OperatorClient;
@@ -15,7 +16,7 @@
 use tonic::{Code, Response, Status};
 
 use crate::fleet::{Channels, MemberTable, Part, Snapshot, WorkList};
-use crate::util::{Missing, Sharded};
+use crate::util::Missing;
 
 /// Largest number of pieces of work in the answer of one shard.
 const MAX_WORKS: u32 = 10_000;
--- a/crates/admin/src/fleet/channels.rs
+++ b/crates/admin/src/fleet/channels.rs
@@ -1,10 +1,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use lagoon_process::Sharded;
 use tonic::transport::{Channel, Endpoint};
 
-use crate::util::Sharded;
-
 const CONNECT_WITHIN: Duration = Duration::from_millis(1_000);
 
 /// One connection to each scheduler, opened when it is first used.
--- a/crates/admin/src/fleet/member_table.rs
+++ b/crates/admin/src/fleet/member_table.rs
@@ -1,10 +1,9 @@
 use std::net::SocketAddr;
 
 use lagoon_core::unit::{Millis, Timestamp};
+use lagoon_process::Sharded;
 use lagoon_wire::v1;
 
-use crate::util::Sharded;
-
 /// A member that nobody has mentioned for this time is forgotten. Seeds are kept.
 const FORGET_AFTER: Millis = Millis::new(60_000);
 /// Role of the members that answer heartbeats.
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -32,7 +32,6 @@
 use lagoon_process::{Clock, RunError, command_line, logging};
 
 pub use crate::{
-    access::Token,
     admin::Admin,
     settings::{AdminSettings, AuditSettings, OperatorSettings},
 };
--- a/crates/admin/src/settings/operator_settings.rs
+++ b/crates/admin/src/settings/operator_settings.rs
@@ -1,8 +1,7 @@
 use lagoon_core::id::CallerId;
+use lagoon_process::Token;
 use serde::Deserialize;
 
-use crate::access::Token;
-
 /// An operator and the token that identifies them.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/admin/src/util/mod.rs
+++ b/crates/admin/src/util/mod.rs
@@ -1,10 +1,9 @@
 //! Private helpers.
 
 mod missing;
-mod sharded;
 mod versions;
 
-pub(crate) use self::{missing::Missing, sharded::Sharded, versions::Versions};
+pub(crate) use self::{missing::Missing, versions::Versions};
 
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_platform::PlatformError;
--- a/crates/core/src/id/shard_id.rs
+++ b/crates/core/src/id/shard_id.rs
@@ -48,16 +48,4 @@
     }
 }
 
-impl TryFrom<String> for ShardId {
-    type Error = ParseIdError;
-
-    fn try_from(text: String) -> Result<Self, Self::Error> {
-        text.parse()
-    }
-}
-
-impl From<ShardId> for String {
-    fn from(shard: ShardId) -> String {
-        shard.to_string()
-    }
-}
+text_serde!(ShardId);
--- a/crates/core/src/id/task_id.rs
+++ b/crates/core/src/id/task_id.rs
@@ -83,16 +83,4 @@
     }
 }
 
-impl TryFrom<String> for TaskId {
-    type Error = ParseIdError;
-
-    fn try_from(text: String) -> Result<Self, Self::Error> {
-        text.parse()
-    }
-}
-
-impl From<TaskId> for String {
-    fn from(task: TaskId) -> String {
-        task.to_string()
-    }
-}
+text_serde!(TaskId);
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -8,6 +8,7 @@
 //! route nothing is said to the caller before the journal has confirmed it.
 
 mod abandon;
+mod admission;
 mod adopt;
 mod after_stop;
 mod borrow;
@@ -36,6 +37,7 @@
 mod journal_answer;
 mod lend;
 mod lent_member;
+mod locate;
 mod place;
 mod place_most;
 mod place_state;
--- a/crates/core/src/util/name.rs
+++ b/crates/core/src/util/name.rs
@@ -30,18 +30,6 @@
             }
         }
 
-        impl TryFrom<String> for $name {
-            type Error = $crate::id::ParseIdError;
-
-            fn try_from(text: String) -> Result<Self, Self::Error> {
-                text.parse()
-            }
-        }
-
-        impl From<$name> for String {
-            fn from(name: $name) -> String {
-                name.0.as_ref().to_owned()
-            }
-        }
+        text_serde!($name);
     };
 }
--- /dev/null
+++ b/crates/core/src/util/text_serde.rs
@@ -0,0 +1,18 @@
+/// Lets a type with `Display` and `FromStr` be serialized as its text.
+macro_rules! text_serde {
+    ($name:ident) => {
+        impl TryFrom<String> for $name {
+            type Error = $crate::id::ParseIdError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(value: $name) -> String {
+                value.to_string()
+            }
+        }
+    };
+}
--- /dev/null
+++ b/crates/core/tests/shard_model/world/answer.rs
@@ -0,0 +1,103 @@
+use lagoon_core::code::{Refusal, ResultCode};
+use lagoon_core::id::{Epoch, Incarnation, WorkId};
+use lagoon_core::shard::{
+    HeartbeatReport, JournalAnswer, RequestResult, Shard, StartResult, TaskReport,
+};
+use lagoon_core::unit::{Resources, Timestamp};
+
+use super::super::worker::{TASK_TTL, TTL, Worker};
+
+use super::EXECUTOR;
+use super::ids::worker_id;
+
+/// Answer to a call, on its way to the process that made it.
+pub(super) enum Answer {
+    Lease {
+        worker: usize,
+        sent_at: Timestamp,
+        granted: Result<Granted, bool>,
+    },
+    LeaseLost {
+        worker: usize,
+    },
+    Start {
+        worker: usize,
+        task: lagoon_core::id::TaskId,
+        result: StartResult,
+    },
+    Fence {
+        worker: usize,
+        incarnation: Incarnation,
+        tasks: Vec<TaskReport>,
+    },
+    Request {
+        work: WorkId,
+        result: RequestResult,
+    },
+    Status(u32),
+    Store(JournalAnswer),
+}
+
+pub(super) struct Granted {
+    pub(super) epoch: Epoch,
+    pub(super) incarnation: Incarnation,
+    pub(super) tasks: Vec<TaskReport>,
+    pub(super) in_use: Resources,
+}
+
+/// Hands an answer to the shard that asked.
+pub(super) fn take_answer(shard: &mut Shard, answer: Answer, now: Timestamp) {
+    match answer {
+        Answer::Lease {
+            worker,
+            sent_at,
+            granted: Ok(granted),
+        } => {
+            let report = HeartbeatReport {
+                sent_at,
+                epoch: granted.epoch,
+                incarnation: granted.incarnation,
+                rack: "r0".parse().unwrap(),
+                capacity: Worker::capacity(),
+                ttl: TTL,
+                task_ttl: TASK_TTL,
+                full: true,
+                sequence: lagoon_core::id::Sequence::new(1),
+                tasks: granted.tasks,
+                forgotten: Vec::new(),
+                observed: granted.in_use,
+            };
+            shard.on_heartbeat(&worker_id(worker), report, now);
+        }
+        Answer::Lease {
+            worker,
+            granted: Err(superseded),
+            ..
+        } => match superseded {
+            true => shard.superseded(Refusal::new(ResultCode::NotOwner, "a later owner")),
+            false => shard.on_lease_refused(&worker_id(worker), now),
+        },
+        Answer::LeaseLost { worker } => shard.on_heartbeat_lost(&worker_id(worker)),
+        Answer::Start {
+            worker,
+            task,
+            result,
+        } => {
+            shard.on_start(&worker_id(worker), &task, result, now);
+        }
+        Answer::Fence {
+            worker,
+            incarnation,
+            tasks,
+        } => {
+            shard.on_fenced(&worker_id(worker), incarnation, tasks, now);
+        }
+        Answer::Request { work, result } => {
+            shard.on_request(&EXECUTOR.parse().unwrap(), &work, result, now);
+        }
+        Answer::Status(in_use) => {
+            shard.on_executor_status(&EXECUTOR.parse().unwrap(), in_use, now);
+        }
+        Answer::Store(answer) => shard.on_store(answer, now),
+    }
+}
--- a/crates/gateway/src/access/access_list.rs
+++ b/crates/gateway/src/access/access_list.rs
@@ -3,8 +3,9 @@
 use axum::http::{HeaderMap, header};
 use lagoon_core::id::TeamId;
 use lagoon_core::{Refusal, ResultCode};
+use lagoon_process::Token;
 
-use crate::access::{Caller, Token};
+use crate::access::Caller;
 use crate::settings::TokenSettings;
 
 const SCHEME: &[u8] = b"Bearer ";
--- a/crates/gateway/src/access/mod.rs
+++ b/crates/gateway/src/access/mod.rs
@@ -2,7 +2,5 @@
 
 mod access_list;
 mod caller;
-mod token;
 
-pub use self::token::Token;
 pub(crate) use self::{access_list::AccessList, caller::Caller};
--- a/crates/gateway/src/forward/channels.rs
+++ b/crates/gateway/src/forward/channels.rs
@@ -1,10 +1,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use lagoon_process::Sharded;
 use tonic::transport::{Channel, Endpoint};
 
-use crate::util::Sharded;
-
 const CONNECT_WITHIN: Duration = Duration::from_millis(1_000);
 /// Interval of pings that find out that a host is gone while a request waits for its answer.
 const PING_EVERY: Duration = Duration::from_millis(2_000);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,7 +23,6 @@
 mod limit;
 mod routing;
 mod settings;
-mod util;
 
 use std::process::ExitCode;
 
@@ -31,7 +30,6 @@
 use lagoon_process::{Clock, RunError, command_line, logging};
 
 pub use crate::{
-    access::Token,
     gateway::Gateway,
     settings::{GatewaySettings, TokenSettings},
 };
--- a/crates/gateway/src/limit/in_flight.rs
+++ b/crates/gateway/src/limit/in_flight.rs
@@ -6,9 +6,9 @@
 use lagoon_core::unit::Millis;
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_process::Metrics;
+use lagoon_process::Sharded;
 
 use crate::limit::{Permit, TeamPermit};
-use crate::util::Sharded;
 
 /// Shortest useful wait of a refused caller. Requests mostly end within a second.
 const RETRY_AFTER: Millis = Millis::new(1_000);
--- a/crates/gateway/src/routing/members.rs
+++ b/crates/gateway/src/routing/members.rs
@@ -3,10 +3,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use lagoon_core::unit::{Millis, Timestamp};
+use lagoon_process::Sharded;
 use lagoon_wire::v1;
 
-use crate::util::Sharded;
-
 /// A learned scheduler that nobody has mentioned for this time is forgotten. Seeds are kept.
 const FORGET_AFTER: Millis = Millis::new(60_000);
 /// Role of the members that answer heartbeats.
--- a/crates/gateway/src/routing/table.rs
+++ b/crates/gateway/src/routing/table.rs
@@ -3,12 +3,12 @@
 
 use lagoon_core::id::{FailureDomain, PolicyVersion, ShardId};
 use lagoon_core::unit::Timestamp;
+use lagoon_process::Sharded;
 use lagoon_wire::v1;
 use tokio::sync::watch;
 
 use crate::routing::route::SUSPECT_AFTER;
 use crate::routing::{DomainInfo, Route};
-use crate::util::Sharded;
 
 /// Routes of all shards that the gateway has heard of, and the newest policy version.
 #[derive(Debug)]
--- a/crates/gateway/src/settings/token_settings.rs
+++ b/crates/gateway/src/settings/token_settings.rs
@@ -1,8 +1,7 @@
 use lagoon_core::id::{CallerId, TeamId};
+use lagoon_process::Token;
 use serde::Deserialize;
 
-use crate::access::Token;
-
 /// A caller, its token and the teams whose work it may see and submit.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/gateway/src/util/mod.rs
+++ /dev/null
@@ -1,5 +0,0 @@
-//! Private helpers.
-
-mod sharded;
-
-pub(crate) use self::sharded::Sharded;
--- a/crates/gateway/tests/gateway/access.rs
+++ b/crates/gateway/tests/gateway/access.rs
@@ -74,6 +74,6 @@
 /// Guards against a token in a log line or a panic message.
 #[test]
 fn token_is_not_printed() {
-    let token = lagoon_gateway::Token::new("0123456789abcdef");
+    let token = lagoon_process::Token::new("0123456789abcdef");
     assert!(!format!("{token:?}").contains("0123"));
 }
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -41,5 +41,9 @@
 
 mod clock;
 mod run_error;
+mod sharded;
+mod token;
 
-pub use crate::{clock::Clock, metrics::Metrics, run_error::RunError};
+pub use crate::{
+    clock::Clock, metrics::Metrics, run_error::RunError, sharded::Sharded, token::Token,
+};
--- a/crates/admin/src/access/token.rs
+++ b/crates/process/src/token.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use subtle::ConstantTimeEq;
 
-/// Secret of an operator. It is compared in constant time and never printed.
+/// Secret of a caller or operator. It is compared in constant time and never printed.
 #[derive(Clone, Deserialize)]
 #[serde(transparent)]
 pub struct Token(String);
