Check the epoch of operators' commands and recognise their repeats at the owner

Cause: a takeover between the admin's preview and its call went unnoticed, and a repeat after a lost answer was carried out again. After: another epoch is refused as stale_preview, a known command id returns its first result, and the answer says whether the store has recorded the change. Conclusion: the handover tests send epoch and id, as the admin process does.

--- a/crates/core/src/shard/cancel.rs
+++ b/crates/core/src/shard/cancel.rs
@@ -1,7 +1,7 @@
 //! Cancellation, holds and releases.
 
 use crate::code::{Refusal, ResultCode};
-use crate::id::WorkId;
+use crate::id::{CommandId, WorkId};
 use crate::journal::JournalEntry;
 use crate::shard::after_stop::AfterStop;
 use crate::shard::commit::Recorded;
@@ -62,6 +62,16 @@
         }
     }
 
+    /// Returns what an operator's command changed, if this owner has carried it out.
+    pub fn command_result(&self, command: &CommandId) -> Option<u32> {
+        self.commands.get(command)
+    }
+
+    /// Remembers what an operator's command changed.
+    pub fn note_command(&mut self, command: CommandId, changed: u32) {
+        self.commands.note(command, changed);
+    }
+
     /// Stops waiting for a reply, because the caller has gone.
     pub fn forget_waiter(&mut self, work: &WorkId, waiter: WaiterId) {
         if let Some(record) = self.works.get_mut(work) {
--- /dev/null
+++ b/crates/core/src/shard/command_log.rs
@@ -0,0 +1,31 @@
+use std::collections::{HashMap, VecDeque};
+
+use crate::id::CommandId;
+
+/// Commands that are remembered; a repeat after a lost answer comes soon.
+const REMEMBERED: usize = 1_000;
+
+/// Results of operators' commands, so that a repeat has no further effect.
+#[derive(Debug, Default)]
+pub(super) struct CommandLog {
+    results: HashMap<CommandId, u32>,
+    order: VecDeque<CommandId>,
+}
+
+impl CommandLog {
+    pub(super) fn get(&self, command: &CommandId) -> Option<u32> {
+        self.results.get(command).copied()
+    }
+
+    pub(super) fn note(&mut self, command: CommandId, changed: u32) {
+        if self.results.insert(command.clone(), changed).is_some() {
+            return;
+        }
+        self.order.push_back(command);
+        if self.order.len() > REMEMBERED
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.results.remove(&oldest);
+        }
+    }
+}
--- a/crates/core/src/shard/commit.rs
+++ b/crates/core/src/shard/commit.rs
@@ -60,6 +60,17 @@
         self.journal.pending() > 0 || !self.unconfirmed.is_empty()
     }
 
+    /// Returns the position of the last entry that waits for the store or is durable.
+    pub fn last_entry(&self) -> Position {
+        let durable = self.journal.committed_up_to().get();
+        Position::new(durable + self.journal.pending() as u64)
+    }
+
+    /// Tells whether the store has confirmed all entries up to a position.
+    pub fn is_recorded(&self, position: Position) -> bool {
+        self.journal.committed_up_to() >= position
+    }
+
     /// Returns the last head known to be in the store, with its version.
     pub fn recorded_head(&self) -> (Arc<Head>, StoreVersion) {
         self.journal.recorded()
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -16,6 +16,7 @@
 mod borrower;
 mod borrowing;
 mod cancel;
+mod command_log;
 mod commit;
 mod dead_host;
 mod drain;
--- a/crates/core/src/shard/shard_state.rs
+++ b/crates/core/src/shard/shard_state.rs
@@ -13,6 +13,7 @@
 use crate::placement::Fleet;
 use crate::policy::Policy;
 use crate::shard::borrowing::Borrowing;
+use crate::shard::command_log::CommandLog;
 use crate::shard::commit::Recorded;
 use crate::shard::hand_over_step::HandOverStep;
 use crate::shard::reservation::Reservation;
@@ -62,6 +63,7 @@
     /// Refusals that wait for a check of the ownership, in the order of the checks.
     pub(super) unconfirmed: VecDeque<UnconfirmedRefusal>,
     pub(super) start_calls: StartCalls,
+    pub(super) commands: CommandLog,
     pub(super) effects: Vec<Effect>,
     pub(super) hand_over: HandOverStep,
     /// Capacity kept for other shards.
@@ -118,6 +120,7 @@
             uncommitted: VecDeque::new(),
             unconfirmed: VecDeque::new(),
             start_calls: StartCalls::default(),
+            commands: CommandLog::default(),
             effects: Vec::new(),
             hand_over: HandOverStep::None,
             reservations: BTreeMap::new(),
--- a/crates/scheduler/src/service/operator_service.rs
+++ b/crates/scheduler/src/service/operator_service.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
-use lagoon_core::id::{ProcessId, WorkId};
+use lagoon_core::id::{CommandId, ProcessId, WorkId};
+use lagoon_core::unit::Millis;
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_wire::convert::{parse_field, refusal_to_wire};
 use lagoon_wire::v1;
@@ -8,10 +9,16 @@
 use lagoon_wire::v1::operator_server::Operator;
 use tonic::{Request, Response, Status};
 
+use crate::cell::ShardCell;
 use crate::drive::{HandOverReason, hand_over};
 use crate::service::Node;
 use crate::service::view::work_status;
 
+/// Looks at the journal before a command counts as not recorded.
+const RECORD_TRIES: u32 = 20;
+/// Wait between two looks.
+const RECORD_WAIT: Millis = Millis::new(50);
+
 /// Serves the admin process.
 #[derive(Debug)]
 pub(crate) struct OperatorService {
@@ -31,7 +38,34 @@
         found.as_ref().map(work_status).ok_or_else(unknown)
     }
 
-    async fn apply(&self, req: &v1::ApplyRequest) -> Result<u32, Refusal> {
+    /// Carries a command out unless it was before.
+    async fn apply(&self, req: &v1::ApplyRequest) -> Result<v1::ApplyResponse, Refusal> {
+        let command: CommandId = parse_field("command", &req.command)?;
+        let cell = self.node.cell(&req.shard)?;
+        let known = cell.with(|shard| shard.command_result(&command));
+        if let Ok(Some(changed)) = known {
+            let recorded = is_recorded(cell).await;
+            return Ok(v1::ApplyResponse {
+                changed,
+                repeated: true,
+                recorded,
+                refusal: None,
+            });
+        }
+        check_epoch(req, cell)?;
+        let changed = self.carry_out(req).await?;
+        // A handover has taken the shard away; its repeat changes nothing.
+        let _ = cell.with(|shard| shard.note_command(command, changed));
+        let recorded = is_recorded(cell).await;
+        Ok(v1::ApplyResponse {
+            changed,
+            repeated: false,
+            recorded,
+            refusal: None,
+        })
+    }
+
+    async fn carry_out(&self, req: &v1::ApplyRequest) -> Result<u32, Refusal> {
         let cell = self.node.cell(&req.shard)?;
         let now = self.node.cx.clock.now();
         let change = req
@@ -103,6 +137,32 @@
     }
 }
 
+/// Refuses a command whose preview saw another owner.
+fn check_epoch(req: &v1::ApplyRequest, cell: &ShardCell) -> Result<(), Refusal> {
+    // A repeat of a handover finds the shard gone, and other commands are refused as not owned.
+    let Some(epoch) = cell.epoch().filter(|epoch| epoch.get() != req.epoch) else {
+        return Ok(());
+    };
+    let (shard, seen) = (&req.shard, req.epoch);
+    let text = format!("shard {shard} is at epoch {epoch}, and the preview saw epoch {seen}");
+    Err(Refusal::new(ResultCode::StalePreview, text))
+}
+
+/// Waits for the store to record what was changed until now; false if it doesn't in time.
+async fn is_recorded(cell: &Arc<ShardCell>) -> bool {
+    let Ok(position) = cell.with(|shard| shard.last_entry()) else {
+        return false;
+    };
+    for _ in 0..RECORD_TRIES {
+        match cell.with(|shard| shard.is_recorded(position)) {
+            Ok(true) => return true,
+            Ok(false) => tokio::time::sleep(RECORD_WAIT.to_duration()).await,
+            Err(_) => return false,
+        }
+    }
+    false
+}
+
 #[tonic::async_trait]
 impl Operator for OperatorService {
     async fn explain(
@@ -130,10 +190,7 @@
     ) -> Result<Response<v1::ApplyResponse>, Status> {
         let req = req.into_inner();
         let answer = match self.apply(&req).await {
-            Ok(changed) => v1::ApplyResponse {
-                changed,
-                ..Default::default()
-            },
+            Ok(answer) => answer,
             Err(refusal) => v1::ApplyResponse {
                 refusal: Some(refusal_to_wire(&refusal)),
                 ..Default::default()
--- a/crates/scheduler/tests/peers/cluster/calls.rs
+++ b/crates/scheduler/tests/peers/cluster/calls.rs
@@ -137,11 +137,17 @@
 
     /// Hands a shard over as an operator; returns the number of changes or the name of the refusal.
     pub(crate) async fn hand_over(&self, number: u16, to: &str) -> Result<u32, String> {
+        let id = shard(number).to_string();
+        let shards = self.shards().await;
+        let owned = shards.iter().find(|status| status.shard == id);
+        let epoch = owned.map(|status| status.epoch).unwrap_or_default();
         let req = v1::ApplyRequest {
-            shard: shard(number).to_string(),
+            epoch,
+            command: format!("to-{to}-{epoch}"),
+            shard: id,
             operator: "dana".to_owned(),
+            text: String::new(),
             change: Some(Change::HandOverTo(to.to_owned())),
-            ..Default::default()
         };
         let mut client = OperatorClient::new(self.channel.clone());
         let answer = client.apply(req).await.unwrap().into_inner();
