Start the admin process in lagoon-dev and let its session query, preview and drain

Cause: the first command of the README showed every role but the operators'. Conclusion: the session ends with a drain that the audit trail has recorded.

--- a/crates/dev/src/cluster/dev_cluster.rs
+++ b/crates/dev/src/cluster/dev_cluster.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use lagoon_admin::Admin;
 use lagoon_core::unit::Millis;
 use lagoon_gateway::Gateway;
 use lagoon_platform::store::Expect;
@@ -26,10 +27,11 @@
     platform: PlatformHandle,
     schedulers: Vec<Scheduler>,
     gateways: Vec<Gateway>,
+    admin: Admin,
 }
 
 impl Cluster {
-    /// Starts the fake platform, the schedulers and the gateways.
+    /// Starts the fake platform, the schedulers, the gateways and the admin process.
     ///
     /// # Errors
     ///
@@ -53,10 +55,13 @@
             let settings = dev_settings::gateway(index, addresses(&schedulers));
             gateways.push(Gateway::bind(settings, clock).await?);
         }
+        let settings = dev_settings::admin(addresses(&schedulers), platform.store.address());
+        let admin = Admin::bind(settings, clock).await?;
         Ok(Self {
             platform,
             schedulers,
             gateways,
+            admin,
         })
     }
 
@@ -67,7 +72,9 @@
     /// A process that isn't ready in time.
     pub async fn ready(&self) -> Result<(), BoxError> {
         let schedulers = self.schedulers.iter().map(Scheduler::readiness);
-        for readiness in schedulers.chain(self.gateways.iter().map(Gateway::readiness)) {
+        let gateways = self.gateways.iter().map(Gateway::readiness);
+        let all = schedulers.chain(gateways).chain([self.admin.readiness()]);
+        for readiness in all {
             let ready = tokio::time::timeout(READY_TIMEOUT.to_duration(), readiness.wait()).await;
             if ready.is_err() {
                 let reason = readiness.reason().unwrap_or_default();
@@ -82,6 +89,11 @@
         self.gateways.iter().map(Gateway::address).collect()
     }
 
+    /// Returns the address of the operators' API.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
     /// Returns the number of times that a worker was given more than it holds or a task ran twice.
     pub fn violations(&self) -> u64 {
         self.platform.workers.violations().count
@@ -99,6 +111,7 @@
                 "scheduler  http://{calls} (gRPC), http://{health} (health)"
             ));
         }
+        lines.push(format!("admin      http://{}", self.admin.address()));
         let platform = &self.platform;
         lines.push(format!("store      http://{}", platform.store.address()));
         lines.push(format!("host list  http://{}", platform.hosts.address()));
@@ -112,6 +125,7 @@
 
     /// Stops everything, gateways first.
     pub async fn stop(self) {
+        self.admin.stop().await;
         for gateway in self.gateways {
             gateway.stop().await;
         }
--- a/crates/dev/src/cluster/dev_settings.rs
+++ b/crates/dev/src/cluster/dev_settings.rs
@@ -2,10 +2,12 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
+use lagoon_admin::{AdminSettings, AuditSettings, OperatorSettings};
 use lagoon_core::id::{FailureDomain, PolicyVersion};
 use lagoon_core::policy::{Percent, Policy, ServicePolicy, TeamPolicy, Weight};
 use lagoon_core::unit::{Bytes, Millicores, Millis, Rate, Resources};
 use lagoon_gateway::GatewaySettings;
+use lagoon_process::Token;
 use lagoon_process::logging::LogSettings;
 use lagoon_process::metrics::MetricsSettings;
 use lagoon_process::settings::Address;
@@ -111,3 +113,28 @@
         metrics: MetricsSettings::default(),
     }
 }
+
+/// Token of the operator of the sample session.
+pub(crate) const OPERATOR_TOKEN: &str = "development-token-of-dana";
+
+pub(super) fn admin(schedulers: Vec<Address>, store: SocketAddr) -> AdminSettings {
+    let operator = OperatorSettings {
+        operator: "dana".parse().expect("the name is valid"),
+        token: Token::new(OPERATOR_TOKEN),
+    };
+    AdminSettings {
+        process: "admin-0".parse().expect("the name is valid"),
+        failure_domain: domain(),
+        listen: any_port(),
+        store: Address::new(store),
+        schedulers,
+        operators: vec![operator],
+        count_limit: 100,
+        ask_timeout: Millis::new(1_000),
+        max_body: Bytes::new(256 << 10),
+        read_timeout: Millis::new(5_000),
+        audit: AuditSettings::default(),
+        log: LogSettings::default(),
+        metrics: MetricsSettings::default(),
+    }
+}
--- a/crates/dev/src/http_client.rs
+++ b/crates/dev/src/http_client.rs
@@ -10,7 +10,7 @@
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
-/// Sends JSON to a gateway.
+/// Sends JSON to a gateway or the admin process.
 #[derive(Debug)]
 pub(crate) struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
@@ -26,18 +26,18 @@
     /// Returns the status and the body of the answer.
     pub(crate) async fn send(
         &self,
-        gateway: SocketAddr,
+        address: SocketAddr,
         method: &Method,
         path: &str,
-        key: Option<&str>,
+        header: Option<(&str, &str)>,
         body: Option<&Value>,
     ) -> Result<(u16, Value), BoxError> {
         let mut req = Request::builder()
             .method(method.clone())
-            .uri(format!("http://{gateway}{path}"))
+            .uri(format!("http://{address}{path}"))
             .header("content-type", "application/json");
-        if let Some(key) = key {
-            req = req.header("idempotency-key", key);
+        if let Some((name, value)) = header {
+            req = req.header(name, value);
         }
         let body = body.map(Value::to_string).unwrap_or_default();
         let answer = self.client.request(req.body(Full::from(body))?).await?;
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -1,6 +1,6 @@
 //! A whole cluster in one process on loopback, for development.
 //!
-//! [`Cluster`] starts the fake platform, two schedulers and two gateways of one failure domain. With `--once` a sample
+//! [`Cluster`] starts the fake platform, two schedulers, two gateways and the admin process of one failure domain. With `--once` a sample
 //! session is played against it: each request and answer is printed, and a wrong answer ends the program with an error.
 //!
 //! ```no_run
--- a/crates/dev/src/session/player.rs
+++ b/crates/dev/src/session/player.rs
@@ -4,6 +4,7 @@
 use hyper::Method;
 use serde_json::Value;
 
+use crate::cluster::OPERATOR_TOKEN;
 use crate::http_client::HttpClient;
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -18,13 +19,15 @@
 pub(super) struct Player {
     client: HttpClient,
     gateways: Vec<SocketAddr>,
+    admin: SocketAddr,
 }
 
 impl Player {
-    pub(super) fn new(gateways: Vec<SocketAddr>) -> Self {
+    pub(super) fn new(gateways: Vec<SocketAddr>, admin: SocketAddr) -> Self {
         Self {
             client: HttpClient::new(),
             gateways,
+            admin,
         }
     }
 
@@ -38,9 +41,10 @@
         body: Option<Value>,
     ) -> Result<(u16, Value), BoxError> {
         let address = self.gateways[gateway];
+        let header = key.map(|key| ("idempotency-key", key));
         let answer = self
             .client
-            .send(address, &method, path, key, body.as_ref())
+            .send(address, &method, path, header, body.as_ref())
             .await?;
         let key = key
             .map(|key| format!(" (idempotency key {key})"))
@@ -53,6 +57,21 @@
         Ok(answer)
     }
 
+    /// Sends one request to the admin process as its operator and prints the exchange.
+    pub(super) async fn operate(&self, path: &str, body: Value) -> Result<Value, BoxError> {
+        let token = format!("Bearer {OPERATOR_TOKEN}");
+        let header = Some(("authorization", token.as_str()));
+        let (status, answer) = self
+            .client
+            .send(self.admin, &Method::POST, path, header, Some(&body))
+            .await?;
+        println!("> admin: POST {path}\n>   {body}\n< {status} {answer}\n");
+        if status != 200 {
+            return Err(format!("POST {path} was answered {status} {answer}").into());
+        }
+        Ok(answer)
+    }
+
     /// Looks at a job until it has ended, and prints the last answer.
     pub(super) async fn wait_for_end(&self, gateway: usize, work: &str) -> Result<Value, BoxError> {
         let path = format!("/v1/jobs/{work}");
--- a/crates/dev/src/session/script.rs
+++ b/crates/dev/src/session/script.rs
@@ -8,11 +8,12 @@
 
 /// Plays the session and fails at the first wrong answer.
 pub(crate) async fn play(cluster: &Cluster) -> Result<(), BoxError> {
-    let player = Player::new(cluster.gateways());
+    let player = Player::new(cluster.gateways(), cluster.admin());
     play_request(&player).await?;
     play_batch(&player).await?;
     play_gang(&player).await?;
     play_refusal(&player).await?;
+    play_operator(&player).await?;
     match cluster.violations() {
         0 => {
             println!("The session went as expected.");
@@ -103,6 +104,23 @@
     expect("class of the refusal", &refused["class"], &json!("not_run"))
 }
 
+/// An operator's query and a change of the policy: preview first, then its confirmation.
+async fn play_operator(player: &Player) -> Result<(), BoxError> {
+    let shards = json!({"text": "show shards where state = serving count by owner"});
+    player.operate("/v1/query", shards).await?;
+    let text = "drain host cluj-h0";
+    let preview = player
+        .operate("/v1/preview", json!({ "text": text }))
+        .await?;
+    let change = json!({
+        "text": text,
+        "confirmation": preview["confirmation"],
+        "command_id": "drain-1",
+    });
+    let applied = player.operate("/v1/apply", change).await?;
+    expect("record of the change", &applied["recorded"], &json!(true))
+}
+
 fn expect_success(ended: &Value, answer: &str) -> Result<(), BoxError> {
     let result = &ended["result"];
     expect("outcome", &result["outcome"], &json!("succeeded"))?;
