Hand the host list to a shard with each reading and every fifth tick

Cause: each tick computed the home of every worker of the failure domain and walked all workers of the shard, ten times a second, changed or not. Ruled out: only on change, because workers that are gone are forgotten by time.

--- a/crates/scheduler/src/drive/ticks.rs
+++ b/crates/scheduler/src/drive/ticks.rs
@@ -9,21 +9,26 @@
 /// Wait between two ticks of a shard.
 const TICK: Millis = Millis::new(100);
 
+/// Ticks between two hand-overs of an unchanged host list, which costs time for each worker of the failure domain.
+const TICKS_PER_LIST: u64 = 5;
+
 /// Applies what is due to a shard until its ownership ends. Also hands it new policies and host lists.
 pub(super) async fn ticks(cell: Arc<ShardCell>, epoch: Epoch) {
     let cx = cell.cx();
     let mut timer = tokio::time::interval(TICK.to_duration());
     timer.set_missed_tick_behavior(MissedTickBehavior::Skip);
     let mut seen = 0;
-    loop {
+    for count in 0_u64.. {
         timer.tick().await;
         let now = cx.clock.now();
         let policy = cx.policy.get();
-        let (workers, leaving) = cx.hosts.of_shard(cell.id(), cx.settings.shards);
-        let assigned = |worker: &_| cx.adoption.assigns(worker, cell.id(), cx.settings.shards);
-        let adopted = cx.hosts.staying(assigned);
         let domain = cx.hosts.changed(&mut seen);
-        let known = cx.hosts.is_known();
+        let due = domain.is_some() || count.is_multiple_of(TICKS_PER_LIST);
+        let lists = (due && cx.hosts.is_known()).then(|| {
+            let assigned = |worker: &_| cx.adoption.assigns(worker, cell.id(), cx.settings.shards);
+            let adopted = cx.hosts.staying(assigned);
+            (cx.hosts.of_shard(cell.id(), cx.settings.shards), adopted)
+        });
         let applied = cell.with_epoch(epoch, |shard| {
             if let Some(policy) = &policy {
                 shard.set_policy(policy);
@@ -31,9 +36,9 @@
             if let Some(domain) = &domain {
                 shard.set_domain(domain);
             }
-            if known {
-                shard.set_workers(&workers, &leaving, now);
-                shard.set_adopted(&adopted, now);
+            if let Some(((workers, leaving), adopted)) = &lists {
+                shard.set_workers(workers, leaving, now);
+                shard.set_adopted(adopted, now);
             }
             shard.tick(now);
         });
