--- a/crates/core/src/journal/checks.rs
+++ b/crates/core/src/journal/checks.rs
@@ -1,4 +1,5 @@
-use crate::journal::JournalEvent;
+use crate::journal::journal_core::{Call, Journal};
+use crate::journal::{JournalEvent, JournalWrite};
 
 /// Counts of checks whether the owner still owns the shard.
 #[derive(Debug, Clone, Copy, Default)]
@@ -18,3 +19,18 @@
         })
     }
 }
+
+impl Journal {
+    /// Asks the store whether this owner still owns the shard. The number is confirmed by `OwnershipConfirmed`.
+    pub fn request_check(&mut self) -> u64 {
+        self.checks.requested += 1;
+        self.checks.requested
+    }
+
+    pub(super) fn read_head(&mut self) -> JournalWrite {
+        self.outstanding = Some(Call::Read);
+        self.checks.covered = self.checks.requested;
+        let key = self.keys.head();
+        JournalWrite::ReadHead { key }
+    }
+}
--- a/crates/core/src/journal/journal_core.rs
+++ b/crates/core/src/journal/journal_core.rs
@@ -106,23 +106,6 @@
         Ok(Position::new(self.committed + self.pending.len() as u64))
     }
 
-    /// Withdraws an entry that was certainly not sent. Returns false if it is durable or may become so.
-    pub fn withdraw(&mut self, position: Position) -> bool {
-        if position <= self.possibly_written_up_to() {
-            return false;
-        }
-        let index = (position.get() - self.committed - 1) as usize;
-        let staged = self.staged.as_ref().map_or(0, |staged| staged.entries);
-        let Some((entry, bytes)) = self.pending.get_mut(index).filter(|_| index >= staged) else {
-            return false;
-        };
-        *entry = JournalEntry::Withdrawn;
-        let smaller = entry_bytes(entry);
-        self.pending_bytes -= *bytes - smaller;
-        *bytes = smaller;
-        true
-    }
-
     /// Returns the number of entries that are not durable yet.
     pub fn pending(&self) -> usize {
         self.pending.len()
@@ -294,19 +277,6 @@
         self.stop("the head holds what its owner did not write")
     }
 
-    /// Asks the store whether this owner still owns the shard. The number is confirmed by `OwnershipConfirmed`.
-    pub fn request_check(&mut self) -> u64 {
-        self.checks.requested += 1;
-        self.checks.requested
-    }
-
-    fn read_head(&mut self) -> JournalWrite {
-        self.outstanding = Some(Call::Read);
-        self.checks.covered = self.checks.requested;
-        let key = self.keys.head();
-        JournalWrite::ReadHead { key }
-    }
-
     fn stop(&mut self, what: &str) -> Vec<JournalEvent> {
         self.stopped = true;
         let text = format!("{}: {what}", self.shard);
--- a/crates/core/src/journal/mod.rs
+++ b/crates/core/src/journal/mod.rs
@@ -50,6 +50,7 @@
 mod segment_ref;
 mod store_version;
 mod used_worker;
+mod withdraw;
 
 pub use self::{
     claim::Claim, claim_result::ClaimResult, commit_pace::CommitPace, ended_work::EndedWork,
