--- a/crates/core/src/shard/settle.rs
+++ b/crates/core/src/shard/settle.rs
@@ -42,7 +42,7 @@
                 let output = outputs.collect::<Vec<_>>().join("\n");
                 self.end(work, Outcome::Succeeded(output), now);
             }
-            None => record.then = None,
+            None => {}
             Some(AfterStop::Requeue) => self.requeue(work, started, now),
             Some(AfterStop::End(outcome)) => {
                 record.ran |= started;
