--- a/crates/core/src/id/mod.rs
+++ b/crates/core/src/id/mod.rs
@@ -34,7 +34,7 @@
 mod work_id;
 mod worker_id;
 
-pub(crate) use self::parse_id_error::is_name;
+pub use self::parse_id_error::is_name;
 pub use self::{
     attempt::Attempt, caller_id::CallerId, command_id::CommandId, epoch::Epoch,
     executor_id::ExecutorId, failure_domain::FailureDomain, host_id::HostId,
--- a/crates/core/src/id/parse_id_error.rs
+++ b/crates/core/src/id/parse_id_error.rs
@@ -10,7 +10,8 @@
 }
 
 impl ParseIdError {
-    pub(crate) fn new(what: &'static str, text: &str) -> Self {
+    /// Says that `text` is not a valid `what`.
+    pub fn new(what: &'static str, text: &str) -> Self {
         let text = text.chars().take(MAX_NAME_CHARS + 1).collect();
         Self { what, text }
     }
@@ -25,7 +26,7 @@
 impl std::error::Error for ParseIdError {}
 
 /// Checks the character set and length that all names share.
-pub(crate) fn is_name(text: &str) -> bool {
+pub fn is_name(text: &str) -> bool {
     let valid = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
     !text.is_empty() && text.len() <= MAX_NAME_CHARS && text.chars().all(valid)
 }
--- a/crates/core/src/util/counter.rs
+++ b/crates/core/src/util/counter.rs
@@ -1,4 +1,5 @@
 /// Defines a newtype over an integer that identifies or orders things.
+#[macro_export]
 macro_rules! counter_type {
     ($(#[$meta:meta])* $name:ident, $int:ty, $what:literal) => {
         $(#[$meta])*
--- a/crates/core/src/util/name.rs
+++ b/crates/core/src/util/name.rs
@@ -1,4 +1,5 @@
 /// Defines a newtype over a checked name: 1 to 64 characters of `a-z A-Z 0-9 . _ -`.
+#[macro_export]
 macro_rules! name_type {
     ($(#[$meta:meta])* $name:ident, $what:literal) => {
         $(#[$meta])*
@@ -30,6 +31,6 @@
             }
         }
 
-        text_serde!($name);
+        $crate::text_serde!($name);
     };
 }
--- a/crates/core/src/util/text_serde.rs
+++ b/crates/core/src/util/text_serde.rs
@@ -1,4 +1,5 @@
 /// Lets a type with `Display` and `FromStr` be serialized as its text.
+#[macro_export]
 macro_rules! text_serde {
     ($name:ident) => {
         impl TryFrom<String> for $name {
--- /dev/null
+++ b/crates/jobs/src/dispatch/advised.rs
@@ -0,0 +1,33 @@
+use lagoon_core::unit::Timestamp;
+
+use crate::advice::{Advised, Grant};
+use crate::dispatch::{AskOrder, Dispatcher, Serving};
+use crate::fleet::ExecutorSlot;
+
+impl Dispatcher<Serving> {
+    /// Takes in the answer of the adviser; `None` if there was none.
+    pub fn advised(&mut self, order: &AskOrder, answer: Option<&Advised>, now: Timestamp) {
+        let core = &mut self.core;
+        let named: Vec<ExecutorSlot> = order.named.iter().map(|(slot, _)| *slot).collect();
+        let grants = answer.map(|answer| {
+            let good = answer.good.iter().filter_map(|(id, ticket)| {
+                let slot = core.fleet.slot(id)?;
+                Some(Grant {
+                    slot,
+                    life: core.fleet.get(slot).life,
+                    ticket: ticket.clone(),
+                    valid_until: now.after(answer.valid),
+                })
+            });
+            good.collect::<Vec<Grant>>()
+        });
+        tracing::info!(
+            step = %order.step, member = %order.member, named = named.len(),
+            good = grants.as_ref().map(Vec::len), "dispatch: advice arrived"
+        );
+        let job = core.jobs.get(order.step.job());
+        let queue = job.map(|job| job.record().queue().clone());
+        core.advice
+            .answer(order.step, &order.member, queue.as_ref(), &named, grants, now);
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/dispatch/core.rs
@@ -0,0 +1,100 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use lagoon_core::unit::{Millis, Timestamp};
+
+use crate::advice::AdviceBook;
+use crate::dispatch::{DispatchLimits, Order, StopOrder};
+use crate::fleet::{ExecutorSlot, Fleet};
+use crate::id::{Epoch, RunNumber, TaskKey};
+use crate::job::{JobTable, RunTimes, TaskPhase};
+use crate::policy::CellPolicy;
+use crate::record::Ledger;
+use crate::run::{RunPhase, RunTable};
+
+/// State of a dispatcher, whatever its stage.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub(super) epoch: Epoch,
+    pub(super) limits: DispatchLimits,
+    pub(super) policy: Arc<CellPolicy>,
+    pub(super) jobs: JobTable,
+    pub(super) fleet: Fleet,
+    pub(super) runs: RunTable,
+    pub(super) advice: AdviceBook,
+    pub(super) ledger: Ledger,
+    pub(super) times: RunTimes,
+    pub(super) orders: Vec<Order>,
+    /// Executors that have not listed their runs to this owner. Inherited work may run there.
+    pub(super) unheard: BTreeSet<ExecutorSlot>,
+    /// When no run that an earlier owner started can exist any more on an executor that was not heard.
+    pub(super) inherited_lapse: Timestamp,
+}
+
+impl Core {
+    pub(super) fn new(epoch: Epoch, limits: DispatchLimits, now: Timestamp) -> Self {
+        let lapse = limits.owner_lapse.saturating_add(limits.max_lease);
+        // An executor's clock may be 2% slow, rounded up here.
+        let slack = Millis::new(limits.max_lease.get() / 30);
+        Self {
+            epoch,
+            limits,
+            policy: Arc::default(),
+            jobs: JobTable::default(),
+            fleet: Fleet::default(),
+            runs: RunTable::default(),
+            advice: AdviceBook::default(),
+            ledger: Ledger::default(),
+            times: RunTimes::default(),
+            orders: Vec::new(),
+            unheard: BTreeSet::new(),
+            inherited_lapse: now.after(lapse).after(slack),
+        }
+    }
+
+    /// Tells whether a task of an earlier owner may still run somewhere unseen.
+    pub(super) fn may_run_unseen(&self, now: Timestamp) -> bool {
+        !self.unheard.is_empty() && now <= self.inherited_lapse
+    }
+
+    /// Orders a run to stop, if it isn't stopping already.
+    pub(super) fn stop(&mut self, task: TaskKey) {
+        let Some(run) = self.runs.get_mut(task) else {
+            return;
+        };
+        if matches!(run.phase, RunPhase::Stopping { .. }) {
+            return;
+        }
+        run.phase = RunPhase::Stopping { confirmed: None };
+        let (slot, number) = (run.slot, run.number);
+        self.order_stop(slot, task, number);
+    }
+
+    pub(super) fn order_stop(&mut self, slot: ExecutorSlot, task: TaskKey, number: RunNumber) {
+        self.orders.push(Order::Stop(StopOrder {
+            slot,
+            address: self.fleet.get(slot).entry.address,
+            task,
+            number,
+            epoch: self.epoch,
+        }));
+    }
+
+    /// Orders all runs of the step of `task` to stop.
+    pub(super) fn stop_step(&mut self, task: TaskKey) {
+        let tasks: Vec<TaskKey> = self.runs.of_step(task.step()).map(|run| run.task).collect();
+        tasks.into_iter().for_each(|task| self.stop(task));
+    }
+
+    /// Removes a run that can't exist any more; its task waits again unless it is done.
+    pub(super) fn drop_run(&mut self, task: TaskKey) {
+        if self.runs.remove(task, &mut self.fleet).is_none() {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(task.job())
+            && let Some(step) = job.step_mut(task.step())
+        {
+            step.set_phase(task.index(), TaskPhase::Idle);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -0,0 +1,142 @@
+use std::marker::PhantomData;
+use std::sync::Arc;
+
+use lagoon_core::unit::Timestamp;
+
+use crate::dispatch::core::Core;
+use crate::dispatch::{DispatchLimits, Order, Recovering, Serving};
+use crate::fleet::{ExecutorEntry, ExecutorSlot};
+use crate::id::{Epoch, ExecutorId, JobId, MemberId};
+use crate::job::{Job, JobRecord, JobState, Progress};
+use crate::policy::CellPolicy;
+
+/// Decides for one owner which task runs where.
+#[derive(Debug)]
+pub struct Dispatcher<S> {
+    pub(super) core: Core,
+    stage: PhantomData<S>,
+}
+
+impl<S> Dispatcher<S> {
+    /// Returns the epoch of the owner.
+    pub fn epoch(&self) -> Epoch {
+        self.core.epoch
+    }
+
+    /// Takes over a version of the configuration; an older one than the present is ignored.
+    pub fn set_policy(&mut self, policy: Arc<CellPolicy>) {
+        if policy.version() >= self.core.policy.version() {
+            self.core.policy = policy;
+        }
+    }
+
+    /// Sets the members of the cell that can ask the adviser.
+    pub fn set_members(&mut self, members: &[MemberId]) {
+        self.core.advice.set_lanes(members);
+    }
+
+    /// Takes over an entry of the list of executors; returns its slot and whether it is new.
+    pub fn observe(&mut self, entry: ExecutorEntry) -> (ExecutorSlot, bool) {
+        let life = entry.life;
+        let (slot, is_new) = self.core.fleet.observe(entry);
+        if is_new {
+            self.core.unheard.insert(slot);
+        }
+        self.core.note_life(slot, life);
+        (slot, is_new)
+    }
+
+    /// Notes that an executor is no longer listed.
+    pub fn unlist(&mut self, id: &ExecutorId) -> Option<ExecutorSlot> {
+        self.core.fleet.unlist(id)
+    }
+
+    /// Returns the slots of all executors with their ids.
+    pub fn executors(&self) -> Vec<(ExecutorSlot, ExecutorId)> {
+        let all = self.core.fleet.iter();
+        all.map(|(slot, e)| (slot, e.entry.id.clone())).collect()
+    }
+
+    /// Takes the orders that were decided since the last call.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.core.orders)
+    }
+}
+
+impl Dispatcher<Recovering> {
+    /// Begins to read back what earlier owners left.
+    pub fn open(epoch: Epoch, limits: DispatchLimits, now: Timestamp) -> Self {
+        Self {
+            core: Core::new(epoch, limits, now),
+            stage: PhantomData,
+        }
+    }
+
+    /// Takes over a stored job with its progress.
+    pub fn load(&mut self, id: JobId, record: JobRecord, progress: &Progress, now: Timestamp) {
+        let mut job = Job::new(id, record);
+        job.inherited = true;
+        job.restore(progress, now);
+        self.core.set_objective(&mut job);
+        self.core.jobs.insert(job);
+        self.core.jobs.begin_due(now);
+    }
+
+    /// Returns how many executors have not listed their runs.
+    pub fn unheard(&self) -> usize {
+        self.core.unheard.len()
+    }
+
+    /// Begins to place work. Inherited work waits until no executor that was not heard can still run it.
+    pub fn serve(mut self, now: Timestamp) -> Dispatcher<Serving> {
+        self.core.jobs.begin_due(now);
+        self.core.end_complete_jobs(now);
+        tracing::info!(
+            epoch = %self.core.epoch,
+            jobs = self.core.jobs.iter().count(),
+            runs = self.core.runs.len(),
+            unheard = self.core.unheard.len(),
+            "dispatch: recovery is over, placement begins"
+        );
+        Dispatcher {
+            core: self.core,
+            stage: PhantomData,
+        }
+    }
+}
+
+impl Dispatcher<Serving> {
+    /// Takes in a job that was accepted; a repeated one is ignored.
+    pub fn submit(&mut self, id: JobId, record: JobRecord, now: Timestamp) {
+        let mut job = Job::new(id, record);
+        self.core.set_objective(&mut job);
+        let queue = job.record().queue().clone();
+        if self.core.jobs.insert(job) {
+            tracing::info!(job = %id, %queue, "dispatch: job queued");
+            self.core.jobs.begin_due(now);
+        }
+    }
+}
+
+impl Core {
+    fn set_objective(&self, job: &mut Job) {
+        let record = job.record();
+        let Some(queue) = self.policy.queue(record.queue()) else {
+            return;
+        };
+        let chain = self.times.chain(record.queue(), record.spec()).get() as f64;
+        let time = lagoon_core::unit::Millis::new((chain * queue.stretch) as u64);
+        job.objective = record
+            .accepted()
+            .after(time)
+            .after(queue.target_latency);
+    }
+
+    fn end_complete_jobs(&mut self, now: Timestamp) {
+        let complete = |job: &&Job| job.is_live() && job.is_complete();
+        let ids: Vec<JobId> = self.jobs.iter().filter(complete).map(Job::id).collect();
+        for id in ids {
+            self.end_job(id, JobState::Done, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/dispatch/ends.rs
@@ -0,0 +1,162 @@
+use lagoon_core::unit::Timestamp;
+
+use crate::dispatch::core::Core;
+use crate::fleet::ExecutorSlot;
+use crate::id::{JobId, StepKey, TaskKey};
+use crate::job::{JobState, TaskPhase};
+use crate::record::RecordNumber;
+use crate::run::{EndKind, EndedRow};
+
+impl Core {
+    /// Applies an end that an executor lists; returns the record that has to be durable before it is acknowledged.
+    pub(super) fn apply_end(
+        &mut self,
+        slot: ExecutorSlot,
+        end: &EndedRow,
+        now: Timestamp,
+    ) -> RecordNumber {
+        let task = end.task;
+        let started = self.runs.matching(task, end.number, slot).map(|run| run.ordered);
+        if started.is_some() {
+            self.drop_run(task);
+        }
+        self.note_health(slot, end.how, now);
+        let live = self.jobs.get(task.job()).filter(|job| job.is_live());
+        let Some(job) = live.filter(|job| job.has_task(task)) else {
+            return self.job_record(task.job());
+        };
+        let queue = job.record().queue().clone();
+        if let (EndKind::Done, Some(started)) = (end.how, started) {
+            self.times.learn(&queue, now.since(started));
+        }
+        tracing::info!(
+            task = %task, run = %end.number, executor = %self.fleet.get(slot).entry.id,
+            how = ?end.how, ran_ms = started.map(|at| now.since(at).get()), "dispatch: run ended"
+        );
+        self.count_end(task, end);
+        match end.how {
+            EndKind::Done => self.task_done(task, now),
+            EndKind::Failed => self.check_failures(task, now),
+            EndKind::GangBroken | EndKind::GangIncomplete => {
+                // The other members can't go on without this one.
+                if self.is_gang(task.step()) {
+                    self.stop_step(task);
+                }
+            }
+            EndKind::Stopped | EndKind::Lapsed => {}
+        }
+        match self.jobs.get(task.job()).map(|job| (job.is_live(), job.ended_by)) {
+            Some((false, ended_by)) => ended_by,
+            _ => self.ledger.mark(task.job()),
+        }
+    }
+
+    fn count_end(&mut self, task: TaskKey, end: &EndedRow) {
+        let Some(step) = self.jobs.get_mut(task.job()).and_then(|job| job.step_mut(task.step()))
+        else {
+            return;
+        };
+        step.used(task.index(), end.number);
+        step.save(task.index(), end.checkpoint.clone());
+        if end.how == EndKind::Failed {
+            step.attempts_mut(task.index()).fail(end.number);
+        }
+    }
+
+    fn task_done(&mut self, task: TaskKey, now: Timestamp) {
+        self.jobs.set_started(task.job());
+        let Some(job) = self.jobs.get_mut(task.job()) else {
+            return;
+        };
+        let long_running = job.step_spec(task.step()).is_some_and(|spec| spec.long_running);
+        let Some(step) = job.step_mut(task.step()) else {
+            return;
+        };
+        if long_running {
+            // It runs until its job is cancelled, however its runs end.
+            return;
+        }
+        match step.is_gang() {
+            true => step.complete(),
+            false => step.set_phase(task.index(), TaskPhase::Done),
+        }
+        let step_done = step.is_done();
+        let job_done = step_done && job.is_complete();
+        if !self.is_gang(task.step()) {
+            // Another run of the same task would be a second one.
+            self.stop(task);
+        }
+        if step_done {
+            self.advice.forget(task.step());
+            self.jobs.step_done(task.step());
+        }
+        if job_done {
+            self.end_job(task.job(), JobState::Done, now);
+        }
+    }
+
+    fn check_failures(&mut self, task: TaskKey, now: Timestamp) {
+        if self.is_gang(task.step()) {
+            self.stop_step(task);
+        }
+        let Some(job) = self.jobs.get(task.job()) else {
+            return;
+        };
+        let spec = job.step_spec(task.step());
+        let (Some(queue), Some(step)) = (
+            self.policy.queue(job.record().queue()),
+            job.step(task.step()),
+        ) else {
+            return;
+        };
+        let failures = step.attempts(task.index()).failures;
+        let has_limit = spec.is_some_and(|spec| !spec.long_running);
+        if has_limit && failures >= queue.max_failures {
+            tracing::info!(job = %task.job(), %task, failures, "dispatch: job failed, a task has no attempt left");
+            self.end_job(task.job(), JobState::Failed, now);
+        }
+    }
+
+    /// Gives a job its final state and stops what still runs of it.
+    pub(super) fn end_job(&mut self, id: JobId, outcome: JobState, now: Timestamp) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let steps: Vec<StepKey> = job.begun().iter().flat_map(|k| job.open_steps(*k)).collect();
+        steps.into_iter().for_each(|step| self.advice.forget(step));
+        self.jobs.end(id, outcome, now);
+        let record = self.ledger.mark(id);
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.ended_by = record;
+            tracing::info!(job = %id, state = %outcome, after_ms = now.since(job.record().accepted()).get(), "dispatch: job ended");
+        }
+        if outcome == JobState::Done {
+            // The other members of a gang end by themselves, together with the one that was listed.
+            return;
+        }
+        let tasks: Vec<TaskKey> = self.runs.of_job(id).map(|run| run.task).collect();
+        tasks.into_iter().for_each(|task| self.stop(task));
+    }
+
+    pub(super) fn is_gang(&self, key: StepKey) -> bool {
+        let spec = self.jobs.get(key.job()).and_then(|job| job.step_spec(key));
+        spec.is_some_and(|spec| spec.gang)
+    }
+
+    fn job_record(&self, id: JobId) -> RecordNumber {
+        self.jobs.get(id).map(|job| job.ended_by).unwrap_or_default()
+    }
+
+    fn note_health(&mut self, slot: ExecutorSlot, how: EndKind, now: Timestamp) {
+        let executor = self.fleet.get_mut(slot);
+        match how {
+            EndKind::Done => executor.health.succeeded(),
+            EndKind::Failed => {
+                if executor.health.failed(now) {
+                    tracing::warn!(executor = %executor.entry.id, "dispatch: executor rests, its runs fail");
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -0,0 +1,46 @@
+use lagoon_core::unit::{Millis, Timestamp};
+
+use crate::dispatch::{Dispatcher, HoldRequest, HoldStep, Order};
+use crate::fleet::{Availability, ExecutorSlot};
+
+impl<S> Dispatcher<S> {
+    /// Returns what the driver of an executor does next. With `overdue` it holds even if records are not durable yet,
+    /// so that leases outlast an outage of the store.
+    pub fn next_hold(&mut self, slot: ExecutorSlot, overdue: bool, now: Timestamp) -> HoldStep {
+        let core = &mut self.core;
+        let limits = core.limits;
+        let executor = core.fleet.get_mut(slot);
+        executor.ends.advance(&core.ledger);
+        let is_first = executor.heard.is_none();
+        let is_empty = executor.tasks.is_empty();
+        let is_listed = executor.availability != Availability::Unlisted;
+        if is_empty && !(is_first && is_listed) && !executor.ends.has_unsent() {
+            return match executor.ends.awaits_record() {
+                true => HoldStep::AwaitRecord,
+                false => HoldStep::Idle,
+            };
+        }
+        let awaits = executor.ends.awaits_record();
+        if awaits && !overdue && !is_first {
+            return HoldStep::AwaitRecord;
+        }
+        let waits = !is_first && !is_empty && !awaits;
+        HoldStep::Hold(HoldRequest {
+            address: executor.entry.address,
+            epoch: core.epoch,
+            acknowledged: executor.ends.acknowledge(),
+            lease_end_ms: executor.clock.grant(limits.lease, now),
+            wait: if waits { limits.hold_wait } else { Millis::ZERO },
+        })
+    }
+
+    /// Notes that an executor has seen a later owner.
+    pub fn fenced(&mut self) {
+        self.core.orders.push(Order::StepDown);
+    }
+
+    /// Notes that an executor did not answer a hold; it gets no new runs for a while.
+    pub fn hold_failed(&mut self, slot: ExecutorSlot, now: Timestamp) {
+        self.core.fleet.get_mut(slot).health.suspect(now);
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/dispatch/hold_step.rs
@@ -0,0 +1,12 @@
+use crate::dispatch::HoldRequest;
+
+/// What the driver of an executor does next.
+#[derive(Debug, Clone)]
+pub enum HoldStep {
+    /// Hold it.
+    Hold(HoldRequest),
+    /// Wait until the records of its ends are durable.
+    AwaitRecord,
+    /// Wait until something is started there.
+    Idle,
+}
--- /dev/null
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -0,0 +1,39 @@
+//! The dispatcher: told what happened, it decides what is ordered next.
+//!
+//! Its life is in its type. A `Dispatcher<Recovering>` reads back the jobs of earlier owners and what executors run, and
+//! orders nothing; [`Dispatcher::serve`] turns it into a `Dispatcher<Serving>`, which places work. A start is never
+//! repeated elsewhere before the first one is known to be without effect.
+
+mod advised;
+mod ask;
+mod cancel;
+mod core;
+mod dispatcher;
+mod ends;
+mod hold;
+mod hold_request;
+mod hold_step;
+mod limits;
+mod listing;
+mod order;
+mod pass;
+mod place_each;
+mod place_gang;
+mod plan;
+mod rank;
+mod records;
+mod stage;
+mod started;
+mod stopped;
+mod tick;
+mod view;
+
+pub use self::{
+    dispatcher::Dispatcher,
+    hold_request::HoldRequest,
+    hold_step::HoldStep,
+    limits::DispatchLimits,
+    order::{AskOrder, Order, StartOrder, StopOrder},
+    stage::{Recovering, Serving},
+    view::{Backlog, JobView, QueueLoad},
+};
--- /dev/null
+++ b/crates/jobs/src/dispatch/place_each.rs
@@ -0,0 +1,50 @@
+use crate::dispatch::core::Core;
+use crate::dispatch::pass::Pass;
+use crate::dispatch::plan::{Candidate, Candidates};
+use crate::id::StepKey;
+use crate::policy::Queue;
+use crate::spec::StepSpec;
+
+impl Core {
+    /// Places tasks that run independently of each other, as many as there is room for.
+    pub(super) fn place_each(
+        &mut self,
+        key: StepKey,
+        spec: &StepSpec,
+        queue: &Queue,
+        pass: &mut Pass,
+    ) {
+        let mut candidates = self.candidates(key, spec, queue, pass.now);
+        let step = self.jobs.get(key.job()).and_then(|job| job.step(key));
+        let idle: Vec<u32> = step.map(|step| step.idle_tasks().collect()).unwrap_or_default();
+        let mut left = idle.len() as u32;
+        for index in idle {
+            let Some(best) = tightest(&candidates, spec, pass) else {
+                break;
+            };
+            let task = key.task(index);
+            let Some(number) = self.next_number(task) else {
+                break;
+            };
+            let candidate = candidates[best].clone();
+            if !self.start(task, &candidate, number, spec, pass) {
+                candidates.remove(best);
+                continue;
+            }
+            candidates[best].allowed = candidate.allowed.saturating_sub(1);
+            left -= 1;
+        }
+        if left > 0 && queue.advice.is_some() {
+            self.ask_for_each(key, spec, queue, left, pass);
+        }
+    }
+}
+
+/// Returns the candidate near the data with the least processor time left over, so that large free parts stay whole.
+fn tightest(candidates: &Candidates, spec: &StepSpec, pass: &Pass) -> Option<usize> {
+    let need = spec.reserved();
+    let fits = |c: &Candidate| c.allowed > 0 && pass.room(c.slot).fits(&need) > 0;
+    let fitting = candidates.iter().enumerate().filter(|(_, c)| fits(c));
+    let best = fitting.min_by_key(|(_, c)| (c.is_remote, pass.room(c.slot).free.cpu, c.slot));
+    best.map(|(i, _)| i)
+}
--- /dev/null
+++ b/crates/jobs/src/dispatch/place_gang.rs
@@ -0,0 +1,141 @@
+use std::collections::BTreeMap;
+
+use smallvec::SmallVec;
+
+use crate::dispatch::core::Core;
+use crate::dispatch::pass::Pass;
+use crate::dispatch::plan::{Candidate, Candidates};
+use crate::id::StepKey;
+use crate::policy::Queue;
+use crate::spec::StepSpec;
+
+/// Members of a gang by candidate.
+type Shares = SmallVec<[(Candidate, u32); 16]>;
+
+impl Core {
+    /// Places all tasks of a gang at once, or claims room for them.
+    pub(super) fn place_gang(
+        &mut self,
+        key: StepKey,
+        spec: &StepSpec,
+        queue: &Queue,
+        is_too_late: bool,
+        pass: &mut Pass,
+    ) {
+        let step = self.jobs.get(key.job()).and_then(|job| job.step(key));
+        // Members of an earlier run that are not settled would meet the members of the next one.
+        if step.is_none_or(|step| step.idle() < step.count()) {
+            return;
+        }
+        let candidates = self.candidates(key, spec, queue, pass.now);
+        let now_fits = |c: &Candidate, pass: &Pass| pass.room(c.slot).fits(&spec.reserved());
+        match self.share_out(&candidates, spec, pass, now_fits) {
+            Some(shares) => self.start_gang(key, spec, &shares, pass),
+            None => {
+                if !is_too_late {
+                    self.claim_for_gang(key, spec, queue, pass);
+                }
+                if queue.advice.is_some() {
+                    self.ask_for_gang(key, spec, queue, pass);
+                }
+            }
+        }
+    }
+
+    /// Divides the members among candidates, on one rack if that matters and works.
+    fn share_out(
+        &self,
+        candidates: &Candidates,
+        spec: &StepSpec,
+        pass: &Pass,
+        fits: impl Fn(&Candidate, &Pass) -> u32,
+    ) -> Option<Shares> {
+        if spec.prefers_one_rack {
+            let mut racks: BTreeMap<_, Candidates> = BTreeMap::new();
+            for candidate in candidates {
+                let rack = self.fleet.get(candidate.slot).entry.rack.clone();
+                racks.entry(rack).or_default().push(candidate.clone());
+            }
+            let on_one = racks.values().find_map(|rack| fill(rack, spec, pass, &fits));
+            if on_one.is_some() {
+                return on_one;
+            }
+        }
+        fill(candidates, spec, pass, &fits)
+    }
+
+    fn start_gang(&mut self, key: StepKey, spec: &StepSpec, shares: &Shares, pass: &mut Pass) {
+        let Some(number) = self.next_number(key.task(0)) else {
+            return;
+        };
+        let mut index = 0;
+        for (candidate, members) in shares {
+            for _ in 0..*members {
+                if !self.start(key.task(index), candidate, number, spec, pass) {
+                    self.stop_step(key.task(0));
+                    return;
+                }
+                index += 1;
+            }
+        }
+    }
+
+    /// Keeps later work off the executors on which a gang is to run, until there is room for all of it.
+    fn claim_for_gang(&mut self, key: StepKey, spec: &StepSpec, queue: &Queue, pass: &mut Pass) {
+        let known = self.known_good(key, spec, queue);
+        let empty_fits = |c: &Candidate, pass: &Pass| pass.room(c.slot).fits_empty(&spec.reserved());
+        let Some(shares) = self.share_out(&known, spec, pass, empty_fits) else {
+            return;
+        };
+        if !pass.take_claim() {
+            return;
+        }
+        let need = spec.reserved();
+        for (candidate, members) in shares {
+            for _ in 0..members {
+                pass.room_mut(candidate.slot).take(&need);
+            }
+        }
+    }
+
+    /// Returns executors that may run the step, whether or not their tickets are valid.
+    pub(super) fn known_good(&self, key: StepKey, spec: &StepSpec, queue: &Queue) -> Candidates {
+        if queue.advice.is_none() {
+            let all = self.fleet.of_service(&queue.service).iter();
+            return all
+                .filter_map(|slot| self.candidate(key, *slot, None, spec, queue))
+                .collect();
+        }
+        let grants = self.advice.step(key).map(|advice| &advice.grants[..]);
+        let slots = grants.unwrap_or_default().iter().map(|grant| grant.slot);
+        slots
+            .filter_map(|slot| self.candidate(key, slot, None, spec, queue))
+            .collect()
+    }
+}
+
+/// Gives members to the candidates with the most free processors first, so that the gang is on few executors.
+fn fill(
+    candidates: &Candidates,
+    spec: &StepSpec,
+    pass: &Pass,
+    fits: &impl Fn(&Candidate, &Pass) -> u32,
+) -> Option<Shares> {
+    let mut order: SmallVec<[(&Candidate, u32); 16]> = candidates
+        .iter()
+        .map(|c| (c, fits(c, pass).min(c.allowed)))
+        .filter(|(_, members)| *members > 0)
+        .collect();
+    order.sort_by_key(|(c, _)| (c.is_remote, std::cmp::Reverse(pass.room(c.slot).free.cpu), c.slot));
+    let mut shares = Shares::new();
+    let mut left = spec.count;
+    for (candidate, members) in order {
+        let members = members.min(left);
+        shares.push((candidate.clone(), members));
+        left -= members;
+        if left == 0 {
+            return Some(shares);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/jobs/src/dispatch/plan.rs
@@ -0,0 +1,205 @@
+use std::sync::Arc;
+
+use lagoon_core::unit::Timestamp;
+use smallvec::SmallVec;
+
+use crate::dispatch::core::Core;
+use crate::dispatch::pass::Pass;
+use crate::dispatch::rank::Rank;
+use crate::dispatch::{Dispatcher, Order, Serving, StartOrder};
+use crate::fleet::ExecutorSlot;
+use crate::id::{AdviceTicket, Label, RunNumber, StepKey, TaskKey};
+use crate::job::TaskPhase;
+use crate::policy::{CellPolicy, Queue};
+use crate::run::{Run, RunPhase};
+use crate::spec::StepSpec;
+
+/// An executor on which a task of a step may start now.
+#[derive(Debug, Clone)]
+pub(super) struct Candidate {
+    pub(super) slot: ExecutorSlot,
+    pub(super) ticket: Option<AdviceTicket>,
+    /// Tasks of the step that may still be placed there.
+    pub(super) allowed: u32,
+    /// The rack is not the one that holds the data.
+    pub(super) is_remote: bool,
+}
+
+pub(super) type Candidates = SmallVec<[Candidate; 16]>;
+
+/// Time before its end at which a ticket is no longer used, because the start has to arrive in time.
+const TICKET_MARGIN: lagoon_core::unit::Millis = lagoon_core::unit::Millis::new(60);
+
+impl Dispatcher<Serving> {
+    /// Places what can be placed now, most urgent first.
+    pub fn plan(&mut self, now: Timestamp) {
+        self.core.jobs.begin_due(now);
+        self.core.plan(now);
+    }
+}
+
+impl Core {
+    fn plan(&mut self, now: Timestamp) {
+        let policy = Arc::clone(&self.policy);
+        let mut pass = Pass::new(self.fleet.rooms(now), now);
+        for rank in self.ranked_steps(&policy, now) {
+            let key = rank.key();
+            let Some(queue) = self.queue_of(&policy, key) else {
+                continue;
+            };
+            let Some(spec) = self.jobs.get(key.job()).and_then(|job| job.step_spec(key)) else {
+                continue;
+            };
+            let spec = spec.clone();
+            match spec.gang {
+                true => self.place_gang(key, &spec, queue, rank.is_too_late(), &mut pass),
+                false => self.place_each(key, &spec, queue, &mut pass),
+            }
+        }
+    }
+
+    fn ranked_steps(&self, policy: &CellPolicy, now: Timestamp) -> Vec<Rank> {
+        let hidden = self.may_run_unseen(now);
+        let ranked = self.jobs.open_steps().filter_map(|key| {
+            let job = self.jobs.get(key.job())?;
+            let step = job.step(key)?;
+            let waits = step.idle() > 0 && !(hidden && job.inherited);
+            let queue = policy.queue(job.record().queue())?;
+            waits.then(|| Rank::new(queue, job, key, now))
+        });
+        let mut ranked: Vec<Rank> = ranked.collect();
+        ranked.sort_unstable();
+        ranked
+    }
+
+    fn queue_of<'a>(&self, policy: &'a CellPolicy, key: StepKey) -> Option<&'a Queue> {
+        policy.queue(self.jobs.get(key.job())?.record().queue())
+    }
+
+    /// Returns the executors on which the step may start tasks now, whether or not they have room.
+    pub(super) fn candidates(
+        &self,
+        key: StepKey,
+        spec: &StepSpec,
+        queue: &Queue,
+        now: Timestamp,
+    ) -> Candidates {
+        let mut candidates = Candidates::new();
+        match queue.advice {
+            None => {
+                for &slot in self.fleet.of_service(&queue.service) {
+                    candidates.extend(self.candidate(key, slot, None, spec, queue));
+                }
+            }
+            Some(_) => {
+                let grants = self.advice.step(key).map(|advice| &advice.grants[..]);
+                for grant in grants.unwrap_or_default() {
+                    let is_valid = now.after(TICKET_MARGIN) < grant.valid_until
+                        && self.fleet.get(grant.slot).life == grant.life;
+                    if is_valid {
+                        let ticket = Some(grant.ticket.clone());
+                        candidates.extend(self.candidate(key, grant.slot, ticket, spec, queue));
+                    }
+                }
+            }
+        }
+        candidates
+    }
+
+    /// Returns an executor as a candidate for a step, if label, service and spread allow it.
+    pub(super) fn candidate(
+        &self,
+        key: StepKey,
+        slot: ExecutorSlot,
+        ticket: Option<AdviceTicket>,
+        spec: &StepSpec,
+        queue: &Queue,
+    ) -> Option<Candidate> {
+        let executor = self.fleet.get(slot);
+        let has = |label: &Option<Label>| label.as_ref().is_none_or(|l| executor.has_label(l));
+        if executor.entry.service != queue.service || !has(&spec.requires) {
+            return None;
+        }
+        let allowed = match spec.max_per_executor {
+            Some(most) => most.saturating_sub(self.placed_on(key, slot)),
+            None => u32::MAX,
+        };
+        let is_remote = !has(&spec.data_rack);
+        Some(Candidate {
+            slot,
+            ticket,
+            allowed,
+            is_remote,
+        })
+    }
+
+    fn placed_on(&self, key: StepKey, slot: ExecutorSlot) -> u32 {
+        let tasks = &self.fleet.get(slot).tasks;
+        tasks.range(key.task(0)..=key.task(u32::MAX)).count() as u32
+    }
+
+    /// Orders a task to start and reserves its resources; false if the executor's clock is not known.
+    pub(super) fn start(
+        &mut self,
+        task: TaskKey,
+        candidate: &Candidate,
+        number: RunNumber,
+        spec: &StepSpec,
+        pass: &mut Pass,
+    ) -> bool {
+        let now = pass.now;
+        let slot = candidate.slot;
+        let lease = self.limits.lease;
+        let Some(lease_end_ms) = self.fleet.get_mut(slot).clock.grant(lease, now) else {
+            return false;
+        };
+        let Some(job) = self.jobs.get_mut(task.job()) else {
+            return false;
+        };
+        let payload = Arc::clone(job.record().spec().payload());
+        let waited = now.since(job.record().accepted());
+        let Some(step) = job.step_mut(task.step()) else {
+            return false;
+        };
+        step.set_phase(task.index(), TaskPhase::Active);
+        step.used(task.index(), number);
+        let checkpoint = step.attempts(task.index()).checkpoint.clone();
+        let executor = &self.fleet.get(slot).entry;
+        tracing::info!(
+            %task, run = %number, executor = %executor.id, free = %pass.room(slot).free,
+            resumes = checkpoint.is_some(), waited_ms = waited.get(), "dispatch: task starts"
+        );
+        self.orders.push(Order::Start(StartOrder {
+            slot,
+            executor: executor.id.clone(),
+            address: executor.address,
+            task,
+            number,
+            payload,
+            checkpoint,
+            ticket: candidate.ticket.clone(),
+            lease_end_ms,
+            epoch: self.epoch,
+        }));
+        let need = spec.reserved();
+        pass.room_mut(slot).take(&need);
+        let run = Run {
+            task,
+            number,
+            slot,
+            need,
+            phase: RunPhase::Starting,
+            ordered: now,
+            progress: (0, now),
+        };
+        self.runs.insert(run, &mut self.fleet);
+        true
+    }
+
+    /// Takes the number of the next run of a task, or of its gang.
+    pub(super) fn next_number(&mut self, task: TaskKey) -> Option<RunNumber> {
+        let floor = RunNumber::before_first(self.epoch);
+        let step = self.jobs.get_mut(task.job())?.step_mut(task.step())?;
+        Some(step.attempts_mut(task.index()).next_number(floor))
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/dispatch/tick.rs
@@ -0,0 +1,47 @@
+use lagoon_core::unit::Timestamp;
+
+use crate::dispatch::{Dispatcher, Serving};
+use crate::fleet::ExecutorSlot;
+use crate::id::TaskKey;
+use crate::run::RunPhase;
+
+impl Dispatcher<Serving> {
+    /// Handles what only the passing of time decides; called about once a second.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.drop_lapsed(now);
+        self.repeat_stops();
+    }
+
+    /// Drops runs on executors whose leases have run out, because nothing can run there any more.
+    fn drop_lapsed(&mut self, now: Timestamp) {
+        let core = &mut self.core;
+        let lapsed: Vec<ExecutorSlot> = core
+            .fleet
+            .iter()
+            .filter(|(_, e)| !e.tasks.is_empty() && e.clock.has_lapsed(now))
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in lapsed {
+            let executor = core.fleet.get(slot);
+            let tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
+            tracing::warn!(executor = %executor.entry.id, runs = tasks.len(), "dispatch: lease lapsed, runs are gone");
+            for task in tasks {
+                core.drop_run(task);
+                if core.is_gang(task.step()) {
+                    core.stop_step(task);
+                }
+            }
+        }
+    }
+
+    fn repeat_stops(&mut self) {
+        let core = &mut self.core;
+        let unanswered = core.runs.iter().filter(|run| {
+            run.phase == RunPhase::Stopping { confirmed: None }
+        });
+        let runs: Vec<_> = unanswered.map(|run| (run.slot, run.task, run.number)).collect();
+        for (slot, task, number) in runs {
+            core.order_stop(slot, task, number);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/fleet/executor.rs
@@ -0,0 +1,96 @@
+use std::collections::BTreeSet;
+
+use lagoon_core::unit::{Resources, Timestamp};
+
+use crate::fleet::{Availability, EndCursor, ExecutorEntry, ExecutorHealth, LeaseClock, Room};
+use crate::id::{Label, Life, TaskKey};
+
+/// One executor as its owner knows it.
+#[derive(Debug, Clone)]
+pub struct Executor {
+    /// What it last said of itself.
+    pub entry: ExecutorEntry,
+    /// What the list of executors says of it.
+    pub availability: Availability,
+    /// The life that last listed its runs.
+    pub life: Option<Life>,
+    /// Relation of its clock to ours.
+    pub clock: LeaseClock,
+    /// Its ends.
+    pub ends: EndCursor,
+    /// Whether it does its work.
+    pub health: ExecutorHealth,
+    /// Tasks that run there or may run there.
+    pub tasks: BTreeSet<TaskKey>,
+    /// When its last list arrived here.
+    pub heard: Option<Timestamp>,
+    reserved: Resources,
+}
+
+impl Executor {
+    pub(crate) fn new(entry: ExecutorEntry) -> Self {
+        Self {
+            availability: availability(&entry),
+            entry,
+            life: None,
+            clock: LeaseClock::default(),
+            ends: EndCursor::default(),
+            health: ExecutorHealth::default(),
+            tasks: BTreeSet::new(),
+            heard: None,
+            reserved: Resources::ZERO,
+        }
+    }
+
+    pub(crate) fn update(&mut self, entry: ExecutorEntry) {
+        self.availability = availability(&entry);
+        self.entry = entry;
+    }
+
+    /// Forgets what belonged to the last life.
+    pub(crate) fn begin_life(&mut self, life: Option<Life>) {
+        self.life = life;
+        self.clock.restart();
+        self.ends = EndCursor::default();
+        self.health = ExecutorHealth::default();
+    }
+
+    pub(crate) fn reserve(&mut self, task: TaskKey, need: Resources) {
+        self.tasks.insert(task);
+        self.reserved = self.reserved.saturating_add(need);
+    }
+
+    pub(crate) fn release(&mut self, task: TaskKey, need: Resources) {
+        if self.tasks.remove(&task) {
+            self.reserved = self.reserved.saturating_sub(need);
+        }
+    }
+
+    /// Returns what is reserved.
+    pub fn reserved(&self) -> Resources {
+        self.reserved
+    }
+
+    /// Returns what can still be placed; a suspect takes nothing unless `use_suspects`.
+    pub fn room(&self, now: Timestamp, use_suspects: bool) -> Room {
+        let known = self.heard.is_some() && self.clock.is_known();
+        let sound = use_suspects || !self.health.is_suspect(now);
+        Room {
+            open: known && sound && self.availability == Availability::Ready,
+            free: self.entry.capacity.saturating_sub(self.reserved),
+            capacity: self.entry.capacity,
+        }
+    }
+
+    /// Tells whether it has a label.
+    pub fn has_label(&self, label: &Label) -> bool {
+        self.entry.labels.contains(label)
+    }
+}
+
+fn availability(entry: &ExecutorEntry) -> Availability {
+    match entry.draining {
+        true => Availability::Draining,
+        false => Availability::Ready,
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/fleet/executor_health.rs
@@ -0,0 +1,42 @@
+use lagoon_core::unit::{Millis, Timestamp};
+
+/// Failed runs on end after which an executor gets no new ones. Tasks fail by their own fault in at most 5% of their
+/// runs, so three on end are rare on a sound executor.
+const MAX_FAILURES: u32 = 3;
+/// Time for which a suspect gets no new runs; about as long as the platform's grey failures last.
+const REST: Millis = Millis::new(5_000);
+
+/// Tells suspects from sound executors by what their runs came to.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ExecutorHealth {
+    failures: u32,
+    rests_until: Timestamp,
+}
+
+impl ExecutorHealth {
+    /// Notes that a run ended well.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+        self.rests_until = Timestamp::default();
+    }
+
+    /// Notes a failed run; true if the executor becomes a suspect by it.
+    pub fn failed(&mut self, now: Timestamp) -> bool {
+        self.failures += 1;
+        let suspect = self.failures >= MAX_FAILURES;
+        if suspect {
+            self.rests_until = now.after(REST);
+        }
+        suspect
+    }
+
+    /// Notes that the executor does not answer or does not work on what it runs.
+    pub fn suspect(&mut self, now: Timestamp) {
+        self.rests_until = self.rests_until.max(now.after(REST));
+    }
+
+    /// Tells whether the executor is a suspect.
+    pub fn is_suspect(&self, now: Timestamp) -> bool {
+        now < self.rests_until
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/fleet/fleet.rs
@@ -0,0 +1,74 @@
+use std::collections::HashMap;
+
+use lagoon_core::unit::Timestamp;
+
+use crate::fleet::{Availability, Executor, ExecutorEntry, ExecutorSlot, Room};
+use crate::id::{ExecutorId, ServiceName};
+
+/// Share of a fleet, in percent, that may be set aside as suspect; beyond it suspects are used again.
+const MAX_SUSPECT_PERCENT: usize = 25;
+
+/// All executors that an owner has heard of.
+#[derive(Debug, Clone, Default)]
+pub struct Fleet {
+    executors: Vec<Executor>,
+    by_id: HashMap<ExecutorId, ExecutorSlot>,
+    by_service: HashMap<ServiceName, Vec<ExecutorSlot>>,
+}
+
+impl Fleet {
+    /// Takes over an entry of the list of executors; returns its slot and whether the executor is new.
+    pub fn observe(&mut self, entry: ExecutorEntry) -> (ExecutorSlot, bool) {
+        if let Some(&slot) = self.by_id.get(&entry.id) {
+            self.executors[slot.index()].update(entry);
+            return (slot, false);
+        }
+        let slot = ExecutorSlot::new(self.executors.len() as u32);
+        self.by_id.insert(entry.id.clone(), slot);
+        let of_service = self.by_service.entry(entry.service.clone()).or_default();
+        of_service.push(slot);
+        self.executors.push(Executor::new(entry));
+        (slot, true)
+    }
+
+    /// Notes that an executor is no longer listed.
+    pub fn unlist(&mut self, id: &ExecutorId) -> Option<ExecutorSlot> {
+        let slot = *self.by_id.get(id)?;
+        self.executors[slot.index()].availability = Availability::Unlisted;
+        Some(slot)
+    }
+
+    /// Returns the slot of an executor.
+    pub fn slot(&self, id: &ExecutorId) -> Option<ExecutorSlot> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns an executor.
+    pub fn get(&self, slot: ExecutorSlot) -> &Executor {
+        &self.executors[slot.index()]
+    }
+
+    /// Returns an executor to change it.
+    pub fn get_mut(&mut self, slot: ExecutorSlot) -> &mut Executor {
+        &mut self.executors[slot.index()]
+    }
+
+    /// Returns every executor with its slot.
+    pub fn iter(&self) -> impl Iterator<Item = (ExecutorSlot, &Executor)> {
+        let slots = (0..).map(ExecutorSlot::new);
+        slots.zip(&self.executors)
+    }
+
+    /// Returns the executors of a service.
+    pub fn of_service(&self, service: &ServiceName) -> &[ExecutorSlot] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns what each executor can still take, by slot.
+    pub fn rooms(&self, now: Timestamp) -> Vec<Room> {
+        let suspects = self.executors.iter().filter(|e| e.health.is_suspect(now));
+        let too_many = suspects.count() * 100 > self.executors.len() * MAX_SUSPECT_PERCENT;
+        let rooms = self.executors.iter().map(|e| e.room(now, too_many));
+        rooms.collect()
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/fleet/lease_clock.rs
@@ -0,0 +1,47 @@
+use lagoon_core::unit::{Millis, Timestamp};
+
+/// Share by which an executor's clock may run slower than ours, in percent, rounded up from the platform's 2%.
+const DRIFT_PERCENT: u64 = 3;
+
+/// Relates the steady clock of an executor to ours and bounds when its runs have lapsed for certain.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LeaseClock {
+    /// Reading of the executor's clock, and when it arrived here.
+    reading: Option<(u64, Timestamp)>,
+    lapsed_at: Timestamp,
+}
+
+impl LeaseClock {
+    /// Takes a reading of the executor's clock in milliseconds.
+    pub fn read(&mut self, executor_ms: u64, now: Timestamp) {
+        // An answer that was overtaken carries an older reading; the newer one is closer.
+        if self.reading.is_none_or(|(known, _)| executor_ms >= known) {
+            self.reading = Some((executor_ms, now));
+        }
+    }
+
+    /// Forgets the reading, because the clock of a new life starts anew.
+    pub fn restart(&mut self) {
+        self.reading = None;
+    }
+
+    /// Returns the time on the executor's clock at which a lease granted now ends, and remembers the grant; `None`
+    /// before the first reading.
+    pub fn grant(&mut self, lease: Millis, now: Timestamp) -> Option<u64> {
+        let (executor_ms, at) = self.reading?;
+        let ahead = now.since(at).get() + lease.get();
+        let longest = ahead + ahead * DRIFT_PERCENT / 100;
+        self.lapsed_at = self.lapsed_at.max(at.after(Millis::new(longest)));
+        Some(executor_ms + ahead)
+    }
+
+    /// Tells whether everything that was started there under a granted lease has ended for certain.
+    pub fn has_lapsed(&self, now: Timestamp) -> bool {
+        now > self.lapsed_at
+    }
+
+    /// Tells whether the executor's clock has been read.
+    pub fn is_known(&self) -> bool {
+        self.reading.is_some()
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/id/life.rs
@@ -0,0 +1,10 @@
+use lagoon_core::counter_type;
+
+counter_type!(
+    /// Names one life of an executor, from its start to its end: milliseconds since the Unix epoch at its start.
+    ///
+    /// An executor that starts again under its id knows nothing of its earlier life.
+    Life,
+    u64,
+    "life"
+);
--- /dev/null
+++ b/crates/jobs/src/job/attempt_progress.rs
@@ -0,0 +1,20 @@
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Checkpoint, RunNumber};
+
+/// Durable part of the attempts of a task or gang.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptProgress {
+    /// Index of the task; 0 for a gang.
+    #[serde(rename = "i")]
+    pub index: u32,
+    /// Runs that failed.
+    #[serde(rename = "f")]
+    pub failures: u32,
+    /// Number of the last run that failed.
+    #[serde(rename = "n")]
+    pub last_failed: RunNumber,
+    /// Saved progress.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<Checkpoint>,
+}
--- /dev/null
+++ b/crates/jobs/src/job/job_record.rs
@@ -0,0 +1,40 @@
+use lagoon_core::unit::Timestamp;
+use serde::{Deserialize, Serialize};
+
+use crate::id::QueueName;
+use crate::spec::JobSpec;
+
+/// What the store holds of an accepted job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobRecord {
+    queue: QueueName,
+    accepted: Timestamp,
+    spec: JobSpec,
+}
+
+impl JobRecord {
+    /// Notes the queue that a job was submitted to, and when.
+    pub fn new(queue: QueueName, accepted: Timestamp, spec: JobSpec) -> Self {
+        Self {
+            queue,
+            accepted,
+            spec,
+        }
+    }
+
+    /// Returns the queue.
+    pub fn queue(&self) -> &QueueName {
+        &self.queue
+    }
+
+    /// Returns when the job was accepted.
+    pub fn accepted(&self) -> Timestamp {
+        self.accepted
+    }
+
+    /// Returns what the caller asked for.
+    pub fn spec(&self) -> &JobSpec {
+        &self.spec
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/job/job_table.rs
@@ -0,0 +1,127 @@
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use lagoon_core::unit::Timestamp;
+
+use crate::id::{JobId, QueueName, StepKey};
+use crate::job::{Job, JobState};
+
+/// All jobs that the store holds, with an index of the steps that can be worked on.
+#[derive(Debug, Clone, Default)]
+pub struct JobTable {
+    jobs: HashMap<JobId, Job>,
+    open: BTreeSet<StepKey>,
+    due: BTreeSet<(Timestamp, JobId)>,
+    waiting: BTreeMap<QueueName, u32>,
+}
+
+impl JobTable {
+    /// Adds a job; false if it is known.
+    pub fn insert(&mut self, job: Job) -> bool {
+        if self.jobs.contains_key(&job.id()) {
+            return false;
+        }
+        if job.state() == JobState::Queued {
+            *self.waiting.entry(job.record().queue().clone()).or_default() += 1;
+        }
+        let id = job.id();
+        if job.is_live() {
+            for occurrence in job.begun() {
+                self.open.extend(job.open_steps(occurrence));
+            }
+            if let Some(due) = job.next_due() {
+                self.due.insert((due, id));
+            }
+        }
+        self.jobs.insert(id, job);
+        true
+    }
+
+    /// Returns a job.
+    pub fn get(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    /// Returns a job to change it.
+    pub fn get_mut(&mut self, id: JobId) -> Option<&mut Job> {
+        self.jobs.get_mut(&id)
+    }
+
+    /// Begins the occurrences that are due.
+    pub fn begin_due(&mut self, now: Timestamp) {
+        while let Some(&(due, id)) = self.due.first()
+            && due <= now
+        {
+            self.due.pop_first();
+            let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_live()) else {
+                continue;
+            };
+            let occurrence = job.begin_round(due);
+            self.open.extend(job.open_steps(occurrence));
+            if let Some(next) = job.next_due() {
+                self.due.insert((next, id));
+            }
+        }
+    }
+
+    /// Returns the steps that can be worked on.
+    pub fn open_steps(&self) -> impl Iterator<Item = StepKey> {
+        self.open.iter().copied()
+    }
+
+    /// Notes that the first task of a job has started.
+    pub fn set_started(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.state() == JobState::Queued {
+            decrement(&mut self.waiting, job.record().queue());
+        }
+        job.set_started();
+    }
+
+    /// Closes a step that is done and opens the steps that waited for it.
+    pub fn step_done(&mut self, key: StepKey) {
+        self.open.remove(&key);
+        if let Some(job) = self.jobs.get(&key.job()) {
+            self.open.extend(job.open_steps(key.occurrence()));
+        }
+    }
+
+    /// Gives a job its final state.
+    pub fn end(&mut self, id: JobId, outcome: JobState, now: Timestamp) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.state() == JobState::Queued {
+            decrement(&mut self.waiting, job.record().queue());
+        }
+        job.end(outcome, now);
+        let first = StepKey::new(id, 0, 0);
+        let last = StepKey::new(id, u32::MAX, u16::MAX);
+        let closed: Vec<StepKey> = self.open.range(first..=last).copied().collect();
+        for key in closed {
+            self.open.remove(&key);
+        }
+    }
+
+    /// Forgets a job.
+    pub fn remove(&mut self, id: JobId) -> Option<Job> {
+        self.jobs.remove(&id)
+    }
+
+    /// Returns the number of jobs without a started task, by queue.
+    pub fn waiting(&self) -> &BTreeMap<QueueName, u32> {
+        &self.waiting
+    }
+
+    /// Returns every job.
+    pub fn iter(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+}
+
+fn decrement(waiting: &mut BTreeMap<QueueName, u32>, queue: &QueueName) {
+    if let Some(count) = waiting.get_mut(queue) {
+        *count = count.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/job/mod.rs
@@ -0,0 +1,35 @@
+//! Jobs and how far they have come.
+//!
+//! A job runs its steps once for each occurrence. What must survive its owner is its [`JobRecord`], written when it is
+//! accepted, and its [`Progress`], written before an end is acknowledged:
+//!
+//! ```
+//! use lagoon_core::unit::Timestamp;
+//! use lagoon_jobs::job::{Job, JobRecord, JobState};
+//! use lagoon_jobs::spec::{JobSpec, StepSpec};
+//!
+//! let spec = JobSpec::new("lot 7", vec![StepSpec::single()], None).unwrap();
+//! let record = JobRecord::new("reports".parse().unwrap(), Timestamp::from_millis(1), spec);
+//! let job = Job::new("5c0e7a21d94b36f8".parse().unwrap(), record);
+//! assert_eq!(job.state(), JobState::Queued);
+//! ```
+
+mod attempt_progress;
+mod attempts;
+mod estimate;
+#[expect(clippy::module_inception, reason = "one type per file")]
+mod job;
+mod job_record;
+mod job_state;
+mod job_table;
+mod progress;
+mod round;
+mod step;
+mod step_progress;
+mod task_phase;
+
+pub use self::{
+    attempt_progress::AttemptProgress, attempts::Attempts, estimate::RunTimes, job::Job,
+    job_record::JobRecord, job_state::JobState, job_table::JobTable, progress::Progress,
+    round::Round, step::Step, step_progress::StepProgress, task_phase::TaskPhase,
+};
--- /dev/null
+++ b/crates/jobs/src/job/step.rs
@@ -0,0 +1,163 @@
+use crate::id::{Checkpoint, RunNumber};
+use crate::job::{AttemptProgress, Attempts, StepProgress, TaskPhase};
+use crate::spec::StepSpec;
+
+/// One step of one occurrence.
+#[derive(Debug, Clone)]
+pub struct Step {
+    phases: Vec<TaskPhase>,
+    attempts: Vec<Attempts>,
+    idle: u32,
+    done: u32,
+    is_gang: bool,
+}
+
+impl Step {
+    pub(crate) fn new(spec: &StepSpec) -> Self {
+        let count = spec.count as usize;
+        let attempts = if spec.gang { 1 } else { count };
+        Self {
+            phases: vec![TaskPhase::Idle; count],
+            attempts: vec![Attempts::default(); attempts],
+            idle: spec.count,
+            done: 0,
+            is_gang: spec.gang,
+        }
+    }
+
+    /// Returns whether a task still has to run.
+    pub fn phase(&self, index: u32) -> Option<TaskPhase> {
+        self.phases.get(index as usize).copied()
+    }
+
+    /// Moves a task to a phase. A task that is done stays so.
+    pub fn set_phase(&mut self, index: u32, phase: TaskPhase) {
+        let Some(current) = self.phases.get_mut(index as usize) else {
+            return;
+        };
+        if *current == TaskPhase::Done || *current == phase {
+            return;
+        }
+        match *current {
+            TaskPhase::Idle => self.idle -= 1,
+            TaskPhase::Active | TaskPhase::Done => {}
+        }
+        match phase {
+            TaskPhase::Idle => self.idle += 1,
+            TaskPhase::Done => self.done += 1,
+            TaskPhase::Active => {}
+        }
+        *current = phase;
+    }
+
+    /// Marks every task as done, because one member of a gang speaks for all.
+    pub fn complete(&mut self) {
+        for index in 0..self.phases.len() as u32 {
+            self.set_phase(index, TaskPhase::Done);
+        }
+    }
+
+    /// Returns the attempts of a task, or of its gang.
+    pub fn attempts(&self, index: u32) -> &Attempts {
+        &self.attempts[self.attempt_index(index)]
+    }
+
+    /// Returns the attempts of a task, or of its gang, to change them.
+    pub fn attempts_mut(&mut self, index: u32) -> &mut Attempts {
+        let i = self.attempt_index(index);
+        &mut self.attempts[i]
+    }
+
+    /// Returns tasks that wait to be started.
+    pub fn idle_tasks(&self) -> impl Iterator<Item = u32> {
+        let indexed = (0..).zip(&self.phases);
+        indexed.filter_map(|(i, phase)| (*phase == TaskPhase::Idle).then_some(i))
+    }
+
+    /// Returns the number of tasks that wait to be started.
+    pub fn idle(&self) -> u32 {
+        self.idle
+    }
+
+    /// Returns the number of tasks.
+    pub fn count(&self) -> u32 {
+        self.phases.len() as u32
+    }
+
+    /// Tells whether all tasks are done.
+    pub fn is_done(&self) -> bool {
+        self.done == self.count()
+    }
+
+    /// Tells whether the tasks run only together.
+    pub fn is_gang(&self) -> bool {
+        self.is_gang
+    }
+
+    /// Keeps saved progress for the next run.
+    pub fn save(&mut self, index: u32, checkpoint: Option<Checkpoint>) {
+        if checkpoint.is_some() {
+            self.attempts_mut(index).checkpoint = checkpoint;
+        }
+    }
+
+    /// Raises the last run number, so that the next run gets a higher one.
+    pub fn used(&mut self, index: u32, number: RunNumber) {
+        let attempts = self.attempts_mut(index);
+        attempts.last = attempts.last.max(number);
+    }
+
+    pub(crate) fn progress(&self, occurrence: u32, step: u16) -> Option<StepProgress> {
+        let done = ranges(&self.phases);
+        let attempts: Vec<AttemptProgress> = (0..).zip(&self.attempts).filter_map(durable).collect();
+        let is_empty = done.is_empty() && attempts.is_empty();
+        (!is_empty).then_some(StepProgress {
+            occurrence,
+            step,
+            done,
+            attempts,
+        })
+    }
+
+    pub(crate) fn restore(&mut self, progress: &StepProgress) {
+        for &(first, last) in &progress.done {
+            let last = last.min(self.count().saturating_sub(1));
+            (first..=last).for_each(|index| self.set_phase(index, TaskPhase::Done));
+        }
+        for stored in &progress.attempts {
+            if let Some(attempts) = self.attempts.get_mut(stored.index as usize) {
+                attempts.failures = stored.failures;
+                attempts.last_failed = stored.last_failed;
+                attempts.checkpoint = stored.checkpoint.clone();
+            }
+        }
+    }
+
+    fn attempt_index(&self, index: u32) -> usize {
+        if self.is_gang { 0 } else { index as usize }
+    }
+}
+
+fn durable((index, attempts): (u32, &Attempts)) -> Option<AttemptProgress> {
+    let is_empty = attempts.failures == 0 && attempts.checkpoint.is_none();
+    (!is_empty).then(|| AttemptProgress {
+        index,
+        failures: attempts.failures,
+        last_failed: attempts.last_failed,
+        checkpoint: attempts.checkpoint.clone(),
+    })
+}
+
+fn ranges(phases: &[TaskPhase]) -> Vec<(u32, u32)> {
+    let mut ranges: Vec<(u32, u32)> = Vec::new();
+    for (index, phase) in (0..).zip(phases) {
+        if *phase != TaskPhase::Done {
+            continue;
+        }
+        match ranges.last_mut() {
+            Some((_, last)) if *last + 1 == index => *last = index,
+            _ => ranges.push((index, index)),
+        }
+    }
+    ranges
+}
--- /dev/null
+++ b/crates/jobs/src/job/task_phase.rs
@@ -0,0 +1,10 @@
+/// Whether a task still has to run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TaskPhase {
+    /// It waits to be started.
+    Idle,
+    /// A run of it exists or may exist.
+    Active,
+    /// It is done.
+    Done,
+}
--- /dev/null
+++ b/crates/jobs/src/policy/cell_policy.rs
@@ -0,0 +1,61 @@
+use std::collections::HashMap;
+
+use crate::id::QueueName;
+use crate::policy::{Queue, Service};
+
+/// One version of the operators' configuration.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct CellPolicy {
+    version: u64,
+    queues: Vec<Queue>,
+    services: Vec<Service>,
+    by_name: HashMap<QueueName, usize>,
+    by_host: HashMap<String, Vec<usize>>,
+}
+
+impl CellPolicy {
+    /// Indexes the queues of a version.
+    pub fn new(version: u64, queues: Vec<Queue>, services: Vec<Service>) -> Self {
+        let mut by_name = HashMap::new();
+        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (i, queue) in queues.iter().enumerate() {
+            by_name.insert(queue.name.clone(), i);
+            by_host.entry(queue.host.clone()).or_default().push(i);
+        }
+        Self {
+            version,
+            queues,
+            services,
+            by_name,
+            by_host,
+        }
+    }
+
+    /// Returns the version, which only grows.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the queues.
+    pub fn queues(&self) -> &[Queue] {
+        &self.queues
+    }
+
+    /// Returns the services.
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
+    /// Finds a queue by its name.
+    pub fn queue(&self, name: &QueueName) -> Option<&Queue> {
+        self.by_name.get(name).map(|i| &self.queues[*i])
+    }
+
+    /// Finds the queue with the longest prefix that `path` begins with.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
+        let queues = self.by_host.get(host)?.iter().map(|i| &self.queues[*i]);
+        queues
+            .filter(|queue| path.starts_with(&queue.prefix))
+            .max_by_key(|queue| queue.prefix.len())
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/policy/service.rs
@@ -0,0 +1,8 @@
+use crate::id::ServiceName;
+
+/// A service whose executors run tasks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceName,
+}
--- /dev/null
+++ b/crates/jobs/src/record/mod.rs
@@ -0,0 +1,6 @@
+//! What has to be written to the store before it may be acknowledged or shown.
+
+mod ledger;
+mod record_number;
+
+pub use self::{ledger::Ledger, record_number::RecordNumber};
--- /dev/null
+++ b/crates/jobs/src/run/ended_row.rs
@@ -0,0 +1,17 @@
+use crate::id::{Checkpoint, RunNumber, TaskKey};
+use crate::run::EndKind;
+
+/// One end in the list of an executor.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndedRow {
+    /// Number of the end in this life of the executor, from 1.
+    pub sequence: u64,
+    /// The task.
+    pub task: TaskKey,
+    /// The run of it that ended.
+    pub number: RunNumber,
+    /// How it ended.
+    pub how: EndKind,
+    /// Progress it saved.
+    pub checkpoint: Option<Checkpoint>,
+}
--- /dev/null
+++ b/crates/jobs/src/run/run.rs
@@ -0,0 +1,39 @@
+use lagoon_core::unit::{Resources, Timestamp};
+
+use crate::fleet::ExecutorSlot;
+use crate::id::{RunNumber, TaskKey};
+use crate::run::RunPhase;
+
+/// One run of a task.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub number: RunNumber,
+    /// Where it runs.
+    pub slot: ExecutorSlot,
+    /// What is reserved for it there.
+    pub need: Resources,
+    /// How far it has come.
+    pub phase: RunPhase,
+    /// When it was ordered to start.
+    pub ordered: Timestamp,
+    /// Progress in percent and when it last changed.
+    pub progress: (u32, Timestamp),
+}
+
+impl Run {
+    /// Tells whether it is known to run and not ordered to stop.
+    pub fn is_running(&self) -> bool {
+        matches!(self.phase, RunPhase::Running { .. })
+    }
+
+    /// Tells whether it is ordered to stop or may have to be.
+    pub fn is_ending(&self) -> bool {
+        matches!(
+            self.phase,
+            RunPhase::Stopping { .. } | RunPhase::Unconfirmed { .. }
+        )
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/run/run_table.rs
@@ -0,0 +1,77 @@
+use std::collections::BTreeMap;
+
+use crate::fleet::{ExecutorSlot, Fleet};
+use crate::id::{JobId, RunNumber, StepKey, TaskKey};
+use crate::run::Run;
+
+/// Every run that exists or may exist, at most one for each task.
+///
+/// Adding and removing a run also reserves and releases its resources, so that both always agree.
+#[derive(Debug, Clone, Default)]
+pub struct RunTable {
+    runs: BTreeMap<TaskKey, Run>,
+}
+
+impl RunTable {
+    /// Adds a run and reserves its resources.
+    pub fn insert(&mut self, run: Run, fleet: &mut Fleet) {
+        fleet.get_mut(run.slot).reserve(run.task, run.need);
+        self.runs.insert(run.task, run);
+    }
+
+    /// Removes a run and releases its resources.
+    pub fn remove(&mut self, task: TaskKey, fleet: &mut Fleet) -> Option<Run> {
+        let run = self.runs.remove(&task)?;
+        fleet.get_mut(run.slot).release(task, run.need);
+        Some(run)
+    }
+
+    /// Returns the run of a task.
+    pub fn get(&self, task: TaskKey) -> Option<&Run> {
+        self.runs.get(&task)
+    }
+
+    /// Returns the run of a task to change it.
+    pub fn get_mut(&mut self, task: TaskKey) -> Option<&mut Run> {
+        self.runs.get_mut(&task)
+    }
+
+    /// Returns the run of a task if it has this number and place.
+    pub fn matching(
+        &mut self,
+        task: TaskKey,
+        number: RunNumber,
+        slot: ExecutorSlot,
+    ) -> Option<&mut Run> {
+        let run = self.runs.get_mut(&task)?;
+        (run.number == number && run.slot == slot).then_some(run)
+    }
+
+    /// Returns the runs of a step.
+    pub fn of_step(&self, step: StepKey) -> impl Iterator<Item = &Run> {
+        let range = step.task(0)..=step.task(u32::MAX);
+        self.runs.range(range).map(|(_, run)| run)
+    }
+
+    /// Returns the runs of a job.
+    pub fn of_job(&self, job: JobId) -> impl Iterator<Item = &Run> {
+        let first = StepKey::new(job, 0, 0).task(0);
+        let last = StepKey::new(job, u32::MAX, u16::MAX).task(u32::MAX);
+        self.runs.range(first..=last).map(|(_, run)| run)
+    }
+
+    /// Returns every run.
+    pub fn iter(&self) -> impl Iterator<Item = &Run> {
+        self.runs.values()
+    }
+
+    /// Returns the number of runs.
+    pub fn len(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Tells whether there is no run.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/node/src/cell/cell_view.rs
@@ -0,0 +1,68 @@
+use std::collections::BTreeMap;
+
+use lagoon_adapter::store::{Event, StoreItem};
+use lagoon_jobs::id::MemberId;
+
+use crate::cell::{Keys, MemberEntry, OwnerEntry};
+
+/// Members and owner of the cell as the store last told them.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(crate) struct CellView {
+    /// The store has been read.
+    pub(crate) is_known: bool,
+    pub(crate) owner: Option<OwnerEntry>,
+    pub(crate) members: BTreeMap<MemberId, MemberEntry>,
+}
+
+impl CellView {
+    pub(crate) fn from_items(items: &[StoreItem]) -> Self {
+        let mut view = Self {
+            is_known: true,
+            ..Self::default()
+        };
+        items.iter().for_each(|item| view.write(item));
+        view
+    }
+
+    pub(crate) fn apply(&mut self, event: &Event) {
+        match event {
+            Event::Written(item) => self.write(item),
+            Event::Removed(key) if key == Keys::OWNER => self.owner = None,
+            Event::Removed(key) => {
+                let member = key.strip_prefix(Keys::MEMBERS).and_then(|id| id.parse().ok());
+                if let Some(member) = member {
+                    self.members.remove::<MemberId>(&member);
+                }
+            }
+        }
+    }
+
+    /// Returns how many members come before `member` when the cell needs an owner: stronger ones first.
+    pub(crate) fn turn(&self, member: &MemberId) -> usize {
+        let Some(own) = self.members.get(member) else {
+            return self.members.len();
+        };
+        let comes_before = |other: &&MemberEntry| {
+            !other.leaving
+                && (other.strength > own.strength
+                    || (other.strength == own.strength && other.member < own.member))
+        };
+        self.members.values().filter(comes_before).count()
+    }
+
+    fn write(&mut self, item: &StoreItem) {
+        if item.key == Keys::OWNER {
+            match serde_json::from_slice(&item.value) {
+                Ok(owner) => self.owner = Some(owner),
+                Err(e) => tracing::error!("cell: owner entry is not readable: {e}"),
+            }
+        } else if item.key.starts_with(Keys::MEMBERS) {
+            match serde_json::from_slice::<MemberEntry>(&item.value) {
+                Ok(entry) => {
+                    self.members.insert(entry.member.clone(), entry);
+                }
+                Err(e) => tracing::error!(key = %item.key, "cell: member entry is not readable: {e}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/cell/follow.rs
@@ -0,0 +1,59 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoon_adapter::store::Watched;
+use lagoon_core::unit::Millis;
+use lagoon_platform::PlatformError;
+
+use crate::cell::{CellView, Keys};
+use crate::context::Context;
+
+/// Longest wait of one watch. A connection that went silent is noticed soon after.
+const WATCH_WAIT: Millis = Millis::new(2_000);
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Keeps the view of the cell current until the process ends.
+pub(crate) async fn follow(cx: Context) {
+    loop {
+        if let Err(e) = follow_once(&cx).await {
+            tracing::warn!("cell: members can't be followed: {e}");
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn follow_once(cx: &Context) -> Result<(), PlatformError> {
+    let (items, mut at) = cx.store.list(Keys::CELL).await?;
+    let mut view = CellView::from_items(&items);
+    publish(cx, &view);
+    loop {
+        match cx.store.watch(Keys::CELL, at, WATCH_WAIT).await? {
+            Watched::HistoryLost => {
+                tracing::info!("cell: the store has lost its history, reading anew");
+                return Ok(());
+            }
+            Watched::Events { events, next } => {
+                at = at.max(next);
+                events.iter().for_each(|event| view.apply(event));
+                publish(cx, &view);
+            }
+        }
+    }
+}
+
+fn publish(cx: &Context, view: &CellView) {
+    cx.cell.send_if_modified(|current| {
+        let changed = **current != *view;
+        if changed {
+            tracing::info!(
+                owner = view.owner.as_ref().map(|owner| owner.member.as_str()),
+                epoch = view.owner.as_ref().map(|owner| owner.epoch.get()),
+                members = view.members.len(),
+                "cell: members or owner changed"
+            );
+            *current = Arc::new(view.clone());
+        }
+        changed
+    });
+}
--- /dev/null
+++ b/crates/node/src/cell/keys.rs
@@ -0,0 +1,51 @@
+use lagoon_jobs::id::{JobId, MemberId};
+
+/// Keys under which the cell keeps its state in the store.
+#[derive(Debug)]
+pub(crate) struct Keys;
+
+impl Keys {
+    /// Prefix of what all members watch.
+    pub(crate) const CELL: &str = "lagoon/cell/";
+    /// The owner, under its lease.
+    pub(crate) const OWNER: &str = "lagoon/cell/owner";
+    /// Prefix of the members, each under its lease.
+    pub(crate) const MEMBERS: &str = "lagoon/cell/member/";
+    /// Epoch of the owner and number of its last write; a condition of every write of the owner.
+    pub(crate) const HEAD: &str = "lagoon/head";
+    /// Prefix of accepted jobs and of their cancellations.
+    pub(crate) const JOBS: &str = "lagoon/job/";
+    /// Prefix of the progress of jobs.
+    pub(crate) const PROGRESS: &str = "lagoon/progress/";
+    const CANCELLED: &str = ".cancelled";
+
+    pub(crate) fn member(member: &MemberId) -> String {
+        format!("{}{member}", Self::MEMBERS)
+    }
+
+    pub(crate) fn job(id: JobId) -> String {
+        format!("{}{id}", Self::JOBS)
+    }
+
+    pub(crate) fn cancelled(id: JobId) -> String {
+        format!("{}{id}{}", Self::JOBS, Self::CANCELLED)
+    }
+
+    pub(crate) fn progress(id: JobId) -> String {
+        format!("{}{id}", Self::PROGRESS)
+    }
+
+    /// Reads a key under [`Self::JOBS`]: the job, and whether the key is that of its cancellation.
+    pub(crate) fn parse_job(key: &str) -> Option<(JobId, bool)> {
+        let rest = key.strip_prefix(Self::JOBS)?;
+        match rest.strip_suffix(Self::CANCELLED) {
+            Some(id) => Some((id.parse().ok()?, true)),
+            None => Some((rest.parse().ok()?, false)),
+        }
+    }
+
+    /// Reads a key under [`Self::PROGRESS`].
+    pub(crate) fn parse_progress(key: &str) -> Option<JobId> {
+        key.strip_prefix(Self::PROGRESS)?.parse().ok()
+    }
+}
--- /dev/null
+++ b/crates/node/src/cell/mod.rs
@@ -0,0 +1,22 @@
+//! Membership of the cell and its ownership.
+//!
+//! Every node registers itself under a lease of the store. The owner's key is under the owner's lease too, so it vanishes
+//! when the owner does, and another member claims the cell with the next epoch.
+
+mod cell_view;
+mod claim;
+mod follow;
+mod keys;
+mod member_entry;
+mod owner_entry;
+mod register;
+
+pub(crate) use self::{
+    cell_view::CellView,
+    claim::{Claim, Head, claim, owner_transaction, wait_for_turn},
+    follow::follow,
+    keys::Keys,
+    member_entry::MemberEntry,
+    owner_entry::OwnerEntry,
+    register::{LeaseHandle, register},
+};
--- /dev/null
+++ b/crates/node/src/cell/register.rs
@@ -0,0 +1,79 @@
+use std::time::Duration;
+
+use lagoon_adapter::store::{LeaseId, Transaction, TxnOutcome};
+use lagoon_core::unit::Millis;
+use lagoon_platform::PlatformError;
+use lagoon_process::shutdown::Signal;
+use tokio::sync::watch;
+
+use crate::cell::{Keys, MemberEntry};
+use crate::context::Context;
+
+/// Time after which a member that ceased to renew is gone. Short, because nothing is placed until its successor begins.
+const LEASE_TTL: Millis = Millis::new(1_600);
+/// Time between two renewals, so that two may be lost.
+const RENEW_EVERY: Duration = Duration::from_millis(450);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(120);
+
+/// The lease of this member; `None` while it has none.
+pub(crate) type LeaseHandle = watch::Receiver<Option<LeaseId>>;
+
+/// Keeps this member registered until it is told to stop, then ends its lease.
+pub(crate) async fn register(cx: Context, lease: watch::Sender<Option<LeaseId>>, mut stop: Signal) {
+    loop {
+        tokio::select! {
+            ended = register_once(&cx, &lease) => {
+                lease.send_replace(None);
+                match ended {
+                    Ok(()) => tracing::warn!("cell: the lease of this member has ended"),
+                    Err(e) => tracing::warn!("cell: this member can't register: {e}"),
+                }
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+            () = stop.wait() => break,
+        }
+    }
+    let held = *lease.borrow();
+    if let Some(id) = held {
+        match cx.store.end_lease(id).await {
+            Ok(()) => tracing::info!("cell: this member has left"),
+            Err(e) => tracing::warn!("cell: the lease can't be ended, it will lapse: {e}"),
+        }
+    }
+}
+
+/// Registers under a new lease and renews it until it ends.
+async fn register_once(
+    cx: &Context,
+    handle: &watch::Sender<Option<LeaseId>>,
+) -> Result<(), PlatformError> {
+    let ttl = LEASE_TTL.max(cx.settings.limits.min_store_lease);
+    let lease = cx.store.lease(ttl).await?.id;
+    let entry = MemberEntry {
+        member: cx.member().clone(),
+        address: cx.settings.listen.peers.get(),
+        strength: cx.settings.strength,
+        leaving: false,
+    };
+    let value = serde_json::to_vec(&entry).expect("entries have string keys");
+    let write = Transaction::new().put_leased(Keys::member(cx.member()), value, lease);
+    match cx.store.commit(write).await? {
+        TxnOutcome::Committed(_) => {}
+        TxnOutcome::Conflict(_) | TxnOutcome::LeaseEnded => return Ok(()),
+    }
+    handle.send_replace(Some(lease));
+    tracing::info!(%lease, "cell: this member is registered");
+    loop {
+        tokio::time::sleep(RENEW_EVERY).await;
+        match cx.store.renew(lease).await {
+            Ok(true) => cx.metrics.count("lease.renewed", 1),
+            Ok(false) => return Ok(()),
+            // The lease may outlast a short outage; only the store knows.
+            Err(e) => {
+                cx.metrics.count("lease.renewal_failed", 1);
+                tracing::warn!("cell: lease not renewed: {e}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/context.rs
@@ -0,0 +1,74 @@
+use std::sync::Arc;
+
+use lagoon_adapter::{AdviserClient, ExecutorClient, StoreClient};
+use lagoon_core::unit::Millis;
+use lagoon_jobs::id::MemberId;
+use lagoon_jobs::policy::CellPolicy;
+use lagoon_platform::{ClientSettings, Endpoint, Transport};
+use lagoon_process::{Clock, Metrics};
+use tokio::sync::watch;
+
+use crate::cell::CellView;
+use crate::peers::Peers;
+use crate::settings::NodeSettings;
+
+/// Time for a call of the store; it answers in 4 ms, and callers wait 3 s in all.
+const STORE_TIMEOUT: Millis = Millis::new(1_200);
+/// Time for an order to an executor; the slowest link takes 40 ms there and back.
+const EXECUTOR_TIMEOUT: Millis = Millis::new(800);
+/// Time for a question to the adviser, beside the time that the answer takes.
+const ADVISER_TIMEOUT: Millis = Millis::new(2_500);
+/// Time to connect; a refused or cut link shows by then.
+const CONNECT_TIMEOUT: Millis = Millis::new(400);
+
+/// What all tasks of a node share.
+#[derive(Debug, Clone)]
+pub(crate) struct Context {
+    pub(crate) settings: Arc<NodeSettings>,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    pub(crate) store: StoreClient,
+    pub(crate) executors: ExecutorClient,
+    pub(crate) adviser: AdviserClient,
+    pub(crate) peers: Peers,
+    /// Configuration in force; `None` until the first one arrives.
+    pub(crate) policy: watch::Sender<Option<Arc<CellPolicy>>>,
+    /// Members and owner of the cell.
+    pub(crate) cell: watch::Sender<Arc<CellView>>,
+}
+
+impl Context {
+    pub(crate) fn new(settings: NodeSettings, clock: Clock, metrics: Metrics) -> Self {
+        let transport = |request_timeout| {
+            Transport::new(ClientSettings {
+                request_timeout,
+                connect_timeout: CONNECT_TIMEOUT,
+                ..ClientSettings::default()
+            })
+        };
+        let endpoint = |address: lagoon_process::settings::Address| Endpoint::from(address.get());
+        Self {
+            store: StoreClient::new(endpoint(settings.store), transport(STORE_TIMEOUT)),
+            executors: ExecutorClient::new(transport(EXECUTOR_TIMEOUT)),
+            adviser: AdviserClient::new(endpoint(settings.adviser), transport(ADVISER_TIMEOUT)),
+            peers: Peers::default(),
+            policy: watch::Sender::new(None),
+            cell: watch::Sender::new(Arc::default()),
+            settings: Arc::new(settings),
+            clock,
+            metrics,
+        }
+    }
+
+    pub(crate) fn member(&self) -> &MemberId {
+        &self.settings.member
+    }
+
+    pub(crate) fn current_policy(&self) -> Option<Arc<CellPolicy>> {
+        self.policy.borrow().clone()
+    }
+
+    pub(crate) fn current_cell(&self) -> Arc<CellView> {
+        self.cell.borrow().clone()
+    }
+}
--- /dev/null
+++ b/crates/node/src/desk/mod.rs
@@ -0,0 +1,8 @@
+//! Answers callers on any member: stores jobs and cancellations, and asks the owner how far a job is.
+
+#[expect(clippy::module_inception, reason = "one type per file")]
+mod desk;
+mod owner_view;
+mod stored;
+
+pub(crate) use self::desk::Desk;
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,149 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoon_adapter::front;
+use lagoon_core::unit::{Bytes, Millis};
+use lagoon_process::health::Readiness;
+use lagoon_process::server::{Limits, Server, Serving};
+use lagoon_process::shutdown::{Signal, Trigger};
+use lagoon_process::{Clock, Metrics, RunError, logging};
+use lagoon_wire::v1::cell_peer_server::CellPeerServer;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tonic::transport::server::TcpIncoming;
+
+use crate::context::Context;
+use crate::desk::Desk;
+use crate::owner::{self, Office};
+use crate::peers::PeerService;
+use crate::{NodeSettings, cell, policy};
+
+/// Limits of callers' connections; the platform's largest body is 256 KiB.
+const CALLER_LIMITS: Limits = Limits {
+    max_body: Bytes::new(256 << 10),
+    read_timeout: Millis::new(15_000),
+};
+/// Limits of the small endpoints.
+const SMALL_LIMITS: Limits = Limits {
+    max_body: Bytes::new(4 << 10),
+    read_timeout: Millis::new(15_000),
+};
+/// Part of the grace period in which the platform still sends new connections, until two questions for readiness failed.
+const LEAVE_TIME: Millis = Millis::new(2_300);
+/// Part of the grace period kept for ending.
+const END_TIME: Millis = Millis::new(700);
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    settings: Arc<NodeSettings>,
+    readiness: Readiness,
+    callers: Server<Serving>,
+    stop: Trigger,
+    registered: tokio::task::JoinHandle<()>,
+    owning: tokio::task::JoinHandle<()>,
+    tasks: JoinSet<()>,
+}
+
+impl Node {
+    /// Listens and begins to serve.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be listened on.
+    pub async fn bind(settings: NodeSettings, clock: Clock) -> Result<Self, RunError> {
+        let cx = Context::new(settings, clock, Metrics::default());
+        let listen = &cx.settings.listen;
+        let office = Office::vacant();
+        let readiness = Readiness::not_ready("no configuration has arrived");
+        let mut tasks = JoinSet::new();
+        let ready = front::readiness_router(readiness.clone());
+        let small = Server::bind(listen.readiness, SMALL_LIMITS).await?.serve(ready);
+        let metrics = Server::bind(listen.metrics, SMALL_LIMITS).await?;
+        let metrics = metrics.serve(cx.metrics.router());
+        let desk = Arc::new(Desk::new(cx.clone(), office.clone()));
+        let callers = Server::bind(listen.callers, CALLER_LIMITS).await?;
+        let callers = callers.serve(front::router(desk));
+        tasks.spawn(hold_open(vec![small, metrics]));
+        tasks.spawn(serve_peers(cx.clone(), office.clone()).await?);
+        tasks.spawn(policy::follow(cx.clone()));
+        tasks.spawn(cell::follow(cx.clone()));
+        tasks.spawn(follow_readiness(cx.clone(), readiness.clone()));
+        let (stop, stopped) = Signal::manual();
+        let (lease_tx, lease) = watch::channel(None);
+        let registered = tokio::spawn(cell::register(cx.clone(), lease_tx, stopped.clone()));
+        let owning = tokio::spawn(owner::run(cx.clone(), lease, office, stopped));
+        tracing::info!(
+            member = %cx.member(), failure_domain = %cx.settings.failure_domain,
+            callers = %listen.callers, peers = %listen.peers, "node: started"
+        );
+        Ok(Self {
+            settings: cx.settings.clone(),
+            readiness,
+            callers,
+            stop,
+            registered,
+            owning,
+            tasks,
+        })
+    }
+
+    /// Leaves the cell, serves what still arrives until the platform sends nothing more, and ends.
+    pub async fn stop(mut self) {
+        tracing::info!(member = %self.settings.member, "node: stopping");
+        self.readiness.set(Some("the node stops".to_owned()));
+        self.stop.fire();
+        // Both end by themselves after the signal.
+        let _ = self.owning.await;
+        let _ = self.registered.await;
+        let grace = self.settings.limits.grace;
+        let drain = grace.saturating_sub(LEAVE_TIME).saturating_sub(END_TIME);
+        tokio::time::sleep(LEAVE_TIME.min(grace).to_duration()).await;
+        let answered_all = self.callers.drain().stopped(drain).await;
+        tracing::info!(member = %self.settings.member, answered_all, "node: stopped");
+    }
+}
+
+/// Runs a node until it is told to stop.
+pub(crate) async fn run(settings: NodeSettings, mut signal: Signal) -> Result<(), RunError> {
+    logging::start(&settings.log, "node");
+    let node = Node::bind(settings, Clock::anchored()).await?;
+    signal.wait().await;
+    node.stop().await;
+    Ok(())
+}
+
+async fn hold_open(servers: Vec<Server<Serving>>) {
+    std::future::pending::<()>().await;
+    drop(servers);
+}
+
+async fn serve_peers(
+    cx: Context,
+    office: Office,
+) -> Result<impl Future<Output = ()> + Send + 'static, RunError> {
+    let address = cx.settings.listen.peers;
+    let failed = |e| RunError::new(format!("node: can't listen on {address}"), e);
+    let listener = TcpListener::bind(address.get()).await.map_err(failed)?;
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let service = CellPeerServer::new(PeerService::new(cx, office));
+    Ok(async move {
+        let server = tonic::transport::Server::builder().add_service(service);
+        if let Err(e) = server.serve_with_incoming(incoming).await {
+            tracing::error!("node: calls of peers are no longer answered: {e}");
+        }
+    })
+}
+
+/// Reports the node as ready as soon as it has a configuration and has read the cell.
+async fn follow_readiness(cx: Context, readiness: Readiness) {
+    let mut policy = cx.policy.subscribe();
+    let mut cell = cx.cell.subscribe();
+    let has_policy = policy.wait_for(Option::is_some).await.is_ok();
+    let has_cell = cell.wait_for(|view| view.is_known).await.is_ok();
+    if has_policy && has_cell && readiness.set(None) {
+        tracing::info!("node: ready");
+    }
+    std::future::pending::<Duration>().await;
+}
--- /dev/null
+++ b/crates/node/src/owner/drive_executor.rs
@@ -0,0 +1,73 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoon_jobs::dispatch::{HoldRequest, HoldStep};
+use lagoon_jobs::fleet::ExecutorSlot;
+use lagoon_jobs::id::ExecutorId;
+use tokio::task::JoinSet;
+
+use crate::context::Context;
+use crate::owner::Shard;
+
+/// Time without a write of progress after which an executor is held all the same, so that leases outlast an outage.
+const RECORD_OVERDUE: Duration = Duration::from_millis(400);
+/// Pause after a hold that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Drives a number of executors, each in a task of its own.
+pub(super) async fn drive_all(
+    cx: Context,
+    shard: Arc<Shard>,
+    executors: Vec<(ExecutorSlot, ExecutorId)>,
+) {
+    let mut drivers = JoinSet::new();
+    for (slot, id) in executors {
+        drivers.spawn(drive(cx.clone(), shard.clone(), slot, id));
+    }
+    while drivers.join_next().await.is_some() {}
+}
+
+/// Holds one executor as long as something runs there: renews leases, takes in ends and acknowledges them.
+pub(super) async fn drive(cx: Context, shard: Arc<Shard>, slot: ExecutorSlot, id: ExecutorId) {
+    let wake = shard.wake(slot);
+    let mut recorded = shard.recorded.subscribe();
+    let mut overdue = false;
+    loop {
+        recorded.mark_unchanged();
+        let now = cx.clock.now();
+        match shard.with(|dispatcher| dispatcher.next_hold(slot, overdue, now)) {
+            HoldStep::Idle => {
+                overdue = false;
+                wake.notified().await;
+            }
+            HoldStep::AwaitRecord => {
+                let changed = tokio::time::timeout(RECORD_OVERDUE, recorded.changed()).await;
+                overdue = changed.is_err();
+            }
+            HoldStep::Hold(req) => {
+                hold(&cx, &shard, slot, &id, &req).await;
+                overdue = false;
+            }
+        }
+    }
+}
+
+async fn hold(cx: &Context, shard: &Shard, slot: ExecutorSlot, id: &ExecutorId, req: &HoldRequest) {
+    let asked = cx.clock.now();
+    cx.metrics.count("executor.holds", 1);
+    match cx.executors.hold(id, req).await {
+        Ok(Some(listing)) => {
+            shard.change(|dispatcher| dispatcher.listed(slot, &listing, asked, cx.clock.now()));
+        }
+        Ok(None) => {
+            tracing::warn!(executor = %id, epoch = %req.epoch, "owner: executor has seen a later owner");
+            shard.change(|dispatcher| dispatcher.fenced());
+        }
+        Err(e) => {
+            cx.metrics.count("executor.holds_failed", 1);
+            tracing::warn!(executor = %id, "owner: hold failed: {e}");
+            shard.change(|dispatcher| dispatcher.hold_failed(slot, cx.clock.now()));
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/follow_executors.rs
@@ -0,0 +1,113 @@
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoon_adapter::store::{Event, Revision, StoreItem, Watched};
+use lagoon_adapter::{EXECUTOR_PREFIX, decode_entry};
+use lagoon_core::unit::Millis;
+use lagoon_jobs::id::ExecutorId;
+use lagoon_platform::PlatformError;
+use tokio::task::JoinSet;
+
+use crate::context::Context;
+use crate::owner::{Shard, drive_executor};
+
+/// Longest wait of one watch. A connection that went silent is noticed soon after.
+const WATCH_WAIT: Millis = Millis::new(1_500);
+/// Time in which changes gather before the next watch, because each watch is billed.
+const GATHER_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Time after an outage of the store in which entries that lapsed meanwhile come back.
+const RETURN_TIME: Duration = Duration::from_millis(2_000);
+
+/// Takes in executors as they appear, change and vanish.
+pub(super) async fn follow(cx: Context, shard: Arc<Shard>, mut at: Revision) {
+    let mut drivers = JoinSet::new();
+    loop {
+        let result = match watch(&cx, &shard, &mut at, &mut drivers).await {
+            Ok(()) => read_anew(&cx, &shard, &mut drivers).await.map(|read| at = read),
+            Err(e) => Err(e),
+        };
+        if let Err(e) = result {
+            tracing::warn!("owner: executors can't be followed: {e}");
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// Follows changes until the store has lost its history.
+async fn watch(
+    cx: &Context,
+    shard: &Arc<Shard>,
+    at: &mut Revision,
+    drivers: &mut JoinSet<()>,
+) -> Result<(), PlatformError> {
+    loop {
+        match cx.store.watch(EXECUTOR_PREFIX, *at, WATCH_WAIT).await? {
+            Watched::HistoryLost => return Ok(()),
+            Watched::Events { events, next } => {
+                *at = next.max(*at);
+                let is_empty = events.is_empty();
+                for event in &events {
+                    match event {
+                        Event::Written(item) => take_in(cx, shard, item, drivers),
+                        Event::Removed(key) => unlist(shard, key),
+                    }
+                }
+                if !is_empty {
+                    tokio::time::sleep(GATHER_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+async fn read_anew(
+    cx: &Context,
+    shard: &Arc<Shard>,
+    drivers: &mut JoinSet<()>,
+) -> Result<Revision, PlatformError> {
+    tracing::info!("owner: the store has lost its history, reading all executors anew");
+    tokio::time::sleep(RETURN_TIME).await;
+    let (items, at) = cx.store.list(EXECUTOR_PREFIX).await?;
+    items.iter().for_each(|item| take_in(cx, shard, item, drivers));
+    let listed: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+    for (_, id) in shard.with(|dispatcher| dispatcher.executors()) {
+        let key = format!("{EXECUTOR_PREFIX}{id}");
+        if !listed.contains(key.as_str()) {
+            unlist(shard, &key);
+        }
+    }
+    Ok(at)
+}
+
+fn take_in(cx: &Context, shard: &Arc<Shard>, item: &StoreItem, drivers: &mut JoinSet<()>) {
+    let entry = match decode_entry(&item.key, &item.value) {
+        Ok(entry) => entry,
+        Err(e) => {
+            tracing::warn!(key = %item.key, "owner: executor entry ignored: {e}");
+            unlist(shard, &item.key);
+            return;
+        }
+    };
+    let id = entry.id.clone();
+    let draining = entry.draining;
+    let (slot, is_new) = shard.change(|dispatcher| dispatcher.observe(entry));
+    tracing::debug!(executor = %id, draining, is_new, "owner: executor entry");
+    if is_new {
+        tracing::info!(executor = %id, "owner: executor appeared");
+        drivers.spawn(drive_executor::drive(cx.clone(), shard.clone(), slot, id));
+    } else {
+        shard.wake(slot).notify_one();
+    }
+}
+
+fn unlist(shard: &Shard, key: &str) {
+    let id = key.strip_prefix(EXECUTOR_PREFIX).and_then(|id| id.parse::<ExecutorId>().ok());
+    if let Some(id) = id
+        && shard.change(|dispatcher| dispatcher.unlist(&id)).is_some()
+    {
+        tracing::info!(executor = %id, "owner: executor is no longer listed");
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/keep.rs
@@ -0,0 +1,69 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoon_jobs::id::MemberId;
+use tokio::sync::mpsc;
+
+use crate::cell::{CellView, LeaseHandle};
+use crate::context::Context;
+use crate::owner::Shard;
+use crate::owner::recorder::Recorder;
+
+/// Pause after an attempt to write the owner's key that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Passes changes of members and configuration on to the dispatcher, writes the owner's key again when its lease was
+/// lost, and steps down when another member owns the cell.
+pub(super) async fn keep(
+    cx: Context,
+    shard: Arc<Shard>,
+    recorder: Arc<Recorder>,
+    lease: LeaseHandle,
+    step_down: mpsc::Sender<()>,
+) {
+    let mut cell = cx.cell.subscribe();
+    let mut policy = cx.policy.subscribe();
+    loop {
+        let view = cell.borrow_and_update().clone();
+        if let Some(policy) = policy.borrow_and_update().clone() {
+            shard.change(|dispatcher| dispatcher.set_policy(policy));
+        }
+        set_members(&cx, &shard, &view);
+        match &view.owner {
+            Some(owner) if owner.member != *cx.member() => {
+                let epoch = shard.with(|dispatcher| dispatcher.epoch());
+                if owner.epoch > epoch {
+                    tracing::warn!(owner = %owner.member, epoch = %owner.epoch, "owner: another member owns the cell");
+                    // A full channel means that the step is already under way.
+                    let _ = step_down.try_send(());
+                }
+            }
+            Some(_) => {}
+            None => {
+                match recorder.reassert(&lease).await {
+                    Ok(true) => tracing::info!("owner: ownership written again"),
+                    Ok(false) => tokio::time::sleep(RETRY_PAUSE).await,
+                    Err(e) => {
+                        tracing::warn!("owner: ownership not written: {e}");
+                        tokio::time::sleep(RETRY_PAUSE).await;
+                    }
+                }
+                // The watch reports the key; until then another attempt only finds a conflict.
+                let _ = tokio::time::timeout(RETRY_PAUSE, cell.changed()).await;
+                continue;
+            }
+        }
+        tokio::select! {
+            changed = cell.changed() => if changed.is_err() { return },
+            changed = policy.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+fn set_members(cx: &Context, shard: &Shard, view: &CellView) {
+    let mut members: Vec<MemberId> = view.members.keys().cloned().collect();
+    if !members.contains(cx.member()) {
+        members.push(cx.member().clone());
+    }
+    shard.change(|dispatcher| dispatcher.set_members(&members));
+}
--- /dev/null
+++ b/crates/node/src/owner/mod.rs
@@ -0,0 +1,18 @@
+//! Ownership of the cell: read back what earlier owners left, then place work until another member takes over.
+//!
+//! An owner is driven by tasks that each wait for one thing: changes of jobs or executors in the store, ends on one
+//! executor, records to write, or time. Each changes the dispatcher under its lock and leaves the calls that follow from
+//! it to [`orders`].
+
+mod drive_executor;
+mod follow_executors;
+mod follow_jobs;
+mod keep;
+mod office;
+mod orders;
+mod recover;
+mod recorder;
+mod run;
+mod shard;
+
+pub(crate) use self::{office::Office, run::run, shard::Shard};
--- /dev/null
+++ b/crates/node/src/owner/orders.rs
@@ -0,0 +1,124 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use lagoon_core::unit::Millis;
+use lagoon_jobs::advice::Advised;
+use lagoon_jobs::dispatch::{AskOrder, Order, StartOrder, StopOrder};
+use lagoon_jobs::fleet::ExecutorSlot;
+use lagoon_jobs::id::ExecutorId;
+use lagoon_wire::v1::{AskAdviserRequest, AskAdviserResponse};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::JoinSet;
+
+use crate::context::Context;
+use crate::owner::Shard;
+
+/// Orders in flight to one executor, so that its connections stay far below its limit of 64.
+const MAX_ORDERS: usize = 6;
+/// Time for the way to another member and back, beside the time of its question.
+const PEER_TIMEOUT: Millis = Millis::new(1_500);
+
+/// Carries out orders until the task is aborted.
+pub(super) async fn carry_out(
+    cx: Context,
+    shard: Arc<Shard>,
+    mut orders: mpsc::UnboundedReceiver<Order>,
+    step_down: mpsc::Sender<()>,
+) {
+    let mut calls = JoinSet::new();
+    let mut permits: HashMap<ExecutorSlot, Arc<Semaphore>> = HashMap::new();
+    let new_permits = || Arc::new(Semaphore::new(MAX_ORDERS));
+    loop {
+        let order = tokio::select! {
+            order = orders.recv() => order,
+            Some(_) = calls.join_next() => continue,
+        };
+        match order {
+            Some(Order::Start(start)) => {
+                let permits = permits.entry(start.slot).or_insert_with(new_permits).clone();
+                calls.spawn(send_start(cx.clone(), shard.clone(), start, permits));
+            }
+            Some(Order::Stop(stop)) => {
+                calls.spawn(send_stop(cx.clone(), shard.clone(), stop));
+            }
+            Some(Order::Ask(ask)) => {
+                calls.spawn(send_ask(cx.clone(), shard.clone(), ask));
+            }
+            Some(Order::StepDown) => {
+                // A full channel means that the step is already under way.
+                let _ = step_down.try_send(());
+            }
+            None => return,
+        }
+    }
+}
+
+async fn send_start(cx: Context, shard: Arc<Shard>, order: StartOrder, permits: Arc<Semaphore>) {
+    let _permit = permits.acquire().await;
+    cx.metrics.count("executor.starts", 1);
+    let outcome = cx.executors.start(&order).await;
+    shard.change(|dispatcher| dispatcher.started(&order, outcome, cx.clock.now()));
+}
+
+async fn send_stop(cx: Context, shard: Arc<Shard>, order: StopOrder) {
+    cx.metrics.count("executor.stops", 1);
+    match cx.executors.stop(&order).await {
+        Ok(()) => shard.change(|dispatcher| dispatcher.stop_confirmed(&order, cx.clock.now())),
+        Err(e) => {
+            tracing::warn!(task = %order.task, run = %order.number, "owner: stop not confirmed, it is repeated: {e}");
+        }
+    }
+}
+
+async fn send_ask(cx: Context, shard: Arc<Shard>, order: AskOrder) {
+    cx.metrics.count("adviser.questions", 1);
+    let named: Vec<ExecutorId> = order.named.iter().map(|(_, id)| id.clone()).collect();
+    let answer = match order.member == *cx.member() {
+        true => match cx.adviser.ask(order.step, &named, order.cost).await {
+            Ok(advised) => Some(advised),
+            Err(e) => {
+                tracing::warn!(step = %order.step, "owner: the adviser gave no answer: {e}");
+                None
+            }
+        },
+        false => ask_through_peer(&cx, &order, &named).await,
+    };
+    shard.change(|dispatcher| dispatcher.advised(&order, answer.as_ref(), cx.clock.now()));
+}
+
+async fn ask_through_peer(cx: &Context, order: &AskOrder, named: &[ExecutorId]) -> Option<Advised> {
+    let cell = cx.current_cell();
+    let address = cell.members.get(&order.member)?.address;
+    let req = AskAdviserRequest {
+        step: order.step.to_string(),
+        executors: named.iter().map(ToString::to_string).collect(),
+        cost_ms: order.cost.get(),
+    };
+    let limit = PEER_TIMEOUT.saturating_add(order.cost).to_duration();
+    let mut client = cx.peers.client(address);
+    match tokio::time::timeout(limit, client.ask_adviser(req)).await {
+        Ok(Ok(answer)) => advised(answer.into_inner()),
+        Ok(Err(e)) => {
+            tracing::warn!(step = %order.step, member = %order.member, "owner: member could not ask: {e}");
+            None
+        }
+        Err(_) => {
+            tracing::warn!(step = %order.step, member = %order.member, "owner: member did not answer in time");
+            None
+        }
+    }
+}
+
+fn advised(answer: AskAdviserResponse) -> Option<Advised> {
+    let rows = answer.good.into_iter().filter_map(|row| {
+        let ticket = match row.ticket.parse() {
+            Ok(ticket) => ticket,
+            Err(never) => match never {},
+        };
+        Some((row.executor.parse().ok()?, ticket))
+    });
+    answer.answered.then(|| Advised {
+        good: rows.collect(),
+        valid: Millis::new(answer.valid_ms),
+    })
+}
--- /dev/null
+++ b/crates/node/src/owner/recover.rs
@@ -0,0 +1,150 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoon_adapter::{EXECUTOR_PREFIX, decode_entry};
+use lagoon_core::unit::{Millis, Timestamp};
+use lagoon_jobs::dispatch::{
+    DispatchLimits, Dispatcher, HoldRequest, HoldStep, Recovering, Serving,
+};
+use lagoon_jobs::fleet::ExecutorSlot;
+use lagoon_jobs::id::{Epoch, ExecutorId, JobId};
+use lagoon_jobs::job::{JobRecord, Progress};
+use lagoon_jobs::policy::CellPolicy;
+use lagoon_jobs::run::Listing;
+use lagoon_platform::PlatformError;
+use tokio::task::JoinSet;
+
+use crate::cell::Keys;
+use crate::context::Context;
+use crate::owner::run::Followed;
+
+/// Lease that a hold grants to runs: long enough that a successor reaches the executors before runs lapse.
+const RUN_LEASE: Millis = Millis::new(5_000);
+/// Time for which a hold waits for an end; two may be lost within a lease.
+const HOLD_WAIT: Millis = Millis::new(1_500);
+/// Time after which an earlier owner, fenced by the executors it still reaches, has ceased to renew leases.
+const OWNER_LAPSE: Millis = Millis::new(3_000);
+/// Time without progress after which a run counts as stalled; above the time for which a gang waits for members.
+const STALL: Millis = Millis::new(4_500);
+/// Time that executors have to list their runs before placement begins without the rest.
+const HEAR_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Reads back jobs from the store and runs from the executors.
+pub(super) async fn recover(
+    cx: &Context,
+    epoch: Epoch,
+) -> Result<(Dispatcher<Serving>, Followed), PlatformError> {
+    let limits = DispatchLimits {
+        lease: RUN_LEASE.min(cx.settings.limits.max_lease),
+        max_lease: RUN_LEASE.min(cx.settings.limits.max_lease),
+        hold_wait: HOLD_WAIT,
+        retention: cx.settings.limits.retention,
+        owner_lapse: OWNER_LAPSE,
+        stall: STALL,
+    };
+    let mut dispatcher = Dispatcher::open(epoch, limits, cx.clock.now());
+    dispatcher.set_policy(first_policy(cx).await);
+    let (executors, executors_at) = cx.store.list(EXECUTOR_PREFIX).await?;
+    for item in &executors {
+        match decode_entry(&item.key, &item.value) {
+            Ok(entry) => {
+                dispatcher.observe(entry);
+            }
+            Err(e) => tracing::warn!(key = %item.key, "owner: executor entry ignored: {e}"),
+        }
+    }
+    let jobs = load_jobs(cx, &mut dispatcher).await?;
+    hear_executors(cx, &mut dispatcher).await;
+    let followed = Followed {
+        jobs,
+        executors: executors_at,
+    };
+    Ok((dispatcher.serve(cx.clock.now()), followed))
+}
+
+async fn first_policy(cx: &Context) -> Arc<CellPolicy> {
+    let mut policy = cx.policy.subscribe();
+    let found = policy.wait_for(Option::is_some).await;
+    found.map(|policy| policy.clone()).ok().flatten().unwrap_or_default()
+}
+
+async fn load_jobs(
+    cx: &Context,
+    dispatcher: &mut Dispatcher<Recovering>,
+) -> Result<lagoon_adapter::store::Revision, PlatformError> {
+    let (jobs, at) = cx.store.list(Keys::JOBS).await?;
+    let (progress, _) = cx.store.list(Keys::PROGRESS).await?;
+    let mut known: HashMap<JobId, Progress> = HashMap::new();
+    for item in &progress {
+        let parsed = serde_json::from_slice(&item.value);
+        match (Keys::parse_progress(&item.key), parsed) {
+            (Some(id), Ok(progress)) => {
+                known.insert(id, progress);
+            }
+            (_, Err(e)) => tracing::error!(key = %item.key, "owner: progress is not readable: {e}"),
+            (None, Ok(_)) => tracing::error!(key = %item.key, "owner: progress under a strange key"),
+        }
+    }
+    let now = cx.clock.now();
+    let mut cancelled = Vec::new();
+    for item in &jobs {
+        match Keys::parse_job(&item.key) {
+            Some((id, true)) => cancelled.push(id),
+            Some((id, false)) => match serde_json::from_slice::<JobRecord>(&item.value) {
+                Ok(record) => {
+                    let progress = known.remove(&id).unwrap_or_default();
+                    dispatcher.load(id, record, &progress, now);
+                }
+                Err(e) => tracing::error!(job = %id, "owner: job is not readable: {e}"),
+            },
+            None => tracing::error!(key = %item.key, "owner: job under a strange key"),
+        }
+    }
+    for id in cancelled {
+        dispatcher.cancel(id, now);
+    }
+    Ok(at)
+}
+
+/// Holds every executor under the new epoch, which fences earlier owners, and takes in what they run.
+async fn hear_executors(cx: &Context, dispatcher: &mut Dispatcher<Recovering>) {
+    let mut holds = JoinSet::new();
+    let now = cx.clock.now();
+    for (slot, id) in dispatcher.executors() {
+        if let HoldStep::Hold(req) = dispatcher.next_hold(slot, false, now) {
+            holds.spawn(hold(cx.clone(), slot, id, req));
+        }
+    }
+    let hear_all = async {
+        while let Some(answer) = holds.join_next().await {
+            match answer {
+                Ok((slot, Some((listing, asked)))) => {
+                    dispatcher.listed(slot, &listing, asked, cx.clock.now());
+                }
+                Ok((slot, None)) => tracing::warn!(%slot, "owner: executor did not list its runs"),
+                Err(e) => tracing::error!("owner: a hold ended early: {e}"),
+            }
+        }
+    };
+    if tokio::time::timeout(HEAR_TIMEOUT, hear_all).await.is_err() {
+        let unheard = dispatcher.unheard();
+        tracing::warn!(unheard, "owner: placement begins without the executors that did not answer");
+    }
+}
+
+async fn hold(
+    cx: Context,
+    slot: ExecutorSlot,
+    id: ExecutorId,
+    req: HoldRequest,
+) -> (ExecutorSlot, Option<(Listing, Timestamp)>) {
+    let asked = cx.clock.now();
+    match cx.executors.hold(&id, &req).await {
+        Ok(listing) => (slot, listing.map(|listing| (listing, asked))),
+        Err(e) => {
+            tracing::warn!(executor = %id, "owner: hold failed: {e}");
+            (slot, None)
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/run.rs
@@ -0,0 +1,128 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoon_adapter::store::Revision;
+use lagoon_jobs::dispatch::{Dispatcher, Serving};
+use lagoon_process::shutdown::Signal;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
+
+use crate::cell::{Claim, LeaseHandle, claim, wait_for_turn};
+use crate::context::Context;
+use crate::owner::recorder::Recorder;
+use crate::owner::{
+    Office, Shard, drive_executor, follow_executors, follow_jobs, keep, orders, recover,
+};
+
+/// Pause after a claim that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time in which changes gather before a pass of placement.
+const PLAN_PAUSE: Duration = Duration::from_millis(5);
+/// Longest time without a pass of placement, because tickets and rests end by time alone.
+const PLAN_EVERY: Duration = Duration::from_millis(100);
+/// Time between two checks of what only the passing of time decides.
+const TICK_EVERY: Duration = Duration::from_millis(500);
+
+/// Revisions from which the owner follows the store.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Followed {
+    pub(super) jobs: Revision,
+    pub(super) executors: Revision,
+}
+
+/// Claims the cell whenever it has no owner, and serves it; ends when the node stops.
+pub(crate) async fn run(cx: Context, mut lease: LeaseHandle, office: Office, mut stop: Signal) {
+    loop {
+        let held = tokio::select! {
+            held = wait_for_turn(&cx, &mut lease) => held,
+            () = stop.wait() => return,
+        };
+        match claim(&cx, held).await {
+            Ok(Some(claim)) => {
+                tracing::info!(epoch = %claim.epoch, "owner: this member owns the cell");
+                tokio::select! {
+                    () = serve(&cx, claim, &lease, &office) => {}
+                    () = stop.wait() => {
+                        hand_over(&cx, &office).await;
+                        return;
+                    }
+                }
+                office.set(None);
+                tracing::warn!(epoch = %claim.epoch, "owner: this member has stepped down");
+            }
+            Ok(None) => tracing::info!("owner: another member claimed the cell first"),
+            Err(e) => {
+                tracing::warn!("owner: claim failed: {e}");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads back the state of the cell and places work until this member steps down.
+async fn serve(cx: &Context, claim: Claim, lease: &LeaseHandle, office: &Office) {
+    let (dispatcher, followed) = loop {
+        match recover::recover(cx, claim.epoch).await {
+            Ok(recovered) => break recovered,
+            Err(e) => {
+                tracing::warn!("owner: recovery failed: {e}");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+        let owner = cx.current_cell().owner.clone();
+        if owner.is_some_and(|owner| owner.epoch > claim.epoch) {
+            return;
+        }
+    };
+    let mut tasks = JoinSet::new();
+    let (step_down, mut stepped_down) = mpsc::channel(1);
+    let recorder = Arc::new(Recorder::new(cx.clone(), claim, step_down.clone()));
+    let shard = open(cx, dispatcher, &mut tasks, step_down.clone());
+    tasks.spawn(follow_jobs::follow(cx.clone(), shard.clone(), followed.jobs));
+    tasks.spawn(follow_executors::follow(cx.clone(), shard.clone(), followed.executors));
+    tasks.spawn(recorder.clone().run(shard.clone()));
+    tasks.spawn(keep::keep(cx.clone(), shard.clone(), recorder, lease.clone(), step_down));
+    office.set(Some(shard));
+    // All senders live in the tasks below, which run until they are aborted.
+    let _ = stepped_down.recv().await;
+    tasks.shutdown().await;
+}
+
+fn open(
+    cx: &Context,
+    dispatcher: Dispatcher<Serving>,
+    tasks: &mut JoinSet<()>,
+    step_down: mpsc::Sender<()>,
+) -> Arc<Shard> {
+    let executors = dispatcher.executors();
+    let (shard, rx) = Shard::open(dispatcher);
+    tasks.spawn(orders::carry_out(cx.clone(), shard.clone(), rx, step_down));
+    tasks.spawn(plan(cx.clone(), shard.clone()));
+    tasks.spawn(tick(cx.clone(), shard.clone()));
+    tasks.spawn(drive_executor::drive_all(cx.clone(), shard.clone(), executors));
+    shard
+}
+
+async fn plan(cx: Context, shard: Arc<Shard>) {
+    loop {
+        let _ = tokio::time::timeout(PLAN_EVERY, shard.changed.notified()).await;
+        tokio::time::sleep(PLAN_PAUSE).await;
+        shard.plan(|dispatcher| dispatcher.plan(cx.clock.now()));
+    }
+}
+
+async fn tick(cx: Context, shard: Arc<Shard>) {
+    let mut ticks = tokio::time::interval(TICK_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        shard.change(|dispatcher| dispatcher.tick(cx.clock.now()));
+    }
+}
+
+/// Gives up ownership at a planned stop: no order follows, so the next owner can begin at once.
+async fn hand_over(cx: &Context, office: &Office) {
+    office.set(None);
+    tracing::info!(member = %cx.member(), "owner: handing over, this node stops");
+}
--- /dev/null
+++ b/crates/node/src/peers/service.rs
@@ -0,0 +1,95 @@
+use lagoon_core::unit::Millis;
+use lagoon_jobs::id::{ExecutorId, JobId, StepKey};
+use lagoon_wire::v1::cell_peer_server::CellPeer;
+use lagoon_wire::v1::{
+    AdviceTicket, AskAdviserRequest, AskAdviserResponse, GetBacklogRequest, GetBacklogResponse,
+    GetJobStateRequest, GetJobStateResponse, QueueBacklog,
+};
+use tonic::{Request, Response, Status};
+
+use crate::context::Context;
+use crate::owner::Office;
+
+/// Answers the other members.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerService {
+    cx: Context,
+    office: Office,
+}
+
+impl PeerService {
+    pub(crate) fn new(cx: Context, office: Office) -> Self {
+        Self { cx, office }
+    }
+}
+
+#[tonic::async_trait]
+impl CellPeer for PeerService {
+    async fn get_job_state(
+        &self,
+        req: Request<GetJobStateRequest>,
+    ) -> Result<Response<GetJobStateResponse>, Status> {
+        let id: JobId = parse(&req.into_inner().job)?;
+        let Some(shard) = self.office.shard() else {
+            return Ok(Response::new(GetJobStateResponse::default()));
+        };
+        let view = shard.with(|dispatcher| dispatcher.job(id));
+        Ok(Response::new(GetJobStateResponse {
+            state: view.map(|view| view.state.to_string()),
+            is_owner: true,
+        }))
+    }
+
+    async fn get_backlog(
+        &self,
+        _req: Request<GetBacklogRequest>,
+    ) -> Result<Response<GetBacklogResponse>, Status> {
+        let Some(shard) = self.office.shard() else {
+            return Ok(Response::new(GetBacklogResponse::default()));
+        };
+        let backlog = shard.with(|dispatcher| dispatcher.backlog());
+        let queues = backlog.queues.into_iter().map(|(queue, load)| QueueBacklog {
+            queue: queue.to_string(),
+            waiting: load.waiting,
+            wait_ms: load.wait.get(),
+        });
+        Ok(Response::new(GetBacklogResponse {
+            is_owner: true,
+            queues: queues.collect(),
+        }))
+    }
+
+    async fn ask_adviser(
+        &self,
+        req: Request<AskAdviserRequest>,
+    ) -> Result<Response<AskAdviserResponse>, Status> {
+        let req = req.into_inner();
+        let step: StepKey = parse(&req.step)?;
+        let named: Result<Vec<ExecutorId>, Status> = req.executors.iter().map(|id| parse(id)).collect();
+        let cost = Millis::new(req.cost_ms);
+        let answer = match self.cx.adviser.ask(step, &named?, cost).await {
+            Ok(advised) => AskAdviserResponse {
+                answered: true,
+                good: advised
+                    .good
+                    .into_iter()
+                    .map(|(executor, ticket)| AdviceTicket {
+                        executor: executor.to_string(),
+                        ticket: ticket.to_string(),
+                    })
+                    .collect(),
+                valid_ms: advised.valid.get(),
+            },
+            Err(e) => {
+                tracing::warn!(%step, "peers: the adviser gave no answer: {e}");
+                AskAdviserResponse::default()
+            }
+        };
+        Ok(Response::new(answer))
+    }
+}
+
+fn parse<T: std::str::FromStr<Err: std::fmt::Display>>(text: &str) -> Result<T, Status> {
+    text.parse()
+        .map_err(|e: T::Err| Status::invalid_argument(e.to_string()))
+}
--- /dev/null
+++ b/crates/node/src/policy/follow.rs
@@ -0,0 +1,78 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoon_adapter::store::{Event, Revision, StoreItem, Watched};
+use lagoon_adapter::{CONFIG_KEY, decode_config};
+use lagoon_core::unit::Millis;
+use lagoon_jobs::policy::CellPolicy;
+use lagoon_platform::PlatformError;
+
+use crate::context::Context;
+
+/// Longest wait of one watch. A connection that went silent is noticed soon after.
+const WATCH_WAIT: Millis = Millis::new(2_500);
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Keeps the configuration current until the process ends.
+pub(crate) async fn follow(cx: Context) {
+    loop {
+        if let Err(e) = follow_once(&cx).await {
+            tracing::warn!("policy: configuration can't be followed: {e}");
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// Reads the configuration and puts it in force.
+pub(crate) async fn read_latest(cx: &Context) -> Result<Option<Arc<CellPolicy>>, PlatformError> {
+    if let Some(item) = cx.store.get(CONFIG_KEY).await? {
+        apply(cx, &item);
+    }
+    Ok(cx.current_policy())
+}
+
+async fn follow_once(cx: &Context) -> Result<(), PlatformError> {
+    let (items, mut at) = cx.store.list(CONFIG_KEY).await?;
+    items.iter().for_each(|item| apply(cx, item));
+    loop {
+        match cx.store.watch(CONFIG_KEY, at, WATCH_WAIT).await? {
+            Watched::HistoryLost => {
+                tracing::info!("policy: the store has lost its history, reading anew");
+                return Ok(());
+            }
+            Watched::Events { events, next } => {
+                at = at.max(next);
+                for event in &events {
+                    match event {
+                        Event::Written(item) => apply(cx, item),
+                        Event::Removed(key) => tracing::warn!(%key, "policy: configuration removed, the last one stays"),
+                    }
+                }
+                debug_assert!(at > Revision::default());
+            }
+        }
+    }
+}
+
+fn apply(cx: &Context, item: &StoreItem) {
+    if item.key != CONFIG_KEY {
+        return;
+    }
+    let policy = match decode_config(&item.value) {
+        Ok(policy) => Arc::new(policy),
+        Err(e) => {
+            tracing::error!(revision = %item.revision, "policy: configuration is not readable: {e}");
+            return;
+        }
+    };
+    cx.policy.send_if_modified(|current| {
+        let known = current.as_ref().map(|policy| policy.version());
+        let is_newer = known.is_none_or(|known| policy.version() > known);
+        if is_newer {
+            tracing::info!(version = policy.version(), ?known, queues = policy.queues().len(), "policy: configuration in force");
+            *current = Some(policy);
+        }
+        is_newer
+    });
+}
--- a/crates/platform/src/transport/call.rs
+++ b/crates/platform/src/transport/call.rs
@@ -2,31 +2,34 @@
 use hyper::Method;
 use lagoon_core::unit::Millis;
 use serde::Serialize;
+use smallvec::SmallVec;
 
 use crate::transport::Endpoint;
 
 /// One request before it is sent.
 #[derive(Debug)]
-pub(crate) struct Call {
+pub struct Call {
     pub(crate) method: Method,
     pub(crate) uri: String,
     pub(crate) body: Bytes,
     pub(crate) extra_time: Millis,
+    pub(crate) headers: SmallVec<[(&'static str, String); 2]>,
 }
 
 impl Call {
     /// Prepares a call without a body; `target` is the path and query below the endpoint.
-    pub(crate) fn new(method: Method, endpoint: &Endpoint, target: &str) -> Self {
+    pub fn new(method: Method, endpoint: &Endpoint, target: &str) -> Self {
         Self {
             method,
             uri: format!("http://{endpoint}{target}"),
             body: Bytes::new(),
             extra_time: Millis::ZERO,
+            headers: SmallVec::new(),
         }
     }
 
     /// Adds a JSON body.
-    pub(crate) fn json<T: Serialize>(mut self, body: &T) -> Self {
+    pub fn json<T: Serialize>(mut self, body: &T) -> Self {
         self.body = serde_json::to_vec(body)
             .expect("request types have string keys")
             .into();
@@ -34,13 +37,19 @@
     }
 
     /// Extends the request time by the time that the callee is asked to wait.
-    pub(crate) fn extra_time(mut self, time: Millis) -> Self {
+    pub fn extra_time(mut self, time: Millis) -> Self {
         self.extra_time = time;
         self
     }
 
+    /// Adds a header; `name` is in lower case.
+    pub fn header(mut self, name: &'static str, value: String) -> Self {
+        self.headers.push((name, value));
+        self
+    }
+
     /// Returns the call as it appears in errors.
-    pub(crate) fn describe(&self) -> String {
+    pub fn describe(&self) -> String {
         format!("{} {}", self.method, self.uri)
     }
 }
--- a/crates/platform/src/transport/mod.rs
+++ b/crates/platform/src/transport/mod.rs
@@ -8,8 +8,9 @@
 #[expect(clippy::module_inception, reason = "one type per file")]
 mod transport;
 
-pub(crate) use self::{answer::Answer, call::Call};
 pub use self::{
+    answer::Answer,
+    call::Call,
     call_counter::CallCounter,
     client_settings::{ClientSettings, PROCESS_HEADER},
     endpoint::Endpoint,
--- a/crates/platform/src/transport/transport.rs
+++ b/crates/platform/src/transport/transport.rs
@@ -51,7 +51,11 @@
     }
 
     /// Sends `call` and reads the whole answer. Every status is an answer.
-    pub(crate) async fn send(&self, call: Call) -> Result<Answer, PlatformError> {
+    ///
+    /// # Errors
+    ///
+    /// When no whole answer arrives within the request time.
+    pub async fn send(&self, call: Call) -> Result<Answer, PlatformError> {
         let Inner {
             settings, counter, ..
         } = &*self.0;
@@ -81,6 +85,9 @@
         if let Some(process) = &settings.process {
             req = req.header(PROCESS_HEADER, process.as_str());
         }
+        for (name, value) in &call.headers {
+            req = req.header(*name, value);
+        }
         if !call.body.is_empty() {
             req = req.header(CONTENT_TYPE, "application/json");
         }
--- a/crates/wire-codegen/src/lib.rs
+++ b/crates/wire-codegen/src/lib.rs
@@ -6,7 +6,8 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-const FILES: [&str; 4] = [
+const FILES: [&str; 5] = [
+    "cell.proto",
     "common.proto",
     "operator.proto",
     "peer.proto",
--- /dev/null
+++ b/src/bin/lagoon-node.rs
@@ -0,0 +1,5 @@
+//! Takes jobs on the users' platform and places them on its executors.
+
+fn main() -> std::process::ExitCode {
+    lagoon_node::run()
+}
