Keep adopted runs until a lease of the earlier owner can have lapsed, and ask for advice before claiming

Cause: a new owner had granted no lease yet, so the first tick took every adopted run for lapsed and started it again (TWICE, LIMIT). A gang's claim took its own room from the pass before its question was considered, so its tickets were never renewed (LOST).

--- a/crates/jobs/src/advice/advice_book.rs
+++ b/crates/jobs/src/advice/advice_book.rs
@@ -34,7 +34,7 @@
                 self.lanes.push(Lane {
                     member: member.clone(),
                     pending: 0,
-                    slow: false,
+                    slow: 0,
                 });
             }
         }
@@ -59,7 +59,7 @@
     /// Books a lane for a question that takes `cost`; `None` if all are taken.
     pub fn book(&mut self, key: StepKey, cost: Millis) -> Option<MemberId> {
         let slow = cost > SLOW;
-        let slow_lanes = self.lanes.iter().filter(|lane| lane.slow).count();
+        let slow_lanes = self.lanes.iter().filter(|lane| lane.slow > 0).count();
         if slow && slow_lanes * 2 >= self.lanes.len().max(2) {
             return None;
         }
@@ -69,7 +69,7 @@
         });
         let lane = free.min_by_key(|lane| (lane.slow, lane.pending))?;
         lane.pending += 1;
-        lane.slow |= slow;
+        lane.slow += u32::from(slow);
         self.steps.entry(key).or_default().asking = true;
         Some(lane.member.clone())
     }
@@ -78,13 +78,11 @@
     pub fn answer(
         &mut self,
         key: StepKey,
-        member: &MemberId,
         queue: Option<&QueueName>,
         named: &[ExecutorSlot],
         grants: Option<Vec<Grant>>,
         now: Timestamp,
     ) {
-        self.release(member);
         let Some(step) = self.steps.get_mut(&key) else {
             return;
         };
@@ -122,10 +120,11 @@
         self.steps.remove(&key);
     }
 
-    fn release(&mut self, member: &MemberId) {
+    /// Frees a lane that was booked for a question that takes `cost`.
+    pub fn release(&mut self, member: &MemberId, cost: Millis) {
         if let Some(lane) = self.lanes.iter_mut().find(|lane| lane.member == *member) {
             lane.pending = lane.pending.saturating_sub(1);
-            lane.slow &= lane.pending > 0;
+            lane.slow = lane.slow.saturating_sub(u32::from(cost > SLOW));
         }
     }
 }
--- a/crates/jobs/src/advice/lane.rs
+++ b/crates/jobs/src/advice/lane.rs
@@ -7,6 +7,6 @@
     pub member: MemberId,
     /// Questions that it has not answered.
     pub pending: u32,
-    /// Whether one of them takes long.
-    pub slow: bool,
+    /// Those of them that take long.
+    pub slow: u32,
 }
--- a/crates/jobs/src/dispatch/advised.rs
+++ b/crates/jobs/src/dispatch/advised.rs
@@ -27,7 +27,8 @@
         );
         let job = core.jobs.get(order.step.job());
         let queue = job.map(|job| job.record().queue().clone());
+        core.advice.release(&order.member, order.cost);
         core.advice
-            .answer(order.step, &order.member, queue.as_ref(), &named, grants, now);
+            .answer(order.step, queue.as_ref(), &named, grants, now);
     }
 }
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -71,6 +71,7 @@
         asked: Timestamp,
         now: Timestamp,
     ) {
+        let max_lease = self.limits.max_lease;
         let executor = self.fleet.get_mut(slot);
         if listing.life < executor.life {
             tracing::debug!(executor = %executor.entry.id, "dispatch: list of an earlier life ignored");
@@ -79,6 +80,9 @@
         executor.clock.read(listing.executor_ms, now);
         let is_first = executor.heard.is_none();
         executor.heard = Some(now);
+        if is_first {
+            executor.clock.assume_granted(max_lease, now);
+        }
         self.unheard.remove(&slot);
         for end in &listing.ended {
             if self.fleet.get(slot).ends.is_handled(end.sequence) {
--- a/crates/jobs/src/dispatch/place_gang.rs
+++ b/crates/jobs/src/dispatch/place_gang.rs
@@ -32,12 +32,13 @@
         match self.share_out(&candidates, spec, pass, now_fits) {
             Some(shares) => self.start_gang(key, spec, &shares, pass),
             None => {
-                if !is_too_late {
-                    self.claim_for_gang(key, spec, queue, pass);
-                }
+                // The claim takes room from the pass, so the question has to come first.
                 if queue.advice.is_some() {
                     self.ask_for_gang(key, spec, queue, pass);
                 }
+                if !is_too_late {
+                    self.claim_for_gang(key, spec, queue, pass);
+                }
             }
         }
     }
--- a/crates/jobs/src/fleet/lease_clock.rs
+++ b/crates/jobs/src/fleet/lease_clock.rs
@@ -35,6 +35,12 @@
         Some(executor_ms + ahead)
     }
 
+    /// Notes that an earlier owner may have granted a lease of this length a moment ago.
+    pub fn assume_granted(&mut self, lease: Millis, now: Timestamp) {
+        let longest = lease.get() + lease.get() * DRIFT_PERCENT / 100;
+        self.lapsed_at = self.lapsed_at.max(now.after(Millis::new(longest)));
+    }
+
     /// Tells whether everything that was started there under a granted lease has ended for certain.
     pub fn has_lapsed(&self, now: Timestamp) -> bool {
         now > self.lapsed_at
