--- a/crates/jobs/src/advice/advice_book.rs
+++ b/crates/jobs/src/advice/advice_book.rs
@@ -91,6 +91,7 @@
             step.not_before = now.after(RETRY_PAUSE);
             return;
         };
+        step.answered = now;
         let unjudged = named.iter().filter(|slot| !step.is_judged(**slot)).count();
         let before = step.grants.len();
         let is_good = |slot: &ExecutorSlot| grants.iter().any(|grant| grant.slot == *slot);
--- a/crates/jobs/src/advice/step_advice.rs
+++ b/crates/jobs/src/advice/step_advice.rs
@@ -15,6 +15,8 @@
     pub rejected: BTreeSet<ExecutorSlot>,
     /// A question was asked and not answered.
     pub asking: bool,
+    /// When the last answer arrived.
+    pub answered: Timestamp,
     /// No question before this time, after one that failed.
     pub not_before: Timestamp,
 }
--- a/crates/jobs/src/dispatch/ask.rs
+++ b/crates/jobs/src/dispatch/ask.rs
@@ -1,4 +1,4 @@
-use lagoon_core::unit::Timestamp;
+use lagoon_core::unit::{Millis, Timestamp};
 
 use crate::dispatch::core::Core;
 use crate::dispatch::pass::Pass;
@@ -14,6 +14,8 @@
 const MIN_NAMED: usize = 4;
 /// Places sought for each task, so that a step is not stopped by the one executor that fills up meanwhile.
 const SPARE_PLACES: f64 = 1.5;
+/// Time without room on the executors known to be good after which a gang asks for more.
+const WIDEN_AFTER: Millis = Millis::new(800);
 
 impl Core {
     /// Asks where independent tasks may run, if no executor with a valid ticket has room for them.
@@ -71,7 +73,11 @@
         }
         let empty_fits = |slot: ExecutorSlot| pass.room(slot).fits_empty(&need);
         let could_hold: u32 = known.iter().map(|c| empty_fits(c.slot).min(c.allowed)).sum();
-        let missing = f64::from(spec.count) * SPARE_PLACES - f64::from(could_hold);
+        let waits_long = self.advice.step(key).is_some_and(|advice| {
+            pass.now.since(advice.answered) > WIDEN_AFTER
+        });
+        let wanted = f64::from(spec.count) * SPARE_PLACES;
+        let missing = wanted - f64::from(if waits_long { has_room } else { could_hold });
         if missing > 0.0 {
             let named = self.unjudged(key, spec, queue, missing, pass);
             if !named.is_empty() {
--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -29,7 +29,12 @@
             address: executor.entry.address,
             epoch: core.epoch,
             acknowledged: executor.ends.acknowledge(),
-            lease_end_ms: executor.clock.grant(limits.lease, now),
+            // A hold without an answer may take effect late; granting again each time would put off for ever when
+            // the runs there are known to have lapsed.
+            lease_end_ms: match executor.is_silent {
+                true => None,
+                false => executor.clock.grant(limits.lease, now),
+            },
             wait: if waits { limits.hold_wait } else { Millis::ZERO },
         })
     }
@@ -41,6 +46,8 @@
 
     /// Notes that an executor did not answer a hold; it gets no new runs for a while.
     pub fn hold_failed(&mut self, slot: ExecutorSlot, now: Timestamp) {
-        self.core.fleet.get_mut(slot).health.suspect(now);
+        let executor = self.core.fleet.get_mut(slot);
+        executor.is_silent = true;
+        executor.health.suspect(now);
     }
 }
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -8,6 +8,7 @@
 use crate::id::{Life, RunNumber, TaskKey};
 use crate::job::TaskPhase;
 use crate::run::{Listing, Run, RunPhase, RunningRow};
+use crate::spec::StepSpec;
 
 impl<S> Dispatcher<S> {
     /// Takes in what an executor lists in answer to a hold that was sent at `asked`.
@@ -80,6 +81,7 @@
         executor.clock.read(listing.executor_ms, now);
         let is_first = executor.heard.is_none();
         executor.heard = Some(now);
+        executor.is_silent = false;
         if is_first {
             executor.clock.assume_granted(max_lease, now);
         }
@@ -136,8 +138,11 @@
     ) {
         let task = row.task;
         let can_adopt = is_first && self.runs.get(task).is_none();
+        // A run of a job that has ended takes its room as well; one of an unknown job may take all of it.
+        let spec = self.jobs.get(task.job()).and_then(|job| job.step_spec(task.step()));
+        let capacity = self.fleet.get(slot).entry.capacity;
+        let need = spec.map_or(capacity, StepSpec::reserved);
         let job = self.jobs.get_mut(task.job()).filter(|job| job.is_live() && job.has_task(task));
-        let need = job.as_ref().and_then(|job| Some(job.step_spec(task.step())?.reserved()));
         let step = job.and_then(|job| job.step_mut(task.step()));
         let wanted = step.filter(|step| step.phase(task.index()) == Some(TaskPhase::Idle));
         let adopted = wanted.is_some() && can_adopt;
@@ -160,7 +165,7 @@
             task,
             number: row.number,
             slot,
-            need: need.unwrap_or_default(),
+            need,
             phase,
             ordered: now,
             progress: (row.percent, now),
--- a/crates/jobs/src/dispatch/place_gang.rs
+++ b/crates/jobs/src/dispatch/place_gang.rs
@@ -19,7 +19,6 @@
         key: StepKey,
         spec: &StepSpec,
         queue: &Queue,
-        is_too_late: bool,
         pass: &mut Pass,
     ) {
         let step = self.jobs.get(key.job()).and_then(|job| job.step(key));
@@ -36,9 +35,7 @@
                 if queue.advice.is_some() {
                     self.ask_for_gang(key, spec, queue, pass);
                 }
-                if !is_too_late {
-                    self.claim_for_gang(key, spec, queue, pass);
-                }
+                self.claim_for_gang(key, spec, queue, pass);
             }
         }
     }
--- a/crates/jobs/src/dispatch/plan.rs
+++ b/crates/jobs/src/dispatch/plan.rs
@@ -52,7 +52,7 @@
             };
             let spec = spec.clone();
             match spec.gang {
-                true => self.place_gang(key, &spec, queue, rank.is_too_late(), &mut pass),
+                true => self.place_gang(key, &spec, queue, &mut pass),
                 false => self.place_each(key, &spec, queue, &mut pass),
             }
         }
--- a/crates/jobs/src/dispatch/rank.rs
+++ b/crates/jobs/src/dispatch/rank.rs
@@ -10,8 +10,9 @@
 /// Place of a step in the order of service; the least comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
-    queue: u32,
+    /// Work that is of no use any more goes last, whatever its queue.
     too_late: bool,
+    queue: u32,
     objective: Timestamp,
     key: StepKey,
 }
@@ -31,8 +32,4 @@
     pub(super) fn key(&self) -> StepKey {
         self.key
     }
-
-    pub(super) fn is_too_late(&self) -> bool {
-        self.too_late
-    }
 }
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -22,6 +22,8 @@
     pub health: ExecutorHealth,
     /// Tasks that run there or may run there.
     pub tasks: BTreeSet<TaskKey>,
+    /// The last hold was not answered, so no lease is granted until one is.
+    pub is_silent: bool,
     /// When its last list arrived here.
     pub heard: Option<Timestamp>,
     reserved: Resources,
@@ -37,6 +39,7 @@
             ends: EndCursor::default(),
             health: ExecutorHealth::default(),
             tasks: BTreeSet::new(),
+            is_silent: false,
             heard: None,
             reserved: Resources::ZERO,
         }
