--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -1,15 +1,19 @@
 use std::collections::HashSet;
 
-use lagoon_core::unit::Timestamp;
+use lagoon_core::unit::{Millis, Timestamp};
 
 use crate::dispatch::Dispatcher;
 use crate::dispatch::core::Core;
 use crate::fleet::ExecutorSlot;
-use crate::id::{Life, RunNumber, TaskKey};
+use crate::id::{JobId, Life, RunNumber, TaskKey};
 use crate::job::TaskPhase;
-use crate::run::{Listing, Run, RunPhase, RunningRow};
+use crate::run::{EndedRow, Listing, Run, RunPhase, RunningRow};
 use crate::spec::StepSpec;
 
+/// Time for which an end waits for its job to become known. A job is stored before its first start, so the store's
+/// watch reports it soon.
+const UNKNOWN_JOB_WAIT: Millis = Millis::new(5_000);
+
 impl<S> Dispatcher<S> {
     /// Takes in what an executor lists in answer to a hold that was sent at `asked`.
     pub fn listed(
@@ -90,24 +94,44 @@
             if self.fleet.get(slot).ends.is_handled(end.sequence) {
                 continue;
             }
+            if self.puts_off(slot, end, now) {
+                break;
+            }
             let record = self.apply_end(slot, end, now);
             let executor = self.fleet.get_mut(slot);
             executor.ends.handle(end.sequence, end.task.job(), record);
             executor.ends.advance(&self.ledger);
         }
+        self.fleet.get_mut(slot).strays.clear();
         let mut present: HashSet<(TaskKey, RunNumber)> = HashSet::new();
         for row in &listing.running {
             present.insert((row.task, row.number));
-            self.apply_row(slot, row, is_first, now);
+            self.apply_row(slot, row, now);
         }
         if listing.complete {
             self.drop_missing(slot, &present, asked);
         }
     }
 
-    fn apply_row(&mut self, slot: ExecutorSlot, row: &RunningRow, is_first: bool, now: Timestamp) {
+    /// Tells whether an end has to wait for its job to become known; the executor lists it again.
+    fn puts_off(&mut self, slot: ExecutorSlot, end: &EndedRow, now: Timestamp) -> bool {
+        let is_known = self.jobs.get(end.task.job()).is_some();
+        let executor = self.fleet.get_mut(slot);
+        if is_known {
+            executor.puts_off_since = None;
+            return false;
+        }
+        let since = *executor.puts_off_since.get_or_insert(now);
+        let waits = now.since(since) < UNKNOWN_JOB_WAIT;
+        if !waits {
+            tracing::warn!(task = %end.task, run = %end.number, executor = %executor.entry.id, how = ?end.how, "dispatch: end of an unknown job");
+        }
+        waits
+    }
+
+    fn apply_row(&mut self, slot: ExecutorSlot, row: &RunningRow, now: Timestamp) {
         let Some(run) = self.runs.matching(row.task, row.number, slot) else {
-            self.apply_unknown_row(slot, row, is_first, now);
+            self.apply_unknown_row(slot, row, now);
             return;
         };
         match run.phase {
@@ -128,51 +152,69 @@
         self.jobs.set_started(row.task.job());
     }
 
-    /// Adopts a run of an earlier owner, or stops one that must not exist.
-    fn apply_unknown_row(
-        &mut self,
-        slot: ExecutorSlot,
-        row: &RunningRow,
-        is_first: bool,
-        now: Timestamp,
-    ) {
-        let task = row.task;
-        let can_adopt = is_first && self.runs.get(task).is_none();
-        // A run of a job that has ended takes its room as well; one of an unknown job may take all of it.
-        let spec = self.jobs.get(task.job()).and_then(|job| job.step_spec(task.step()));
-        let capacity = self.fleet.get(slot).entry.capacity;
-        let need = spec.map_or(capacity, StepSpec::reserved);
-        let job = self.jobs.get_mut(task.job()).filter(|job| job.is_live() && job.has_task(task));
-        let step = job.and_then(|job| job.step_mut(task.step()));
-        let wanted = step.filter(|step| step.phase(task.index()) == Some(TaskPhase::Idle));
-        let adopted = wanted.is_some() && can_adopt;
-        if let (Some(step), true) = (wanted, can_adopt) {
-            step.set_phase(task.index(), TaskPhase::Active);
-            step.used(task.index(), row.number);
-            step.save(task.index(), row.checkpoint.clone());
-            self.jobs.set_started(task.job());
-        }
-        tracing::info!(
-            %task, run = %row.number, executor = %self.fleet.get(slot).entry.id, adopted,
-            "dispatch: unexpected run listed"
-        );
-        if !adopted && self.runs.get(task).is_some() {
-            self.order_stop(slot, task, row.number);
+    /// Adopts a run that its job needs, such as one of an earlier owner, and stops any other.
+    fn apply_unknown_row(&mut self, slot: ExecutorSlot, row: &RunningRow, now: Timestamp) {
+        let adopted = self.adopt(slot, row, now);
+        let executor = &self.fleet.get(slot).entry.id;
+        tracing::info!(task = %row.task, run = %row.number, %executor, adopted, "dispatch: unexpected run listed");
+        if adopted {
             return;
         }
-        let phase = RunPhase::Running { since: now };
+        // A run of a job that has ended takes its room as well; one of an unknown job may take all of it.
+        let spec = self.jobs.get(row.task.job()).and_then(|job| job.step_spec(row.task.step()));
+        let executor = self.fleet.get_mut(slot);
+        let need = spec.map_or(executor.entry.capacity, StepSpec::reserved);
+        executor.strays.insert(row.task, (row.number, need));
+        if spec.is_some() {
+            self.order_stop(slot, row.task, row.number);
+        }
+    }
+
+    fn adopt(&mut self, slot: ExecutorSlot, row: &RunningRow, now: Timestamp) -> bool {
+        let task = row.task;
+        let job = self.jobs.get_mut(task.job()).filter(|job| job.is_live() && job.has_task(task));
+        let Some(job) = job.filter(|_| self.runs.get(task).is_none()) else {
+            return false;
+        };
+        let need = job.step_spec(task.step()).map(StepSpec::reserved).unwrap_or_default();
+        let step = job.step_mut(task.step());
+        let Some(step) = step.filter(|step| step.phase(task.index()) == Some(TaskPhase::Idle)) else {
+            return false;
+        };
+        step.set_phase(task.index(), TaskPhase::Active);
+        step.used(task.index(), row.number);
+        step.save(task.index(), row.checkpoint.clone());
+        self.jobs.set_started(task.job());
         let run = Run {
             task,
             number: row.number,
             slot,
             need,
-            phase,
+            phase: RunPhase::Running { since: now },
             ordered: now,
             progress: (row.percent, now),
         };
         self.runs.insert(run, &mut self.fleet);
-        if !adopted {
-            self.stop(task);
+        true
+    }
+
+    /// Adopts runs of a job that were listed before the job was known.
+    pub(super) fn adopt_strays(&mut self, id: JobId, now: Timestamp) {
+        let slots: Vec<ExecutorSlot> = self.fleet.iter().map(|(slot, _)| slot).collect();
+        for slot in slots {
+            let strays = &self.fleet.get(slot).strays;
+            let of_job = strays.iter().filter(|(task, _)| task.job() == id);
+            let found: Vec<(TaskKey, RunNumber)> = of_job.map(|(task, (n, _))| (*task, *n)).collect();
+            for (task, number) in found {
+                self.fleet.get_mut(slot).strays.remove(&task);
+                let row = RunningRow {
+                    task,
+                    number,
+                    checkpoint: None,
+                    percent: 0,
+                };
+                self.apply_unknown_row(slot, &row, now);
+            }
         }
     }
 
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -1,9 +1,9 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use lagoon_core::unit::{Resources, Timestamp};
 
 use crate::fleet::{Availability, EndCursor, ExecutorEntry, ExecutorHealth, LeaseClock, Room};
-use crate::id::{Label, Life, TaskKey};
+use crate::id::{Label, Life, RunNumber, TaskKey};
 
 /// One executor as its owner knows it.
 #[derive(Debug, Clone)]
@@ -22,6 +22,10 @@
     pub health: ExecutorHealth,
     /// Tasks that run there or may run there.
     pub tasks: BTreeSet<TaskKey>,
+    /// Runs listed there that should not exist; they take room until they are gone.
+    pub strays: BTreeMap<TaskKey, (RunNumber, Resources)>,
+    /// Since when an end of a job that is not known has been put off.
+    pub puts_off_since: Option<Timestamp>,
     /// The last hold was not answered, so no lease is granted until one is.
     pub is_silent: bool,
     /// When its last list arrived here.
@@ -39,6 +43,8 @@
             ends: EndCursor::default(),
             health: ExecutorHealth::default(),
             tasks: BTreeSet::new(),
+            strays: BTreeMap::new(),
+            puts_off_since: None,
             is_silent: false,
             heard: None,
             reserved: Resources::ZERO,
@@ -56,6 +62,8 @@
         self.clock.restart();
         self.ends = EndCursor::default();
         self.health = ExecutorHealth::default();
+        self.strays.clear();
+        self.puts_off_since = None;
     }
 
     pub(crate) fn reserve(&mut self, task: TaskKey, need: Resources) {
@@ -69,9 +77,10 @@
         }
     }
 
-    /// Returns what is reserved.
+    /// Returns what runs take, wanted or not.
     pub fn reserved(&self) -> Resources {
-        self.reserved
+        let strays = self.strays.values();
+        strays.fold(self.reserved, |sum, (_, need)| sum.saturating_add(*need))
     }
 
     /// Returns what can still be placed; a suspect takes nothing unless `use_suspects`.
@@ -80,7 +89,7 @@
         let sound = use_suspects || !self.health.is_suspect(now);
         Room {
             open: known && sound && self.availability == Availability::Ready,
-            free: self.entry.capacity.saturating_sub(self.reserved),
+            free: self.entry.capacity.saturating_sub(self.reserved()),
             capacity: self.entry.capacity,
         }
     }
--- a/crates/jobs/src/run/run_table.rs
+++ b/crates/jobs/src/run/run_table.rs
@@ -13,8 +13,9 @@
 }
 
 impl RunTable {
-    /// Adds a run and reserves its resources.
+    /// Adds a run and reserves its resources. The task must have no other run.
     pub fn insert(&mut self, run: Run, fleet: &mut Fleet) {
+        debug_assert!(!self.runs.contains_key(&run.task), "{} has a run", run.task);
         fleet.get_mut(run.slot).reserve(run.task, run.need);
         self.runs.insert(run.task, run);
     }
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -54,8 +54,16 @@
             Err(e) => tracing::warn!(key = %item.key, "owner: executor entry ignored: {e}"),
         }
     }
+    // Once the executors are fenced no earlier owner starts anything, so each job that runs is in the list read after.
+    let heard = hear_executors(cx, &mut dispatcher).await;
     let jobs = load_jobs(cx, &mut dispatcher).await?;
-    hear_executors(cx, &mut dispatcher).await;
+    for (slot, listing, asked) in heard {
+        dispatcher.listed(slot, &listing, asked, cx.clock.now());
+    }
+    let unheard = dispatcher.unheard();
+    if unheard > 0 {
+        tracing::warn!(unheard, "owner: placement begins without executors that did not answer");
+    }
     let followed = Followed {
         jobs,
         executors: executors_at,
@@ -107,8 +115,11 @@
     Ok(at)
 }
 
-/// Holds every executor under the new epoch, which fences earlier owners, and takes in what they run.
-async fn hear_executors(cx: &Context, dispatcher: &mut Dispatcher<Recovering>) {
+/// Holds every executor under the new epoch, which fences earlier owners, and returns what they run.
+async fn hear_executors(
+    cx: &Context,
+    dispatcher: &mut Dispatcher<Recovering>,
+) -> Vec<(ExecutorSlot, Listing, Timestamp)> {
     let mut holds = JoinSet::new();
     let now = cx.clock.now();
     for (slot, id) in dispatcher.executors() {
@@ -116,21 +127,19 @@
             holds.spawn(hold(cx.clone(), slot, id, req));
         }
     }
+    let mut heard = Vec::new();
     let hear_all = async {
         while let Some(answer) = holds.join_next().await {
             match answer {
-                Ok((slot, Some((listing, asked)))) => {
-                    dispatcher.listed(slot, &listing, asked, cx.clock.now());
-                }
+                Ok((slot, Some((listing, asked)))) => heard.push((slot, listing, asked)),
                 Ok((slot, None)) => tracing::warn!(%slot, "owner: executor did not list its runs"),
                 Err(e) => tracing::error!("owner: a hold ended early: {e}"),
             }
         }
     };
-    if tokio::time::timeout(HEAR_TIMEOUT, hear_all).await.is_err() {
-        let unheard = dispatcher.unheard();
-        tracing::warn!(unheard, "owner: placement begins without the executors that did not answer");
-    }
+    // Executors that are late are heard later; until then nothing that may run there starts elsewhere.
+    let _ = tokio::time::timeout(HEAR_TIMEOUT, hear_all).await;
+    heard
 }
 
 async fn hold(
