--- a/crates/jobs/src/dispatch/ends.rs
+++ b/crates/jobs/src/dispatch/ends.rs
@@ -52,13 +52,16 @@
     }
 
     fn count_end(&mut self, task: TaskKey, end: &EndedRow) {
-        let Some(step) = self.jobs.get_mut(task.job()).and_then(|job| job.step_mut(task.step()))
-        else {
+        let Some(job) = self.jobs.get_mut(task.job()) else {
+            return;
+        };
+        let long_running = job.step_spec(task.step()).is_some_and(|spec| spec.long_running);
+        let Some(step) = job.step_mut(task.step()) else {
             return;
         };
         step.used(task.index(), end.number);
         step.save(task.index(), end.checkpoint.clone());
-        if end.how == EndKind::Failed {
+        if end.how == EndKind::Failed && !long_running {
             step.attempts_mut(task.index()).fail(end.number);
         }
     }
@@ -102,16 +105,14 @@
         let Some(job) = self.jobs.get(task.job()) else {
             return;
         };
-        let spec = job.step_spec(task.step());
         let (Some(queue), Some(step)) = (
             self.policy.queue(job.record().queue()),
             job.step(task.step()),
         ) else {
             return;
         };
-        let failures = step.attempts(task.index()).failures;
-        let has_limit = spec.is_some_and(|spec| !spec.long_running);
-        if has_limit && failures >= queue.max_failures {
+        let failures = step.attempts(task.index()).failures();
+        if failures >= queue.max_failures {
             tracing::info!(job = %task.job(), %task, failures, "dispatch: job failed, a task has no attempt left");
             self.end_job(task.job(), JobState::Failed, now);
         }
--- a/crates/jobs/src/job/attempt_progress.rs
+++ b/crates/jobs/src/job/attempt_progress.rs
@@ -1,4 +1,5 @@
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use crate::id::{Checkpoint, RunNumber};
 
@@ -9,11 +10,8 @@
     #[serde(rename = "i")]
     pub index: u32,
     /// Runs that failed.
-    #[serde(rename = "f")]
-    pub failures: u32,
-    /// Number of the last run that failed.
-    #[serde(rename = "n")]
-    pub last_failed: RunNumber,
+    #[serde(rename = "f", default, skip_serializing_if = "SmallVec::is_empty")]
+    pub failed: SmallVec<[RunNumber; 4]>,
     /// Saved progress.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<Checkpoint>,
--- a/crates/jobs/src/job/attempts.rs
+++ b/crates/jobs/src/job/attempts.rs
@@ -1,12 +1,12 @@
+use smallvec::SmallVec;
+
 use crate::id::{Checkpoint, RunNumber};
 
 /// Runs that a task, or a gang as a whole, has used.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Attempts {
-    /// Runs that failed.
-    pub failures: u32,
-    /// Number of the last run that failed, so that an end listed twice counts once.
-    pub last_failed: RunNumber,
+    /// Runs that failed. A new owner hears of ends in any order and of some twice, so each is kept by its number.
+    pub failed: SmallVec<[RunNumber; 4]>,
     /// Highest number used by this owner.
     pub last: RunNumber,
     /// Progress that the next run resumes from.
@@ -14,19 +14,22 @@
 }
 
 impl Attempts {
-    /// Counts a failed run; false if it was counted before.
-    pub fn fail(&mut self, number: RunNumber) -> bool {
-        let is_new = number > self.last_failed;
-        if is_new {
-            self.failures += 1;
-            self.last_failed = number;
+    /// Counts a failed run, once.
+    pub fn fail(&mut self, number: RunNumber) {
+        if !self.failed.contains(&number) {
+            self.failed.push(number);
         }
-        is_new
+    }
+
+    /// Returns how many runs failed.
+    pub fn failures(&self) -> u32 {
+        self.failed.len() as u32
     }
 
     /// Takes the number of the next run.
     pub fn next_number(&mut self, floor: RunNumber) -> RunNumber {
-        self.last = self.last.max(floor).max(self.last_failed).next();
+        let failed = self.failed.iter().max().copied().unwrap_or_default();
+        self.last = self.last.max(floor).max(failed).next();
         self.last
     }
 }
--- a/crates/jobs/src/job/step.rs
+++ b/crates/jobs/src/job/step.rs
@@ -126,8 +126,7 @@
         }
         for stored in &progress.attempts {
             if let Some(attempts) = self.attempts.get_mut(stored.index as usize) {
-                attempts.failures = stored.failures;
-                attempts.last_failed = stored.last_failed;
+                attempts.failed = stored.failed.clone();
                 attempts.checkpoint = stored.checkpoint.clone();
             }
         }
@@ -139,11 +138,10 @@
 }
 
 fn durable((index, attempts): (u32, &Attempts)) -> Option<AttemptProgress> {
-    let is_empty = attempts.failures == 0 && attempts.checkpoint.is_none();
+    let is_empty = attempts.failed.is_empty() && attempts.checkpoint.is_none();
     (!is_empty).then(|| AttemptProgress {
         index,
-        failures: attempts.failures,
-        last_failed: attempts.last_failed,
+        failed: attempts.failed.clone(),
         checkpoint: attempts.checkpoint.clone(),
     })
 }
