--- a/crates/jobs/src/advice/advice_book.rs
+++ b/crates/jobs/src/advice/advice_book.rs
@@ -95,7 +95,8 @@
         let unjudged = named.iter().filter(|slot| !step.is_judged(**slot)).count();
         let before = step.grants.len();
         let is_good = |slot: &ExecutorSlot| grants.iter().any(|grant| grant.slot == *slot);
-        step.rejected.extend(named.iter().copied().filter(|slot| !is_good(slot)));
+        step.rejected
+            .extend(named.iter().copied().filter(|slot| !is_good(slot)));
         grants.into_iter().for_each(|grant| step.grant(grant));
         let found = step.grants.len().saturating_sub(before);
         if let Some(queue) = queue
--- a/crates/jobs/src/dispatch/ask.rs
+++ b/crates/jobs/src/dispatch/ask.rs
@@ -2,6 +2,7 @@
 
 use crate::dispatch::core::Core;
 use crate::dispatch::pass::Pass;
+use crate::dispatch::plan::TICKET_MARGIN;
 use crate::dispatch::{AskOrder, Order};
 use crate::fleet::ExecutorSlot;
 use crate::id::StepKey;
@@ -41,7 +42,10 @@
             self.ask(key, queue, renew, pass.now);
             return;
         }
-        let places: u32 = known.iter().map(|c| pass.room(c.slot).fits(&need).min(left)).sum();
+        let places: u32 = known
+            .iter()
+            .map(|c| pass.room(c.slot).fits(&need).min(left))
+            .sum();
         let missing = f64::from(left) * SPARE_PLACES - f64::from(places);
         let named = self.unjudged(key, spec, queue, missing, pass);
         if named.iter().any(has_room) {
@@ -65,17 +69,31 @@
         let known = self.known_good(key, spec, queue);
         let now_fits = |slot: ExecutorSlot| pass.room(slot).fits(&need);
         let has_room: u32 = known.iter().map(|c| now_fits(c.slot).min(c.allowed)).sum();
-        if has_room >= spec.count {
-            let with_room = known.iter().filter(|c| now_fits(c.slot) > 0);
+        let soon_fits = |slot: ExecutorSlot| {
+            let mut room = *pass.room(slot);
+            room.free = room.free.saturating_add(self.free_soon(slot, queue));
+            room.fits(&need)
+        };
+        let has_soon: u32 = known.iter().map(|c| soon_fits(c.slot).min(c.allowed)).sum();
+        // An answer takes about as long as a stop, so tickets are renewed while room is being made.
+        if has_soon >= spec.count && self.has_expired(key, pass.now) {
+            let with_room = known.iter().filter(|c| soon_fits(c.slot) > 0);
             let renew = with_room.map(|c| c.slot).collect();
             self.ask(key, queue, renew, pass.now);
             return;
         }
+        if has_soon >= spec.count {
+            return;
+        }
         let empty_fits = |slot: ExecutorSlot| pass.room(slot).fits_empty(&need);
-        let could_hold: u32 = known.iter().map(|c| empty_fits(c.slot).min(c.allowed)).sum();
-        let waits_long = self.advice.step(key).is_some_and(|advice| {
-            pass.now.since(advice.answered) > WIDEN_AFTER
-        });
+        let could_hold: u32 = known
+            .iter()
+            .map(|c| empty_fits(c.slot).min(c.allowed))
+            .sum();
+        let waits_long = self
+            .advice
+            .step(key)
+            .is_some_and(|advice| pass.now.since(advice.answered) > WIDEN_AFTER);
         let wanted = f64::from(spec.count) * SPARE_PLACES;
         let missing = wanted - f64::from(if waits_long { has_room } else { could_hold });
         if missing > 0.0 {
@@ -86,6 +104,13 @@
         }
     }
 
+    /// Tells whether a ticket for the step has expired.
+    fn has_expired(&self, key: StepKey, now: Timestamp) -> bool {
+        let grants = self.advice.step(key).map(|advice| &advice.grants[..]);
+        let mut grants = grants.unwrap_or_default().iter();
+        grants.any(|grant| grant.valid_until <= now.after(TICKET_MARGIN))
+    }
+
     /// Returns executors that the adviser has not judged for the step, those with the most room first, as many as are
     /// expected to bring `missing` places.
     fn unjudged(
--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -127,10 +127,7 @@
         };
         let chain = self.times.chain(record.queue(), record.spec()).get() as f64;
         let time = lagoon_core::unit::Millis::new((chain * queue.stretch) as u64);
-        job.objective = record
-            .accepted()
-            .after(time)
-            .after(queue.target_latency);
+        job.objective = record.accepted().after(time).after(queue.target_latency);
     }
 
     fn end_complete_jobs(&mut self, now: Timestamp) {
--- a/crates/jobs/src/dispatch/ends.rs
+++ b/crates/jobs/src/dispatch/ends.rs
@@ -16,7 +16,10 @@
         now: Timestamp,
     ) -> RecordNumber {
         let task = end.task;
-        let started = self.runs.matching(task, end.number, slot).map(|run| run.ordered);
+        let started = self
+            .runs
+            .matching(task, end.number, slot)
+            .map(|run| run.ordered);
         if started.is_some() {
             self.drop_run(task);
         }
@@ -45,7 +48,11 @@
             }
             EndKind::Stopped | EndKind::Lapsed => {}
         }
-        match self.jobs.get(task.job()).map(|job| (job.is_live(), job.ended_by)) {
+        match self
+            .jobs
+            .get(task.job())
+            .map(|job| (job.is_live(), job.ended_by))
+        {
             Some((false, ended_by)) => ended_by,
             _ => self.ledger.mark(task.job()),
         }
@@ -55,7 +62,9 @@
         let Some(job) = self.jobs.get_mut(task.job()) else {
             return;
         };
-        let long_running = job.step_spec(task.step()).is_some_and(|spec| spec.long_running);
+        let long_running = job
+            .step_spec(task.step())
+            .is_some_and(|spec| spec.long_running);
         let Some(step) = job.step_mut(task.step()) else {
             return;
         };
@@ -71,7 +80,9 @@
         let Some(job) = self.jobs.get_mut(task.job()) else {
             return;
         };
-        let long_running = job.step_spec(task.step()).is_some_and(|spec| spec.long_running);
+        let long_running = job
+            .step_spec(task.step())
+            .is_some_and(|spec| spec.long_running);
         let Some(step) = job.step_mut(task.step()) else {
             return;
         };
@@ -123,7 +134,11 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let steps: Vec<StepKey> = job.begun().iter().flat_map(|k| job.open_steps(*k)).collect();
+        let steps: Vec<StepKey> = job
+            .begun()
+            .iter()
+            .flat_map(|k| job.open_steps(*k))
+            .collect();
         steps.into_iter().for_each(|step| self.advice.forget(step));
         self.jobs.end(id, outcome, now);
         let record = self.ledger.mark(id);
@@ -145,19 +160,19 @@
     }
 
     fn job_record(&self, id: JobId) -> RecordNumber {
-        self.jobs.get(id).map(|job| job.ended_by).unwrap_or_default()
+        self.jobs
+            .get(id)
+            .map(|job| job.ended_by)
+            .unwrap_or_default()
     }
 
     fn note_health(&mut self, slot: ExecutorSlot, how: EndKind, now: Timestamp) {
         let executor = self.fleet.get_mut(slot);
-        match how {
-            EndKind::Done => executor.health.succeeded(),
-            EndKind::Failed => {
-                if executor.health.failed(now) {
-                    tracing::warn!(executor = %executor.entry.id, "dispatch: executor rests, its runs fail");
-                }
-            }
-            _ => {}
+        if how == EndKind::Done {
+            executor.health.succeeded();
+        }
+        if how == EndKind::Failed && executor.health.failed(now) {
+            tracing::warn!(executor = %executor.entry.id, "dispatch: executor rests, its runs fail");
         }
     }
 }
--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -35,7 +35,11 @@
                 true => None,
                 false => executor.clock.grant(limits.lease, now),
             },
-            wait: if waits { limits.hold_wait } else { Millis::ZERO },
+            wait: if waits {
+                limits.hold_wait
+            } else {
+                Millis::ZERO
+            },
         })
     }
 
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -146,7 +146,11 @@
             // A stop may have been lost; the driver repeats it until it is answered.
             RunPhase::Stopping { .. } => {}
         }
-        if let Some(step) = self.jobs.get_mut(row.task.job()).and_then(|job| job.step_mut(row.task.step())) {
+        if let Some(step) = self
+            .jobs
+            .get_mut(row.task.job())
+            .and_then(|job| job.step_mut(row.task.step()))
+        {
             step.save(row.task.index(), row.checkpoint.clone());
         }
         self.jobs.set_started(row.task.job());
@@ -161,7 +165,10 @@
             return;
         }
         // A run of a job that has ended takes its room as well; one of an unknown job may take all of it.
-        let spec = self.jobs.get(row.task.job()).and_then(|job| job.step_spec(row.task.step()));
+        let spec = self
+            .jobs
+            .get(row.task.job())
+            .and_then(|job| job.step_spec(row.task.step()));
         let executor = self.fleet.get_mut(slot);
         let need = spec.map_or(executor.entry.capacity, StepSpec::reserved);
         executor.strays.insert(row.task, (row.number, need));
@@ -172,13 +179,20 @@
 
     fn adopt(&mut self, slot: ExecutorSlot, row: &RunningRow, now: Timestamp) -> bool {
         let task = row.task;
-        let job = self.jobs.get_mut(task.job()).filter(|job| job.is_live() && job.has_task(task));
+        let job = self
+            .jobs
+            .get_mut(task.job())
+            .filter(|job| job.is_live() && job.has_task(task));
         let Some(job) = job.filter(|_| self.runs.get(task).is_none()) else {
             return false;
         };
-        let need = job.step_spec(task.step()).map(StepSpec::reserved).unwrap_or_default();
+        let need = job
+            .step_spec(task.step())
+            .map(StepSpec::reserved)
+            .unwrap_or_default();
         let step = job.step_mut(task.step());
-        let Some(step) = step.filter(|step| step.phase(task.index()) == Some(TaskPhase::Idle)) else {
+        let Some(step) = step.filter(|step| step.phase(task.index()) == Some(TaskPhase::Idle))
+        else {
             return false;
         };
         step.set_phase(task.index(), TaskPhase::Active);
@@ -204,7 +218,8 @@
         for slot in slots {
             let strays = &self.fleet.get(slot).strays;
             let of_job = strays.iter().filter(|(task, _)| task.job() == id);
-            let found: Vec<(TaskKey, RunNumber)> = of_job.map(|(task, (n, _))| (*task, *n)).collect();
+            let found: Vec<(TaskKey, RunNumber)> =
+                of_job.map(|(task, (n, _))| (*task, *n)).collect();
             for (task, number) in found {
                 self.fleet.get_mut(slot).strays.remove(&task);
                 let row = RunningRow {
@@ -257,7 +272,10 @@
             return;
         };
         let idle = now.since(run.progress.1);
-        let spec = self.jobs.get(task.job()).and_then(|job| job.step_spec(task.step()));
+        let spec = self
+            .jobs
+            .get(task.job())
+            .and_then(|job| job.step_spec(task.step()));
         let can_stall = spec.is_some_and(|spec| !spec.long_running);
         if !can_stall || idle < self.limits.stall || run.progress.0 >= 100 {
             return;
--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod cancel;
 mod core;
 mod dispatcher;
+mod displace;
 mod ends;
 mod hold;
 mod hold_request;
--- a/crates/jobs/src/dispatch/order.rs
+++ b/crates/jobs/src/dispatch/order.rs
@@ -2,7 +2,9 @@
 use std::sync::Arc;
 
 use crate::fleet::ExecutorSlot;
-use crate::id::{AdviceTicket, Checkpoint, Epoch, ExecutorId, MemberId, RunNumber, StepKey, TaskKey};
+use crate::id::{
+    AdviceTicket, Checkpoint, Epoch, ExecutorId, MemberId, RunNumber, StepKey, TaskKey,
+};
 
 /// Something that the driver has to carry out.
 #[derive(Debug, Clone)]
--- a/crates/jobs/src/dispatch/place_each.rs
+++ b/crates/jobs/src/dispatch/place_each.rs
@@ -16,7 +16,9 @@
     ) {
         let mut candidates = self.candidates(key, spec, queue, pass.now);
         let step = self.jobs.get(key.job()).and_then(|job| job.step(key));
-        let idle: Vec<u32> = step.map(|step| step.idle_tasks().collect()).unwrap_or_default();
+        let idle: Vec<u32> = step
+            .map(|step| step.idle_tasks().collect())
+            .unwrap_or_default();
         let mut left = idle.len() as u32;
         for index in idle {
             let Some(best) = tightest(&candidates, spec, pass) else {
--- a/crates/jobs/src/dispatch/place_gang.rs
+++ b/crates/jobs/src/dispatch/place_gang.rs
@@ -54,7 +54,9 @@
                 let rack = self.fleet.get(candidate.slot).entry.rack.clone();
                 racks.entry(rack).or_default().push(candidate.clone());
             }
-            let on_one = racks.values().find_map(|rack| fill(rack, spec, pass, &fits));
+            let on_one = racks
+                .values()
+                .find_map(|rack| fill(rack, spec, pass, &fits));
             if on_one.is_some() {
                 return on_one;
             }
@@ -78,20 +80,33 @@
         }
     }
 
-    /// Keeps later work off the executors on which a gang is to run, until there is room for all of it.
+    /// Keeps later work off the executors on which a gang is to run, and displaces less urgent work there, so that
+    /// there is room for all of it soon.
     fn claim_for_gang(&mut self, key: StepKey, spec: &StepSpec, queue: &Queue, pass: &mut Pass) {
         let known = self.known_good(key, spec, queue);
-        let empty_fits = |c: &Candidate, pass: &Pass| pass.room(c.slot).fits_empty(&spec.reserved());
-        let Some(shares) = self.share_out(&known, spec, pass, empty_fits) else {
-            return;
+        let need = spec.reserved();
+        let soon_fits = |c: &Candidate, pass: &Pass| {
+            let mut room = *pass.room(c.slot);
+            room.free = room.free.saturating_add(self.free_soon(c.slot, queue));
+            room.fits(&need)
         };
-        if !pass.take_claim() {
+        if let Some(shares) = self.share_out(&known, spec, pass, soon_fits) {
+            if pass.take_claim() {
+                for (candidate, members) in shares {
+                    let total = need.checked_mul(members).unwrap_or(need);
+                    self.displace(candidate.slot, &total, queue, pass);
+                    pass.room_mut(candidate.slot).take(&total);
+                }
+            }
             return;
         }
-        let need = spec.reserved();
-        for (candidate, members) in shares {
-            for _ in 0..members {
-                pass.room_mut(candidate.slot).take(&need);
+        let empty_fits = |c: &Candidate, pass: &Pass| pass.room(c.slot).fits_empty(&need);
+        if let Some(shares) = self.share_out(&known, spec, pass, empty_fits)
+            && pass.take_claim()
+        {
+            for (candidate, members) in shares {
+                let total = need.checked_mul(members).unwrap_or(need);
+                pass.room_mut(candidate.slot).take(&total);
             }
         }
     }
@@ -124,7 +139,13 @@
         .map(|c| (c, fits(c, pass).min(c.allowed)))
         .filter(|(_, members)| *members > 0)
         .collect();
-    order.sort_by_key(|(c, _)| (c.is_remote, std::cmp::Reverse(pass.room(c.slot).free.cpu), c.slot));
+    order.sort_by_key(|(c, _)| {
+        (
+            c.is_remote,
+            std::cmp::Reverse(pass.room(c.slot).free.cpu),
+            c.slot,
+        )
+    });
     let mut shares = Shares::new();
     let mut left = spec.count;
     for (candidate, members) in order {
--- a/crates/jobs/src/dispatch/plan.rs
+++ b/crates/jobs/src/dispatch/plan.rs
@@ -28,7 +28,7 @@
 pub(super) type Candidates = SmallVec<[Candidate; 16]>;
 
 /// Time before its end at which a ticket is no longer used, because the start has to arrive in time.
-const TICKET_MARGIN: lagoon_core::unit::Millis = lagoon_core::unit::Millis::new(60);
+pub(super) const TICKET_MARGIN: lagoon_core::unit::Millis = lagoon_core::unit::Millis::new(60);
 
 impl Dispatcher<Serving> {
     /// Places what can be placed now, most urgent first.
--- a/crates/jobs/src/dispatch/tick.rs
+++ b/crates/jobs/src/dispatch/tick.rs
@@ -36,10 +36,13 @@
 
     fn repeat_stops(&mut self) {
         let core = &mut self.core;
-        let unanswered = core.runs.iter().filter(|run| {
-            run.phase == RunPhase::Stopping { confirmed: None }
-        });
-        let runs: Vec<_> = unanswered.map(|run| (run.slot, run.task, run.number)).collect();
+        let unanswered = core
+            .runs
+            .iter()
+            .filter(|run| run.phase == RunPhase::Stopping { confirmed: None });
+        let runs: Vec<_> = unanswered
+            .map(|run| (run.slot, run.task, run.number))
+            .collect();
         for (slot, task, number) in runs {
             core.order_stop(slot, task, number);
         }
--- a/crates/jobs/src/dispatch/view.rs
+++ b/crates/jobs/src/dispatch/view.rs
@@ -46,7 +46,13 @@
         let waiting = self.core.jobs.waiting().iter();
         let load = |(queue, waiting): (&QueueName, &u32)| {
             let wait = Millis::ZERO;
-            (queue.clone(), QueueLoad { waiting: *waiting, wait })
+            (
+                queue.clone(),
+                QueueLoad {
+                    waiting: *waiting,
+                    wait,
+                },
+            )
         };
         Backlog {
             queues: waiting.map(load).collect(),
--- a/crates/jobs/src/job/job.rs
+++ b/crates/jobs/src/job/job.rs
@@ -106,7 +106,9 @@
 
     /// Returns a step of an occurrence that has begun.
     pub fn step(&self, key: StepKey) -> Option<&Step> {
-        self.round(key.occurrence())?.steps.get(usize::from(key.step()))
+        self.round(key.occurrence())?
+            .steps
+            .get(usize::from(key.step()))
     }
 
     /// Returns a step of an occurrence that has begun, to change it.
--- a/crates/jobs/src/job/job_table.rs
+++ b/crates/jobs/src/job/job_table.rs
@@ -21,7 +21,10 @@
             return false;
         }
         if job.state() == JobState::Queued {
-            *self.waiting.entry(job.record().queue().clone()).or_default() += 1;
+            *self
+                .waiting
+                .entry(job.record().queue().clone())
+                .or_default() += 1;
         }
         let id = job.id();
         if job.is_live() {
--- a/crates/jobs/src/job/step.rs
+++ b/crates/jobs/src/job/step.rs
@@ -109,7 +109,8 @@
 
     pub(crate) fn progress(&self, occurrence: u32, step: u16) -> Option<StepProgress> {
         let done = ranges(&self.phases);
-        let attempts: Vec<AttemptProgress> = (0..).zip(&self.attempts).filter_map(durable).collect();
+        let attempts: Vec<AttemptProgress> =
+            (0..).zip(&self.attempts).filter_map(durable).collect();
         let is_empty = done.is_empty() && attempts.is_empty();
         (!is_empty).then_some(StepProgress {
             occurrence,
--- a/crates/jobs/src/spec/job_spec.rs
+++ b/crates/jobs/src/spec/job_spec.rs
@@ -82,7 +82,11 @@
             count: step.count,
         });
     }
-    match step.after.iter().find(|after| usize::from(**after) >= number) {
+    match step
+        .after
+        .iter()
+        .find(|after| usize::from(**after) >= number)
+    {
         Some(&after) => Err(SpecProblem::NotEarlier {
             step: number,
             after,
--- a/crates/node/src/cell/cell_view.rs
+++ b/crates/node/src/cell/cell_view.rs
@@ -29,7 +29,9 @@
             Event::Written(item) => self.write(item),
             Event::Removed(key) if key == Keys::OWNER => self.owner = None,
             Event::Removed(key) => {
-                let member = key.strip_prefix(Keys::MEMBERS).and_then(|id| id.parse().ok());
+                let member = key
+                    .strip_prefix(Keys::MEMBERS)
+                    .and_then(|id| id.parse().ok());
                 if let Some(member) = member {
                     self.members.remove::<MemberId>(&member);
                 }
@@ -61,7 +63,9 @@
                 Ok(entry) => {
                     self.members.insert(entry.member.clone(), entry);
                 }
-                Err(e) => tracing::error!(key = %item.key, "cell: member entry is not readable: {e}"),
+                Err(e) => {
+                    tracing::error!(key = %item.key, "cell: member entry is not readable: {e}")
+                }
             }
         }
     }
--- a/crates/node/src/cell/claim.rs
+++ b/crates/node/src/cell/claim.rs
@@ -34,7 +34,8 @@
     let mut cell = cx.cell.subscribe();
     loop {
         // The senders live as long as the node, so these waits only end with what they wait for.
-        let vacant = |view: &std::sync::Arc<crate::cell::CellView>| view.is_known && view.owner.is_none();
+        let vacant =
+            |view: &std::sync::Arc<crate::cell::CellView>| view.is_known && view.owner.is_none();
         let Ok(view) = cell.wait_for(vacant).await.map(|view| view.clone()) else {
             std::future::pending::<()>().await;
             unreachable!("pending futures never end");
@@ -59,7 +60,9 @@
     let revision = head.as_ref().map(|item| item.revision).unwrap_or_default();
     let last: Head = match &head {
         Some(item) => serde_json::from_slice(&item.value).unwrap_or_else(|e| {
-            tracing::error!("cell: head is not readable, its epoch is taken from the revision: {e}");
+            tracing::error!(
+                "cell: head is not readable, its epoch is taken from the revision: {e}"
+            );
             Head {
                 epoch: Epoch::new(item.revision.get()),
                 write: 0,
@@ -96,7 +99,11 @@
         .expect(Keys::HEAD, revision)
         .expect(Keys::OWNER, Revision::default())
         .put(Keys::HEAD, serde_json::to_vec(&head).expect(encode))
-        .put_leased(Keys::OWNER, serde_json::to_vec(&owner).expect(encode), lease)
+        .put_leased(
+            Keys::OWNER,
+            serde_json::to_vec(&owner).expect(encode),
+            lease,
+        )
 }
 
 /// Finds out whether a claim without an answer took effect.
--- a/crates/node/src/cell/register.rs
+++ b/crates/node/src/cell/register.rs
@@ -10,9 +10,11 @@
 use crate::context::Context;
 
 /// Time after which a member that ceased to renew is gone. Short, because nothing is placed until its successor begins.
-const LEASE_TTL: Millis = Millis::new(1_600);
+const LEASE_TTL: Millis = Millis::new(1_100);
 /// Time between two renewals, so that two may be lost.
-const RENEW_EVERY: Duration = Duration::from_millis(450);
+const RENEW_EVERY: Duration = Duration::from_millis(250);
+/// Time for a renewal; one that takes longer is given up, so that the next is not too late.
+const RENEW_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
@@ -66,7 +68,12 @@
     tracing::info!(%lease, "cell: this member is registered");
     loop {
         tokio::time::sleep(RENEW_EVERY).await;
-        match cx.store.renew(lease).await {
+        let Ok(renewed) = tokio::time::timeout(RENEW_TIMEOUT, cx.store.renew(lease)).await else {
+            cx.metrics.count("lease.renewal_failed", 1);
+            tracing::warn!("cell: lease not renewed, no answer in time");
+            continue;
+        };
+        match renewed {
             Ok(true) => cx.metrics.count("lease.renewed", 1),
             Ok(false) => return Ok(()),
             // The lease may outlast a short outage; only the store knows.
--- a/crates/node/src/desk/owner_view.rs
+++ b/crates/node/src/desk/owner_view.rs
@@ -52,7 +52,11 @@
             };
         }
         let cell = self.cx.current_cell();
-        let Some(owner) = cell.owner.as_ref().filter(|o| o.member != *self.cx.member()) else {
+        let Some(owner) = cell
+            .owner
+            .as_ref()
+            .filter(|o| o.member != *self.cx.member())
+        else {
             return OwnerAnswer::NoAnswer;
         };
         let req = GetJobStateRequest {
@@ -107,7 +111,10 @@
 
     async fn ask_backlog(&self) -> Option<Backlog> {
         let cell = self.cx.current_cell();
-        let owner = cell.owner.as_ref().filter(|o| o.member != *self.cx.member())?;
+        let owner = cell
+            .owner
+            .as_ref()
+            .filter(|o| o.member != *self.cx.member())?;
         let mut client = self.cx.peers.client(owner.address);
         let call = client.get_backlog(GetBacklogRequest {});
         let answer = match tokio::time::timeout(OWNER_TIMEOUT, call).await {
--- a/crates/node/src/desk/stored.rs
+++ b/crates/node/src/desk/stored.rs
@@ -7,7 +7,10 @@
 
 /// Reads from the store how far a job is; `None` if there is no such job. What has not ended counts as running, because
 /// the store does not hold starts.
-pub(super) async fn state(store: &StoreClient, id: JobId) -> Result<Option<JobState>, PlatformError> {
+pub(super) async fn state(
+    store: &StoreClient,
+    id: JobId,
+) -> Result<Option<JobState>, PlatformError> {
     if store.get(&Keys::job(id)).await?.is_none() {
         return Ok(None);
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -59,7 +59,9 @@
         let readiness = Readiness::not_ready("no configuration has arrived");
         let mut tasks = JoinSet::new();
         let ready = front::readiness_router(readiness.clone());
-        let small = Server::bind(listen.readiness, SMALL_LIMITS).await?.serve(ready);
+        let small = Server::bind(listen.readiness, SMALL_LIMITS)
+            .await?
+            .serve(ready);
         let metrics = Server::bind(listen.metrics, SMALL_LIMITS).await?;
         let metrics = metrics.serve(cx.metrics.router());
         let desk = Arc::new(Desk::new(cx.clone(), office.clone()));
@@ -90,7 +92,7 @@
     }
 
     /// Leaves the cell, serves what still arrives until the platform sends nothing more, and ends.
-    pub async fn stop(mut self) {
+    pub async fn stop(self) {
         tracing::info!(member = %self.settings.member, "node: stopping");
         self.readiness.set(Some("the node stops".to_owned()));
         self.stop.fire();
@@ -101,6 +103,7 @@
         let drain = grace.saturating_sub(LEAVE_TIME).saturating_sub(END_TIME);
         tokio::time::sleep(LEAVE_TIME.min(grace).to_duration()).await;
         let answered_all = self.callers.drain().stopped(drain).await;
+        drop(self.tasks);
         tracing::info!(member = %self.settings.member, answered_all, "node: stopped");
     }
 }
--- a/crates/node/src/owner/follow_executors.rs
+++ b/crates/node/src/owner/follow_executors.rs
@@ -26,7 +26,9 @@
     let mut drivers = JoinSet::new();
     loop {
         let result = match watch(&cx, &shard, &mut at, &mut drivers).await {
-            Ok(()) => read_anew(&cx, &shard, &mut drivers).await.map(|read| at = read),
+            Ok(()) => read_anew(&cx, &shard, &mut drivers)
+                .await
+                .map(|read| at = read),
             Err(e) => Err(e),
         };
         if let Err(e) = result {
@@ -71,7 +73,9 @@
     tracing::info!("owner: the store has lost its history, reading all executors anew");
     tokio::time::sleep(RETURN_TIME).await;
     let (items, at) = cx.store.list(EXECUTOR_PREFIX).await?;
-    items.iter().for_each(|item| take_in(cx, shard, item, drivers));
+    items
+        .iter()
+        .for_each(|item| take_in(cx, shard, item, drivers));
     let listed: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
     for (_, id) in shard.with(|dispatcher| dispatcher.executors()) {
         let key = format!("{EXECUTOR_PREFIX}{id}");
@@ -104,7 +108,9 @@
 }
 
 fn unlist(shard: &Shard, key: &str) {
-    let id = key.strip_prefix(EXECUTOR_PREFIX).and_then(|id| id.parse::<ExecutorId>().ok());
+    let id = key
+        .strip_prefix(EXECUTOR_PREFIX)
+        .and_then(|id| id.parse::<ExecutorId>().ok());
     if let Some(id) = id
         && shard.change(|dispatcher| dispatcher.unlist(&id)).is_some()
     {
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -10,8 +10,8 @@
 mod keep;
 mod office;
 mod orders;
-mod recover;
 mod recorder;
+mod recover;
 mod run;
 mod shard;
 
--- a/crates/node/src/owner/orders.rs
+++ b/crates/node/src/owner/orders.rs
@@ -35,7 +35,10 @@
         };
         match order {
             Some(Order::Start(start)) => {
-                let permits = permits.entry(start.slot).or_insert_with(new_permits).clone();
+                let permits = permits
+                    .entry(start.slot)
+                    .or_insert_with(new_permits)
+                    .clone();
                 calls.spawn(send_start(cx.clone(), shard.clone(), start, permits));
             }
             Some(Order::Stop(stop)) => {
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -171,7 +171,10 @@
         let found: Option<Head> = head.and_then(|item| serde_json::from_slice(&item.value).ok());
         match (head, found) {
             (Some(item), Some(found)) if found.epoch == self.epoch => {
-                tracing::info!(write = found.write, "owner: a write without an answer took effect");
+                tracing::info!(
+                    write = found.write,
+                    "owner: a write without an answer took effect"
+                );
                 position.revision = item.revision;
                 position.write = found.write;
             }
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -62,7 +62,10 @@
     }
     let unheard = dispatcher.unheard();
     if unheard > 0 {
-        tracing::warn!(unheard, "owner: placement begins without executors that did not answer");
+        tracing::warn!(
+            unheard,
+            "owner: placement begins without executors that did not answer"
+        );
     }
     let followed = Followed {
         jobs,
@@ -74,7 +77,11 @@
 async fn first_policy(cx: &Context) -> Arc<CellPolicy> {
     let mut policy = cx.policy.subscribe();
     let found = policy.wait_for(Option::is_some).await;
-    found.map(|policy| policy.clone()).ok().flatten().unwrap_or_default()
+    found
+        .map(|policy| policy.clone())
+        .ok()
+        .flatten()
+        .unwrap_or_default()
 }
 
 async fn load_jobs(
@@ -91,7 +98,9 @@
                 known.insert(id, progress);
             }
             (_, Err(e)) => tracing::error!(key = %item.key, "owner: progress is not readable: {e}"),
-            (None, Ok(_)) => tracing::error!(key = %item.key, "owner: progress under a strange key"),
+            (None, Ok(_)) => {
+                tracing::error!(key = %item.key, "owner: progress under a strange key")
+            }
         }
     }
     let now = cx.clock.now();
--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -79,10 +79,24 @@
     let (step_down, mut stepped_down) = mpsc::channel(1);
     let recorder = Arc::new(Recorder::new(cx.clone(), claim, step_down.clone()));
     let shard = open(cx, dispatcher, &mut tasks, step_down.clone());
-    tasks.spawn(follow_jobs::follow(cx.clone(), shard.clone(), followed.jobs));
-    tasks.spawn(follow_executors::follow(cx.clone(), shard.clone(), followed.executors));
+    tasks.spawn(follow_jobs::follow(
+        cx.clone(),
+        shard.clone(),
+        followed.jobs,
+    ));
+    tasks.spawn(follow_executors::follow(
+        cx.clone(),
+        shard.clone(),
+        followed.executors,
+    ));
     tasks.spawn(recorder.clone().run(shard.clone()));
-    tasks.spawn(keep::keep(cx.clone(), shard.clone(), recorder, lease.clone(), step_down));
+    tasks.spawn(keep::keep(
+        cx.clone(),
+        shard.clone(),
+        recorder,
+        lease.clone(),
+        step_down,
+    ));
     office.set(Some(shard));
     // All senders live in the tasks below, which run until they are aborted.
     let _ = stepped_down.recv().await;
@@ -100,7 +114,11 @@
     tasks.spawn(orders::carry_out(cx.clone(), shard.clone(), rx, step_down));
     tasks.spawn(plan(cx.clone(), shard.clone()));
     tasks.spawn(tick(cx.clone(), shard.clone()));
-    tasks.spawn(drive_executor::drive_all(cx.clone(), shard.clone(), executors));
+    tasks.spawn(drive_executor::drive_all(
+        cx.clone(),
+        shard.clone(),
+        executors,
+    ));
     shard
 }
 
--- a/crates/node/src/peers/channels.rs
+++ b/crates/node/src/peers/channels.rs
@@ -32,7 +32,8 @@
                 .connect_lazy();
             CellPeerClient::new(channel)
         };
-        self.channels
-            .with(&address, |map| map.entry(address).or_insert_with(open).clone())
+        self.channels.with(&address, |map| {
+            map.entry(address).or_insert_with(open).clone()
+        })
     }
 }
--- a/crates/node/src/peers/service.rs
+++ b/crates/node/src/peers/service.rs
@@ -48,11 +48,14 @@
             return Ok(Response::new(GetBacklogResponse::default()));
         };
         let backlog = shard.with(|dispatcher| dispatcher.backlog());
-        let queues = backlog.queues.into_iter().map(|(queue, load)| QueueBacklog {
-            queue: queue.to_string(),
-            waiting: load.waiting,
-            wait_ms: load.wait.get(),
-        });
+        let queues = backlog
+            .queues
+            .into_iter()
+            .map(|(queue, load)| QueueBacklog {
+                queue: queue.to_string(),
+                waiting: load.waiting,
+                wait_ms: load.wait.get(),
+            });
         Ok(Response::new(GetBacklogResponse {
             is_owner: true,
             queues: queues.collect(),
@@ -65,7 +68,8 @@
     ) -> Result<Response<AskAdviserResponse>, Status> {
         let req = req.into_inner();
         let step: StepKey = parse(&req.step)?;
-        let named: Result<Vec<ExecutorId>, Status> = req.executors.iter().map(|id| parse(id)).collect();
+        let named: Result<Vec<ExecutorId>, Status> =
+            req.executors.iter().map(|id| parse(id)).collect();
         let cost = Millis::new(req.cost_ms);
         let answer = match self.cx.adviser.ask(step, &named?, cost).await {
             Ok(advised) => AskAdviserResponse {
--- a/crates/node/src/policy/follow.rs
+++ b/crates/node/src/policy/follow.rs
@@ -46,7 +46,9 @@
                 for event in &events {
                     match event {
                         Event::Written(item) => apply(cx, item),
-                        Event::Removed(key) => tracing::warn!(%key, "policy: configuration removed, the last one stays"),
+                        Event::Removed(key) => {
+                            tracing::warn!(%key, "policy: configuration removed, the last one stays")
+                        }
                     }
                 }
                 debug_assert!(at > Revision::default());
@@ -70,7 +72,12 @@
         let known = current.as_ref().map(|policy| policy.version());
         let is_newer = known.is_none_or(|known| policy.version() > known);
         if is_newer {
-            tracing::info!(version = policy.version(), ?known, queues = policy.queues().len(), "policy: configuration in force");
+            tracing::info!(
+                version = policy.version(),
+                ?known,
+                queues = policy.queues().len(),
+                "policy: configuration in force"
+            );
             *current = Some(policy);
         }
         is_newer
--- a/crates/node/src/settings/limit_settings.rs
+++ b/crates/node/src/settings/limit_settings.rs
@@ -5,17 +5,17 @@
 /// Times that the platform sets.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct LimitSettings {
+pub(crate) struct LimitSettings {
     /// Longest lease that an executor grants.
     #[serde(deserialize_with = "text")]
-    pub max_lease: Millis,
+    pub(crate) max_lease: Millis,
     /// Time for which final states are kept.
     #[serde(deserialize_with = "text")]
-    pub retention: Millis,
+    pub(crate) retention: Millis,
     /// Time from the request to stop until the process is killed.
     #[serde(deserialize_with = "text")]
-    pub grace: Millis,
+    pub(crate) grace: Millis,
     /// Shortest lease of the store.
     #[serde(deserialize_with = "text")]
-    pub min_store_lease: Millis,
+    pub(crate) min_store_lease: Millis,
 }
--- a/crates/node/src/settings/listen_settings.rs
+++ b/crates/node/src/settings/listen_settings.rs
@@ -4,13 +4,13 @@
 /// Addresses that a node listens on.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct ListenSettings {
+pub(crate) struct ListenSettings {
     /// Calls of callers.
-    pub callers: Address,
+    pub(crate) callers: Address,
     /// The platform's question whether the node takes calls.
-    pub readiness: Address,
+    pub(crate) readiness: Address,
     /// Calls of other nodes.
-    pub peers: Address,
+    pub(crate) peers: Address,
     /// Metrics.
-    pub metrics: Address,
+    pub(crate) metrics: Address,
 }
--- a/crates/node/src/settings/node_settings.rs
+++ b/crates/node/src/settings/node_settings.rs
@@ -20,13 +20,13 @@
     /// Processor share of the host in cores; the strongest host is preferred as owner.
     pub strength: f64,
     /// Addresses to listen on.
-    pub listen: ListenSettings,
+    pub(crate) listen: ListenSettings,
     /// Address of the store.
     pub store: Address,
     /// Address of the placement adviser.
     pub adviser: Address,
     /// Times that the platform sets.
-    pub limits: LimitSettings,
+    pub(crate) limits: LimitSettings,
     /// The log.
     #[serde(default)]
     pub log: LogSettings,
@@ -36,8 +36,16 @@
     fn check(&self, problems: &mut Problems) {
         let positive = |time: Millis| time > Millis::ZERO;
         problems.require(self.strength > 0.0, "strength", "a number of cores above 0");
-        problems.require(positive(self.limits.max_lease), "limits.max_lease", "a time above 0");
-        problems.require(positive(self.limits.grace), "limits.grace", "a time above 0");
+        problems.require(
+            positive(self.limits.max_lease),
+            "limits.max_lease",
+            "a time above 0",
+        );
+        problems.require(
+            positive(self.limits.grace),
+            "limits.grace",
+            "a time above 0",
+        );
         problems.check_part("log", &self.log);
     }
 }
