--- /dev/null
+++ b/crates/jobs/tests/dispatch/advice.rs
@@ -0,0 +1,70 @@
+//! Questions to the adviser and the use of its tickets.
+
+use lagoon_jobs::spec::StepSpec;
+
+use crate::world::{World, asks, starts, step};
+
+fn gang(count: u32, need: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, need)
+    }
+}
+
+cases! {
+    /// Guards against a start on an executor that the queue's policy does not allow.
+    nothing_starts_without_a_ticket {
+        let mut world = World::with(&[("e1", 8)]);
+        world.submit(1, "advised", vec![step(1, 1)]);
+        let orders = world.plan();
+        assert!(starts(&orders).is_empty());
+        let ask = asks(&orders).remove(0);
+        world.advise(&ask, 1_500);
+        let started = starts(&world.plan());
+        assert_eq!(started.len(), 1);
+        assert!(started[0].ticket.is_some());
+    }
+
+    /// Guards against a start with a ticket that is no longer valid.
+    an_expired_ticket_is_renewed {
+        let mut world = World::with(&[("e1", 1)]);
+        world.submit(1, "advised", vec![step(2, 1)]);
+        let ask = asks(&world.plan()).remove(0);
+        world.advise(&ask, 1_500);
+        let first = world.start_all();
+        assert_eq!(first.len(), 1);
+        world.pass(2_000);
+        world.ended(&first[0], lagoon_jobs::run::EndKind::Done);
+        let orders = world.plan();
+        assert!(starts(&orders).is_empty());
+        assert_eq!(asks(&orders).len(), 1);
+    }
+
+    /// Guards against a gang whose own claim hides the room from it, so that it never renews its tickets.
+    a_claim_does_not_keep_its_gang_from_asking {
+        let mut world = World::with(&[("e1", 4), ("e2", 4)]);
+        world.submit(1, "advised", vec![gang(4, 2)]);
+        let ask = asks(&world.plan()).remove(0);
+        world.advise(&ask, 1_500);
+        world.pass(1_600);
+        let again = asks(&world.plan());
+        assert_eq!(again.len(), 1);
+        world.advise(&again[0], 1_500);
+        assert_eq!(starts(&world.plan()).len(), 4);
+    }
+
+    /// Guards against slow questions that take every lane, and quick ones that wait for all of them.
+    slow_questions_leave_lanes_to_quick_ones {
+        let mut world = World::with(&[("e1", 8), ("e2", 8), ("e3", 8)]);
+        for job in 1..=6 {
+            world.submit(job, "advised", vec![gang(4, 2)]);
+        }
+        let asked = asks(&world.plan());
+        assert!(asked.len() < 3, "{} of 3 lanes are taken", asked.len());
+        for ask in &asked {
+            world.dispatcher.advised(ask, None, world.now);
+        }
+        world.pass(200);
+        assert!(!asks(&world.plan()).is_empty());
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/dispatch/gangs.rs
@@ -0,0 +1,92 @@
+//! Tasks that run only together.
+
+use lagoon_jobs::job::JobState;
+use lagoon_jobs::run::{EndKind, StartOutcome, StartRefusal};
+use lagoon_jobs::spec::StepSpec;
+
+use crate::world::{World, starts, step, stops};
+
+fn gang(count: u32, need: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, need)
+    }
+}
+
+cases! {
+    /// Guards against members that wait in vain for others that have no room.
+    a_gang_starts_whole_or_not_at_all {
+        let mut world = World::with(&[("e1", 4), ("e2", 4)]);
+        world.submit(1, "urgent", vec![gang(5, 2)]);
+        assert!(starts(&world.plan()).is_empty());
+        world.submit(2, "urgent", vec![gang(4, 2)]);
+        let started = starts(&world.plan());
+        assert_eq!(started.len(), 4);
+        assert!(started.iter().all(|order| order.number == started[0].number));
+    }
+
+    /// Guards against a gang that is run again because not each member listed its end.
+    one_member_done_means_all_are {
+        let mut world = World::with(&[("e1", 8)]);
+        let id = world.submit(1, "urgent", vec![gang(3, 1)]);
+        let started = world.start_all();
+        world.ended(&started[1], EndKind::Done);
+        world.record_all();
+        assert_eq!(world.state(id), JobState::Done);
+    }
+
+    /// Guards against members that hold room although one of them was refused.
+    a_refused_member_stops_the_others {
+        let mut world = World::with(&[("e1", 4), ("e2", 4)]);
+        world.submit(1, "urgent", vec![gang(4, 2)]);
+        let started = starts(&world.plan());
+        world.dispatcher.started(&started[0], StartOutcome::Started, world.now);
+        let refused = StartOutcome::Refused(StartRefusal::Ticket);
+        world.dispatcher.started(&started[1], refused, world.now);
+        assert_eq!(stops(&world.plan()).len(), 3);
+    }
+
+    /// Guards against a failed gang that uses up one attempt for each member.
+    a_failed_gang_uses_one_attempt {
+        let mut world = World::with(&[("e1", 8)]);
+        let id = world.submit(1, "urgent", vec![gang(2, 1)]);
+        let started = world.start_all();
+        let number = started[0].number.get();
+        let ends = vec![
+            crate::world::end(1, started[0].task, number, EndKind::Failed),
+            crate::world::end(2, started[1].task, number, EndKind::Failed),
+        ];
+        world.list(0, &[], ends);
+        world.record_all();
+        assert_ne!(world.state(id), JobState::Failed);
+        assert_eq!(starts(&world.plan()).len(), 2);
+    }
+
+    /// Guards against a gang that waits while less urgent work with slack, which saves its progress, holds the room.
+    a_gang_displaces_less_urgent_work {
+        let mut world = World::with(&[("e1", 4)]);
+        let saving = StepSpec { saves_progress: true, ..step(4, 1) };
+        world.submit(1, "bulk", vec![saving]);
+        let bulk = world.start_all();
+        assert_eq!(bulk.len(), 4);
+        world.submit(2, "urgent", vec![gang(2, 1)]);
+        let stopped = stops(&world.plan());
+        assert_eq!(stopped.len(), 2);
+        assert!(stops(&world.plan()).is_empty());
+        for stop in &stopped {
+            world.dispatcher.stop_confirmed(stop, world.now);
+            let order = bulk.iter().find(|order| order.task == stop.task).unwrap();
+            let others: Vec<_> = bulk
+                .iter()
+                .filter(|other| !stopped.iter().any(|stop| stop.task == other.task))
+                .map(|other| (other.task, other.number.get()))
+                .collect();
+            let sequence = 1 + stopped.iter().position(|s| s.task == stop.task).unwrap() as u64;
+            let row = crate::world::end(sequence, order.task, order.number.get(), EndKind::Stopped);
+            world.list(0, &others, vec![row]);
+        }
+        let started = starts(&world.plan());
+        assert_eq!(started.len(), 2);
+        assert!(started.iter().all(|order| order.task.job() == crate::world::job_id(2)));
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/dispatch/leases.rs
@@ -0,0 +1,73 @@
+//! When runs on executors that do not answer, or that started again, are gone for certain.
+
+use lagoon_core::unit::Millis;
+use lagoon_jobs::dispatch::HoldStep;
+use lagoon_jobs::fleet::ExecutorSlot;
+use lagoon_jobs::id::Life;
+
+use crate::world::{World, listing, starts, step};
+
+cases! {
+    /// Guards against a second run while the lease of the first may not have run out on a clock that is 2% slow.
+    a_silent_executor_keeps_its_runs_until_the_lease_has_lapsed {
+        let mut world = World::with(&[("e1", 4), ("e2", 4)]);
+        world.submit(1, "urgent", vec![step(1, 4)]);
+        let order = world.start_all().remove(0);
+        let _ = world.dispatcher.next_hold(order.slot, false, world.now);
+        world.dispatcher.hold_failed(order.slot, world.now);
+        world.pass(5_050);
+        world.dispatcher.tick(world.now);
+        assert!(starts(&world.plan()).is_empty());
+        world.pass(300);
+        world.dispatcher.tick(world.now);
+        assert_eq!(starts(&world.plan()).len(), 1);
+    }
+
+    /// Guards against holds that are repeated to a dead executor and put off for ever when its runs count as lapsed.
+    repeated_holds_do_not_put_off_the_lapse {
+        let mut world = World::with(&[("e1", 4), ("e2", 4)]);
+        world.submit(1, "urgent", vec![step(1, 4)]);
+        let order = world.start_all().remove(0);
+        for _ in 0..8 {
+            let _ = world.dispatcher.next_hold(order.slot, false, world.now);
+            world.dispatcher.hold_failed(order.slot, world.now);
+            world.pass(1_000);
+            world.dispatcher.tick(world.now);
+        }
+        assert_eq!(starts(&world.plan()).len(), 1);
+    }
+
+    /// Guards against work that is given up for lost only when a lease lapses although its executor started again.
+    a_new_life_loses_the_runs_of_the_old_one {
+        let mut world = World::with(&[("e1", 4)]);
+        world.submit(1, "urgent", vec![step(1, 1)]);
+        let order = world.start_all().remove(0);
+        let mut reborn = listing(world.now, &[], vec![]);
+        reborn.life = Some(Life::new(2));
+        reborn.executor_ms = 5;
+        world.dispatcher.listed(order.slot, &reborn, world.now, world.now);
+        let again = starts(&world.plan());
+        assert_eq!(again.len(), 1);
+        assert!(again[0].number > order.number);
+        assert_eq!(again[0].lease_end_ms / 1_000, 5);
+    }
+
+    /// Guards against an outage of the store that makes all leases lapse because ends can't be recorded.
+    a_hold_goes_on_while_records_are_overdue {
+        let mut world = World::with(&[("e1", 8)]);
+        world.submit(1, "urgent", vec![step(2, 1)]);
+        let started = world.start_all();
+        let other = (started[1].task, started[1].number.get());
+        let done = crate::world::end(1, started[0].task, 1, lagoon_jobs::run::EndKind::Done);
+        world.list(0, &[other], vec![done]);
+        let slot = ExecutorSlot::new(0);
+        let waits = world.dispatcher.next_hold(slot, false, world.now);
+        assert!(matches!(waits, HoldStep::AwaitRecord));
+        let HoldStep::Hold(req) = world.dispatcher.next_hold(slot, true, world.now) else {
+            panic!("the executor is not held");
+        };
+        assert_eq!(req.acknowledged, 0);
+        assert_eq!(req.wait, Millis::ZERO);
+        assert!(req.lease_end_ms.is_some());
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/dispatch/main.rs
@@ -0,0 +1,11 @@
+//! The dispatcher under faults, in virtual time and without I/O.
+
+#[macro_use]
+mod cases;
+mod admission;
+mod advice;
+mod gangs;
+mod leases;
+mod placement;
+mod takeover;
+mod world;
--- /dev/null
+++ b/crates/jobs/tests/dispatch/takeover.rs
@@ -0,0 +1,107 @@
+//! What a new owner makes of the runs, ends and records of earlier ones.
+
+use lagoon_jobs::fleet::ExecutorSlot;
+use lagoon_jobs::id::StepKey;
+use lagoon_jobs::job::{JobState, Progress};
+use lagoon_jobs::run::EndKind;
+
+use crate::world::{World, end, job_id, listing, record, recovering, starts, step, stops};
+
+cases! {
+    /// Guards against a second run beside one that an earlier owner started: a new owner has granted no lease yet, which
+    /// must not make the run look lapsed.
+    an_adopted_run_is_not_started_again {
+        let mut dispatcher = recovering(2, &[("e1", 8), ("e2", 8)]);
+        let now = lagoon_core::unit::Timestamp::from_millis(1_000);
+        dispatcher.load(job_id(1), record("urgent", vec![step(1, 1)]), &Progress::default(), now);
+        let task = StepKey::new(job_id(1), 0, 0).task(0);
+        for slot in 0..2 {
+            let running = if slot == 0 { vec![(task, 1)] } else { vec![] };
+            dispatcher.listed(ExecutorSlot::new(slot), &listing(now, &running, vec![]), now, now);
+        }
+        let mut world = World::serve(dispatcher);
+        world.dispatcher.tick(world.now);
+        assert!(starts(&world.plan()).is_empty());
+        assert_eq!(world.state(job_id(1)), JobState::Running);
+    }
+
+    /// Guards against a start of inherited work that may still run on an executor that was not heard.
+    inherited_work_waits_for_executors_that_were_not_heard {
+        let mut dispatcher = recovering(2, &[("e1", 8), ("e2", 8)]);
+        let now = lagoon_core::unit::Timestamp::from_millis(1_000);
+        dispatcher.load(job_id(1), record("urgent", vec![step(1, 1)]), &Progress::default(), now);
+        dispatcher.listed(ExecutorSlot::new(0), &listing(now, &[], vec![]), now, now);
+        let mut world = World::serve(dispatcher);
+        world.submit(2, "urgent", vec![step(1, 1)]);
+        let started = world.start_all();
+        assert_eq!(started.len(), 1);
+        assert_eq!(started[0].task.job(), job_id(2));
+        world.pass(9_000);
+        assert_eq!(starts(&world.plan()).len(), 1);
+    }
+
+    /// Guards against failed runs that are not counted because executors list them in another order than they happened.
+    failures_count_in_any_order {
+        let mut dispatcher = recovering(2, &[("e1", 8), ("e2", 8)]);
+        let now = lagoon_core::unit::Timestamp::from_millis(1_000);
+        dispatcher.load(job_id(1), record("urgent", vec![step(1, 1)]), &Progress::default(), now);
+        let task = StepKey::new(job_id(1), 0, 0).task(0);
+        for (slot, number) in [(0, 2), (1, 1)] {
+            let ended = vec![end(1, task, number, EndKind::Failed)];
+            dispatcher.listed(ExecutorSlot::new(slot), &listing(now, &[], ended), now, now);
+        }
+        let mut world = World::serve(dispatcher);
+        assert!(starts(&world.plan()).is_empty());
+        world.record_all();
+        assert_eq!(world.state(job_id(1)), JobState::Failed);
+    }
+
+    /// Guards against progress that a later owner reads differently from what was recorded.
+    recorded_progress_survives_an_owner {
+        let mut world = World::with(&[("e1", 8)]);
+        let id = world.submit(1, "urgent", vec![step(2, 1)]);
+        let started = world.start_all();
+        world.ended(&started[0], EndKind::Done);
+        world.ended(&started[1], EndKind::Failed);
+        let (_, progress) = world.record_all().remove(0);
+        let stored = serde_json::to_vec(&progress).unwrap();
+        let progress: Progress = serde_json::from_slice(&stored).unwrap();
+        let now = world.now;
+        let mut next = recovering(2, &[("e1", 8)]);
+        next.load(id, record("urgent", vec![step(2, 1)]), &progress, now);
+        let ends = vec![
+            end(1, started[0].task, 1, EndKind::Done),
+            end(2, started[1].task, 1, EndKind::Failed),
+        ];
+        next.listed(ExecutorSlot::new(0), &listing(now, &[], ends), now, now);
+        let mut world = World::serve(next);
+        let again = starts(&world.plan());
+        assert_eq!(again.len(), 1);
+        assert_eq!(again[0].task, started[1].task);
+        assert!(again[0].number > started[1].number);
+    }
+
+    /// Guards against a task that is started beside a run that was listed before its job became known.
+    a_run_listed_before_its_job_is_adopted {
+        let mut world = World::with(&[("e1", 8), ("e2", 8)]);
+        let task = StepKey::new(job_id(1), 0, 0).task(0);
+        world.list(0, &[(task, 1)], vec![]);
+        assert!(stops(&world.plan()).is_empty());
+        world.submit(1, "urgent", vec![step(1, 1)]);
+        assert!(starts(&world.plan()).is_empty());
+    }
+
+    /// Guards against an end that is acknowledged before its job is known, and so lost.
+    an_end_waits_for_its_job {
+        let mut world = World::with(&[("e1", 8)]);
+        let task = StepKey::new(job_id(1), 0, 0).task(0);
+        let ended = vec![end(1, task, 1, EndKind::Done)];
+        world.list(0, &[], ended.clone());
+        assert_ne!(world.acknowledged(0), Some(1));
+        let id = world.submit(1, "urgent", vec![step(1, 1)]);
+        world.list(0, &[], ended);
+        world.record_all();
+        assert_eq!(world.state(id), JobState::Done);
+        assert!(starts(&world.plan()).is_empty());
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/dispatch/world.rs
@@ -0,0 +1,262 @@
+use std::sync::Arc;
+
+use lagoon_core::unit::{Bytes, Millicores, Millis, Resources, Timestamp};
+use lagoon_jobs::advice::Advised;
+use lagoon_jobs::dispatch::{
+    AskOrder, DispatchLimits, Dispatcher, HoldStep, Order, Recovering, Serving, StartOrder,
+    StopOrder,
+};
+use lagoon_jobs::fleet::{ExecutorEntry, ExecutorSlot};
+use lagoon_jobs::id::{Epoch, JobId, Life, MemberId, RunNumber, TaskKey};
+use lagoon_jobs::job::{JobRecord, JobState, Progress};
+use lagoon_jobs::policy::{AdviceCost, CellPolicy, Queue, Service};
+use lagoon_jobs::run::{EndKind, EndedRow, Listing, RunningRow, StartOutcome};
+use lagoon_jobs::spec::{JobSpec, StepSpec};
+
+pub(crate) const LEASE: Millis = Millis::new(5_000);
+
+/// A serving dispatcher with a clock that the test moves.
+pub(crate) struct World {
+    pub(crate) dispatcher: Dispatcher<Serving>,
+    pub(crate) now: Timestamp,
+    sequences: Vec<u64>,
+}
+
+pub(crate) fn limits() -> DispatchLimits {
+    DispatchLimits {
+        lease: LEASE,
+        max_lease: LEASE,
+        hold_wait: Millis::new(1_500),
+        retention: Millis::new(120_000),
+        owner_lapse: Millis::new(3_000),
+        stall: Millis::new(4_500),
+    }
+}
+
+/// Two queues of one service: "urgent" without advice and "bulk", which ranks behind it.
+pub(crate) fn policy() -> Arc<CellPolicy> {
+    let urgent = Queue {
+        max_failures: 2,
+        ..Queue::example("urgent", "a.example", "/urgent/")
+    };
+    let bulk = Queue {
+        rank: 2,
+        ..Queue::example("bulk", "a.example", "/bulk/")
+    };
+    let advised = Queue {
+        rank: 1,
+        advice: Some(AdviceCost {
+            fixed: Millis::new(300),
+            per_executor_ms: 5.0,
+        }),
+        ..Queue::example("advised", "a.example", "/advised/")
+    };
+    let service = Service {
+        name: "service".parse().unwrap(),
+    };
+    Arc::new(CellPolicy::new(
+        1,
+        vec![urgent, bulk, advised],
+        vec![service],
+    ))
+}
+
+pub(crate) fn cores(count: u64) -> Resources {
+    Resources::new(Millicores::new(count * 1_000), Bytes::new(count << 30))
+}
+
+pub(crate) fn entry(id: &str, capacity: u64) -> ExecutorEntry {
+    ExecutorEntry {
+        id: id.parse().unwrap(),
+        service: "service".parse().unwrap(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        labels: ["a", "r1"]
+            .map(|label| label.parse().unwrap())
+            .into_iter()
+            .collect(),
+        rack: Some("r1".parse().unwrap()),
+        capacity: cores(capacity),
+        draining: false,
+        life: Some(Life::new(1)),
+    }
+}
+
+pub(crate) fn job_id(number: u64) -> JobId {
+    JobId::new(number)
+}
+
+pub(crate) fn step(count: u32, need: u64) -> StepSpec {
+    StepSpec {
+        count,
+        need: cores(need),
+        estimate: Millis::new(1_000),
+        ..StepSpec::single()
+    }
+}
+
+pub(crate) fn record(queue: &str, steps: Vec<StepSpec>) -> JobRecord {
+    let spec = JobSpec::new("payload", steps, None).unwrap();
+    JobRecord::new(queue.parse().unwrap(), Timestamp::from_millis(1_000), spec)
+}
+
+pub(crate) fn recovering(epoch: u64, executors: &[(&str, u64)]) -> Dispatcher<Recovering> {
+    let now = Timestamp::from_millis(1_000);
+    let mut dispatcher = Dispatcher::open(Epoch::new(epoch), limits(), now);
+    dispatcher.set_policy(policy());
+    dispatcher.set_members(&["m1", "m2", "m3"].map(|id| id.parse::<MemberId>().unwrap()));
+    for (id, capacity) in executors {
+        dispatcher.observe(entry(id, *capacity));
+    }
+    dispatcher
+}
+
+pub(crate) fn listing(now: Timestamp, running: &[(TaskKey, u64)], ended: Vec<EndedRow>) -> Listing {
+    let row = |(task, number): &(TaskKey, u64)| RunningRow {
+        task: *task,
+        number: RunNumber::new(*number),
+        checkpoint: None,
+        percent: (now.as_millis() / 100 % 100) as u32,
+    };
+    Listing {
+        life: Some(Life::new(1)),
+        executor_ms: now.as_millis(),
+        running: running.iter().map(row).collect(),
+        ended,
+        complete: true,
+    }
+}
+
+pub(crate) fn end(sequence: u64, task: TaskKey, number: u64, how: EndKind) -> EndedRow {
+    EndedRow {
+        sequence,
+        task,
+        number: RunNumber::new(number),
+        how,
+        checkpoint: None,
+    }
+}
+
+impl World {
+    /// Serves with executors that run nothing.
+    pub(crate) fn with(executors: &[(&str, u64)]) -> Self {
+        let dispatcher = recovering(1, executors);
+        let mut world = Self::serve(dispatcher);
+        for slot in 0..executors.len() as u32 {
+            world.list(slot, &[], Vec::new());
+        }
+        world
+    }
+
+    pub(crate) fn serve(dispatcher: Dispatcher<Recovering>) -> Self {
+        let now = Timestamp::from_millis(1_000);
+        Self {
+            dispatcher: dispatcher.serve(now),
+            now,
+            sequences: vec![0; 64],
+        }
+    }
+
+    pub(crate) fn pass(&mut self, ms: u64) {
+        self.now = self.now.after(Millis::new(ms));
+    }
+
+    pub(crate) fn submit(&mut self, number: u64, queue: &str, steps: Vec<StepSpec>) -> JobId {
+        let id = job_id(number);
+        self.dispatcher.submit(id, record(queue, steps), self.now);
+        id
+    }
+
+    /// Lets an executor list; the hold was sent a moment ago.
+    pub(crate) fn list(&mut self, slot: u32, running: &[(TaskKey, u64)], ended: Vec<EndedRow>) {
+        let asked = self.now;
+        self.pass(10);
+        let listing = listing(self.now, running, ended);
+        self.dispatcher
+            .listed(ExecutorSlot::new(slot), &listing, asked, self.now);
+    }
+
+    /// Lists the next end of an executor.
+    pub(crate) fn ended(&mut self, order: &StartOrder, how: EndKind) {
+        let slot = order.slot.index();
+        self.sequences[slot] += 1;
+        let row = end(self.sequences[slot], order.task, order.number.get(), how);
+        self.list(order.slot.get(), &[], vec![row]);
+    }
+
+    pub(crate) fn plan(&mut self) -> Vec<Order> {
+        self.pass(1);
+        self.dispatcher.plan(self.now);
+        self.dispatcher.take_orders()
+    }
+
+    /// Plans and confirms every start.
+    pub(crate) fn start_all(&mut self) -> Vec<StartOrder> {
+        let starts = starts(&self.plan());
+        for order in &starts {
+            self.pass(1);
+            self.dispatcher
+                .started(order, StartOutcome::Started, self.now);
+        }
+        starts
+    }
+
+    /// Answers a question: all executors named are good.
+    pub(crate) fn advise(&mut self, order: &AskOrder, valid_ms: u64) {
+        let good = order
+            .named
+            .iter()
+            .map(|(_, id)| (id.clone(), "t".parse().unwrap()));
+        let answer = Advised {
+            good: good.collect(),
+            valid: Millis::new(valid_ms),
+        };
+        self.dispatcher.advised(order, Some(&answer), self.now);
+    }
+
+    /// Writes all progress.
+    pub(crate) fn record_all(&mut self) -> Vec<(JobId, Progress)> {
+        let batch = self.dispatcher.take_records(100);
+        let jobs: Vec<_> = batch.iter().map(|(id, number, _)| (*id, *number)).collect();
+        self.dispatcher.recorded(&jobs);
+        batch
+            .into_iter()
+            .map(|(id, _, progress)| (id, progress))
+            .collect()
+    }
+
+    pub(crate) fn state(&self, id: JobId) -> JobState {
+        self.dispatcher.job(id).unwrap().state
+    }
+
+    pub(crate) fn acknowledged(&mut self, slot: u32) -> Option<u64> {
+        let slot = ExecutorSlot::new(slot);
+        match self.dispatcher.next_hold(slot, true, self.now) {
+            HoldStep::Hold(req) => Some(req.acknowledged),
+            HoldStep::AwaitRecord | HoldStep::Idle => None,
+        }
+    }
+}
+
+pub(crate) fn starts(orders: &[Order]) -> Vec<StartOrder> {
+    let start = |order: &Order| match order {
+        Order::Start(start) => Some(start.clone()),
+        _ => None,
+    };
+    orders.iter().filter_map(start).collect()
+}
+
+pub(crate) fn stops(orders: &[Order]) -> Vec<StopOrder> {
+    let stop = |order: &Order| match order {
+        Order::Stop(stop) => Some(stop.clone()),
+        _ => None,
+    };
+    orders.iter().filter_map(stop).collect()
+}
+
+pub(crate) fn asks(orders: &[Order]) -> Vec<AskOrder> {
+    let ask = |order: &Order| match order {
+        Order::Ask(ask) => Some(ask.clone()),
+        _ => None,
+    };
+    orders.iter().filter_map(ask).collect()
+}
