--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -34,15 +34,15 @@
 /// Part of the grace period kept for ending.
 const END_TIME: Millis = Millis::new(700);
 
-/// A running node.
+/// A running node. Dropping it ends it at once, as a crash would.
 #[derive(Debug)]
 pub struct Node {
     settings: Arc<NodeSettings>,
     readiness: Readiness,
     callers: Server<Serving>,
     stop: Trigger,
-    registered: tokio::task::JoinHandle<()>,
-    owning: tokio::task::JoinHandle<()>,
+    /// End by themselves after the signal to stop.
+    leaving: JoinSet<()>,
     tasks: JoinSet<()>,
 }
 
@@ -74,8 +74,9 @@
         tasks.spawn(follow_readiness(cx.clone(), readiness.clone()));
         let (stop, stopped) = Signal::manual();
         let (lease_tx, lease) = watch::channel(None);
-        let registered = tokio::spawn(cell::register(cx.clone(), lease_tx, stopped.clone()));
-        let owning = tokio::spawn(owner::run(cx.clone(), lease, office, stopped));
+        let mut leaving = JoinSet::new();
+        leaving.spawn(cell::register(cx.clone(), lease_tx, stopped.clone()));
+        leaving.spawn(owner::run(cx.clone(), lease, office, stopped));
         tracing::info!(
             member = %cx.member(), failure_domain = %cx.settings.failure_domain,
             callers = %listen.callers, peers = %listen.peers, "node: started"
@@ -85,20 +86,17 @@
             readiness,
             callers,
             stop,
-            registered,
-            owning,
+            leaving,
             tasks,
         })
     }
 
     /// Leaves the cell, serves what still arrives until the platform sends nothing more, and ends.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         tracing::info!(member = %self.settings.member, "node: stopping");
         self.readiness.set(Some("the node stops".to_owned()));
         self.stop.fire();
-        // Both end by themselves after the signal.
-        let _ = self.owning.await;
-        let _ = self.registered.await;
+        while self.leaving.join_next().await.is_some() {}
         let grace = self.settings.limits.grace;
         let drain = grace.saturating_sub(LEAVE_TIME).saturating_sub(END_TIME);
         tokio::time::sleep(LEAVE_TIME.min(grace).to_duration()).await;
--- /dev/null
+++ b/crates/node/tests/node/cell.rs
@@ -0,0 +1,183 @@
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::time::Duration;
+
+use hyper::Method;
+use lagoon_node::{Node, NodeSettings};
+use lagoon_platform::{Call, ClientSettings, Endpoint, Transport};
+use lagoon_process::Clock;
+use lagoon_standin::site::SiteHandle;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+/// Time within which something has to come about; a takeover takes about two seconds, a lapsed lease five.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Nodes on a stand-in, with a client.
+pub(crate) struct Cell {
+    pub(crate) site: SiteHandle,
+    nodes: Vec<Option<(Node, SocketAddr, SocketAddr)>>,
+    client: Transport,
+}
+
+impl Cell {
+    /// Starts nodes and executors of four cores, and waits until the nodes are ready.
+    pub(crate) async fn start(nodes: usize, executors: usize) -> Self {
+        let mut site = SiteHandle::bind().await.unwrap();
+        site.configure(1, &["plain", "advised"]);
+        for number in 0..executors {
+            site.start_executor(&format!("e{number}"), 4_000)
+                .await
+                .unwrap();
+        }
+        let mut cell = Self {
+            site,
+            nodes: Vec::new(),
+            client: Transport::new(ClientSettings::default()),
+        };
+        for _ in 0..nodes {
+            cell.add_node().await;
+        }
+        cell
+    }
+
+    pub(crate) async fn add_node(&mut self) {
+        let number = self.nodes.len();
+        let [callers, readiness, peers, metrics] = [(); 4].map(|()| free_address());
+        let (store, adviser) = (self.site.store(), self.site.adviser());
+        let settings = format!(
+            "member: m{number}\nfailure_domain: d1\nstrength: 0.5\nlisten:\n  callers: {callers}\n  \
+             readiness: {readiness}\n  peers: {peers}\n  metrics: {metrics}\nstore: {store}\nadviser: {adviser}\n\
+             limits:\n  max_lease: 6s\n  retention: 120s\n  grace: 1s\n  min_store_lease: 1s\n"
+        );
+        let settings: NodeSettings =
+            lagoon_process::settings::parse(Path::new("test.yaml"), &settings).unwrap();
+        let node = Node::bind(settings, Clock::anchored()).await.unwrap();
+        self.nodes.push(Some((node, callers, readiness)));
+        self.eventually("the node is ready", async |cell: &Self| {
+            cell.call_at(readiness, Method::GET, "/v1/readiness", None)
+                .await
+                .0
+                == 200
+        })
+        .await;
+    }
+
+    /// Ends a node as a crash would.
+    pub(crate) fn crash_node(&mut self, number: usize) {
+        self.nodes[number] = None;
+    }
+
+    /// Stops a node as the platform does.
+    pub(crate) async fn stop_node(&mut self, number: usize) {
+        let (node, ..) = self.nodes[number].take().unwrap();
+        node.stop().await;
+    }
+
+    /// Returns the number of the node that owns the cell, once there is one.
+    pub(crate) async fn owner(&self) -> usize {
+        self.eventually("there is an owner", async |cell: &Self| {
+            !cell.site.keys("lagoon/cell/owner").is_empty()
+        })
+        .await;
+        let owner = self.site.read("lagoon/cell/owner").unwrap();
+        owner["member"].as_str().unwrap()[1..].parse().unwrap()
+    }
+
+    /// Calls a node; 0 stands for no answer.
+    pub(crate) async fn call(
+        &self,
+        node: usize,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> (u16, Value) {
+        let callers = self.nodes[node].as_ref().unwrap().1;
+        self.call_at(callers, method, path, body).await
+    }
+
+    pub(crate) async fn submit(&self, node: usize, path: &str, steps: Value) -> u16 {
+        self.submit_payload(node, path, "ms=60", steps).await
+    }
+
+    pub(crate) async fn submit_payload(
+        &self,
+        node: usize,
+        path: &str,
+        payload: &str,
+        steps: Value,
+    ) -> u16 {
+        let body = json!({"spec": payload, "steps": steps});
+        self.call(node, Method::POST, path, Some(&body)).await.0
+    }
+
+    /// Submits until the job is accepted, as a caller does.
+    pub(crate) async fn submit_until_accepted(
+        &self,
+        node: usize,
+        path: &str,
+        payload: &str,
+        steps: Value,
+    ) {
+        self.eventually("the job is accepted", async |cell: &Self| {
+            cell.submit_payload(node, path, payload, steps.clone())
+                .await
+                == 200
+        })
+        .await;
+    }
+
+    pub(crate) async fn state(&self, node: usize, path: &str) -> String {
+        match self.call(node, Method::GET, path, None).await {
+            (200, body) => body["state"].as_str().unwrap_or_default().to_owned(),
+            (status, _) => status.to_string(),
+        }
+    }
+
+    pub(crate) async fn wait_for_state(&self, node: usize, path: &str, state: &str) {
+        self.eventually(&format!("{path} is {state}"), async |cell: &Self| {
+            cell.state(node, path).await == state
+        })
+        .await;
+    }
+
+    /// Polls until `holds`, and fails if it does not come about in time.
+    pub(crate) async fn eventually(&self, what: &str, holds: impl AsyncFn(&Self) -> bool) {
+        let until = Instant::now() + PATIENCE;
+        while !holds(self).await {
+            assert!(Instant::now() < until, "{what} within {PATIENCE:?}");
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+    }
+
+    /// Fails if something happened that must never happen.
+    pub(crate) fn check(&self) {
+        assert_eq!(self.site.log().violations(), Vec::<String>::new());
+    }
+
+    async fn call_at(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> (u16, Value) {
+        let mut call = Call::new(method, &Endpoint::from(address), path)
+            .header("host", "cell.example".to_owned());
+        if let Some(body) = body {
+            call = call.json(body);
+        }
+        match self.client.send(call).await {
+            Ok(answer) => (answer.status, answer.json().unwrap_or(Value::Null)),
+            Err(_) => (0, Value::Null),
+        }
+    }
+}
+
+/// Returns an address that was free a moment ago.
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
--- /dev/null
+++ b/crates/node/tests/node/faults.rs
@@ -0,0 +1,84 @@
+//! Executors and a store that misbehave.
+
+use std::time::Duration;
+
+use lagoon_standin::site::StoreFault;
+use serde_json::json;
+
+use crate::cell::Cell;
+
+const JOB: &str = "/plain/00000000000000c1";
+
+cases! {
+    /// Guards against tasks that are lost with their executor, or started elsewhere while their lease still runs.
+    runs_of_a_crashed_executor_start_again {
+        let mut cell = Cell::start(1, 2).await;
+        cell.submit_until_accepted(0, JOB, "ms=1500", json!([{"count": 8, "cpu": 1000}])).await;
+        cell.wait_for_state(0, JOB, "running").await;
+        cell.site.crash_executor("e0");
+        cell.site.unlist_executor("e0");
+        cell.wait_for_state(0, JOB, "done").await;
+        cell.check();
+    }
+
+    /// Guards against a restarted executor whose old runs are waited for.
+    runs_of_a_restarted_executor_start_again {
+        let mut cell = Cell::start(1, 1).await;
+        cell.submit_until_accepted(0, JOB, "ms=800", json!([{"count": 4, "cpu": 1000}])).await;
+        cell.wait_for_state(0, JOB, "running").await;
+        cell.site.start_executor("e0", 4_000).await.unwrap();
+        cell.wait_for_state(0, JOB, "done").await;
+        cell.check();
+    }
+
+    /// Guards against a refusal that is not true: a submission whose write was not answered may be stored.
+    a_lost_answer_is_no_refusal {
+        let cell = Cell::start(1, 1).await;
+        cell.owner().await;
+        cell.site.set_store_fault(StoreFault::LosesAnswers);
+        let steps = json!([{"count": 1, "cpu": 1000}]);
+        let status = cell.submit(0, JOB, steps.clone()).await;
+        assert!(matches!(status, 0 | 504), "{status}");
+        cell.site.set_store_fault(StoreFault::None);
+        cell.submit_until_accepted(0, JOB, "ms=60", steps).await;
+        cell.wait_for_state(0, JOB, "done").await;
+        assert_eq!(cell.site.log().starts().len(), 1);
+        cell.check();
+    }
+
+    /// Guards against a job that runs although its caller was told that it was not accepted.
+    a_refused_job_does_not_run {
+        let cell = Cell::start(1, 1).await;
+        cell.owner().await;
+        cell.site.set_store_fault(StoreFault::Busy);
+        assert_eq!(cell.submit(0, JOB, json!([{"count": 1, "cpu": 1000}])).await, 503);
+        cell.site.set_store_fault(StoreFault::None);
+        cell.owner().await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(cell.state(0, JOB).await, "410");
+        assert!(cell.site.log().starts().is_empty());
+    }
+
+    /// Guards against running work that is lost because the store is away for a few seconds.
+    runs_outlast_an_outage_of_the_store {
+        let cell = Cell::start(1, 1).await;
+        cell.submit_until_accepted(0, JOB, "ms=6000", json!([{"count": 2, "cpu": 1000}])).await;
+        cell.wait_for_state(0, JOB, "running").await;
+        cell.site.set_store_fault(StoreFault::Busy);
+        tokio::time::sleep(Duration::from_millis(4_500)).await;
+        cell.site.set_store_fault(StoreFault::None);
+        cell.wait_for_state(0, JOB, "done").await;
+        assert_eq!(cell.site.log().starts().len(), 2);
+        cell.check();
+    }
+
+    /// Guards against jobs that are never seen because the store forgot the changes that a watch waited for.
+    a_lost_history_hides_no_job {
+        let cell = Cell::start(1, 1).await;
+        cell.owner().await;
+        cell.site.forget_history();
+        cell.submit_until_accepted(0, JOB, "ms=60", json!([{"count": 1, "cpu": 1000}])).await;
+        cell.wait_for_state(0, JOB, "done").await;
+        cell.check();
+    }
+}
--- /dev/null
+++ b/crates/node/tests/node/whole_path.rs
@@ -0,0 +1,107 @@
+//! Submit, place, end, show, count and cancel, without faults.
+
+use hyper::Method;
+use serde_json::json;
+
+use crate::cell::Cell;
+
+const JOB: &str = "/plain/00000000000000a1";
+
+cases! {
+    /// Guards against a path that does not lead from a submission to a job shown as done on every node.
+    a_job_runs_and_is_shown_as_done_everywhere {
+        let cell = Cell::start(2, 2).await;
+        let steps = json!([{"count": 3, "cpu": 1000}, {"count": 2, "cpu": 1000, "gang": true, "after": [0]}]);
+        assert_eq!(cell.submit(0, JOB, steps.clone()).await, 200);
+        for node in 0..2 {
+            cell.wait_for_state(node, JOB, "done").await;
+        }
+        assert_eq!(cell.submit(1, JOB, steps).await, 200);
+        assert_eq!(cell.site.log().starts().len(), 5);
+        cell.check();
+    }
+
+    /// Guards against starts without the adviser's consent, and questions that are never asked.
+    an_advised_job_runs_on_good_executors {
+        let cell = Cell::start(2, 4).await;
+        let path = "/advised/00000000000000a2";
+        assert_eq!(cell.submit(0, path, json!([{"count": 4, "cpu": 1000, "gang": true}])).await, 200);
+        cell.wait_for_state(0, path, "done").await;
+        let starts = cell.site.log().starts();
+        // The stand-in's adviser goes by the sum of an id's bytes.
+        let is_good = |id: &str| id.bytes().map(u32::from).sum::<u32>() % 2 == 0;
+        assert!(starts.iter().all(|entry| is_good(&entry.executor)));
+        cell.check();
+    }
+
+    /// Guards against a task that is tried more often than its queue allows, and a failure that is not told.
+    a_job_fails_after_three_attempts {
+        let cell = Cell::start(1, 2).await;
+        cell.submit_until_accepted(0, JOB, "ms=20 fail", json!([{"count": 1, "cpu": 1000}])).await;
+        cell.wait_for_state(0, JOB, "failed").await;
+        assert_eq!(cell.site.log().starts().len(), 3);
+        cell.check();
+    }
+
+    /// Guards against a cancelled job that goes on, and a job that is cancelled without having been submitted.
+    cancelling_stops_a_job {
+        let cell = Cell::start(1, 1).await;
+        cell.submit_until_accepted(0, JOB, "ms=60000", json!([{"count": 6, "cpu": 1000}])).await;
+        cell.wait_for_state(0, JOB, "running").await;
+        assert_eq!(cell.call(0, Method::DELETE, JOB, None).await.0, 200);
+        cell.wait_for_state(0, JOB, "cancelled").await;
+        cell.eventually("nothing runs", async |cell: &Cell| {
+            cell.site.log().starts().iter().all(|entry| entry.ended.is_some())
+        }).await;
+        assert_eq!(cell.call(0, Method::DELETE, "/plain/00000000000000ff", None).await.0, 410);
+        cell.check();
+    }
+
+    /// Guards against a queue length that is not known on every node.
+    waiting_jobs_are_counted_on_each_node {
+        let cell = Cell::start(2, 1).await;
+        cell.submit_until_accepted(0, JOB, "ms=60000", json!([{"count": 4, "cpu": 1000}])).await;
+        cell.wait_for_state(0, JOB, "running").await;
+        assert_eq!(cell.submit(1, "/plain/00000000000000a3", json!([{"count": 1, "cpu": 4000}])).await, 200);
+        for node in 0..2 {
+            cell.eventually("one job waits", async |cell: &Cell| {
+                let (status, body) = cell.call(node, Method::GET, "/plain/", None).await;
+                status == 200 && body["waiting"] == 1
+            }).await;
+        }
+    }
+
+    /// Guards against input that is stored although it makes no sense, or refused without saying why.
+    bad_input_is_refused_with_a_code {
+        let cell = Cell::start(1, 1).await;
+        let bodies = [
+            json!({"spec": "x", "steps": []}),
+            json!({"spec": "x", "steps": [{"count": 0}]}),
+            json!({"spec": "x", "steps": [{"count": 1, "after": [0]}]}),
+            json!({"spec": "x", "steps": [{"count": "many"}]}),
+            json!({"spec": "x".repeat(4_001), "steps": [{"count": 1}]}),
+            json!("no object"),
+        ];
+        for body in &bodies {
+            let (status, answer) = cell.call(0, Method::POST, JOB, Some(body)).await;
+            assert_eq!((status, answer["code"].as_u64()), (400, Some(1001)), "{body}");
+        }
+        let (status, answer) = cell.call(0, Method::POST, "/plain/not-an-id", Some(&bodies[0])).await;
+        assert_eq!((status, answer["code"].as_u64()), (400, Some(1003)));
+        assert_eq!(cell.state(0, JOB).await, "410");
+        assert_eq!(cell.call(0, Method::GET, "/nowhere/", None).await.0, 404);
+        assert!(cell.site.keys("lagoon/job/").is_empty());
+    }
+
+    /// Guards against a configuration that is in force late or on some nodes only.
+    queues_come_and_go_with_the_configuration {
+        let cell = Cell::start(2, 1).await;
+        cell.site.configure(2, &["added"]);
+        for node in 0..2 {
+            cell.eventually("the queue is there", async |cell: &Cell| {
+                cell.call(node, Method::GET, "/added/", None).await.0 == 200
+            }).await;
+            assert_eq!(cell.call(node, Method::GET, "/plain/", None).await.0, 404);
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod platform;
 mod run;
 mod server;
+pub mod site;
 pub mod store;
 mod util;
 pub mod workers;
--- /dev/null
+++ b/crates/standin/src/site/mod.rs
@@ -0,0 +1,21 @@
+//! A stand-in for the users' platform: its store, executors and adviser, each on a loopback address, with switches for
+//! faults.
+//!
+//! It counts by itself what ran where, because what must never happen (two runs of one task, more work on an executor
+//! than it holds) is not seen in answers.
+
+mod adviser;
+mod executor;
+mod executor_api;
+mod executor_state;
+mod kv_api;
+mod kv_state;
+mod listener;
+mod payload;
+mod run_log;
+mod site_handle;
+mod start_entry;
+
+pub use self::{
+    kv_state::StoreFault, run_log::RunLog, site_handle::SiteHandle, start_entry::StartEntry,
+};
