--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -4,6 +4,7 @@
 use lagoon_core::ResultCode;
 use lagoon_core::policy::Policy;
 use lagoon_gateway::GatewaySettings;
+use lagoon_node::NodeSettings;
 use lagoon_process::exit;
 use lagoon_process::reference::Kind;
 use lagoon_process::settings::{SettingsErrors, load};
@@ -23,6 +24,7 @@
     match kind {
         Kind::Gateway => load::<GatewaySettings>(file).map(drop),
         Kind::Scheduler => load::<SchedulerSettings>(file).map(drop),
+        Kind::Node => load::<NodeSettings>(file).map(drop),
         Kind::Policy => load::<Policy>(file)
             .map(drop)
             .map_err(|e| e.with_code(ResultCode::InvalidPolicy)),
--- a/crates/ctl/tests/reference.rs
+++ b/crates/ctl/tests/reference.rs
@@ -6,6 +6,7 @@
 
 use lagoon_core::policy::Policy;
 use lagoon_gateway::GatewaySettings;
+use lagoon_node::NodeSettings;
 use lagoon_process::reference::{Entry, Kind};
 use lagoon_process::settings::{Checked, Problem, parse};
 use lagoon_scheduler::SchedulerSettings;
@@ -27,6 +28,14 @@
         Kind::Gateway => json!({"schedulers": [address], "tokens": [token]}),
         Kind::Scheduler => json!({"health": address, "store": address, "host_list": address,
             "lease": {}}),
+        Kind::Node => {
+            return json!({"member": "m", "failure_domain": "d", "strength": 0.5, "store": address,
+                "adviser": address, "log": {},
+                "listen": {"callers": address, "readiness": address, "peers": address,
+                    "metrics": address},
+                "limits": {"max_lease": "6s", "retention": "2m", "grace": "6s",
+                    "min_store_lease": "1s"}});
+        }
         Kind::Policy => {
             return json!({"version": 1, "teams": {"t": team}, "default_team": team, "health": {},
                 "kinds": {"service": {}, "batch": {}, "gang": {}}, "services": {"s": {}},
@@ -87,6 +96,7 @@
     match kind {
         Kind::Gateway => read::<GatewaySettings>(file),
         Kind::Scheduler => read::<SchedulerSettings>(file),
+        Kind::Node => read::<NodeSettings>(file),
         Kind::Policy => read::<Policy>(file),
     }
 }
--- a/crates/node/src/desk/desk.rs
+++ b/crates/node/src/desk/desk.rs
@@ -98,7 +98,11 @@
         spec: JobSpec,
         _deadline: Millis,
     ) -> SubmitReply {
-        self.cx.metrics.count("jobs.submitted", 1);
+        let began = self.cx.clock.now();
+        let observe = |outcome| {
+            let time = self.cx.clock.now().since(began);
+            self.cx.metrics.observe("submit", outcome, time);
+        };
         let record = JobRecord::new(queue.name.clone(), self.cx.clock.now(), spec);
         let value = serde_json::to_vec(&record).expect("job records have string keys");
         let txn = Transaction::new()
@@ -106,15 +110,20 @@
             .put(Keys::job(id), value);
         match self.cx.store.commit(txn).await {
             Ok(TxnOutcome::Committed(revision)) => {
+                observe("accepted");
                 tracing::info!(job = %id, queue = %queue.name, %revision, "desk: job accepted");
                 SubmitReply::Accepted
             }
             Ok(TxnOutcome::Conflict(_)) => {
+                observe("repeated");
                 tracing::info!(job = %id, queue = %queue.name, "desk: job was accepted before");
                 SubmitReply::Accepted
             }
             Ok(TxnOutcome::LeaseEnded) => SubmitReply::Unknown,
-            Err(e) => self.submit_failed(id, &e),
+            Err(e) => {
+                observe("unconfirmed");
+                self.submit_failed(id, &e)
+            }
         }
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -63,7 +63,7 @@
             .await?
             .serve(ready);
         let metrics = Server::bind(listen.metrics, SMALL_LIMITS).await?;
-        let metrics = metrics.serve(cx.metrics.router());
+        let metrics = metrics.serve(cx.metrics.text_router());
         let desk = Arc::new(Desk::new(cx.clone(), office.clone()));
         let callers = Server::bind(listen.callers, CALLER_LIMITS).await?;
         let callers = callers.serve(front::router(desk));
@@ -108,10 +108,13 @@
 
 /// Runs a node until it is told to stop.
 pub(crate) async fn run(settings: NodeSettings, mut signal: Signal) -> Result<(), RunError> {
-    logging::start(&settings.log, "node");
+    let log = logging::start_bounded(&settings.log, "node");
     let node = Node::bind(settings, Clock::anchored()).await?;
     signal.wait().await;
     node.stop().await;
+    if log.dropped_lines() > 0 {
+        tracing::warn!(lines = log.dropped_lines(), "node: log lines were dropped");
+    }
     Ok(())
 }
 
--- a/crates/node/src/owner/drive_executor.rs
+++ b/crates/node/src/owner/drive_executor.rs
@@ -54,8 +54,11 @@
 
 async fn hold(cx: &Context, shard: &Shard, slot: ExecutorSlot, id: &ExecutorId, req: &HoldRequest) {
     let asked = cx.clock.now();
-    cx.metrics.count("executor.holds", 1);
-    match cx.executors.hold(id, req).await {
+    let answer = cx.executors.hold(id, req).await;
+    let outcome = if answer.is_ok() { "answered" } else { "failed" };
+    cx.metrics
+        .observe("executor.hold", outcome, cx.clock.now().since(asked));
+    match answer {
         Ok(Some(listing)) => {
             shard.change(|dispatcher| dispatcher.listed(slot, &listing, asked, cx.clock.now()));
         }
@@ -64,7 +67,6 @@
             shard.change(|dispatcher| dispatcher.fenced());
         }
         Err(e) => {
-            cx.metrics.count("executor.holds_failed", 1);
             tracing::warn!(executor = %id, "owner: hold failed: {e}");
             shard.change(|dispatcher| dispatcher.hold_failed(slot, cx.clock.now()));
             tokio::time::sleep(RETRY_PAUSE).await;
--- a/crates/node/src/owner/orders.rs
+++ b/crates/node/src/owner/orders.rs
@@ -6,6 +6,7 @@
 use lagoon_jobs::dispatch::{AskOrder, Order, StartOrder, StopOrder};
 use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::id::ExecutorId;
+use lagoon_jobs::run::StartOutcome;
 use lagoon_wire::v1::{AskAdviserRequest, AskAdviserResponse};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::task::JoinSet;
@@ -58,8 +59,16 @@
 
 async fn send_start(cx: Context, shard: Arc<Shard>, order: StartOrder, permits: Arc<Semaphore>) {
     let _permit = permits.acquire().await;
-    cx.metrics.count("executor.starts", 1);
+    let began = cx.clock.now();
     let outcome = cx.executors.start(&order).await;
+    let label = match outcome {
+        StartOutcome::Started => "started",
+        StartOutcome::Refused(_) => "refused",
+        StartOutcome::NotSent => "not_sent",
+        StartOutcome::Unknown => "unknown",
+    };
+    cx.metrics
+        .observe("executor.start", label, cx.clock.now().since(began));
     shard.change(|dispatcher| dispatcher.started(&order, outcome, cx.clock.now()));
 }
 
@@ -74,7 +83,7 @@
 }
 
 async fn send_ask(cx: Context, shard: Arc<Shard>, order: AskOrder) {
-    cx.metrics.count("adviser.questions", 1);
+    let began = cx.clock.now();
     let named: Vec<ExecutorId> = order.named.iter().map(|(_, id)| id.clone()).collect();
     let answer = match order.member == *cx.member() {
         true => match cx.adviser.ask(order.step, &named, order.cost).await {
@@ -86,6 +95,13 @@
         },
         false => ask_through_peer(&cx, &order, &named).await,
     };
+    let label = if answer.is_some() {
+        "answered"
+    } else {
+        "failed"
+    };
+    cx.metrics
+        .observe("adviser.question", label, cx.clock.now().since(began));
     shard.change(|dispatcher| dispatcher.advised(&order, answer.as_ref(), cx.clock.now()));
 }
 
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -146,7 +146,12 @@
 
     async fn commit(&self, txn: Transaction) -> bool {
         let mut position = self.position.lock().await;
-        match self.cx.store.commit(txn).await {
+        let began = self.cx.clock.now();
+        let answer = self.cx.store.commit(txn).await;
+        let label = if answer.is_ok() { "answered" } else { "failed" };
+        let time = self.cx.clock.now().since(began);
+        self.cx.metrics.observe("record.write", label, time);
+        match answer {
             Ok(TxnOutcome::Committed(revision)) => {
                 position.revision = revision;
                 position.write += 1;
@@ -158,7 +163,6 @@
             }
             Ok(TxnOutcome::LeaseEnded) => false,
             Err(e) => {
-                self.cx.metrics.count("records.failed", 1);
                 tracing::warn!("owner: progress not written: {e}");
                 false
             }
--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging/mod.rs
@@ -1,10 +1,15 @@
-//! Logs on standard error, as text or as one JSON object a line.
+//! Logs as text or as one JSON object a line. Programs that print results log on standard error, daemons of the users'
+//! platform on standard output, through a bounded buffer.
+
+mod log_guard;
 
 use std::io::IsTerminal;
 
 use serde::Deserialize;
+use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_subscriber::EnvFilter;
 
+pub use self::log_guard::LogGuard;
 use crate::settings::{Checked, Problems};
 
 /// Form of a log line.
@@ -65,3 +70,30 @@
         tracing::info!("process: {part} {} starts", env!("CARGO_PKG_VERSION"));
     }
 }
+
+/// Lines that wait to be written. About a second of the busiest node; more are dropped and counted.
+const MAX_WAITING_LINES: usize = 4_000;
+
+/// Starts the log of this process on standard output. Lines are written by a thread of their own, so that no decision
+/// waits for a slow reader; what finds the buffer full is dropped and counted. The guard writes the rest when dropped.
+pub fn start_bounded(settings: &LogSettings, part: &str) -> LogGuard {
+    let filter = EnvFilter::try_new(&settings.level).unwrap_or_else(|_| EnvFilter::new("info"));
+    let (writer, worker) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(MAX_WAITING_LINES)
+        .finish(std::io::stdout());
+    let guard = LogGuard::new(worker, writer.error_counter());
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_target(false)
+        .with_ansi(false)
+        .with_writer(writer);
+    let started = match settings.format {
+        LogFormat::Text => builder.try_init(),
+        LogFormat::Json => builder.json().flatten_event(true).try_init(),
+    };
+    if started.is_ok() {
+        tracing::info!("process: {part} {} starts", env!("CARGO_PKG_VERSION"));
+    }
+    guard
+}
--- /dev/null
+++ b/crates/process/src/metrics/histogram.rs
@@ -0,0 +1,25 @@
+use lagoon_core::unit::Millis;
+
+/// Upper bounds of the buckets in milliseconds: two for each doubling of interest, from one hop to a caller's patience.
+pub(crate) const BOUNDS: [u64; 13] = [
+    1, 3, 5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000,
+];
+
+/// Latencies counted in buckets.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Histogram {
+    /// Latencies in each bucket; those above the last bound are only in `count`.
+    pub(crate) buckets: [u64; BOUNDS.len()],
+    pub(crate) count: u64,
+    pub(crate) sum_ms: u64,
+}
+
+impl Histogram {
+    pub(crate) fn observe(&mut self, time: Millis) {
+        if let Some(bucket) = BOUNDS.iter().position(|bound| time.get() <= *bound) {
+            self.buckets[bucket] += 1;
+        }
+        self.count += 1;
+        self.sum_ms = self.sum_ms.saturating_add(time.get());
+    }
+}
--- a/crates/process/src/metrics/mod.rs
+++ b/crates/process/src/metrics/mod.rs
@@ -2,24 +2,29 @@
 //! cost of a count does not depend on the network.
 
 mod counters;
+mod histogram;
+mod histograms;
 mod metrics_settings;
 mod statsd;
+mod text;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use axum::http::header::CONTENT_TYPE;
 use axum::routing::get;
 use axum::{Json, Router};
 use lagoon_core::unit::Millis;
 
 pub use self::metrics_settings::MetricsSettings;
-use self::{counters::Counters, statsd::Statsd};
+use self::{counters::Counters, histograms::Histograms, statsd::Statsd};
 use crate::RunError;
 
 /// Cheap handle to the metrics of a process.
 #[derive(Debug, Clone, Default)]
 pub struct Metrics {
     counters: Arc<Counters>,
+    histograms: Arc<Histograms>,
 }
 
 impl Metrics {
@@ -53,6 +58,26 @@
         self.counters.add(total, time.get());
     }
 
+    /// Adds a latency to a histogram. One series for each `outcome`.
+    pub fn observe(&self, name: &'static str, outcome: &'static str, time: Millis) {
+        self.histograms.observe(name, outcome, time);
+    }
+
+    /// Returns everything in the text form that common collectors read.
+    pub fn text(&self) -> String {
+        text::render(&self.counters.collect(), &self.histograms.collect())
+    }
+
+    /// Serves [`Self::text`] at `GET /metrics`.
+    pub fn text_router(&self) -> Router {
+        let metrics = self.clone();
+        let answer = move || async move {
+            let form = [(CONTENT_TYPE, "text/plain; version=0.0.4")];
+            (form, metrics.text())
+        };
+        Router::new().route("/metrics", get(answer))
+    }
+
     /// Returns every counter and gauge.
     pub fn snapshot(&self) -> BTreeMap<&'static str, u64> {
         self.counters.snapshot()
--- a/crates/process/src/reference/kind.rs
+++ b/crates/process/src/reference/kind.rs
@@ -3,7 +3,7 @@
 
 use serde::Serialize;
 
-use crate::reference::{Entry, common, gateway, policy, scheduler};
+use crate::reference::{Entry, common, gateway, node, policy, scheduler};
 
 /// Kind of file that the reference describes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -13,19 +13,22 @@
     Gateway,
     /// Settings of `lagoon-scheduler`.
     Scheduler,
+    /// Settings of `lagoon-node`.
+    Node,
     /// The policy document.
     Policy,
 }
 
 impl Kind {
     /// Every kind, in the order of the page.
-    pub const ALL: &[Self] = &[Self::Gateway, Self::Scheduler, Self::Policy];
+    pub const ALL: &[Self] = &[Self::Gateway, Self::Scheduler, Self::Node, Self::Policy];
 
     /// Returns the keys of the kind in the order of the page.
     pub fn entries(self) -> impl Iterator<Item = &'static Entry> {
         let (own, shared) = match self {
             Self::Gateway => (gateway::ENTRIES, common::ENTRIES),
             Self::Scheduler => (scheduler::ENTRIES, common::ENTRIES),
+            Self::Node => (node::ENTRIES, &[][..]),
             Self::Policy => (policy::ENTRIES, &[][..]),
         };
         own.iter().chain(shared)
@@ -37,6 +40,7 @@
         f.write_str(match self {
             Self::Gateway => "gateway",
             Self::Scheduler => "scheduler",
+            Self::Node => "node",
             Self::Policy => "policy",
         })
     }
@@ -48,6 +52,8 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let mut all = Self::ALL.iter().copied();
         let found = all.find(|kind| kind.to_string() == text);
-        found.ok_or_else(|| format!("{text:?} is not valid: expected gateway, scheduler or policy"))
+        found.ok_or_else(|| {
+            format!("{text:?} is not valid: expected gateway, scheduler, node or policy")
+        })
     }
 }
--- a/crates/process/src/reference/mod.rs
+++ b/crates/process/src/reference/mod.rs
@@ -16,6 +16,7 @@
 mod find;
 mod gateway;
 mod kind;
+mod node;
 mod page;
 mod policy;
 mod scheduler;
--- a/crates/process/src/reference/page.rs
+++ b/crates/process/src/reference/page.rs
@@ -22,6 +22,10 @@
 YAML file of `lagoon-scheduler --settings FILE`, with values in the same forms; a rate is a number with `/s` or `/m`.
 ";
 
+const NODE: &str = "\
+YAML file of `lagoon-node --settings FILE`, with values in the same forms.
+";
+
 const POLICY: &str = "\
 Value of the key `policy` in the store, as JSON. `lagoonctl check FILE` takes JSON and YAML. Values are plain numbers in
 the unit that the table names.
@@ -34,6 +38,7 @@
         let (title, text) = match kind {
             Kind::Gateway => ("Gateway", GATEWAY),
             Kind::Scheduler => ("Scheduler", SCHEDULER),
+            Kind::Node => ("Node", NODE),
             Kind::Policy => ("Policy document", POLICY),
         };
         let _ = write!(page, "\n## {title}\n\n{text}\n");
--- a/crates/process/tests/metrics_page.rs
+++ b/crates/process/tests/metrics_page.rs
@@ -47,6 +47,7 @@
         (".count(", "counter", 1),
         (".gauge(", "gauge", 1),
         (".time(", "counter", 2),
+        (".observe(", "histogram", 1),
     ] {
         for (start, _) in text.match_indices(call) {
             let names = names(&text[start + call.len()..], count);
