Keep only the state of ended jobs in the store, and pace recovery and placement by what they take

Cause: a new owner read back every job of the last two minutes and waited 0.7 s for executors that did not answer; under a backlog each pass of placement chose executors to ask about although no lane was free, which starved leases at 350 executors.

--- a/crates/jobs/src/advice/advice_book.rs
+++ b/crates/jobs/src/advice/advice_book.rs
@@ -6,8 +6,6 @@
 use crate::fleet::ExecutorSlot;
 use crate::id::{MemberId, QueueName, StepKey};
 
-/// Questions that one lane may have open at a time, so that a short one waits behind at most one other.
-const MAX_PENDING: u32 = 2;
 /// A question that takes longer is slow; it blocks its lane for others.
 const SLOW: Millis = Millis::new(150);
 /// Share of good executors that is expected before the first answer.
@@ -56,17 +54,23 @@
         step.is_none_or(|step| !step.asking && now >= step.not_before)
     }
 
-    /// Books a lane for a question that takes `cost`; `None` if all are taken.
-    pub fn book(&mut self, key: StepKey, cost: Millis) -> Option<MemberId> {
+    /// Tells whether a lane is free for a question that takes `cost`.
+    pub fn has_lane(&self, cost: Millis) -> bool {
         let slow = cost > SLOW;
         let slow_lanes = self.lanes.iter().filter(|lane| lane.slow > 0).count();
         if slow && slow_lanes * 2 >= self.lanes.len().max(2) {
+            return false;
+        }
+        self.lanes.iter().any(|lane| lane.is_free(slow))
+    }
+
+    /// Books a lane for a question that takes `cost`; `None` if all are taken.
+    pub fn book(&mut self, key: StepKey, cost: Millis) -> Option<MemberId> {
+        if !self.has_lane(cost) {
             return None;
         }
-        let free = self.lanes.iter_mut().filter(|lane| match slow {
-            true => lane.pending == 0,
-            false => lane.pending < MAX_PENDING,
-        });
+        let slow = cost > SLOW;
+        let free = self.lanes.iter_mut().filter(|lane| lane.is_free(slow));
         let lane = free.min_by_key(|lane| (lane.slow, lane.pending))?;
         lane.pending += 1;
         lane.slow += u32::from(slow);
--- a/crates/jobs/src/dispatch/ask.rs
+++ b/crates/jobs/src/dispatch/ask.rs
@@ -28,7 +28,7 @@
         left: u32,
         pass: &Pass,
     ) {
-        if !self.advice.may_ask(key, pass.now) {
+        if !self.may_ask(key, queue, pass) {
             return;
         }
         let need = spec.reserved();
@@ -62,7 +62,7 @@
         queue: &Queue,
         pass: &Pass,
     ) {
-        if !self.advice.may_ask(key, pass.now) {
+        if !self.may_ask(key, queue, pass) {
             return;
         }
         let need = spec.reserved();
@@ -104,6 +104,13 @@
         }
     }
 
+    /// Tells whether a question for the step may be asked now and a lane is free for the shortest one. Asked first,
+    /// because the choice of executors to name goes over the whole fleet.
+    fn may_ask(&self, key: StepKey, queue: &Queue, pass: &Pass) -> bool {
+        let least = queue.advice.map(|cost| cost.of(1));
+        self.advice.may_ask(key, pass.now) && least.is_some_and(|cost| self.advice.has_lane(cost))
+    }
+
     /// Tells whether a ticket for the step has expired.
     fn has_expired(&self, key: StepKey, now: Timestamp) -> bool {
         let grants = self.advice.step(key).map(|advice| &advice.grants[..]);
--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -82,6 +82,11 @@
         self.core.jobs.begin_due(now);
     }
 
+    /// Takes over the final state of a job that ended under an earlier owner.
+    pub fn load_ended(&mut self, id: JobId, state: JobState, now: Timestamp) {
+        self.core.jobs.insert_ended(id, state, now);
+    }
+
     /// Returns how many executors have not listed their runs.
     pub fn unheard(&self) -> usize {
         self.core.unheard.len()
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -115,7 +115,7 @@
 
     /// Tells whether an end has to wait for its job to become known; the executor lists it again.
     fn puts_off(&mut self, slot: ExecutorSlot, end: &EndedRow, now: Timestamp) -> bool {
-        let is_known = self.jobs.get(end.task.job()).is_some();
+        let is_known = self.jobs.is_known(end.task.job());
         let executor = self.fleet.get_mut(slot);
         if is_known {
             executor.puts_off_since = None;
@@ -172,7 +172,7 @@
         let executor = self.fleet.get_mut(slot);
         let need = spec.map_or(executor.entry.capacity, StepSpec::reserved);
         executor.strays.insert(row.task, (row.number, need));
-        if spec.is_some() {
+        if self.jobs.is_known(row.task.job()) {
             self.order_stop(slot, row.task, row.number);
         }
     }
--- a/crates/jobs/src/dispatch/pass.rs
+++ b/crates/jobs/src/dispatch/pass.rs
@@ -30,6 +30,11 @@
         &mut self.rooms[slot.index()]
     }
 
+    /// Tells whether a claim of this pass is left.
+    pub(super) fn has_claim(&self) -> bool {
+        self.claims_left > 0
+    }
+
     /// Takes one of the claims of this pass; false if none is left.
     pub(super) fn take_claim(&mut self) -> bool {
         let has_one = self.claims_left > 0;
--- a/crates/jobs/src/dispatch/place_gang.rs
+++ b/crates/jobs/src/dispatch/place_gang.rs
@@ -83,6 +83,9 @@
     /// Keeps later work off the executors on which a gang is to run, and displaces less urgent work there, so that
     /// there is room for all of it soon.
     fn claim_for_gang(&mut self, key: StepKey, spec: &StepSpec, queue: &Queue, pass: &mut Pass) {
+        if !pass.has_claim() {
+            return;
+        }
         let known = self.known_good(key, spec, queue);
         let need = spec.reserved();
         let soon_fits = |c: &Candidate, pass: &Pass| {
--- a/crates/jobs/src/dispatch/records.rs
+++ b/crates/jobs/src/dispatch/records.rs
@@ -24,7 +24,14 @@
 
     /// Notes that a write took effect.
     pub fn recorded(&mut self, jobs: &[(JobId, RecordNumber)]) {
-        self.core.ledger.written(jobs);
+        let core = &mut self.core;
+        core.ledger.written(jobs);
+        for (id, _) in jobs {
+            let job = core.jobs.get(*id);
+            if job.is_some_and(|job| !job.is_live() && core.ledger.is_durable(*id, job.ended_by)) {
+                core.jobs.collapse(*id);
+            }
+        }
     }
 
     /// Puts back the jobs of a write that had no effect or an unknown one.
@@ -35,13 +42,9 @@
     /// Returns up to `max` jobs whose final state has been kept for its time.
     pub fn expired(&self, max: usize, now: Timestamp) -> Vec<JobId> {
         let core = &self.core;
-        let is_expired = |job: &&crate::job::Job| {
-            !job.is_live()
-                && core.ledger.is_durable(job.id(), job.ended_by)
-                && now > job.ended_at.after(core.limits.retention)
-        };
-        let expired = core.jobs.iter().filter(is_expired);
-        expired.map(|job| job.id()).take(max).collect()
+        let is_expired = |at: Timestamp| now > at.after(core.limits.retention);
+        let expired = core.jobs.all_ended().filter(|(_, at)| is_expired(*at));
+        expired.map(|(id, _)| id).take(max).collect()
     }
 
     /// Forgets jobs that were removed from the store.
--- a/crates/jobs/src/dispatch/view.rs
+++ b/crates/jobs/src/dispatch/view.rs
@@ -32,6 +32,9 @@
 impl Dispatcher<Serving> {
     /// Returns what is known of a job.
     pub fn job(&self, id: JobId) -> Option<JobView> {
+        if let Some(state) = self.core.jobs.ended(id) {
+            return Some(JobView { state });
+        }
         let job = self.core.jobs.get(id)?;
         let is_durable = self.core.ledger.is_durable(id, job.ended_by);
         let state = match job.state() {
--- a/crates/jobs/src/job/job_table.rs
+++ b/crates/jobs/src/job/job_table.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct JobTable {
     jobs: HashMap<JobId, Job>,
+    /// Jobs whose final state is durable: the state, and since when it is kept.
+    ended: HashMap<JobId, (JobState, Timestamp)>,
     open: BTreeSet<StepKey>,
     due: BTreeSet<(Timestamp, JobId)>,
     waiting: BTreeMap<QueueName, u32>,
@@ -17,7 +19,7 @@
 impl JobTable {
     /// Adds a job; false if it is known.
     pub fn insert(&mut self, job: Job) -> bool {
-        if self.jobs.contains_key(&job.id()) {
+        if self.is_known(job.id()) {
             return false;
         }
         if job.state() == JobState::Queued {
@@ -39,12 +41,42 @@
         true
     }
 
-    /// Returns a job.
+    /// Tells whether a job is known, live or ended.
+    pub fn is_known(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id) || self.ended.contains_key(&id)
+    }
+
+    /// Adds a job that ended under an earlier owner.
+    pub fn insert_ended(&mut self, id: JobId, state: JobState, now: Timestamp) {
+        self.ended.insert(id, (state, now));
+    }
+
+    /// Keeps only the state of a job whose final state is durable.
+    pub fn collapse(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get(&id)
+            && !job.is_live()
+        {
+            self.ended.insert(id, (job.state(), job.ended_at));
+            self.jobs.remove(&id);
+        }
+    }
+
+    /// Returns the durable final state of a job.
+    pub fn ended(&self, id: JobId) -> Option<JobState> {
+        self.ended.get(&id).map(|(state, _)| *state)
+    }
+
+    /// Returns jobs whose final state is durable, with the time since when it is kept.
+    pub fn all_ended(&self) -> impl Iterator<Item = (JobId, Timestamp)> {
+        self.ended.iter().map(|(id, (_, at))| (*id, *at))
+    }
+
+    /// Returns a job that has no durable final state.
     pub fn get(&self, id: JobId) -> Option<&Job> {
         self.jobs.get(&id)
     }
 
-    /// Returns a job to change it.
+    /// Returns a job that has no durable final state, to change it.
     pub fn get_mut(&mut self, id: JobId) -> Option<&mut Job> {
         self.jobs.get_mut(&id)
     }
@@ -108,8 +140,9 @@
     }
 
     /// Forgets a job.
-    pub fn remove(&mut self, id: JobId) -> Option<Job> {
-        self.jobs.remove(&id)
+    pub fn remove(&mut self, id: JobId) {
+        self.jobs.remove(&id);
+        self.ended.remove(&id);
     }
 
     /// Returns the number of jobs without a started task, by queue.
--- a/crates/node/src/desk/desk.rs
+++ b/crates/node/src/desk/desk.rs
@@ -107,6 +107,7 @@
         let value = serde_json::to_vec(&record).expect("job records have string keys");
         let txn = Transaction::new()
             .expect(Keys::job(id), Revision::default())
+            .expect(Keys::progress(id), Revision::default())
             .put(Keys::job(id), value);
         match self.cx.store.commit(txn).await {
             Ok(TxnOutcome::Committed(revision)) => {
@@ -141,7 +142,8 @@
     }
 
     async fn cancel(&self, id: JobId) -> CancelReply {
-        match self.cx.store.get(&Keys::job(id)).await {
+        match stored::state(&self.cx.store, id).await {
+            Ok(Some(state)) if state.is_final() => return CancelReply::Cancelled,
             Ok(Some(_)) => {}
             Ok(None) => return CancelReply::Absent,
             Err(e) => {
--- a/crates/node/src/desk/stored.rs
+++ b/crates/node/src/desk/stored.rs
@@ -11,19 +11,17 @@
     store: &StoreClient,
     id: JobId,
 ) -> Result<Option<JobState>, PlatformError> {
-    if store.get(&Keys::job(id)).await?.is_none() {
-        return Ok(None);
-    }
+    let is_live = store.get(&Keys::job(id)).await?.is_some();
+    // The owner replaces a job by its final state, so the progress has to be read after the job.
     if let Some(item) = store.get(&Keys::progress(id)).await? {
         match serde_json::from_slice::<Progress>(&item.value) {
-            Ok(Progress {
-                outcome: Some(outcome),
-                ..
-            }) => return Ok(Some(outcome)),
-            Ok(_) => return Ok(Some(JobState::Running)),
+            Ok(progress) => return Ok(Some(progress.outcome.unwrap_or(JobState::Running))),
             Err(e) => tracing::error!(job = %id, "desk: progress is not readable: {e}"),
         }
     }
+    if !is_live {
+        return Ok(None);
+    }
     let is_cancelled = store.get(&Keys::cancelled(id)).await?.is_some();
     Ok(Some(match is_cancelled {
         true => JobState::Cancelled,
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -3,6 +3,7 @@
 
 use lagoon_adapter::store::{Revision, StoreItem, Transaction, TxnOutcome};
 use lagoon_jobs::id::{Epoch, JobId};
+use lagoon_jobs::job::{JobState, Progress};
 use lagoon_jobs::record::RecordNumber;
 use lagoon_platform::PlatformError;
 use tokio::sync::{Mutex, mpsc};
@@ -18,6 +19,9 @@
 /// Time between two searches for jobs whose final state was kept long enough.
 const EXPIRE_EVERY: Duration = Duration::from_secs(5);
 
+/// Most keys of the store that one job has: itself, its cancellation and its progress.
+const MAX_ENTRIES_A_JOB: usize = 3;
+
 /// Writes progress to the store. Every write has the head of the owner's records as its condition, so that none takes
 /// effect after a later owner has claimed the cell, and none late after a newer one.
 #[derive(Debug)]
@@ -65,16 +69,17 @@
         loop {
             let position = *self.position.lock().await;
             let mut txn = self.begin(position);
-            let batch = shard.with(|dispatcher| dispatcher.take_records(txn.room()));
-            if batch.is_empty() {
-                return;
-            }
-            let mut jobs: Vec<(JobId, RecordNumber)> = Vec::with_capacity(batch.len());
-            for (id, number, progress) in batch {
-                let value = serde_json::to_vec(&progress).expect("progress has string keys");
-                txn = txn.put(Keys::progress(id), value);
+            let mut jobs: Vec<(JobId, RecordNumber)> = Vec::new();
+            while txn.room() >= MAX_ENTRIES_A_JOB
+                && let Some((id, number, progress)) =
+                    shard.with(|dispatcher| dispatcher.take_records(1)).pop()
+            {
+                txn = with_progress(txn, id, &progress);
                 jobs.push((id, number));
             }
+            if jobs.is_empty() {
+                return;
+            }
             if self.commit(txn).await {
                 self.cx.metrics.count("records.written", jobs.len() as u64);
                 shard.change(|dispatcher| dispatcher.recorded(&jobs));
@@ -89,8 +94,7 @@
     async fn remove_expired(&self, shard: &Shard) {
         loop {
             let mut txn = self.begin(*self.position.lock().await);
-            // Each job has up to three keys.
-            let max = txn.room() / 3;
+            let max = txn.room() / MAX_ENTRIES_A_JOB;
             let expired = shard.with(|dispatcher| dispatcher.expired(max, self.cx.clock.now()));
             if expired.is_empty() {
                 return;
@@ -190,3 +194,14 @@
         }
     }
 }
+
+/// Adds a job's progress. Of an ended job only that stays, so that a new owner reads back little of what is over.
+fn with_progress(txn: Transaction, id: JobId, progress: &Progress) -> Transaction {
+    let value = serde_json::to_vec(progress).expect("progress has string keys");
+    let txn = txn.put(Keys::progress(id), value);
+    match progress.outcome {
+        Some(JobState::Cancelled) => txn.remove(Keys::job(id)).remove(Keys::cancelled(id)),
+        Some(_) => txn.remove(Keys::job(id)),
+        None => txn,
+    }
+}
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -27,8 +27,10 @@
 const OWNER_LAPSE: Millis = Millis::new(3_000);
 /// Time without progress after which a run counts as stalled; above the time for which a gang waits for members.
 const STALL: Millis = Millis::new(4_500);
-/// Time that executors have to list their runs before placement begins without the rest.
-const HEAR_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time without a further list after which placement begins without the executors that have not answered.
+const HEAR_QUIET: Duration = Duration::from_millis(250);
+/// Longest time that executors have to list their runs before placement begins.
+const HEAR_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Reads back jobs from the store and runs from the executors.
 pub(super) async fn recover(
@@ -118,6 +120,12 @@
             None => tracing::error!(key = %item.key, "owner: job under a strange key"),
         }
     }
+    for (id, progress) in known {
+        match progress.outcome {
+            Some(state) => dispatcher.load_ended(id, state, now),
+            None => tracing::error!(job = %id, "owner: progress without its job"),
+        }
+    }
     for id in cancelled {
         dispatcher.cancel(id, now);
     }
@@ -138,7 +146,7 @@
     }
     let mut heard = Vec::new();
     let hear_all = async {
-        while let Some(answer) = holds.join_next().await {
+        while let Ok(Some(answer)) = tokio::time::timeout(HEAR_QUIET, holds.join_next()).await {
             match answer {
                 Ok((slot, Some((listing, asked)))) => heard.push((slot, listing, asked)),
                 Ok((slot, None)) => tracing::warn!(%slot, "owner: executor did not list its runs"),
--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -19,6 +19,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Time in which changes gather before a pass of placement.
 const PLAN_PAUSE: Duration = Duration::from_millis(5);
+/// Pause after a pass as a multiple of its time, so that passes leave most of the processor to answers and leases.
+const PLAN_IDLE_FACTOR: u32 = 2;
 /// Longest time without a pass of placement, because tickets and rests end by time alone.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
 /// Time between two checks of what only the passing of time decides.
@@ -123,10 +125,15 @@
 }
 
 async fn plan(cx: Context, shard: Arc<Shard>) {
+    let mut pause = PLAN_PAUSE;
     loop {
         let _ = tokio::time::timeout(PLAN_EVERY, shard.changed.notified()).await;
-        tokio::time::sleep(PLAN_PAUSE).await;
+        tokio::time::sleep(pause).await;
+        let began = cx.clock.now();
         shard.plan(|dispatcher| dispatcher.plan(cx.clock.now()));
+        let took = cx.clock.now().since(began);
+        cx.metrics.observe("plan", "done", took);
+        pause = PLAN_PAUSE.max(took.to_duration() * PLAN_IDLE_FACTOR);
     }
 }
 
