--- a/crates/node/src/desk/desk.rs
+++ b/crates/node/src/desk/desk.rs
@@ -1,24 +1,30 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use lagoon_adapter::front::{CancelReply, JobDesk, StateReply, SubmitReply};
-use lagoon_adapter::store::{Revision, Transaction, TxnOutcome};
+use lagoon_adapter::store::Transaction;
 use lagoon_core::unit::Millis;
 use lagoon_jobs::id::{JobId, QueueName};
 use lagoon_jobs::job::{JobRecord, JobState};
 use lagoon_jobs::policy::{CellPolicy, Queue};
 use lagoon_jobs::spec::JobSpec;
-use lagoon_platform::{Effect, PlatformError};
 use lagoon_process::Sharded;
+use lagoon_wire::v1::StoreJobRequest;
 
 use crate::cell::Keys;
 use crate::context::Context;
 use crate::desk::owner_view::{OwnerAnswer, OwnerView};
-use crate::desk::stored;
+use crate::desk::{Stored, store_job, stored};
 use crate::owner::Office;
 use crate::policy;
 
 /// When a caller comes back that was refused because the store can't be reached.
 const STORE_RETRY: Millis = Millis::new(1_000);
+/// Members asked to store a job for this one; a caller waits 3 s in all.
+const MAX_PEERS: usize = 2;
+/// Time for another member to store a job: the slowest link takes 40 ms there and back, the store 1.2 s at most.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Final states kept in each of the parts of the cache; the owner is asked for others.
 const MAX_FINAL: usize = 2_000;
 
@@ -64,14 +70,43 @@
         }
     }
 
-    fn submit_failed(&self, id: JobId, e: &PlatformError) -> SubmitReply {
-        let effect = e.effect();
-        tracing::warn!(job = %id, ?effect, "desk: job not confirmed by the store: {e}");
-        match effect {
-            Effect::None => SubmitReply::Unavailable {
-                retry_after: STORE_RETRY,
-            },
-            Effect::Unknown => SubmitReply::Unknown,
+    /// Has another member store a job, because the store turns this one away.
+    async fn store_through_peers(&self, id: JobId, record: &[u8]) -> SubmitReply {
+        let cell = self.cx.current_cell();
+        let others = cell
+            .members
+            .values()
+            .filter(|m| m.member != *self.cx.member());
+        let addresses: Vec<SocketAddr> = others.map(|member| member.address).collect();
+        // Begins at another member for each job, so that none has to take them all.
+        let first = record.len() % addresses.len().max(1);
+        let order = addresses.iter().cycle().skip(first).take(addresses.len());
+        for address in order.take(MAX_PEERS) {
+            let req = StoreJobRequest {
+                job: id.to_string(),
+                record: record.to_vec(),
+            };
+            let mut client = self.cx.peers.client(*address);
+            match tokio::time::timeout(PEER_TIMEOUT, client.store_job(req)).await {
+                Ok(Ok(answer)) if answer.get_ref().stored => {
+                    tracing::info!(job = %id, peer = %address, "desk: job stored by another member");
+                    return SubmitReply::Accepted;
+                }
+                Ok(Ok(_)) => {
+                    tracing::warn!(job = %id, peer = %address, "desk: the store turns another member away too");
+                }
+                Ok(Err(e)) => {
+                    tracing::warn!(job = %id, peer = %address, "desk: another member gave no answer: {e}");
+                    return SubmitReply::Unknown;
+                }
+                Err(_) => {
+                    tracing::warn!(job = %id, peer = %address, "desk: another member did not answer in time");
+                    return SubmitReply::Unknown;
+                }
+            }
+        }
+        SubmitReply::Unavailable {
+            retry_after: STORE_RETRY,
         }
     }
 }
@@ -105,25 +140,30 @@
         };
         let record = JobRecord::new(queue.name.clone(), self.cx.clock.now(), spec);
         let value = serde_json::to_vec(&record).expect("job records have string keys");
-        let txn = Transaction::new()
-            .expect(Keys::job(id), Revision::default())
-            .expect(Keys::progress(id), Revision::default())
-            .put(Keys::job(id), value);
-        match self.cx.store.commit(txn).await {
-            Ok(TxnOutcome::Committed(revision)) => {
+        match store_job(&self.cx.store, id, value.clone()).await {
+            Stored::Now(revision) => {
                 observe("accepted");
                 tracing::info!(job = %id, queue = %queue.name, %revision, "desk: job accepted");
                 SubmitReply::Accepted
             }
-            Ok(TxnOutcome::Conflict(_)) => {
+            Stored::Before => {
                 observe("repeated");
                 tracing::info!(job = %id, queue = %queue.name, "desk: job was accepted before");
                 SubmitReply::Accepted
             }
-            Ok(TxnOutcome::LeaseEnded) => SubmitReply::Unknown,
-            Err(e) => {
+            Stored::Not(e) => {
+                tracing::warn!(job = %id, effect = ?e.effect(), "desk: job not confirmed by the store: {e}");
+                let reply = self.store_through_peers(id, &value).await;
+                observe(match reply {
+                    SubmitReply::Accepted => "accepted_by_peer",
+                    _ => "not_stored",
+                });
+                reply
+            }
+            Stored::Unknown(e) => {
                 observe("unconfirmed");
-                self.submit_failed(id, &e)
+                tracing::warn!(job = %id, effect = ?e.effect(), "desk: job not confirmed by the store: {e}");
+                SubmitReply::Unknown
             }
         }
     }
--- a/crates/node/src/peers/service.rs
+++ b/crates/node/src/peers/service.rs
@@ -3,11 +3,12 @@
 use lagoon_wire::v1::cell_peer_server::CellPeer;
 use lagoon_wire::v1::{
     AdviceTicket, AskAdviserRequest, AskAdviserResponse, GetBacklogRequest, GetBacklogResponse,
-    GetJobStateRequest, GetJobStateResponse, QueueBacklog,
+    GetJobStateRequest, GetJobStateResponse, QueueBacklog, StoreJobRequest, StoreJobResponse,
 };
 use tonic::{Request, Response, Status};
 
 use crate::context::Context;
+use crate::desk::{Stored, store_job};
 use crate::owner::Office;
 
 /// Answers the other members.
@@ -62,6 +63,24 @@
         }))
     }
 
+    async fn store_job(
+        &self,
+        req: Request<StoreJobRequest>,
+    ) -> Result<Response<StoreJobResponse>, Status> {
+        let req = req.into_inner();
+        let id: JobId = parse(&req.job)?;
+        let stored = match store_job(&self.cx.store, id, req.record).await {
+            Stored::Now(_) | Stored::Before => true,
+            Stored::Not(e) => {
+                tracing::warn!(job = %id, "peers: job not stored for another member: {e}");
+                false
+            }
+            Stored::Unknown(e) => return Err(Status::deadline_exceeded(e.to_string())),
+        };
+        tracing::info!(job = %id, stored, "peers: asked to store a job");
+        Ok(Response::new(StoreJobResponse { stored }))
+    }
+
     async fn ask_adviser(
         &self,
         req: Request<AskAdviserRequest>,
--- a/crates/node/tests/node/cell.rs
+++ b/crates/node/tests/node/cell.rs
@@ -42,9 +42,15 @@
     }
 
     pub(crate) async fn add_node(&mut self) {
+        let store = self.site.store();
+        self.add_node_at(store).await;
+    }
+
+    /// Starts a node that reaches the store at `store`.
+    pub(crate) async fn add_node_at(&mut self, store: SocketAddr) {
         let number = self.nodes.len();
         let [callers, readiness, peers, metrics] = [(); 4].map(|()| free_address());
-        let (store, adviser) = (self.site.store(), self.site.adviser());
+        let adviser = self.site.adviser();
         let settings = format!(
             "member: m{number}\nfailure_domain: d1\nstrength: 0.5\nlisten:\n  callers: {callers}\n  \
              readiness: {readiness}\n  peers: {peers}\n  metrics: {metrics}\nstore: {store}\nadviser: {adviser}\n\
--- a/crates/node/tests/node/faults.rs
+++ b/crates/node/tests/node/faults.rs
@@ -72,6 +72,18 @@
         cell.check();
     }
 
+    /// Guards against refusals by a node that the store turns away although other nodes reach it.
+    a_node_that_is_turned_away_has_others_store_its_jobs {
+        let mut cell = Cell::start(1, 1).await;
+        let door = cell.site.open_store_door().await.unwrap();
+        cell.add_node_at(door.address()).await;
+        cell.owner().await;
+        door.set_closed(true);
+        assert_eq!(cell.submit(1, JOB, json!([{"count": 1, "cpu": 1000}])).await, 200);
+        cell.wait_for_state(0, JOB, "done").await;
+        assert_eq!(cell.site.log().starts().len(), 1);
+    }
+
     /// Guards against jobs that are never seen because the store forgot the changes that a watch waited for.
     a_lost_history_hides_no_job {
         let cell = Cell::start(1, 1).await;
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -15,7 +15,9 @@
 mod run_log;
 mod site_handle;
 mod start_entry;
+mod store_door;
 
 pub use self::{
     kv_state::StoreFault, run_log::RunLog, site_handle::SiteHandle, start_entry::StartEntry,
+    store_door::StoreDoor,
 };
--- a/crates/standin/src/site/site_handle.rs
+++ b/crates/standin/src/site/site_handle.rs
@@ -12,6 +12,7 @@
 use crate::site::kv_state::{KvState, StoreFault};
 use crate::site::listener::Listener;
 use crate::site::run_log::RunLog;
+use crate::site::store_door::StoreDoor;
 
 /// A running stand-in; everything ends when it is dropped.
 #[derive(Debug)]
@@ -48,6 +49,15 @@
         self.store_listener.address
     }
 
+    /// Opens another address of the store, which can be closed while the first one serves on.
+    ///
+    /// # Errors
+    ///
+    /// When no loopback address can be listened on.
+    pub async fn open_store_door(&self) -> std::io::Result<StoreDoor> {
+        StoreDoor::open(kv_api::router(self.store.clone())).await
+    }
+
     /// Returns the address of the adviser.
     pub fn adviser(&self) -> SocketAddr {
         self.adviser.address
--- /dev/null
+++ b/crates/standin/src/site/store_door.rs
@@ -0,0 +1,47 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use axum::Router;
+use axum::extract::Request;
+use axum::http::StatusCode;
+use axum::middleware::{self, Next};
+use axum::response::IntoResponse;
+
+use crate::site::listener::Listener;
+
+/// An address of the store for some machines only.
+#[derive(Debug)]
+pub struct StoreDoor {
+    listener: Listener,
+    closed: Arc<AtomicBool>,
+}
+
+impl StoreDoor {
+    pub(super) async fn open(router: Router) -> std::io::Result<Self> {
+        let closed = Arc::new(AtomicBool::new(false));
+        let flag = closed.clone();
+        let check = move |req: Request, next: Next| {
+            let is_closed = flag.load(Ordering::Relaxed);
+            async move {
+                match is_closed {
+                    true => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+                    false => next.run(req).await,
+                }
+            }
+        };
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let listener = Listener::bind(any, router.layer(middleware::from_fn(check))).await?;
+        Ok(Self { listener, closed })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address
+    }
+
+    /// Turns callers at this address away, or serves them again.
+    pub fn set_closed(&self, closed: bool) {
+        self.closed.store(closed, Ordering::Relaxed);
+    }
+}
