Tell the owner of stored jobs instead of waiting for the store's watch

Cause: while the store answers in 200 ms a job waited for its write, the watch and the record one after the other, and each watch of jobs was a billed call.

--- a/crates/node/src/desk/desk.rs
+++ b/crates/node/src/desk/desk.rs
@@ -144,6 +144,7 @@
             Stored::Now(revision) => {
                 observe("accepted");
                 tracing::info!(job = %id, queue = %queue.name, %revision, "desk: job accepted");
+                self.owner.notify(id, value);
                 SubmitReply::Accepted
             }
             Stored::Before => {
--- a/crates/node/src/desk/owner_view.rs
+++ b/crates/node/src/desk/owner_view.rs
@@ -6,7 +6,7 @@
 use lagoon_jobs::dispatch::{Backlog, QueueLoad};
 use lagoon_jobs::id::{JobId, QueueName};
 use lagoon_jobs::job::JobState;
-use lagoon_wire::v1::{GetBacklogRequest, GetJobStateRequest};
+use lagoon_wire::v1::{GetBacklogRequest, GetJobStateRequest, NotifyJobRequest};
 
 use crate::context::Context;
 use crate::owner::Office;
@@ -87,6 +87,32 @@
         }
     }
 
+    /// Tells the owner of a job that was stored a moment ago. Without an answer the store's watch tells it later.
+    pub(super) fn notify(&self, id: JobId, record: Vec<u8>) {
+        if self.office.shard().is_some() {
+            self.office.notify(id, &record, self.cx.clock.now());
+            return;
+        }
+        let cell = self.cx.current_cell();
+        let Some(owner) = cell
+            .owner
+            .as_ref()
+            .filter(|o| o.member != *self.cx.member())
+        else {
+            return;
+        };
+        let mut client = self.cx.peers.client(owner.address);
+        let job = id.to_string();
+        tokio::spawn(async move {
+            let call = client.notify_job(NotifyJobRequest { job, record });
+            match tokio::time::timeout(OWNER_TIMEOUT, call).await {
+                Ok(Ok(_)) => {}
+                Ok(Err(e)) => tracing::debug!(job = %id, "desk: the owner was not told: {e}"),
+                Err(_) => tracing::debug!(job = %id, "desk: the owner was not told in time"),
+            }
+        });
+    }
+
     /// Returns the backlog, asked for at most a moment ago.
     pub(super) async fn backlog(&self) -> Option<Arc<Backlog>> {
         if let Some(shard) = self.office.shard() {
--- a/crates/node/src/owner/follow_jobs.rs
+++ b/crates/node/src/owner/follow_jobs.rs
@@ -12,8 +12,9 @@
 
 /// Longest wait of one watch. A connection that went silent is noticed soon after.
 const WATCH_WAIT: Millis = Millis::new(1_500);
-/// Time in which jobs gather before the next watch, because each watch is billed.
-const GATHER_PAUSE: Duration = Duration::from_millis(20);
+/// Time in which jobs gather before the next watch, because each watch is billed. Members tell the owner of jobs that they
+/// store, so the watch brings only what they could not tell, and cancellations.
+const GATHER_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
--- a/crates/node/src/owner/office.rs
+++ b/crates/node/src/owner/office.rs
@@ -1,5 +1,8 @@
 use std::sync::Arc;
 
+use lagoon_core::unit::Timestamp;
+use lagoon_jobs::id::JobId;
+use lagoon_jobs::job::JobRecord;
 use tokio::sync::watch;
 
 use crate::owner::Shard;
@@ -17,6 +20,17 @@
         self.0.borrow().clone()
     }
 
+    /// Takes in a job that was stored a moment ago, if this member owns the cell. The store's watch reports it too.
+    pub(crate) fn notify(&self, id: JobId, record: &[u8], now: Timestamp) {
+        let Some(shard) = self.shard() else {
+            return;
+        };
+        match serde_json::from_slice::<JobRecord>(record) {
+            Ok(record) => shard.change(|dispatcher| dispatcher.submit(id, record, now)),
+            Err(e) => tracing::error!(job = %id, "owner: job is not readable: {e}"),
+        }
+    }
+
     pub(super) fn set(&self, shard: Option<Arc<Shard>>) {
         self.0.send_replace(shard);
     }
--- a/crates/node/src/peers/service.rs
+++ b/crates/node/src/peers/service.rs
@@ -3,7 +3,8 @@
 use lagoon_wire::v1::cell_peer_server::CellPeer;
 use lagoon_wire::v1::{
     AdviceTicket, AskAdviserRequest, AskAdviserResponse, GetBacklogRequest, GetBacklogResponse,
-    GetJobStateRequest, GetJobStateResponse, QueueBacklog, StoreJobRequest, StoreJobResponse,
+    GetJobStateRequest, GetJobStateResponse, NotifyJobRequest, NotifyJobResponse, QueueBacklog,
+    StoreJobRequest, StoreJobResponse,
 };
 use tonic::{Request, Response, Status};
 
@@ -63,6 +64,16 @@
         }))
     }
 
+    async fn notify_job(
+        &self,
+        req: Request<NotifyJobRequest>,
+    ) -> Result<Response<NotifyJobResponse>, Status> {
+        let req = req.into_inner();
+        let id: JobId = parse(&req.job)?;
+        self.office.notify(id, &req.record, self.cx.clock.now());
+        Ok(Response::new(NotifyJobResponse {}))
+    }
+
     async fn store_job(
         &self,
         req: Request<StoreJobRequest>,
