--- a/crates/node/src/desk/owner_view.rs
+++ b/crates/node/src/desk/owner_view.rs
@@ -8,6 +8,7 @@
 use lagoon_jobs::job::JobState;
 use lagoon_wire::v1::{GetBacklogRequest, GetJobStateRequest, NotifyJobRequest};
 
+use crate::cell::OwnerEntry;
 use crate::context::Context;
 use crate::owner::Office;
 
@@ -51,12 +52,7 @@
                 None => OwnerAnswer::Unknown,
             };
         }
-        let cell = self.cx.current_cell();
-        let Some(owner) = cell
-            .owner
-            .as_ref()
-            .filter(|o| o.member != *self.cx.member())
-        else {
+        let Some(owner) = self.other_owner() else {
             return OwnerAnswer::NoAnswer;
         };
         let req = GetJobStateRequest {
@@ -93,12 +89,7 @@
             self.office.notify(id, &record, self.cx.clock.now());
             return;
         }
-        let cell = self.cx.current_cell();
-        let Some(owner) = cell
-            .owner
-            .as_ref()
-            .filter(|o| o.member != *self.cx.member())
-        else {
+        let Some(owner) = self.other_owner() else {
             return;
         };
         let mut client = self.cx.peers.client(owner.address);
@@ -130,17 +121,19 @@
         Some(backlog)
     }
 
+    /// Returns the owner if it is another member.
+    fn other_owner(&self) -> Option<OwnerEntry> {
+        let owner = self.cx.current_cell().owner.clone();
+        owner.filter(|owner| owner.member != *self.cx.member())
+    }
+
     fn kept(&self) -> Option<(Arc<Backlog>, Timestamp)> {
         let kept = self.backlog.lock().unwrap_or_else(PoisonError::into_inner);
         kept.clone()
     }
 
     async fn ask_backlog(&self) -> Option<Backlog> {
-        let cell = self.cx.current_cell();
-        let owner = cell
-            .owner
-            .as_ref()
-            .filter(|o| o.member != *self.cx.member())?;
+        let owner = self.other_owner()?;
         let mut client = self.cx.peers.client(owner.address);
         let call = client.get_backlog(GetBacklogRequest {});
         let answer = match tokio::time::timeout(OWNER_TIMEOUT, call).await {
