--- a/crates/node/src/cell/register.rs
+++ b/crates/node/src/cell/register.rs
@@ -13,8 +13,8 @@
 const LEASE_TTL: Millis = Millis::new(1_100);
 /// Time between two renewals, so that two may be lost.
 const RENEW_EVERY: Duration = Duration::from_millis(250);
-/// Time for a renewal; one that takes longer is given up, so that the next is not too late.
-const RENEW_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for a renewal; one that takes longer is given up, so that the next is not too late. A slow store takes 0.4 s.
+const RENEW_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
--- a/crates/node/src/cell/relay.rs
+++ b/crates/node/src/cell/relay.rs
@@ -14,7 +14,7 @@
 
 /// Learns from other members who owns the cell as long as the store does not answer this node, until the process ends.
 pub(crate) async fn relay(cx: Context) {
-    let mut has_store = cx.has_store.subscribe();
+    let mut has_store = cx.store_state.subscribe();
     let mut turn = 0;
     // The sender lives as long as the node.
     while has_store.wait_for(|answers| !answers).await.is_ok() {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -39,7 +39,7 @@
     /// Members and owner of the cell.
     pub(crate) cell: watch::Sender<Arc<CellView>>,
     /// The store answers this node, as far as its lease tells.
-    pub(crate) has_store: watch::Sender<bool>,
+    pub(crate) store_state: watch::Sender<bool>,
 }
 
 impl Context {
@@ -59,7 +59,7 @@
             peers: Peers::default(),
             policy: watch::Sender::new(None),
             cell: watch::Sender::new(Arc::default()),
-            has_store: watch::Sender::new(true),
+            store_state: watch::Sender::new(true),
             limits: watch::Sender::new(settings.limits),
             settings: Arc::new(settings),
             clock,
@@ -81,7 +81,7 @@
 
     /// Notes whether the store answered a call of the registration.
     pub(crate) fn note_store(&self, answers: bool) {
-        let changed = self.has_store.send_if_modified(|known| {
+        let changed = self.store_state.send_if_modified(|known| {
             let changed = *known != answers;
             *known = answers;
             changed
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Tells whether the store answers this node.
+    pub(crate) fn has_store(&self) -> bool {
+        *self.store_state.borrow()
+    }
+
     pub(crate) fn current_cell(&self) -> Arc<CellView> {
         self.cell.borrow().clone()
     }
--- a/crates/node/src/desk/desk.rs
+++ b/crates/node/src/desk/desk.rs
@@ -15,8 +15,6 @@
 use crate::owner::Office;
 use crate::policy;
 
-/// When a caller comes back that was refused because the store can't be reached.
-const STORE_RETRY: Millis = Millis::new(1_000);
 /// Final states kept in each of the parts of the cache; the owner is asked for others.
 const MAX_FINAL: usize = 2_000;
 
@@ -64,10 +62,6 @@
         }
     }
 
-    fn has_store(&self) -> bool {
-        *self.cx.has_store.borrow()
-    }
-
     /// Stores a job by a call of this node.
     async fn store_here(&self, queue: &Queue, id: JobId, record: &[u8]) -> StoredHere {
         match store_job(&self.cx.store, id, record.to_vec()).await {
@@ -91,30 +85,26 @@
         }
     }
 
-    /// Stores a job: by the way that is expected to work first, by the other one if the first had no effect.
+    /// Stores a job, by a call of this node or of another member. Nothing is written while no store call is answered: the
+    /// job could be stored without its caller ever being told.
     async fn store(&self, queue: &Queue, id: JobId, record: &[u8]) -> (SubmitReply, &'static str) {
-        let peers_first = !self.has_store();
-        if peers_first {
-            match self.peers.store_job(id, record).await {
-                SubmitReply::Accepted => return (SubmitReply::Accepted, "accepted_by_peer"),
-                SubmitReply::Unknown => return (SubmitReply::Unknown, "unconfirmed"),
-                SubmitReply::Unavailable { .. } | SubmitReply::Overloaded { .. } => {}
+        if self.cx.has_store() {
+            match self.store_here(queue, id, record).await {
+                StoredHere::Is(label) => return (SubmitReply::Accepted, label),
+                StoredHere::Unknown => return (SubmitReply::Unknown, "unconfirmed"),
+                StoredHere::Not => {}
             }
         }
-        match self.store_here(queue, id, record).await {
-            StoredHere::Is(label) => (SubmitReply::Accepted, label),
-            StoredHere::Unknown => (SubmitReply::Unknown, "unconfirmed"),
-            StoredHere::Not if peers_first => (
-                SubmitReply::Unavailable {
-                    retry_after: STORE_RETRY,
-                },
-                "not_stored",
-            ),
-            StoredHere::Not => match self.peers.store_job(id, record).await {
-                SubmitReply::Accepted => (SubmitReply::Accepted, "accepted_by_peer"),
-                reply => (reply, "not_stored"),
-            },
-        }
+        let reply = self.peers.store_job(id, record).await;
+        let label = match &reply {
+            SubmitReply::Accepted => "accepted_by_peer",
+            SubmitReply::Unknown => "unconfirmed",
+            SubmitReply::Unavailable { .. } | SubmitReply::Overloaded { .. } => {
+                tracing::info!(job = %id, "desk: job refused, no member reaches the store");
+                "not_stored"
+            }
+        };
+        (reply, label)
     }
 }
 
@@ -173,7 +163,7 @@
     }
 
     async fn cancel(&self, id: JobId) -> CancelReply {
-        if !self.has_store() {
+        if !self.cx.has_store() {
             let reply = self.peers.cancel_job(id).await;
             if !matches!(reply, CancelReply::Unknown) {
                 return reply;
--- a/crates/node/src/peers/service.rs
+++ b/crates/node/src/peers/service.rs
@@ -83,6 +83,10 @@
     ) -> Result<Response<StoreJobResponse>, Status> {
         let req = req.into_inner();
         let id: JobId = parse(&req.job)?;
+        if !self.cx.has_store() {
+            tracing::info!(job = %id, "peers: job not stored for another member, the store does not answer here either");
+            return Ok(Response::new(StoreJobResponse { stored: false }));
+        }
         let stored = match store_job(&self.cx.store, id, req.record.clone()).await {
             Stored::Now(_) => {
                 self.office.notify(id, &req.record, self.cx.clock.now());
--- a/crates/process/src/command_line.rs
+++ b/crates/process/src/command_line.rs
@@ -96,8 +96,8 @@
     let path = args
         .settings
         .ok_or_else(settings::SettingsErrors::no_file)?;
-    let settings = settings::load::<T>(&path)?;
     if args.check {
+        settings::load::<T>(&path)?;
         println!("{}: valid", path.display());
         return Ok(());
     }
@@ -106,7 +106,10 @@
         .build()
         .map_err(|e| RunError::new("process: can't start the runtime", e))?;
     runtime.block_on(async {
-        let settings = settings::follow(path, settings)?;
-        start(settings, Signal::install()?).await
+        // Installed first: a signal that arrives before its handler ends the process.
+        let hangup = settings::Hangup::install()?;
+        let stop = Signal::install()?;
+        let settings = settings::load::<T>(&path)?;
+        start(settings::follow(path, settings, hangup), stop).await
     })
 }
--- a/crates/process/src/settings/follow.rs
+++ b/crates/process/src/settings/follow.rs
@@ -12,21 +12,31 @@
 /// Time between two looks at the file, because it may change without a signal.
 const CHECK_EVERY: Duration = Duration::from_secs(2);
 
+/// Receives SIGHUP, which tells that the settings have changed.
+#[derive(Debug)]
+pub(crate) struct Hangup(Signal);
+
+impl Hangup {
+    /// Listens for SIGHUP; needs a running tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// When the handler can't be installed.
+    pub(crate) fn install() -> Result<Self, RunError> {
+        let failed = |e| RunError::new("process: can't listen for signals", e);
+        signal(SignalKind::hangup()).map(Self).map_err(failed)
+    }
+}
+
 /// Follows a settings file: reads it anew at SIGHUP and when its text has changed. A file that is wrong is reported and
 /// the last valid settings stay. Ends when the process does.
-///
-/// # Errors
-///
-/// When the handler of SIGHUP can't be installed.
-pub(crate) fn follow<T>(path: PathBuf, first: T) -> Result<watch::Receiver<Arc<T>>, RunError>
+pub(crate) fn follow<T>(path: PathBuf, first: T, hangup: Hangup) -> watch::Receiver<Arc<T>>
 where
     T: DeserializeOwned + Checked + Send + Sync + 'static,
 {
-    let failed = |e| RunError::new("process: can't listen for signals", e);
-    let hangup = signal(SignalKind::hangup()).map_err(failed)?;
     let (tx, rx) = watch::channel(Arc::new(first));
-    tokio::spawn(watch_file(path, hangup, tx));
-    Ok(rx)
+    tokio::spawn(watch_file(path, hangup.0, tx));
+    rx
 }
 
 async fn watch_file<T>(path: PathBuf, mut hangup: Signal, tx: watch::Sender<Arc<T>>)
--- a/crates/process/src/settings/mod.rs
+++ b/crates/process/src/settings/mod.rs
@@ -15,7 +15,7 @@
 mod text;
 mod tracked;
 
-pub(crate) use self::follow::follow;
+pub(crate) use self::follow::{Hangup, follow};
 pub use self::{
     address::Address, checked::Checked, load::load, load::parse, problem::Problem,
     problems::Problems, settings_errors::SettingsErrors, text::text,
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -37,6 +37,7 @@
     faults::Faults,
     load::{Endings, Load, answered},
     platform::{Counts, Platform},
+    ports::free_address,
     route::Route,
     test_run::{BoxError, run},
 };
