Name four places a member in the first question for a gang

Cause: with a quarter of the executors good, a first answer left a gang waiting for room on just these; it then asked two or three times more, and the fixed part of a question (559 ms) costs more than naming twice as many executors.

--- a/crates/jobs/src/dispatch/ask.rs
+++ b/crates/jobs/src/dispatch/ask.rs
@@ -15,6 +15,9 @@
 const MIN_NAMED: usize = 4;
 /// Places sought for each task, so that a step is not stopped by the one executor that fills up meanwhile.
 const SPARE_PLACES: f64 = 1.5;
+/// Places sought for each member of a gang. A question's fixed part costs more than naming twice as many executors, and
+/// with few good ones a gang waits for room on just these.
+const SPARE_GANG_PLACES: f64 = 4.0;
 /// Time of the adviser that a task may take. A question waits until it can start so many tasks, because all lanes
 /// together answer a few dozen questions a second.
 const COST_A_TASK_MS: f64 = 20.0;
@@ -113,7 +116,7 @@
         if could_hold >= spec.count && !waits_long {
             return;
         }
-        let wanted = f64::from(spec.count) * SPARE_PLACES;
+        let wanted = f64::from(spec.count) * SPARE_GANG_PLACES;
         let missing = wanted - f64::from(if waits_long { has_soon } else { could_hold });
         if missing > 0.0 {
             let named = self.unjudged(key, spec, queue, missing, pass);
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -37,7 +37,7 @@
     faults::Faults,
     load::{Endings, Load, answered},
     platform::{Counts, Platform},
-    ports::free_address,
+    ports::free_addresses,
     route::Route,
     test_run::{BoxError, run},
 };
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -11,6 +11,8 @@
 /// Time from the request to stop to the end; the settings give two seconds of grace.
 const STOP_LIMIT: Duration = Duration::from_secs(10);
 
+/// Last part of the address of the first node; the harness uses 1.
+const FIRST_HOST: u8 = 2;
 /// Time in which a program writes its first line.
 const BEGIN_LIMIT: Duration = Duration::from_secs(2);
 
@@ -33,13 +35,8 @@
         store: SocketAddr,
         adviser: SocketAddr,
     ) -> Result<Self, BoxError> {
-        let mut addresses = Vec::new();
-        for _ in 0..4 {
-            addresses.push(crate::harness::free_address()?);
-        }
-        let [callers, readiness, peers, metrics] = addresses[..] else {
-            unreachable!("four addresses were taken");
-        };
+        let host = FIRST_HOST + number as u8;
+        let [callers, readiness, peers, metrics] = crate::harness::free_addresses(host)?;
         let name = format!("m{number}");
         let text = format!(
             "member: {name}\nfailure_domain: d1\nstrength: 0.5\nlisten:\n  callers: {callers}\n  \
@@ -70,15 +67,20 @@
         Ok(())
     }
 
-    /// Tells the process to read its settings anew, once its program has begun; a signal before that ends any program.
+    /// Tells the process to read its settings anew.
     pub(crate) async fn hang_up(&self) -> Result<(), BoxError> {
+        self.wait_for_begin().await;
+        self.signal(Signal::HUP)
+    }
+
+    /// Waits until the program has written its first line; a signal before that ends any program.
+    async fn wait_for_begin(&self) {
         let log = self.settings.with_extension("log");
         let until = Instant::now() + BEGIN_LIMIT;
         let size = || std::fs::metadata(&log).map_or(0, |log| log.len());
         while size() <= self.logged_before && Instant::now() < until {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
-        self.signal(Signal::HUP)
     }
 
     /// Sends a signal to the process.
@@ -91,8 +93,9 @@
 
     /// Asks the process to stop, waits for its end, and starts it again.
     pub(crate) async fn restart(&mut self) -> Result<(), BoxError> {
+        self.signal(Signal::CONT)?;
+        self.wait_for_begin().await;
         if let Some(child) = &mut self.child {
-            child.signal(Signal::CONT)?;
             child.signal(Signal::TERM)?;
             let status = child.wait(STOP_LIMIT).await?;
             if !status.success() {
