Displace work for a gang only once it has tickets for all of its claim

Changes: a gang claims room without stopping anything until its tickets last 0.6 s more; it keeps to the executors of its last claim.

--- a/crates/jobs/src/dispatch/ask.rs
+++ b/crates/jobs/src/dispatch/ask.rs
@@ -2,7 +2,8 @@
 
 use crate::dispatch::core::Core;
 use crate::dispatch::pass::Pass;
-use crate::dispatch::plan::{Candidate, TICKET_MARGIN};
+use crate::dispatch::place_gang::STOP_MARGIN;
+use crate::dispatch::plan::Candidate;
 use crate::dispatch::{AskOrder, Order};
 use crate::fleet::{ExecutorSlot, Room};
 use crate::id::StepKey;
@@ -40,7 +41,7 @@
         }
         let need = spec.reserved();
         let valid = self.candidates(key, spec, queue, pass.now);
-        let known = self.known_good(key, spec, queue);
+        let known = self.known_good(key, spec, queue, pass.now);
         let fits = |c: &Candidate| self.unpromised(c.slot, pass).fits(&need).min(c.allowed);
         let is_valid = |slot| valid.iter().any(|c| c.slot == slot);
         let mut named: Vec<ExecutorSlot> = Vec::new();
@@ -95,7 +96,7 @@
             return;
         }
         let need = spec.reserved();
-        let known = self.known_good(key, spec, queue);
+        let known = self.known_good(key, spec, queue, pass.now);
         let has_soon: u32 = known
             .iter()
             .map(|c| {
@@ -155,13 +156,12 @@
             && least.is_some_and(|cost| self.advice.has_lane(cost, pass.now))
     }
 
-    /// Tells whether a ticket for the step on one of these executors has expired.
+    /// Tells whether a ticket for the step on one of these executors ends before room could be made there.
     fn has_expired(&self, key: StepKey, slots: &[ExecutorSlot], now: Timestamp) -> bool {
         let grants = self.advice.step(key).map(|advice| &advice.grants[..]);
         let mut grants = grants.unwrap_or_default().iter();
-        grants.any(|grant| {
-            slots.contains(&grant.slot) && grant.valid_until <= now.after(TICKET_MARGIN)
-        })
+        grants
+            .any(|grant| slots.contains(&grant.slot) && grant.valid_until <= now.after(STOP_MARGIN))
     }
 
     /// Returns executors that the adviser has not judged for the step, those with the most room first, as many as are
--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -1,9 +1,10 @@
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use lagoon_core::unit::{Millis, Resources, Timestamp};
+use lagoon_core::unit::{Millis, Timestamp};
 
 use crate::advice::AdviceBook;
+use crate::dispatch::claims::Claims;
 use crate::dispatch::{DispatchLimits, Order, StopOrder};
 use crate::fleet::{ExecutorSlot, Fleet};
 use crate::id::{Epoch, RunNumber, TaskKey};
@@ -26,7 +27,7 @@
     pub(super) times: RunTimes,
     pub(super) orders: Vec<Order>,
     /// What gangs claimed in the last pass.
-    pub(super) claimed: HashMap<ExecutorSlot, Resources>,
+    pub(super) claims: Claims,
     /// Executors that have not listed their runs to this owner. Inherited work may run there.
     pub(super) unheard: BTreeSet<ExecutorSlot>,
     /// When no run that an earlier owner started can exist any more on an executor that was not heard.
@@ -49,7 +50,7 @@
             ledger: Ledger::new(limits.record_lanes),
             times: RunTimes::default(),
             orders: Vec::new(),
-            claimed: HashMap::new(),
+            claims: Claims::default(),
             unheard: BTreeSet::new(),
             inherited_lapse: now.after(lapse).after(slack),
         }
--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod advised;
 mod ask;
 mod cancel;
+mod claims;
 mod core;
 mod dispatcher;
 mod displace;
--- a/crates/jobs/src/dispatch/pass.rs
+++ b/crates/jobs/src/dispatch/pass.rs
@@ -1,9 +1,9 @@
-use std::collections::HashMap;
-
 use lagoon_core::unit::{Resources, Timestamp};
 use smallvec::SmallVec;
 
+use crate::dispatch::claims::Claims;
 use crate::fleet::{ExecutorSlot, Room};
+use crate::id::StepKey;
 
 /// Executors for each gang that may make room for itself in one pass. Such a claim lasts about as long as a stop.
 const EXECUTORS_A_CLAIM: usize = 8;
@@ -20,28 +20,24 @@
     pub(super) rooms: Vec<Room>,
     claims_left: usize,
     idle_claims_left: usize,
-    /// What gangs claimed on each executor in the last pass and have not started.
-    claimed_before: HashMap<ExecutorSlot, Resources>,
-    claimed: HashMap<ExecutorSlot, Resources>,
+    /// What gangs claimed in the last pass and have not started.
+    before: Claims,
+    claims: Claims,
     /// What becomes free soon on each executor for work of a rank.
     soon: SmallVec<[(u32, Vec<Resources>); 4]>,
 }
 
 impl Pass {
     /// Begins a pass with the rooms of the executors and what gangs claimed there in the last pass.
-    pub(super) fn new(
-        rooms: Vec<Room>,
-        claimed_before: HashMap<ExecutorSlot, Resources>,
-        now: Timestamp,
-    ) -> Self {
+    pub(super) fn new(rooms: Vec<Room>, before: Claims, now: Timestamp) -> Self {
         let claims = rooms.len() / EXECUTORS_A_CLAIM;
         Self {
             now,
             rooms,
             claims_left: claims.max(MIN_CLAIMS),
             idle_claims_left: MAX_IDLE_CLAIMS,
-            claimed_before,
-            claimed: HashMap::new(),
+            before,
+            claims: Claims::default(),
             soon: SmallVec::new(),
         }
     }
@@ -72,21 +68,25 @@
     }
 
     /// Takes room for a gang that waits for the rest of its room.
-    pub(super) fn claim(&mut self, slot: ExecutorSlot, total: &Resources) {
+    pub(super) fn claim(&mut self, gang: StepKey, slot: ExecutorSlot, total: &Resources) {
         self.room_mut(slot).take(total);
-        let sum = self.claimed.entry(slot).or_default();
-        *sum = sum.saturating_add(*total);
+        self.claims.add(gang, slot, total);
     }
 
     /// Returns what gangs claimed in this pass.
-    pub(super) fn into_claimed(self) -> HashMap<ExecutorSlot, Resources> {
-        self.claimed
+    pub(super) fn into_claims(self) -> Claims {
+        self.claims
+    }
+
+    /// Tells whether a gang claimed room on an executor in the last pass.
+    pub(super) fn had_claim(&self, gang: StepKey, slot: ExecutorSlot) -> bool {
+        self.before.of_gang(gang).contains(&slot)
     }
 
     /// Tells whether a task would take room that a gang claimed in the last pass. More urgent work may, but goes
     /// elsewhere if it can, because a gang that loses one place waits with all of them.
     pub(super) fn meets_claim(&self, slot: ExecutorSlot, need: &Resources) -> bool {
-        self.claimed_before.get(&slot).is_some_and(|claimed| {
+        self.before.on(slot).is_some_and(|claimed| {
             let mut room = *self.room(slot);
             room.take(claimed);
             room.fits(need) == 0
--- a/crates/jobs/src/dispatch/place_gang.rs
+++ b/crates/jobs/src/dispatch/place_gang.rs
@@ -1,7 +1,9 @@
 use std::collections::BTreeMap;
 
+use lagoon_core::unit::{Millis, Timestamp};
 use smallvec::SmallVec;
 
+use crate::advice::Grant;
 use crate::dispatch::core::Core;
 use crate::dispatch::pass::Pass;
 use crate::dispatch::plan::{Candidate, Candidates};
@@ -10,6 +12,10 @@
 use crate::policy::Queue;
 use crate::spec::StepSpec;
 
+/// Time for which a ticket has to last when work is displaced for a gang: a stop takes up to 400 ms, its listing and the
+/// starts the rest.
+pub(super) const STOP_MARGIN: Millis = Millis::new(600);
+
 /// Members of a gang by candidate.
 type Shares = SmallVec<[(Candidate, u32); 16]>;
 
@@ -30,7 +36,7 @@
         pass.note_soon(queue.rank, || self.free_soon(queue.rank));
         let candidates = self.candidates(key, spec, queue, pass.now);
         let now_fits = |c: &Candidate, pass: &Pass| pass.room(c.slot).fits(&spec.reserved());
-        match self.share_out(&candidates, spec, pass, now_fits) {
+        match self.share_out(key, &candidates, spec, pass, now_fits) {
             Some(shares) => self.start_gang(key, spec, &shares, pass),
             None => {
                 // The claim takes room from the pass, so the question has to come first.
@@ -48,6 +54,7 @@
     /// Divides the members among candidates, on one rack if that matters and works.
     fn share_out(
         &self,
+        key: StepKey,
         candidates: &Candidates,
         spec: &StepSpec,
         pass: &Pass,
@@ -61,12 +68,12 @@
             }
             let on_one = racks
                 .values()
-                .find_map(|rack| fill(rack, spec, pass, &fits));
+                .find_map(|rack| fill(key, rack, spec, pass, &fits));
             if on_one.is_some() {
                 return on_one;
             }
         }
-        fill(candidates, spec, pass, &fits)
+        fill(key, candidates, spec, pass, &fits)
     }
 
     fn start_gang(&mut self, key: StepKey, spec: &StepSpec, shares: &Shares, pass: &mut Pass) {
@@ -97,35 +104,46 @@
         if !pass.has_claim() {
             return Vec::new();
         }
-        let known = self.known_good(key, spec, queue);
+        let known = self.known_good(key, spec, queue, pass.now);
         let need = spec.reserved();
         let soon = |c: &Candidate, pass: &Pass| pass.room_soon(c.slot, queue.rank).fits(&need);
-        if let Some(shares) = self.share_out(&known, spec, pass, soon) {
+        if let Some(shares) = self.share_out(key, &known, spec, pass, soon) {
             pass.take_claim();
+            // Without tickets the room would be free before the gang can start, and less urgent work would come back.
+            let may_start =
+                queue.advice.is_none() || shares.iter().all(|(c, _)| c.ticket.is_some());
             let mut claimed = Vec::new();
             for (candidate, members) in shares {
                 let total = need.checked_mul(members).unwrap_or(need);
-                self.displace(candidate.slot, &total, queue, pass);
-                pass.claim(candidate.slot, &total);
+                if may_start {
+                    self.displace(candidate.slot, &total, queue, pass);
+                }
+                pass.claim(key, candidate.slot, &total);
                 claimed.push(candidate.slot);
             }
             return claimed;
         }
         let empty_fits = |c: &Candidate, pass: &Pass| pass.room(c.slot).fits_empty(&need);
         if pass.has_idle_claim()
-            && let Some(shares) = self.share_out(&known, spec, pass, empty_fits)
+            && let Some(shares) = self.share_out(key, &known, spec, pass, empty_fits)
         {
             pass.take_idle_claim();
             for (candidate, members) in shares {
                 let total = need.checked_mul(members).unwrap_or(need);
-                pass.claim(candidate.slot, &total);
+                pass.claim(key, candidate.slot, &total);
             }
         }
         Vec::new()
     }
 
-    /// Returns executors that may run the step, whether or not their tickets are valid.
-    pub(super) fn known_good(&self, key: StepKey, spec: &StepSpec, queue: &Queue) -> Candidates {
+    /// Returns executors that may run the step, with their tickets if these last until room is made.
+    pub(super) fn known_good(
+        &self,
+        key: StepKey,
+        spec: &StepSpec,
+        queue: &Queue,
+        now: Timestamp,
+    ) -> Candidates {
         if queue.advice.is_none() {
             let all = self.fleet.of_service(&queue.service).iter();
             return all
@@ -133,15 +151,21 @@
                 .collect();
         }
         let grants = self.advice.step(key).map(|advice| &advice.grants[..]);
-        let slots = grants.unwrap_or_default().iter().map(|grant| grant.slot);
-        slots
-            .filter_map(|slot| self.candidate(key, slot, None, spec, queue))
-            .collect()
+        let candidate = |grant: &Grant| {
+            let is_valid = grant.valid_until > now.after(STOP_MARGIN)
+                && self.fleet.get(grant.slot).life == grant.life;
+            let ticket = is_valid.then(|| grant.ticket.clone());
+            self.candidate(key, grant.slot, ticket, spec, queue)
+        };
+        let grants = grants.unwrap_or_default().iter();
+        grants.filter_map(candidate).collect()
     }
 }
 
-/// Gives members to the candidates with the most free processors first, so that the gang is on few executors.
+/// Gives members to the candidates with the most free processors first, so that the gang is on few executors. Those on
+/// which the gang has a claim come before others, because work was displaced there for it.
 fn fill(
+    key: StepKey,
     candidates: &Candidates,
     spec: &StepSpec,
     pass: &Pass,
@@ -155,6 +179,8 @@
     order.sort_by_key(|(c, _)| {
         (
             c.is_remote,
+            !pass.had_claim(key, c.slot),
+            c.ticket.is_none(),
             std::cmp::Reverse(pass.room(c.slot).free.cpu),
             c.slot,
         )
--- a/crates/jobs/src/dispatch/plan.rs
+++ b/crates/jobs/src/dispatch/plan.rs
@@ -41,8 +41,8 @@
 impl Core {
     fn plan(&mut self, now: Timestamp) {
         let policy = Arc::clone(&self.policy);
-        let claimed = std::mem::take(&mut self.claimed);
-        let mut pass = Pass::new(self.fleet.rooms(now), claimed, now);
+        let claims = std::mem::take(&mut self.claims);
+        let mut pass = Pass::new(self.fleet.rooms(now), claims, now);
         for rank in self.ranked_steps(&policy, now) {
             let key = rank.key();
             let Some(queue) = self.queue_of(&policy, key) else {
@@ -57,7 +57,7 @@
                 false => self.place_each(key, &spec, queue, &mut pass),
             }
         }
-        self.claimed = pass.into_claimed();
+        self.claims = pass.into_claims();
     }
 
     fn ranked_steps(&self, policy: &CellPolicy, now: Timestamp) -> Vec<Rank> {
