--- a/crates/jobs/tests/dispatch/advice.rs
+++ b/crates/jobs/tests/dispatch/advice.rs
@@ -2,7 +2,7 @@
 
 use lagoon_jobs::spec::StepSpec;
 
-use crate::world::{World, asks, starts, step};
+use crate::world::{World, asks, starts, step, stops};
 
 fn gang(count: u32, need: u64) -> StepSpec {
     StepSpec {
@@ -115,4 +115,22 @@
             assert!(asks(&world.plan()).is_empty(), "nothing there can be displaced");
         }
     }
+
+    /// Guards against work that is displaced for a gang before it can start, and comes back meanwhile.
+    a_gang_displaces_nothing_before_it_has_tickets {
+        let mut world = World::with(&[("e1", 4), ("e2", 4)]);
+        let saving = StepSpec { saves_progress: true, ..step(8, 1) };
+        world.submit(1, "bulk", vec![saving]);
+        assert_eq!(world.start_all().len(), 8);
+        world.submit(2, "advised", vec![gang(4, 2)]);
+        let ask = asks(&world.plan()).remove(0);
+        world.advise(&ask, 1_500);
+        world.pass(1_600);
+        let orders = world.plan();
+        assert!(stops(&orders).is_empty(), "the tickets have expired");
+        let renewal = asks(&orders).remove(0);
+        assert!(stops(&world.plan()).is_empty(), "the renewal is not answered");
+        world.advise(&renewal, 1_500);
+        assert_eq!(stops(&world.plan()).len(), 8);
+    }
 }
--- a/crates/jobs/tests/dispatch/gangs.rs
+++ b/crates/jobs/tests/dispatch/gangs.rs
@@ -100,7 +100,7 @@
         assert!(on_first < 8, "the bulk tasks fill the tightest executors first");
         let filled = world.submit(9, "urgent", vec![gang(3, 5)]);
         assert!(!stops(&world.plan()).is_empty());
-        world.dispatcher.observe(entry("e4", 7), world.now);
+        world.dispatcher.observe(entry("e4", 9), world.now);
         world.list(3, &[], Vec::new());
         let urgent = world.submit(2, "urgent", vec![step(1, 5)]);
         let started = starts(&world.plan());
