--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -10,7 +10,7 @@
 use crate::id::{Epoch, RunNumber, TaskKey};
 use crate::job::{JobTable, RunTimes, TaskPhase};
 use crate::policy::CellPolicy;
-use crate::record::Ledger;
+use crate::record::{Ledger, Leftovers};
 use crate::run::{RunPhase, RunTable};
 
 /// State of a dispatcher, whatever its stage.
@@ -24,6 +24,7 @@
     pub(super) runs: RunTable,
     pub(super) advice: AdviceBook,
     pub(super) ledger: Ledger,
+    pub(super) leftovers: Leftovers,
     pub(super) times: RunTimes,
     pub(super) orders: Vec<Order>,
     /// What gangs claimed in the last pass.
@@ -48,6 +49,7 @@
             runs: RunTable::default(),
             advice: AdviceBook::default(),
             ledger: Ledger::new(limits.record_lanes),
+            leftovers: Leftovers::new(limits.record_lanes),
             times: RunTimes::default(),
             orders: Vec::new(),
             claims: Claims::default(),
--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -74,6 +74,11 @@
 
     /// Takes over a stored job with its progress.
     pub fn load(&mut self, id: JobId, record: JobRecord, progress: &Progress, now: Timestamp) {
+        if let Some(state) = progress.outcome {
+            self.core.leftovers.push(id, state);
+            self.load_ended(id, state, now);
+            return;
+        }
         let mut job = Job::new(id, record);
         job.inherited = true;
         job.restore(progress, now);
--- a/crates/jobs/src/dispatch/records.rs
+++ b/crates/jobs/src/dispatch/records.rs
@@ -2,7 +2,7 @@
 
 use crate::dispatch::{Dispatcher, Serving};
 use crate::id::JobId;
-use crate::job::Progress;
+use crate::job::{JobState, Progress};
 use crate::record::{RecordLane, RecordNumber};
 
 impl Dispatcher<Serving> {
@@ -32,12 +32,24 @@
         core.ledger.written(jobs);
         for (id, _) in jobs {
             let job = core.jobs.get(*id);
-            if job.is_some_and(|job| !job.is_live() && core.ledger.is_durable(*id, job.ended_by)) {
+            let ended = job.filter(|job| !job.is_live());
+            if let Some(job) = ended.filter(|job| core.ledger.is_durable(*id, job.ended_by)) {
+                core.leftovers.push(*id, job.state());
                 core.jobs.collapse(*id);
             }
         }
     }
 
+    /// Takes up to `max` ended jobs of a lane of which only the final state has to stay in the store.
+    pub fn take_leftovers(&mut self, lane: RecordLane, max: usize) -> Vec<(JobId, JobState)> {
+        self.core.leftovers.take(lane, max)
+    }
+
+    /// Puts back ended jobs whose keys could not be removed.
+    pub fn put_back_leftovers(&mut self, jobs: Vec<(JobId, JobState)>) {
+        self.core.leftovers.put_back(jobs);
+    }
+
     /// Puts back the jobs of a write that had no effect or an unknown one.
     pub fn not_recorded(&mut self, jobs: &[(JobId, RecordNumber)]) {
         self.core.ledger.put_back(jobs);
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -3,7 +3,7 @@
 
 use lagoon_adapter::store::{Revision, StoreItem, Transaction, TxnOutcome};
 use lagoon_jobs::id::{Epoch, JobId};
-use lagoon_jobs::job::{JobState, Progress};
+use lagoon_jobs::job::JobState;
 use lagoon_jobs::record::{RecordLane, RecordNumber};
 use lagoon_platform::PlatformError;
 use tokio::sync::{Mutex, MutexGuard, mpsc};
@@ -20,7 +20,9 @@
 const EXPIRE_EVERY: Duration = Duration::from_secs(5);
 
 /// Most keys of the store that one job has: itself, its cancellation and its progress.
-const MAX_ENTRIES_A_JOB: usize = 3;
+const MAX_KEYS_A_JOB: usize = 3;
+/// Most of them that are left over once its final state is durable.
+const LEFTOVER_KEYS: usize = MAX_KEYS_A_JOB - 1;
 
 /// Writes progress to the store, in lanes that do not wait for each other. Every write has the head of its lane as its
 /// condition, so that none takes effect after a later owner has claimed the cell, and none late after a newer one.
@@ -61,7 +63,10 @@
                     tokio::time::sleep(GROUP_PAUSE).await;
                     self.write(&shard, lane).await;
                 }
-                _ = expiry.tick() => self.remove_expired(&shard, lane).await,
+                _ = expiry.tick() => {
+                    self.write(&shard, lane).await;
+                    self.remove_expired(&shard, lane).await;
+                }
             }
         }
     }
@@ -71,15 +76,21 @@
         let mut position = self.positions[lane.index()].lock().await;
         let mut txn = self.begin(lane, *position);
         let mut jobs: Vec<(JobId, RecordNumber)> = Vec::new();
-        while txn.room() >= MAX_ENTRIES_A_JOB
-            && let Some((id, number, progress)) = shard
-                .with(|dispatcher| dispatcher.take_records(lane, 1))
-                .pop()
-        {
-            txn = with_progress(txn, id, &progress);
+        let records = shard.with(|dispatcher| dispatcher.take_records(lane, txn.room()));
+        for (id, number, progress) in records {
+            let value = serde_json::to_vec(&progress).expect("progress has string keys");
+            txn = txn.put(Keys::progress(id), value);
             jobs.push((id, number));
         }
-        if jobs.is_empty() {
+        let max = txn.room() / LEFTOVER_KEYS;
+        let leftovers = shard.with(|dispatcher| dispatcher.take_leftovers(lane, max));
+        for (id, state) in &leftovers {
+            txn = txn.remove(Keys::job(*id));
+            if *state == JobState::Cancelled {
+                txn = txn.remove(Keys::cancelled(*id));
+            }
+        }
+        if jobs.is_empty() && leftovers.is_empty() {
             return;
         }
         let is_written = self.commit(lane, &mut position, txn).await;
@@ -88,7 +99,10 @@
             self.cx.metrics.count("records.written", jobs.len() as u64);
             shard.record_written(&jobs);
         } else {
-            shard.with(|dispatcher| dispatcher.not_recorded(&jobs));
+            shard.with(|dispatcher| {
+                dispatcher.not_recorded(&jobs);
+                dispatcher.put_back_leftovers(leftovers);
+            });
             tokio::time::sleep(RETRY_PAUSE).await;
         }
         if shard.with(|dispatcher| dispatcher.records_waiting(lane)) > 0 {
@@ -100,7 +114,7 @@
         loop {
             let mut position = self.positions[lane.index()].lock().await;
             let mut txn = self.begin(lane, *position);
-            let max = txn.room() / MAX_ENTRIES_A_JOB;
+            let max = txn.room() / MAX_KEYS_A_JOB;
             let expired =
                 shard.with(|dispatcher| dispatcher.expired(lane, max, self.cx.clock.now()));
             if expired.is_empty() {
@@ -209,14 +223,3 @@
         }
     }
 }
-
-/// Adds a job's progress. Of an ended job only that stays, so that a new owner reads back little of what is over.
-fn with_progress(txn: Transaction, id: JobId, progress: &Progress) -> Transaction {
-    let value = serde_json::to_vec(progress).expect("progress has string keys");
-    let txn = txn.put(Keys::progress(id), value);
-    match progress.outcome {
-        Some(JobState::Cancelled) => txn.remove(Keys::job(id)).remove(Keys::cancelled(id)),
-        Some(_) => txn.remove(Keys::job(id)),
-        None => txn,
-    }
-}
--- a/crates/node/tests/node/cell.rs
+++ b/crates/node/tests/node/cell.rs
@@ -147,6 +147,15 @@
         .await;
     }
 
+    /// Waits until as many tasks have begun on executors. A state is no sign of that, because a question for it waits a
+    /// moment for the end of the job.
+    pub(crate) async fn wait_for_starts(&self, count: usize) {
+        self.eventually("the tasks have begun", async |cell: &Self| {
+            cell.site.log().starts().len() >= count
+        })
+        .await;
+    }
+
     /// Polls until `holds`, and fails if it does not come about in time.
     pub(crate) async fn eventually(&self, what: &str, holds: impl AsyncFn(&Self) -> bool) {
         let until = Instant::now() + PATIENCE;
--- a/crates/node/tests/node/faults.rs
+++ b/crates/node/tests/node/faults.rs
@@ -14,7 +14,7 @@
     runs_of_a_crashed_executor_start_again {
         let mut cell = Cell::start(1, 2).await;
         cell.submit_until_accepted(0, JOB, "ms=1500", json!([{"count": 8, "cpu": 1000}])).await;
-        cell.wait_for_state(0, JOB, "running").await;
+        cell.wait_for_starts(8).await;
         cell.site.crash_executor("e0");
         cell.site.unlist_executor("e0");
         cell.wait_for_state(0, JOB, "done").await;
@@ -25,7 +25,7 @@
     runs_of_a_restarted_executor_start_again {
         let mut cell = Cell::start(1, 1).await;
         cell.submit_until_accepted(0, JOB, "ms=800", json!([{"count": 4, "cpu": 1000}])).await;
-        cell.wait_for_state(0, JOB, "running").await;
+        cell.wait_for_starts(4).await;
         cell.site.start_executor("e0", 4_000).await.unwrap();
         cell.wait_for_state(0, JOB, "done").await;
         cell.check();
