--- a/crates/jobs/tests/dispatch/main.rs
+++ b/crates/jobs/tests/dispatch/main.rs
@@ -9,6 +9,8 @@
 mod placement;
 mod random;
 mod sim;
+mod sim_adviser;
 mod sim_executor;
+mod sim_gangs;
 mod takeover;
 mod world;
--- a/crates/jobs/tests/dispatch/sim.rs
+++ b/crates/jobs/tests/dispatch/sim.rs
@@ -3,17 +3,21 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use lagoon_core::unit::{Millis, Timestamp};
-use lagoon_jobs::dispatch::{Dispatcher, HoldStep, Order, Serving, StartOrder, StopOrder};
+use lagoon_jobs::dispatch::{
+    AskOrder, Dispatcher, HoldStep, Order, Serving, StartOrder, StopOrder,
+};
 use lagoon_jobs::fleet::ExecutorSlot;
-use lagoon_jobs::id::{Epoch, ExecutorId, JobId, TaskKey};
+use lagoon_jobs::id::{Epoch, ExecutorId, JobId, StepKey, TaskKey};
 use lagoon_jobs::job::{JobRecord, Progress};
 use lagoon_jobs::record::RecordLane;
-use lagoon_jobs::run::StartOutcome;
+use lagoon_jobs::run::{StartOutcome, StartRefusal};
 use lagoon_jobs::spec::{JobSpec, StepSpec};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::sim_adviser;
 use crate::sim_executor::SimExecutor;
+use crate::sim_gangs::SimGangs;
 use crate::world::{job_id, limits, policy, step};
 
 const EXECUTORS: usize = 5;
@@ -28,6 +32,8 @@
     Start(u64, StartOrder),
     /// The wait for the answer to an order to start is over.
     NoAnswer(Epoch, StartOrder),
+    /// The adviser answers, or a question turns out to have no answer.
+    Advice(Epoch, AskOrder, bool),
 }
 
 pub(crate) struct Sim {
@@ -41,7 +47,8 @@
     records: BTreeMap<JobId, JobRecord>,
     progress: BTreeMap<JobId, Progress>,
     cancelled: BTreeSet<JobId>,
-    /// Tasks whose end was acknowledged as done.
+    gangs: SimGangs,
+    /// Tasks whose end was acknowledged as done; of a gang all, if one was.
     noted: BTreeSet<TaskKey>,
     quiet: bool,
 }
@@ -63,6 +70,7 @@
             records: BTreeMap::new(),
             progress: BTreeMap::new(),
             cancelled: BTreeSet::new(),
+            gangs: SimGangs::default(),
             noted: BTreeSet::new(),
             quiet: false,
         };
@@ -124,6 +132,7 @@
         let count = self.rng.random_range(1..=4);
         let need = self.rng.random_range(1..=3);
         let first = StepSpec {
+            gang: self.rng.random_bool(0.25),
             saves_progress: self.rng.random_bool(0.5),
             ..step(count, need)
         };
@@ -134,11 +143,7 @@
                 ..step(2, 1)
             });
         }
-        let queue = if self.rng.random_bool(0.5) {
-            "urgent"
-        } else {
-            "bulk"
-        };
+        let queue = ["urgent", "bulk", "advised", "medium", "quick"][self.rng.random_range(0..5)];
         let spec = JobSpec::new("payload", steps, None).unwrap();
         let record = JobRecord::new(queue.parse().unwrap(), self.now, spec);
         self.records.insert(id, record.clone());
@@ -162,6 +167,7 @@
         let now = self.now;
         let mut next = Dispatcher::open(Epoch::new(self.epoch), limits(), now);
         next.set_policy(policy());
+        next.set_members(&["m1", "m2", "m3"].map(|id| id.parse().unwrap()));
         let mut heard = Vec::new();
         for i in 0..EXECUTORS {
             let (slot, _) = next.observe(self.executors[i].entry(), now);
@@ -206,7 +212,8 @@
             match order {
                 Order::Start(start) => self.send_start(start),
                 Order::Stop(stop) => self.send_stop(&stop),
-                Order::Ask(_) | Order::StepDown => {}
+                Order::Ask(ask) => self.send_ask(ask),
+                Order::StepDown => {}
             }
         }
     }
@@ -234,14 +241,30 @@
         }
     }
 
+    fn send_ask(&mut self, order: AskOrder) {
+        let is_lost = !self.quiet && self.rng.random_bool(0.05);
+        let wait = match is_lost {
+            true => Millis::new(2_000),
+            false => order.cost.saturating_add(Millis::new(60)),
+        };
+        let epoch = Epoch::new(self.epoch);
+        let answer = Late::Advice(epoch, order, is_lost);
+        self.late.push((self.now.after(wait), answer));
+    }
+
     fn start_now(&mut self, order: &StartOrder) -> StartOutcome {
         let task = order.task;
         let record = &self.records[&task.job()];
         let spec = &record.spec().steps()[usize::from(task.step().step())];
         let need = spec.reserved().cpu.get() / 1_000;
         let time = Millis::new(self.rng.random_range(200..2_500));
+        let time = (!spec.gang).then_some(time);
         let fails = !self.quiet && self.rng.random_bool(0.05);
+        let is_advised = policy().queue(record.queue()).unwrap().advice.is_some();
         let executor = &mut self.executors[order.slot.index()];
+        if is_advised && !sim_adviser::accepts(order, executor.life(), self.now) {
+            return StartOutcome::Refused(StartRefusal::Ticket);
+        }
         let outcome = executor.start(order, need, time, fails, self.now);
         if outcome == StartOutcome::Started {
             self.check(order);
@@ -249,6 +272,16 @@
         outcome
     }
 
+    /// Returns the tasks that are done if one is: all members of a gang.
+    fn spoken_for(&self, task: TaskKey) -> Vec<TaskKey> {
+        let step = task.step();
+        let spec = &self.records[&task.job()].spec().steps()[usize::from(step.step())];
+        match spec.gang {
+            true => (0..spec.count).map(|index| step.task(index)).collect(),
+            false => vec![task],
+        }
+    }
+
     /// Checks what must hold right after a run began.
     fn check(&self, order: &StartOrder) {
         let (seed, task) = (self.seed, order.task);
@@ -258,7 +291,8 @@
             !self.noted.contains(&task),
             "seed {seed}: {task} starts after its end was noted"
         );
-        let done = self.executors.iter().any(|e| e.lists_done(task));
+        let mut spoken_for = self.spoken_for(task).into_iter();
+        let done = spoken_for.any(|task| self.executors.iter().any(|e| e.lists_done(task)));
         assert!(
             !done,
             "seed {seed}: {task} starts although an executor lists it as done"
@@ -296,7 +330,12 @@
                 Late::NoAnswer(epoch, order) if epoch == Epoch::new(self.epoch) => {
                     self.dispatcher.started(&order, StartOutcome::Unknown, now);
                 }
-                Late::NoAnswer(..) => {}
+                Late::Advice(epoch, order, is_lost) if epoch == Epoch::new(self.epoch) => {
+                    let lives: Vec<u64> = self.executors.iter().map(SimExecutor::life).collect();
+                    let answer = (!is_lost).then(|| sim_adviser::advise(&order, &lives, now));
+                    self.dispatcher.advised(&order, answer.as_ref(), now);
+                }
+                Late::NoAnswer(..) | Late::Advice(..) => {}
             }
         }
     }
@@ -305,6 +344,16 @@
         for executor in &mut self.executors {
             executor.settle(self.now);
         }
+        let records = &self.records;
+        let count =
+            |step: StepKey| records[&step.job()].spec().steps()[usize::from(step.step())].count;
+        let (rng, quiet) = (&mut self.rng, self.quiet);
+        let draw = || {
+            let time = Millis::new(rng.random_range(200..2_500));
+            (time, !quiet && rng.random_bool(0.1))
+        };
+        self.gangs
+            .settle(&mut self.executors, count, draw, self.now);
     }
 
     fn hold_all(&mut self) {
@@ -319,7 +368,9 @@
                 continue;
             }
             let noted = self.executors[i].done_up_to(req.acknowledged);
-            self.noted.extend(noted);
+            for task in noted {
+                self.noted.extend(self.spoken_for(task));
+            }
             if let Some(listing) = self.executors[i].hold(&req, self.now) {
                 let asked = Timestamp::from_millis(self.now.as_millis() - 1);
                 self.dispatcher.listed(slot, &listing, asked, self.now);
--- /dev/null
+++ b/crates/jobs/tests/dispatch/sim_adviser.rs
@@ -0,0 +1,56 @@
+//! The adviser of the simulation: which executors are good for a step does not change, tickets end by time and with the
+//! executor's life.
+
+use lagoon_core::unit::{Millis, Timestamp};
+use lagoon_jobs::advice::Advised;
+use lagoon_jobs::dispatch::{AskOrder, StartOrder};
+use lagoon_jobs::id::{AdviceTicket, StepKey};
+
+/// Time for which a ticket is valid.
+const VALID: Millis = Millis::new(1_500);
+
+/// Answers a question at `now`; `lives` holds the lives of the executors by slot.
+pub(crate) fn advise(order: &AskOrder, lives: &[u64], now: Timestamp) -> Advised {
+    let good = order.named.iter().filter_map(|(slot, id)| {
+        let is_good = is_good(order.step, slot.index(), lives.len());
+        is_good.then(|| {
+            (
+                id.clone(),
+                ticket(order.step, slot.index(), lives[slot.index()], now),
+            )
+        })
+    });
+    Advised {
+        good: good.collect(),
+        valid: VALID,
+    }
+}
+
+/// Tells whether an executor accepts the ticket of an order.
+pub(crate) fn accepts(order: &StartOrder, life: u64, now: Timestamp) -> bool {
+    let Some(ticket) = &order.ticket else {
+        return false;
+    };
+    let text = ticket.to_string();
+    let (subject, given) = text.rsplit_once(' ').expect("tickets of the simulation");
+    let given = Timestamp::from_millis(given.parse().expect("a time"));
+    subject == subject_of(order.task.step(), order.slot.index(), life) && now.since(given) <= VALID
+}
+
+/// About half of the executors are good for a step, and two are for certain, so that the largest gang fits.
+fn is_good(step: StepKey, slot: usize, executors: usize) -> bool {
+    let hash = step.to_string().bytes().fold(7_u32, |hash, byte| {
+        hash.wrapping_mul(31).wrapping_add(u32::from(byte))
+    });
+    let first = hash as usize % executors;
+    slot == first || slot == (first + 1) % executors || (hash >> (slot + 4)) & 1 == 1
+}
+
+fn ticket(step: StepKey, slot: usize, life: u64, now: Timestamp) -> AdviceTicket {
+    let text = format!("{} {}", subject_of(step, slot, life), now.as_millis());
+    text.parse().expect("any text is a ticket")
+}
+
+fn subject_of(step: StepKey, slot: usize, life: u64) -> String {
+    format!("{step} {slot} {life}")
+}
--- a/crates/jobs/tests/dispatch/sim_executor.rs
+++ b/crates/jobs/tests/dispatch/sim_executor.rs
@@ -14,8 +14,10 @@
 struct SimRun {
     number: RunNumber,
     need: u64,
-    ends: Timestamp,
+    /// `None` for a member of a gang, whose end depends on the others.
+    ends: Option<Timestamp>,
     fails: bool,
+    began: Timestamp,
 }
 
 #[derive(Debug)]
@@ -82,7 +84,7 @@
         &mut self,
         order: &StartOrder,
         need: u64,
-        time: Millis,
+        time: Option<Millis>,
         fails: bool,
         now: Timestamp,
     ) -> StartOutcome {
@@ -111,8 +113,9 @@
         let run = SimRun {
             number: order.number,
             need,
-            ends: now.after(time),
+            ends: time.map(|time| now.after(time)),
             fails,
+            began: now,
         };
         self.running.insert(order.task, run);
         StartOutcome::Started
@@ -170,12 +173,13 @@
     /// Ends what has run its time or whose lease is over.
     pub(crate) fn settle(&mut self, now: Timestamp) {
         let lapsed = self.clock(now) > self.lease_end_ms;
+        let is_over = |run: &SimRun| run.ends.is_some_and(|ends| ends <= now);
         let over = self
             .running
             .iter()
-            .filter(|(_, run)| lapsed || run.ends <= now);
+            .filter(|(_, run)| lapsed || is_over(run));
         let over: Vec<(TaskKey, EndKind)> = over
-            .map(|(task, run)| match (run.ends <= now, run.fails) {
+            .map(|(task, run)| match (is_over(run), run.fails) {
                 (false, _) => (*task, EndKind::Lapsed),
                 (true, true) => (*task, EndKind::Failed),
                 (true, false) => (*task, EndKind::Done),
@@ -218,7 +222,14 @@
         now.since(self.began).get() * 98 / 100
     }
 
-    fn end(&mut self, task: TaskKey, how: EndKind) {
+    /// Returns members of gangs that are here, with their run and since when.
+    pub(crate) fn gang_members(&self) -> impl Iterator<Item = (TaskKey, RunNumber, Timestamp)> {
+        let members = self.running.iter().filter(|(_, run)| run.ends.is_none());
+        members.map(|(task, run)| (*task, run.number, run.began))
+    }
+
+    /// Ends a run and lists its end.
+    pub(crate) fn end(&mut self, task: TaskKey, how: EndKind) {
         let Some(run) = self.running.remove(&task) else {
             return;
         };
--- /dev/null
+++ b/crates/jobs/tests/dispatch/sim_gangs.rs
@@ -0,0 +1,83 @@
+//! Gangs of the simulation: members work from the moment when all of one run are present, and end together.
+
+use std::collections::BTreeMap;
+
+use lagoon_core::unit::{Millis, Timestamp};
+use lagoon_jobs::id::{RunNumber, StepKey, TaskKey};
+use lagoon_jobs::run::EndKind;
+
+use crate::sim_executor::SimExecutor;
+
+/// Time for which a member waits for the others.
+const GANG_WAIT: Millis = Millis::new(3_000);
+
+/// What the executors agree on of each run of a gang that is complete.
+#[derive(Debug, Default)]
+pub(crate) struct SimGangs {
+    complete: BTreeMap<(StepKey, RunNumber), (Timestamp, bool)>,
+}
+
+impl SimGangs {
+    /// Lets gangs begin, end and break. `draw` gives the time and the fate of a run that has become complete, `count` the
+    /// number of members of a step.
+    pub(crate) fn settle(
+        &mut self,
+        executors: &mut [SimExecutor],
+        count: impl Fn(StepKey) -> u32,
+        mut draw: impl FnMut() -> (Millis, bool),
+        now: Timestamp,
+    ) {
+        for ((step, number), members) in present(executors) {
+            let is_whole = members.len() as u32 == count(step);
+            let state = self.complete.get(&(step, number)).copied();
+            match state {
+                None if is_whole => {
+                    let (time, fails) = draw();
+                    self.complete
+                        .insert((step, number), (now.after(time), fails));
+                }
+                None => {
+                    for (executor, task, since) in members {
+                        if now.since(since) >= GANG_WAIT {
+                            executors[executor].end(task, EndKind::GangIncomplete);
+                        }
+                    }
+                }
+                Some((ends, fails)) if is_whole => {
+                    if ends <= now {
+                        end_all(executors, &members, fails);
+                    }
+                }
+                Some(_) => {
+                    for (executor, task, _) in members {
+                        executors[executor].end(task, EndKind::GangBroken);
+                    }
+                }
+            }
+        }
+    }
+}
+
+type Members = Vec<(usize, TaskKey, Timestamp)>;
+
+fn present(executors: &[SimExecutor]) -> BTreeMap<(StepKey, RunNumber), Members> {
+    let mut runs: BTreeMap<(StepKey, RunNumber), Members> = BTreeMap::new();
+    for (i, executor) in executors.iter().enumerate() {
+        for (task, number, since) in executor.gang_members() {
+            let run = runs.entry((task.step(), number)).or_default();
+            run.push((i, task, since));
+        }
+    }
+    runs
+}
+
+fn end_all(executors: &mut [SimExecutor], members: &Members, fails: bool) {
+    for (place, (executor, task, _)) in members.iter().enumerate() {
+        let how = match (fails, place) {
+            (false, _) => EndKind::Done,
+            (true, 0) => EndKind::Failed,
+            (true, _) => EndKind::GangBroken,
+        };
+        executors[*executor].end(*task, how);
+    }
+}
