Give each address of a test's processes out once

With one scheduler there was nobody to take over.

Addresses are now remembered for the life of the test process, and a cluster in which a daemon ended at its start is started again even if somebody answered for it.

--- a/crates/node/tests/node/cell.rs
+++ b/crates/node/tests/node/cell.rs
@@ -1,4 +1,4 @@
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -6,6 +6,7 @@
 use lagoon_node::{Node, NodeSettings};
 use lagoon_platform::{Call, ClientSettings, Endpoint, Transport};
 use lagoon_process::Clock;
+use lagoon_standin::free_address;
 use lagoon_standin::site::SiteHandle;
 use serde_json::{Value, json};
 use tokio::time::Instant;
@@ -13,6 +14,9 @@
 /// Time within which something has to come about; a takeover takes about two seconds, a lapsed lease five.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Share of a processor that nodes have unless a test says otherwise, in cores.
+const STRENGTH: f64 = 0.5;
+
 /// Nodes on a stand-in, with a client.
 pub(crate) struct Cell {
     pub(crate) site: SiteHandle,
@@ -43,16 +47,26 @@
 
     pub(crate) async fn add_node(&mut self) {
         let store = self.site.store();
-        self.add_node_at(store).await;
+        self.add_node_with(store, STRENGTH).await;
+    }
+
+    /// Starts a node with a share of a processor.
+    pub(crate) async fn add_node_of(&mut self, strength: f64) {
+        let store = self.site.store();
+        self.add_node_with(store, strength).await;
     }
 
     /// Starts a node that reaches the store at `store`.
     pub(crate) async fn add_node_at(&mut self, store: SocketAddr) {
+        self.add_node_with(store, STRENGTH).await;
+    }
+
+    async fn add_node_with(&mut self, store: SocketAddr, strength: f64) {
         let number = self.nodes.len();
-        let [callers, readiness, peers, metrics] = [(); 4].map(|()| free_address());
+        let [callers, readiness, peers, metrics] = [(); 4].map(|()| free_address().unwrap());
         let adviser = self.site.adviser();
         let settings = format!(
-            "member: m{number}\nfailure_domain: d1\nstrength: 0.5\nlisten:\n  callers: {callers}\n  \
+            "member: m{number}\nfailure_domain: d1\nstrength: {strength}\nlisten:\n  callers: {callers}\n  \
              readiness: {readiness}\n  peers: {peers}\n  metrics: {metrics}\nstore: {store}\nadviser: {adviser}\n\
              limits:\n  max_lease: 6s\n  retention: 120s\n  grace: 1s\n  min_store_lease: 1s\n"
         );
@@ -188,11 +202,3 @@
         }
     }
 }
-
-/// Returns an address that was free a moment ago.
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod executors;
 pub mod fault;
+mod free_address;
 pub mod hosts;
 pub mod platform;
 mod run;
@@ -25,4 +26,5 @@
 mod util;
 pub mod workers;
 
+pub use self::free_address::free_address;
 pub use self::run::run;
--- a/tests/harness/cluster.rs
+++ b/tests/harness/cluster.rs
@@ -3,11 +3,12 @@
 
 use lagoon_core::id::ShardId;
 use lagoon_core::journal::{Head, JournalKeys};
+use lagoon_standin::free_address;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
+use crate::harness::settings_files;
 use crate::harness::{BoxError, Caller, Client, ClusterPlan, Daemon, DaemonKind, Platform};
-use crate::harness::{ports, settings_files};
 
 /// Starts of a cluster before a port conflict counts as a failure.
 const TRIES: usize = 3;
@@ -35,11 +36,12 @@
         loop {
             let mut cluster = Self::spawn(plan)?;
             cluster.platform.put_policy(policy).await?;
-            match cluster.ready().await {
-                Ok(()) => return Ok(cluster),
-                // A daemon that has ended at the start did not get its port.
-                Err(_) if tries < TRIES && cluster.has_ended_daemon() => tries += 1,
-                Err(e) => return Err(e),
+            let ready = cluster.ready().await;
+            // A daemon that has ended at the start did not get its port, and another process may answer there.
+            match cluster.has_ended_daemon() {
+                false => return ready.map(|()| cluster),
+                true if tries < TRIES => tries += 1,
+                true => return Err("a daemon ended at its start".into()),
             }
         }
     }
@@ -164,9 +166,9 @@
     domain: &'static str,
     folder: &Path,
 ) -> Result<Daemon, BoxError> {
-    let address = ports::free_address()?;
+    let address = free_address()?;
     let health = match kind {
-        DaemonKind::Scheduler => ports::free_address()?,
+        DaemonKind::Scheduler => free_address()?,
         DaemonKind::Gateway => address,
     };
     let settings = folder.join(format!("{name}.yaml"));
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -17,7 +17,6 @@
 mod faults;
 mod load;
 mod platform;
-pub(crate) mod ports;
 mod route;
 mod settings_files;
 mod test_run;
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -3,18 +3,14 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use lagoon_standin::free_address;
 use rustix::process::Signal;
-
 use tokio::time::Instant;
 
-use crate::harness::ports::free_addresses;
 use crate::harness::{BoxError, Child};
 
 /// Time from the request to stop to the end; the settings give two seconds of grace.
 const STOP_LIMIT: Duration = Duration::from_secs(10);
-
-/// Last part of the address of the first node; the harness uses 1.
-const FIRST_HOST: u8 = 2;
 /// Time in which a program writes its first line.
 const BEGIN_LIMIT: Duration = Duration::from_secs(2);
 
@@ -37,8 +33,8 @@
         store: SocketAddr,
         adviser: SocketAddr,
     ) -> Result<Self, BoxError> {
-        let host = FIRST_HOST + number as u8;
-        let [callers, readiness, peers, metrics] = free_addresses(host)?;
+        let (callers, readiness) = (free_address()?, free_address()?);
+        let (peers, metrics) = (free_address()?, free_address()?);
         let name = format!("m{number}");
         let text = format!(
             "member: {name}\nfailure_domain: d1\nstrength: 0.5\nlisten:\n  callers: {callers}\n  \
