Count only starts that failed at hosts towards giving work up

A start that was not sent, met a lost lease or a full host no longer counts; one that was not sent makes the owner check its leases at once, and otherwise counts against the worker's health. Starts that fail at hosts still end work after eight attempts.

--- a/crates/core/src/shard/settle.rs
+++ b/crates/core/src/shard/settle.rs
@@ -12,8 +12,8 @@
 use crate::unit::Timestamp;
 use crate::work::{Outcome, Repeatability, WorkState};
 
-/// Starts of one piece of work that hosts may refuse before it is given up.
-const MAX_START_ATTEMPTS: u32 = 8;
+/// Attempts of one piece of work that may fail at hosts before it is given up.
+const MAX_FAILED_ATTEMPTS: u32 = 8;
 
 impl Shard {
     /// Decides about work all of whose tasks have stopped.
@@ -65,7 +65,10 @@
             self.end(work, outcome, now);
             return;
         }
-        let attempts = record.attempts;
+        if std::mem::take(&mut record.start_failed) {
+            record.failed_attempts += 1;
+        }
+        let failed = record.failed_attempts;
         if started {
             record.ran = true;
             self.record_restart(work);
@@ -73,8 +76,8 @@
             self.clear_places(work);
         }
         self.discharge(work);
-        if !started && attempts >= MAX_START_ATTEMPTS {
-            let text = format!("{attempts} attempts to start the work were refused by hosts");
+        if !started && failed >= MAX_FAILED_ATTEMPTS {
+            let text = format!("{failed} attempts to start the work failed at hosts");
             let outcome = Outcome::Refused(Refusal::new(ResultCode::StartRefused, text));
             self.end(work, outcome, now);
             return;
--- a/crates/core/src/shard/tasks.rs
+++ b/crates/core/src/shard/tasks.rs
@@ -38,7 +38,14 @@
     ) {
         match result {
             StartResult::Known(phase) => self.on_phase(worker, task, phase, now),
-            StartResult::NotSent => self.on_not_started(worker, task, now),
+            StartResult::NotSent => {
+                // After a pause the owner learns here first that its leases ended.
+                self.check_leases(now);
+                if self.may_use_worker(worker, now) {
+                    self.note_failure(worker, now);
+                }
+                self.on_not_started(worker, task, now);
+            }
             StartResult::DoesNotFit => {
                 // The worker holds something that is not accounted for here: read its whole inventory.
                 self.forget_inventory(worker);
@@ -46,6 +53,9 @@
             }
             StartResult::StartFailed => {
                 self.note_failure(worker, now);
+                if let Some(record) = self.works.get_mut(task.work()) {
+                    record.start_failed = true;
+                }
                 self.on_not_started(worker, task, now);
             }
             StartResult::LeaseLost => {
--- a/crates/core/src/shard/work_record.rs
+++ b/crates/core/src/shard/work_record.rs
@@ -49,8 +49,12 @@
     pub(super) placed_at: Option<Timestamp>,
     /// True if the previous owner handed the work over without having started it.
     pub(super) unsent: bool,
-    /// Refused starts so far.
+    /// Starts so far.
     pub(super) attempts: u32,
+    /// Attempts in which a host could not start a task of the work. A lost lease or a full host does not count.
+    pub(super) failed_attempts: u32,
+    /// True if a host could not start a task of the present attempt.
+    pub(super) start_failed: bool,
     /// True once the known workers were found able to hold the work.
     pub(super) feasible: bool,
 }
@@ -85,6 +89,8 @@
             placed_at: None,
             unsent: false,
             attempts: 0,
+            failed_attempts: 0,
+            start_failed: false,
             feasible: false,
         }
     }
--- a/crates/core/tests/shard_peers/main.rs
+++ b/crates/core/tests/shard_peers/main.rs
@@ -6,3 +6,4 @@
 mod handover;
 mod lending;
 mod model;
+mod refused_starts;
--- a/crates/core/tests/shard_peers/model/owner.rs
+++ b/crates/core/tests/shard_peers/model/owner.rs
@@ -88,6 +88,13 @@
         }
     }
 
+    /// Obtains the lease of a worker again, at a higher epoch.
+    pub(crate) fn renew(&mut self, name: &str) {
+        self.lease += 1;
+        self.shard.on_heartbeat_sending(&worker(name).worker, at(0));
+        self.granted(name, Vec::new());
+    }
+
     /// Lets the workers answer as a later run from now on.
     pub(crate) fn restart_workers(&mut self) {
         self.run += 1;
