End an executor's runs when another one answers at its address

Cause: the answer 421 was treated like no answer, so work of a crashed executor whose address was in use again waited for its lease to lapse, up to five seconds. In fleets with few executors the dead one was even chosen again and again, because executors that had left counted towards the quarter of the fleet that may rest.

Both new cases of dispatch and the whole-node test fail without their changes.

--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -26,6 +26,7 @@
 mod plan;
 mod rank;
 mod records;
+mod replaced;
 mod stage;
 mod started;
 mod stopped;
--- a/crates/jobs/src/dispatch/tick.rs
+++ b/crates/jobs/src/dispatch/tick.rs
@@ -1,5 +1,6 @@
 use lagoon_core::unit::Timestamp;
 
+use crate::dispatch::core::Core;
 use crate::dispatch::{Dispatcher, Serving};
 use crate::fleet::ExecutorSlot;
 use crate::id::TaskKey;
@@ -23,14 +24,10 @@
             .collect();
         for slot in lapsed {
             let executor = core.fleet.get(slot);
-            let tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
-            tracing::warn!(executor = %executor.entry.id, runs = tasks.len(), "dispatch: lease lapsed, runs are gone");
-            for task in tasks {
-                core.drop_run(task);
-                if core.is_gang(task.step()) {
-                    core.stop_step(task);
-                }
-            }
+            tracing::warn!(
+                executor = %executor.entry.id, runs = executor.tasks.len(), "dispatch: lease lapsed, runs are gone"
+            );
+            core.drop_runs(slot);
         }
     }
 
@@ -48,3 +45,16 @@
         }
     }
 }
+
+impl Core {
+    /// Drops all runs of an executor, because nothing can run there any more.
+    pub(super) fn drop_runs(&mut self, slot: ExecutorSlot) {
+        let tasks: Vec<TaskKey> = self.fleet.get(slot).tasks.iter().copied().collect();
+        for task in tasks {
+            self.drop_run(task);
+            if self.is_gang(task.step()) {
+                self.stop_step(task);
+            }
+        }
+    }
+}
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -10,7 +10,7 @@
 pub struct Executor {
     /// What it last said of itself.
     pub entry: ExecutorEntry,
-    /// What the list of executors says of it.
+    /// Whether it takes part.
     pub availability: Availability,
     /// The life that last listed its runs.
     pub life: Option<Life>,
--- a/crates/jobs/src/fleet/fleet.rs
+++ b/crates/jobs/src/fleet/fleet.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{Availability, Executor, ExecutorEntry, ExecutorSlot, Room};
 use crate::id::{ExecutorId, ServiceName};
 
-/// Share of a fleet, in percent, that may be set aside as suspect; beyond it suspects are used again.
+/// Share of the ready executors, in percent, that may be set aside as suspect; beyond it suspects are used again.
 const MAX_SUSPECT_PERCENT: usize = 25;
 
 /// All executors that an owner has heard of.
@@ -76,8 +76,14 @@
 
     /// Returns what each executor can still take, by slot.
     pub fn rooms(&self, now: Timestamp) -> Vec<Room> {
-        let suspects = self.executors.iter().filter(|e| e.health.is_suspect(now));
-        let too_many = suspects.count() * 100 > self.executors.len() * MAX_SUSPECT_PERCENT;
+        // Executors that have left stay in the list of slots and must not count as set aside, nor make up for those.
+        let ready = |e: &&Executor| e.availability == Availability::Ready;
+        let (mut listed, mut suspects) = (0, 0);
+        for executor in self.executors.iter().filter(ready) {
+            listed += 1;
+            suspects += usize::from(executor.health.is_suspect(now));
+        }
+        let too_many = suspects * 100 > listed * MAX_SUSPECT_PERCENT;
         let rooms = self.executors.iter().map(|e| e.room(now, too_many));
         rooms.collect()
     }
--- a/crates/jobs/src/run/mod.rs
+++ b/crates/jobs/src/run/mod.rs
@@ -2,6 +2,7 @@
 
 mod end_kind;
 mod ended_row;
+mod hold_outcome;
 mod listing;
 #[expect(clippy::module_inception, reason = "one type per file")]
 mod run;
@@ -12,7 +13,7 @@
 mod start_refusal;
 
 pub use self::{
-    end_kind::EndKind, ended_row::EndedRow, listing::Listing, run::Run, run_phase::RunPhase,
-    run_table::RunTable, running_row::RunningRow, start_outcome::StartOutcome,
+    end_kind::EndKind, ended_row::EndedRow, hold_outcome::HoldOutcome, listing::Listing, run::Run,
+    run_phase::RunPhase, run_table::RunTable, running_row::RunningRow, start_outcome::StartOutcome,
     start_refusal::StartRefusal,
 };
--- a/crates/jobs/tests/dispatch/leases.rs
+++ b/crates/jobs/tests/dispatch/leases.rs
@@ -63,6 +63,27 @@
         assert_eq!(starts(&world.plan()).len(), 1);
     }
 
+    /// Guards against work that waits for a lease to lapse although its executor is gone and another has its address.
+    another_executor_at_the_address_ends_the_runs_of_the_earlier_one {
+        let mut world = World::with(&[("e1", 4), ("e2", 4), ("e3", 4), ("e4", 4)]);
+        world.submit(1, "urgent", vec![step(1, 4)]);
+        let order = world.start_all().remove(0);
+        world.dispatcher.replaced(order.slot, order.address, world.now);
+        let again = starts(&world.plan());
+        assert_eq!(again.len(), 1);
+        assert_ne!(again[0].slot, order.slot);
+        assert!(again[0].number > order.number);
+    }
+
+    /// Guards against a second run of what goes on at the address that the executor has by now.
+    another_executor_at_an_earlier_address_ends_nothing {
+        let mut world = World::with(&[("e1", 4), ("e2", 4)]);
+        world.submit(1, "urgent", vec![step(1, 4)]);
+        let order = world.start_all().remove(0);
+        world.dispatcher.replaced(order.slot, "127.0.0.1:9999".parse().unwrap(), world.now);
+        assert!(starts(&world.plan()).is_empty());
+    }
+
     /// Guards against work that is given up for lost only when a lease lapses although its executor started again.
     a_new_life_loses_the_runs_of_the_old_one {
         let mut world = World::with(&[("e1", 4)]);
--- a/crates/jobs/tests/dispatch/placement.rs
+++ b/crates/jobs/tests/dispatch/placement.rs
@@ -1,5 +1,6 @@
 //! Steps, room, spread, labels and states.
 
+use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::job::JobState;
 use lagoon_jobs::run::{EndKind, StartOutcome, StartRefusal};
 use lagoon_jobs::spec::StepSpec;
@@ -225,4 +226,20 @@
         let started = world.start_all();
         assert_eq!(started[0].task.job(), crate::world::job_id(2));
     }
+
+    /// Guards against executors that fail their work and are used all the same, because others have left the fleet: those
+    /// that have left were counted as set aside.
+    executors_that_left_do_not_bring_suspects_back {
+        let fleet = [("e1", 4), ("e2", 4), ("e3", 4), ("e4", 4), ("e5", 4), ("e6", 4)];
+        let mut world = World::with(&fleet);
+        for gone in ["e1", "e2"] {
+            let slot = world.dispatcher.unlist(&gone.parse().unwrap()).unwrap();
+            world.dispatcher.hold_failed(slot, world.now);
+        }
+        world.dispatcher.hold_failed(ExecutorSlot::new(2), world.now);
+        world.submit(1, "urgent", vec![step(6, 2)]);
+        let started = world.start_all();
+        assert_eq!(started.len(), 6);
+        assert!(started.iter().all(|order| order.slot.index() > 2));
+    }
 }
--- a/crates/node/src/owner/drive_executor.rs
+++ b/crates/node/src/owner/drive_executor.rs
@@ -4,6 +4,7 @@
 use lagoon_jobs::dispatch::{HoldRequest, HoldStep};
 use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::id::ExecutorId;
+use lagoon_jobs::run::HoldOutcome;
 use tokio::task::JoinSet;
 
 use crate::context::Context;
@@ -59,10 +60,14 @@
     cx.metrics
         .observe("executor.hold", outcome, cx.clock.now().since(asked));
     match answer {
-        Ok(Some(listing)) => {
+        Ok(HoldOutcome::Listed(listing)) => {
             shard.change(|dispatcher| dispatcher.listed(slot, &listing, asked, cx.clock.now()));
         }
-        Ok(None) => {
+        Ok(HoldOutcome::OtherExecutor) => {
+            shard.change(|dispatcher| dispatcher.replaced(slot, req.address, cx.clock.now()));
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        Ok(HoldOutcome::Fenced) => {
             tracing::warn!(executor = %id, epoch = %req.epoch, "owner: executor has seen a later owner");
             shard.change(|dispatcher| dispatcher.fenced());
         }
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -12,7 +12,7 @@
 use lagoon_jobs::job::{JobRecord, Progress};
 use lagoon_jobs::policy::CellPolicy;
 use lagoon_jobs::record::RecordLane;
-use lagoon_jobs::run::Listing;
+use lagoon_jobs::run::{HoldOutcome, Listing};
 use lagoon_platform::PlatformError;
 use tokio::task::JoinSet;
 
@@ -173,7 +173,8 @@
 ) -> (ExecutorSlot, Option<(Listing, Timestamp)>) {
     let asked = cx.clock.now();
     match cx.executors.hold(&id, &req).await {
-        Ok(listing) => (slot, listing.map(|listing| (listing, asked))),
+        Ok(HoldOutcome::Listed(listing)) => (slot, Some((listing, asked))),
+        Ok(HoldOutcome::Fenced | HoldOutcome::OtherExecutor) => (slot, None),
         Err(e) => {
             tracing::warn!(executor = %id, "owner: hold failed: {e}");
             (slot, None)
--- a/crates/node/tests/node/faults.rs
+++ b/crates/node/tests/node/faults.rs
@@ -1,6 +1,6 @@
 //! Executors and a store that misbehave.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use lagoon_standin::site::StoreFault;
 use serde_json::json;
@@ -15,12 +15,25 @@
         let mut cell = Cell::start(1, 2).await;
         cell.submit_until_accepted(0, JOB, "ms=1500", json!([{"count": 8, "cpu": 1000}])).await;
         cell.wait_for_starts(8).await;
-        cell.site.crash_executor("e0");
+        cell.site.crash_executor("e0").await;
         cell.site.unlist_executor("e0");
         cell.wait_for_state(0, JOB, "done").await;
         cell.check();
     }
 
+    /// Guards against work that waits five seconds for a lease to lapse although another executor has the address.
+    runs_of_an_executor_whose_address_is_taken_start_again_at_once {
+        let mut cell = Cell::start(1, 1).await;
+        cell.submit_until_accepted(0, JOB, "ms=800", json!([{"count": 4, "cpu": 1000}])).await;
+        cell.wait_for_starts(4).await;
+        cell.site.replace_executor("e0", "e1", 4_000).await.unwrap();
+        let replaced = Instant::now();
+        cell.wait_for_starts(8).await;
+        assert!(replaced.elapsed() < Duration::from_secs(3), "{:?}", replaced.elapsed());
+        cell.wait_for_state(0, JOB, "done").await;
+        cell.check();
+    }
+
     /// Guards against a restarted executor whose old runs are waited for.
     runs_of_a_restarted_executor_start_again {
         let mut cell = Cell::start(1, 1).await;
--- a/crates/standin/src/site/executor.rs
+++ b/crates/standin/src/site/executor.rs
@@ -3,36 +3,43 @@
 
 use serde_json::{Value, json};
 
+use crate::server::ServerHandle;
 use crate::site::executor_api::{self, Shared, lock};
 use crate::site::executor_state::ExecutorState;
-use crate::site::listener::Listener;
 use crate::site::run_log::RunLog;
 
 /// One executor with its server.
 #[derive(Debug)]
 pub(super) struct Executor {
     state: Shared,
-    listener: Listener,
+    server: ServerHandle,
     cpu: u64,
 }
 
 impl Executor {
-    pub(super) async fn spawn(id: &str, born: u64, cpu: u64, log: RunLog) -> std::io::Result<Self> {
+    /// Starts an executor; with port 0 the system chooses one.
+    pub(super) async fn spawn(
+        id: &str,
+        born: u64,
+        cpu: u64,
+        log: RunLog,
+        address: SocketAddr,
+    ) -> std::io::Result<Self> {
         let state = Arc::new(Mutex::new(ExecutorState::new(id, born, cpu, log)));
-        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
-        let listener = Listener::bind(any, executor_api::router(state.clone())).await?;
-        Ok(Self {
-            state,
-            listener,
-            cpu,
-        })
+        let router = executor_api::router(state.clone());
+        let server = ServerHandle::bind(address, router, |_| None).await?;
+        Ok(Self { state, server, cpu })
+    }
+
+    pub(super) fn address(&self) -> SocketAddr {
+        self.server.address()
     }
 
     /// Returns what the executor writes of itself.
     pub(super) fn entry(&self) -> Value {
         json!({
             "service": "service",
-            "address": self.listener.address.to_string(),
+            "address": self.address().to_string(),
             "zone": "zone",
             "version": "v1",
             "slots": 8,
@@ -45,8 +52,9 @@
         })
     }
 
-    /// Ends what runs, as when the process dies.
-    pub(super) fn crash(self) {
+    /// Ends what runs and closes all connections, as when the process dies.
+    pub(super) async fn crash(self) {
         lock(&self.state).crash();
+        self.server.stop().await;
     }
 }
--- a/crates/standin/src/site/executor_api.rs
+++ b/crates/standin/src/site/executor_api.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use axum::extract::State;
-use axum::http::StatusCode;
+use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
 use axum::{Json, Router};
@@ -14,6 +14,9 @@
 /// Time between two looks for an end while a call waits for one.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
+/// Header that names the executor that a call is for.
+const EXPECTED_EXECUTOR: &str = "x-lagoonspindle-expected-instance";
+
 pub(super) type Shared = Arc<Mutex<ExecutorState>>;
 
 pub(super) fn router(state: Shared) -> Router {
@@ -28,8 +31,15 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn start(State(state): State<Shared>, Json(body): Json<Value>) -> Response {
+async fn start(
+    State(state): State<Shared>,
+    headers: HeaderMap,
+    Json(body): Json<Value>,
+) -> Response {
     let mut state = lock(&state);
+    if !is_meant(&state, &headers) {
+        return StatusCode::MISDIRECTED_REQUEST.into_response();
+    }
     if !state.fence(number(&body, "fencing_token")) {
         return refusal(&state, "fence");
     }
@@ -63,9 +73,16 @@
     Json(json!({"timestamp_ms": state.clock_ms()})).into_response()
 }
 
-async fn hold(State(shared): State<Shared>, Json(body): Json<Value>) -> Response {
+async fn hold(
+    State(shared): State<Shared>,
+    headers: HeaderMap,
+    Json(body): Json<Value>,
+) -> Response {
     {
         let mut state = lock(&shared);
+        if !is_meant(&state, &headers) {
+            return StatusCode::MISDIRECTED_REQUEST.into_response();
+        }
         if !state.fence(number(&body, "fencing_token")) {
             return refusal(&state, "fence");
         }
@@ -87,6 +104,13 @@
     }
 }
 
+/// Tells whether a call is for this executor and not for one that had its address before.
+fn is_meant(state: &ExecutorState, headers: &HeaderMap) -> bool {
+    headers
+        .get(EXPECTED_EXECUTOR)
+        .is_none_or(|id| id.as_bytes() == state.id.as_bytes())
+}
+
 fn number(body: &Value, field: &str) -> u64 {
     body[field].as_u64().unwrap_or_default()
 }
--- a/crates/standin/src/site/site_handle.rs
+++ b/crates/standin/src/site/site_handle.rs
@@ -109,18 +109,45 @@
     ///
     /// When no loopback address can be listened on.
     pub async fn start_executor(&mut self, id: &str, cpu: u64) -> std::io::Result<()> {
-        self.crash_executor(id);
+        self.crash_executor(id).await;
+        self.spawn_executor(id, cpu, ([127, 0, 0, 1], 0).into())
+            .await
+    }
+
+    /// Ends an executor, whose entry stays, and starts another one at its address.
+    ///
+    /// # Errors
+    ///
+    /// When there is no such executor or its address can't be listened on.
+    pub async fn replace_executor(
+        &mut self,
+        id: &str,
+        with: &str,
+        cpu: u64,
+    ) -> std::io::Result<()> {
+        let missing = || std::io::Error::other(format!("there is no executor {id}"));
+        let address = self.executors.get(id).ok_or_else(missing)?.address();
+        self.crash_executor(id).await;
+        self.spawn_executor(with, cpu, address).await
+    }
+
+    async fn spawn_executor(
+        &mut self,
+        id: &str,
+        cpu: u64,
+        address: SocketAddr,
+    ) -> std::io::Result<()> {
         self.lives += 1;
-        let executor = Executor::spawn(id, self.lives, cpu, self.log.clone()).await?;
+        let executor = Executor::spawn(id, self.lives, cpu, self.log.clone(), address).await?;
         self.put(&format!("servers/{id}"), &executor.entry());
         self.executors.insert(id.to_owned(), executor);
         Ok(())
     }
 
     /// Ends an executor and all that runs there; its entry stays.
-    pub fn crash_executor(&mut self, id: &str) {
+    pub async fn crash_executor(&mut self, id: &str) {
         if let Some(executor) = self.executors.remove(id) {
-            executor.crash();
+            executor.crash().await;
         }
     }
 
