Let a restarted owner go on without waiting for the lease of its earlier life

A process that is killed is back after half a second, but the cell had no owner until the lease of 1.1 s had lapsed and its turn to claim had come, because its own key looked like that of another owner.

--- a/crates/node/src/cell/claim.rs
+++ b/crates/node/src/cell/claim.rs
@@ -1,4 +1,4 @@
-use lagoon_adapter::store::{LeaseId, Revision, Transaction, TxnOutcome};
+use lagoon_adapter::store::{LeaseId, Revision, StoreItem, Transaction, TxnOutcome};
 use lagoon_jobs::id::Epoch;
 use lagoon_jobs::record::RecordLane;
 use lagoon_platform::PlatformError;
@@ -14,9 +14,20 @@
     pub(crate) heads: Revision,
 }
 
-/// Claims the cell; `None` if another member was faster.
-pub(crate) async fn claim(cx: &Context, lease: LeaseId) -> Result<Option<Claim>, PlatformError> {
-    let (items, _) = cx.store.list(Keys::HEADS).await?;
+/// Claims the cell; `None` if another member was faster. If this member has not owned it since it was started, it replaces
+/// an earlier life of its own.
+pub(crate) async fn claim(
+    cx: &Context,
+    lease: LeaseId,
+    has_owned: bool,
+) -> Result<Option<Claim>, PlatformError> {
+    let (heads, owner) = tokio::join!(cx.store.list(Keys::HEADS), cx.store.get(Keys::OWNER));
+    let ((items, _), owner) = (heads?, owner?);
+    let replaces = match &owner {
+        None => Revision::default(),
+        Some(item) if !has_owned && is_own(cx, item) => item.revision,
+        Some(_) => return Ok(None),
+    };
     let last = items.iter().map(|item| Head::read(item).epoch).max();
     let epoch = last.unwrap_or_default().next();
     let heads = RecordLane::all().map(|lane| {
@@ -25,7 +36,7 @@
         let revision = known.map(|item| item.revision).unwrap_or_default();
         (lane, revision, Head { epoch, write: 0 })
     });
-    let txn = owner_transaction(cx, epoch, heads, lease);
+    let txn = owner_transaction(cx, epoch, replaces, heads, lease);
     match cx.store.commit(txn).await {
         Ok(TxnOutcome::Committed(heads)) => Ok(Some(Claim { epoch, heads })),
         Ok(TxnOutcome::Conflict(_) | TxnOutcome::LeaseEnded) => Ok(None),
@@ -36,10 +47,11 @@
     }
 }
 
-/// Returns the transaction that makes this member the owner, if each head is at its revision and there is no owner.
+/// Returns the transaction that makes this member the owner, if the owner's key and each head are at their revisions.
 pub(crate) fn owner_transaction(
     cx: &Context,
     epoch: Epoch,
+    replaces: Revision,
     heads: impl Iterator<Item = (RecordLane, Revision, Head)>,
     lease: LeaseId,
 ) -> Transaction {
@@ -49,15 +61,21 @@
         epoch,
     };
     let owner = serde_json::to_vec(&owner).expect("entries have string keys");
-    let txn = Transaction::new()
-        .expect(Keys::OWNER, Revision::default())
-        .put_leased(Keys::OWNER, owner, lease);
+    let txn =
+        Transaction::new()
+            .expect(Keys::OWNER, replaces)
+            .put_leased(Keys::OWNER, owner, lease);
     heads.fold(txn, |txn, (lane, revision, head)| {
         let key = Keys::head(lane);
         txn.expect(key.clone(), revision).put(key, head.encode())
     })
 }
 
+fn is_own(cx: &Context, item: &StoreItem) -> bool {
+    let owner = serde_json::from_slice::<OwnerEntry>(&item.value);
+    owner.is_ok_and(|owner| owner.member == *cx.member())
+}
+
 /// Finds out whether a claim without an answer took effect.
 async fn confirm(cx: &Context, epoch: Epoch) -> Result<Option<Claim>, PlatformError> {
     let Some(owner) = cx.store.get(Keys::OWNER).await? else {
--- a/crates/node/src/cell/turn.rs
+++ b/crates/node/src/cell/turn.rs
@@ -1,9 +1,10 @@
 use std::time::Duration;
 
 use lagoon_adapter::store::LeaseId;
+use lagoon_jobs::id::MemberId;
 use tokio::time::Instant;
 
-use crate::cell::LeaseHandle;
+use crate::cell::{CellView, LeaseHandle};
 use crate::context::Context;
 
 /// Time that the last owner has to renew its claim before others make one.
@@ -11,30 +12,25 @@
 /// Further wait for each member that comes before this one.
 const WAIT_A_TURN: Duration = Duration::from_millis(120);
 
-/// Waits until the cell has no owner, this member has a lease, and it is its turn to claim.
+/// Waits until nobody serves the cell, this member has a lease, and it is its turn to claim.
 ///
 /// The turn follows the members as they register: after a restart of everything, a weak member that only knew the first
-/// few would claim the cell before stronger ones.
-pub(crate) async fn wait_for_turn(cx: &Context, lease: &mut LeaseHandle) -> LeaseId {
+/// few would claim the cell before stronger ones. A member that has not owned the cell since it was started, but is named as
+/// its owner, does not wait until the lease of its earlier life lapses.
+pub(crate) async fn wait_for_turn(
+    cx: &Context,
+    lease: &mut LeaseHandle,
+    has_owned: bool,
+) -> LeaseId {
     let mut cell = cx.cell.subscribe();
     let mut vacant_since = None;
     loop {
         let held = *lease.borrow_and_update();
-        let turn = {
-            let view = cell.borrow_and_update();
-            let is_vacant = view.is_known && view.owner.is_none();
-            is_vacant.then(|| view.turn(cx.member()) as u32)
-        };
-        let due = match turn {
-            Some(turn) => {
-                let since = *vacant_since.get_or_insert_with(Instant::now);
-                Some(since + FIRST_WAIT + WAIT_A_TURN * turn)
-            }
-            None => {
-                vacant_since = None;
-                None
-            }
-        };
+        let wait = claim_wait(&cell.borrow_and_update(), cx.member(), has_owned);
+        let due = wait.map(|wait| *vacant_since.get_or_insert_with(Instant::now) + wait);
+        if due.is_none() {
+            vacant_since = None;
+        }
         let wait_until_due = async {
             match due.zip(held) {
                 Some((due, held)) => {
@@ -52,3 +48,13 @@
         }
     }
 }
+
+/// Returns how long a member waits before it claims a cell that nobody serves; `None` if somebody does.
+fn claim_wait(view: &CellView, member: &MemberId, has_owned: bool) -> Option<Duration> {
+    match &view.owner {
+        _ if !view.is_known => None,
+        None => Some(FIRST_WAIT + WAIT_A_TURN * view.turn(member) as u32),
+        Some(owner) if owner.member == *member && !has_owned => Some(Duration::ZERO),
+        Some(_) => None,
+    }
+}
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -145,7 +145,7 @@
         }
         let heads = RecordLane::all().zip(&positions);
         let heads = heads.map(|(lane, at)| (lane, at.revision, self.head(**at)));
-        let txn = owner_transaction(&self.cx, self.epoch, heads, lease);
+        let txn = owner_transaction(&self.cx, self.epoch, Revision::default(), heads, lease);
         match self.cx.store.commit(txn).await? {
             TxnOutcome::Committed(revision) => {
                 for position in &mut positions {
--- a/crates/node/tests/node/cell.rs
+++ b/crates/node/tests/node/cell.rs
@@ -22,6 +22,8 @@
     pub(crate) site: SiteHandle,
     nodes: Vec<Option<(Node, SocketAddr, SocketAddr)>>,
     client: Transport,
+    /// Time after which a node that ceased to renew its lease is gone.
+    pub(crate) store_lease: Duration,
 }
 
 impl Cell {
@@ -38,6 +40,7 @@
             site,
             nodes: Vec::new(),
             client: Transport::new(ClientSettings::default()),
+            store_lease: Duration::from_secs(1),
         };
         for _ in 0..nodes {
             cell.add_node().await;
@@ -63,17 +66,29 @@
 
     async fn add_node_with(&mut self, store: SocketAddr, strength: f64) {
         let number = self.nodes.len();
+        self.nodes.push(None);
+        self.start_node(number, store, strength).await;
+    }
+
+    /// Starts a node again that has crashed or was stopped.
+    pub(crate) async fn restart_node(&mut self, number: usize) {
+        let store = self.site.store();
+        self.start_node(number, store, STRENGTH).await;
+    }
+
+    async fn start_node(&mut self, number: usize, store: SocketAddr, strength: f64) {
+        let lease = self.store_lease.as_secs();
         let [callers, readiness, peers, metrics] = [(); 4].map(|()| free_address().unwrap());
         let adviser = self.site.adviser();
         let settings = format!(
             "member: m{number}\nfailure_domain: d1\nstrength: {strength}\nlisten:\n  callers: {callers}\n  \
              readiness: {readiness}\n  peers: {peers}\n  metrics: {metrics}\nstore: {store}\nadviser: {adviser}\n\
-             limits:\n  max_lease: 6s\n  retention: 120s\n  grace: 1s\n  min_store_lease: 1s\n"
+             limits:\n  max_lease: 6s\n  retention: 120s\n  grace: 1s\n  min_store_lease: {lease}s\n"
         );
         let settings: NodeSettings =
             lagoon_process::settings::parse(Path::new("test.yaml"), &settings).unwrap();
         let node = Node::bind(settings, Clock::anchored()).await.unwrap();
-        self.nodes.push(Some((node, callers, readiness)));
+        self.nodes[number] = Some((node, callers, readiness));
         self.eventually("the node is ready", async |cell: &Self| {
             cell.call_at(readiness, Method::GET, "/v1/readiness", None)
                 .await
--- a/crates/node/tests/node/takeover.rs
+++ b/crates/node/tests/node/takeover.rs
@@ -1,6 +1,6 @@
 //! Nodes that crash or stop, alone or all at once.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
@@ -59,6 +59,21 @@
         cell.check();
     }
 
+    /// Guards against a cell without placement until a lease lapses although its owner is back already.
+    a_restarted_owner_goes_on_at_once {
+        let mut cell = Cell::start(0, 1).await;
+        cell.store_lease = Duration::from_secs(15);
+        cell.add_node().await;
+        cell.submit_until_accepted(0, JOB, "ms=300", json!([{"count": 1, "cpu": 1000}, {"count": 1, "cpu": 1000, "after": [0]}])).await;
+        cell.wait_for_starts(1).await;
+        cell.crash_node(0);
+        let crashed = Instant::now();
+        cell.restart_node(0).await;
+        cell.wait_for_state(0, JOB, "done").await;
+        assert!(crashed.elapsed() < cell.store_lease / 2, "{:?}", crashed.elapsed());
+        cell.check();
+    }
+
     /// Guards against a cell that stays with a weak owner: after a restart of everything a node with 0.12 of a core claimed
     /// the cell first, could not keep up with 350 executors, and leases lapsed until the end of the day.
     a_much_stronger_member_takes_the_cell_over {
