Show operators what a running node believes, with lagoonctl inspect

A node answers on its metrics address: its cell, and on the owner the executors with room and rest, and a job with its steps, runs and the reason why tasks wait.

--- a/crates/ctl/src/args/command.rs
+++ b/crates/ctl/src/args/command.rs
@@ -1,7 +1,7 @@
 use argh::FromArgs;
 
 use crate::args::{
-    CancelArgs, CheckArgs, ExplainArgs, ListArgs, ShowArgs, SubmitArgs, TicketsArgs,
+    CancelArgs, CheckArgs, ExplainArgs, InspectArgs, ListArgs, ShowArgs, SubmitArgs, TicketsArgs,
 };
 
 /// Command of `lagoonctl`.
@@ -15,4 +15,5 @@
     Tickets(TicketsArgs),
     Check(CheckArgs),
     Explain(ExplainArgs),
+    Inspect(InspectArgs),
 }
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -17,10 +17,10 @@
 use crate::args::CtlArgs;
 use crate::failure::Failure;
 
-/// Connection to a gateway.
+/// Connection to a gateway or to the operators' endpoint of a node.
 #[derive(Debug)]
 pub(crate) struct Client {
-    gateway: SocketAddr,
+    address: SocketAddr,
     token: Option<String>,
     limit: Millis,
     http: legacy::Client<HttpConnector, Full<Bytes>>,
@@ -31,10 +31,14 @@
     pub(crate) fn open(args: &CtlArgs, gateway: Option<&str>) -> Result<Self, Failure> {
         let text = args.gateway.as_deref().or(gateway);
         let missing = || Failure::Usage("--gateway IP:PORT or LAGOON_GATEWAY is missing".into());
-        let text = text.ok_or_else(missing)?;
+        Self::to(args, text.ok_or_else(missing)?)
+    }
+
+    /// Reads the token; connects to `address` with the first call.
+    pub(crate) fn to(args: &CtlArgs, address: &str) -> Result<Self, Failure> {
         let invalid = |_| {
             let expected = "expected an IP address and port such as 127.0.0.1:7000";
-            Failure::Usage(format!("{text:?} is no gateway address: {expected}"))
+            Failure::Usage(format!("{address:?} is no address: {expected}"))
         };
         let token = args.token_file.as_ref().map(|path| {
             let unread = |e| Failure::Usage(format!("{}: can't be read: {e}", path.display()));
@@ -42,7 +46,7 @@
             Ok(text.trim().to_owned())
         });
         Ok(Self {
-            gateway: text.parse().map_err(invalid)?,
+            address: address.parse().map_err(invalid)?,
             token: token.transpose()?,
             limit: args.timeout,
             http: legacy::Client::builder(TokioExecutor::new())
@@ -60,7 +64,7 @@
         key: Option<&RequestKey>,
         body: Option<&Value>,
     ) -> Result<Value, Failure> {
-        let url = format!("http://{}{path}", self.gateway);
+        let url = format!("http://{}{path}", self.address);
         let mut req = Request::builder().method(method).uri(url);
         if let Some(token) = &self.token {
             req = req.header(header::AUTHORIZATION, format!("Bearer {token}"));
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -13,6 +13,7 @@
 use crate::client::Client;
 use crate::explain::explain;
 use crate::failure::Failure;
+use crate::inspect::inspect;
 use crate::key;
 use crate::render::render;
 
@@ -47,6 +48,7 @@
             }
             SubmitKind::Request(request) => run_request(request, &open()?, err).await?,
         },
+        Command::Inspect(what) => inspect(args, what).await?,
         Command::List(list) => {
             open()?
                 .call(Method::GET, &list_path(list), None, None)
--- /dev/null
+++ b/crates/ctl/src/inspect.rs
@@ -0,0 +1,17 @@
+use hyper::Method;
+use serde_json::Value;
+
+use crate::args::{CtlArgs, InspectArgs, InspectKind};
+use crate::client::Client;
+use crate::failure::Failure;
+
+/// Asks a node what it believes.
+pub(crate) async fn inspect(args: &CtlArgs, inspect: &InspectArgs) -> Result<Value, Failure> {
+    let client = Client::to(args, &inspect.node)?;
+    let path = match &inspect.what {
+        InspectKind::Cell(_) => "/v1/cell".to_owned(),
+        InspectKind::Executors(_) => "/v1/executors".to_owned(),
+        InspectKind::Job(job) => format!("/v1/jobs/{}", job.job),
+    };
+    client.call(Method::GET, &path, None, None).await
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -14,6 +14,7 @@
 mod commands;
 mod explain;
 mod failure;
+mod inspect;
 mod key;
 mod render;
 
--- a/crates/ctl/src/render/table.rs
+++ b/crates/ctl/src/render/table.rs
@@ -12,11 +12,26 @@
     ("MEMORY", "/resources/memory"),
 ];
 
-/// Prints a list of jobs as a table, a list of tickets as lines, and anything else as keys and values.
+/// Columns of a list of executors: head and path in the executor.
+const EXECUTOR_COLUMNS: [(&str, &str); 8] = [
+    ("EXECUTOR", "/executor"),
+    ("AVAILABILITY", "/availability"),
+    ("FREE CPU", "/free/cpu"),
+    ("FREE MEMORY", "/free/memory"),
+    ("RUNS", "/runs"),
+    ("RESTS FOR", "/rests_for"),
+    ("HEARD AGO", "/heard_ago"),
+    ("SILENT", "/silent"),
+];
+
+/// Prints a list of jobs or executors as a table, a list of tickets as lines, and anything else as keys and values.
 pub(crate) fn render(answer: &Value) -> String {
     if let Some(jobs) = answer["jobs"].as_array() {
         return render_jobs(answer, jobs);
     }
+    if let Some(executors) = answer["executors"].as_array() {
+        return align(&columns(&EXECUTOR_COLUMNS, executors));
+    }
     if let Some(tickets) = answer["tickets"].as_array() {
         let lines: Vec<String> = tickets.iter().map(plain).collect();
         return lines.join("\n");
@@ -27,13 +42,7 @@
 }
 
 fn render_jobs(answer: &Value, jobs: &[Value]) -> String {
-    let heads = JOB_COLUMNS.iter().map(|(head, _)| (*head).to_owned());
-    let mut rows = vec![heads.collect::<Vec<_>>()];
-    rows.extend(jobs.iter().map(|job| {
-        let cell = |(_, path): &(&str, &str)| job.pointer(path).map_or("-".to_owned(), plain);
-        JOB_COLUMNS.iter().map(cell).collect()
-    }));
-    let mut text = align(&rows);
+    let mut text = align(&columns(&JOB_COLUMNS, jobs));
     if answer["truncated"] == true {
         text.push_str("\nThere are more jobs than the limit.");
     }
@@ -47,6 +56,19 @@
     text
 }
 
+fn columns(columns: &[(&str, &str)], entries: &[Value]) -> Vec<Vec<String>> {
+    let heads = columns.iter().map(|(head, _)| (*head).to_owned());
+    let mut rows = vec![heads.collect::<Vec<_>>()];
+    rows.extend(entries.iter().map(|entry| {
+        let cell = |(_, path): &(&str, &str)| match entry.pointer(path) {
+            None | Some(Value::Null) => "-".to_owned(),
+            Some(value) => plain(value),
+        };
+        columns.iter().map(cell).collect()
+    }));
+    rows
+}
+
 fn collect_rows(path: &str, value: &Value, rows: &mut Vec<Vec<String>>) {
     match value {
         Value::Object(map) => {
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -224,3 +224,47 @@
     let code = lagoon_ctl::run(&args, Some(&address), &mut out, &mut err).await;
     assert_eq!(code, 3, "{}", String::from_utf8(err).unwrap());
 }
+
+/// Runs `lagoonctl inspect` against a node that gives `answer`.
+async fn inspect(answer: Value, what: &str) -> Ran {
+    let (address, received) = fake_gateway(200, answer).await;
+    let args = format!("inspect --node {address} {what}");
+    let args: Vec<&str> = args.split_whitespace().collect();
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let code = lagoon_ctl::run(&args, None, &mut out, &mut err).await;
+    Ran {
+        code,
+        out: String::from_utf8(out).unwrap(),
+        err: String::from_utf8(err).unwrap(),
+        received: received.lock().unwrap().clone(),
+    }
+}
+
+/// Guards against executors that an operator can't read at a glance.
+#[tokio::test]
+async fn executors_of_a_node_are_a_table() {
+    let executor = json!({
+        "executor": "i-1", "availability": "ready", "free": {"cpu": "2000m", "memory": "1GiB"}, "runs": 3,
+        "rests_for": null, "heard_ago": "120ms", "silent": false
+    });
+    let ran = inspect(json!({"executors": [executor]}), "executors").await;
+    assert_eq!(ran.code, 0, "{}", ran.err);
+    assert_eq!(ran.received[0].1, "/v1/executors");
+    let lines: Vec<Vec<&str>> = ran
+        .out
+        .lines()
+        .map(|line| line.split_whitespace().collect())
+        .collect();
+    assert_eq!(
+        lines[1],
+        ["i-1", "ready", "2000m", "1GiB", "3", "-", "120ms", "false"]
+    );
+}
+
+/// Guards against a question to a gateway where a node is meant.
+#[tokio::test]
+async fn a_job_of_a_node_is_asked_by_its_id() {
+    let ran = inspect(json!({"job": "5c0e7a21d94b36f8"}), "job 5c0e7a21d94b36f8").await;
+    assert_eq!(ran.code, 0, "{}", ran.err);
+    assert_eq!(ran.received[0].1, "/v1/jobs/5c0e7a21d94b36f8");
+}
--- a/crates/jobs/src/dispatch/ends.rs
+++ b/crates/jobs/src/dispatch/ends.rs
@@ -62,9 +62,7 @@
         let Some(job) = self.jobs.get_mut(task.job()) else {
             return;
         };
-        let long_running = job
-            .step_spec(task.step())
-            .is_some_and(|spec| spec.long_running);
+        let long_running = job.is_long_running(task.step());
         let Some(step) = job.step_mut(task.step()) else {
             return;
         };
@@ -80,9 +78,7 @@
         let Some(job) = self.jobs.get_mut(task.job()) else {
             return;
         };
-        let long_running = job
-            .step_spec(task.step())
-            .is_some_and(|spec| spec.long_running);
+        let long_running = job.is_long_running(task.step());
         let Some(step) = job.step_mut(task.step()) else {
             return;
         };
--- /dev/null
+++ b/crates/jobs/src/dispatch/inspect.rs
@@ -0,0 +1,111 @@
+use lagoon_core::unit::Timestamp;
+
+use crate::dispatch::core::Core;
+use crate::dispatch::{Dispatcher, Serving};
+use crate::fleet::{Availability, Executor};
+use crate::id::{JobId, StepKey};
+use crate::job::Job;
+use crate::report::{ExecutorReport, JobReport, RunReport, StepReport, WaitReason};
+use crate::run::{Run, RunPhase};
+
+impl Dispatcher<Serving> {
+    /// Returns what is known of each executor.
+    pub fn report_executors(&self, now: Timestamp) -> Vec<ExecutorReport> {
+        let executors = self.core.fleet.iter();
+        executors.map(|(_, e)| executor_report(e, now)).collect()
+    }
+
+    /// Returns what is known of a job that has not ended; `None` if there is no such job.
+    pub fn report_job(&self, id: JobId, now: Timestamp) -> Option<JobReport> {
+        let core = &self.core;
+        let job = core.jobs.get(id)?;
+        let record = job.record();
+        let rounds = job.rounds().map(|(occurrence, round)| {
+            let steps = (0..).zip(&round.steps).filter(|(_, step)| !step.is_done());
+            steps.map(move |(step, _)| StepKey::new(id, occurrence, step))
+        });
+        Some(JobReport {
+            job: id,
+            queue: record.queue().clone(),
+            state: job.state(),
+            accepted: record.accepted(),
+            objective: job.objective,
+            age: now.since(record.accepted()),
+            inherited: job.inherited,
+            steps: rounds
+                .flatten()
+                .filter_map(|key| core.step_report(job, key, now))
+                .collect(),
+        })
+    }
+}
+
+impl Core {
+    fn step_report(&self, job: &Job, key: StepKey, now: Timestamp) -> Option<StepReport> {
+        let step = job.step(key)?;
+        let runs = self.runs.of_step(key);
+        Some(StepReport {
+            step: key,
+            tasks: step.count(),
+            waiting: step.idle(),
+            waits_for: (step.idle() > 0).then(|| self.wait_reason(job, key, now)),
+            runs: runs.map(|run| self.run_report(run, now)).collect(),
+        })
+    }
+
+    fn wait_reason(&self, job: &Job, key: StepKey, now: Timestamp) -> WaitReason {
+        let Some(queue) = self.policy.queue(job.record().queue()) else {
+            return WaitReason::QueueIsGone;
+        };
+        if !self.jobs.open_steps().any(|open| open == key) {
+            return WaitReason::EarlierSteps;
+        }
+        if job.inherited && self.may_run_unseen(now) {
+            return WaitReason::UnheardExecutors;
+        }
+        if self.is_gang(key) && self.runs.of_step(key).next().is_some() {
+            return WaitReason::EarlierRun;
+        }
+        let advice = self.advice.step(key);
+        match advice {
+            Some(advice) if advice.asking => WaitReason::Adviser,
+            Some(advice) if !advice.grants.is_empty() => WaitReason::Room,
+            _ if queue.advice.is_some() => WaitReason::MemberToAsk,
+            _ => WaitReason::Room,
+        }
+    }
+
+    fn run_report(&self, run: &Run, now: Timestamp) -> RunReport {
+        RunReport {
+            task: run.task,
+            run: run.number,
+            executor: self.fleet.get(run.slot).entry.id.clone(),
+            phase: match run.phase {
+                RunPhase::Starting => "starting",
+                RunPhase::Unconfirmed { .. } => "unconfirmed",
+                RunPhase::Running { .. } => "running",
+                RunPhase::Stopping { .. } => "stopping",
+            },
+            ordered_ago: now.since(run.ordered),
+            percent: run.progress.0,
+        }
+    }
+}
+
+fn executor_report(executor: &Executor, now: Timestamp) -> ExecutorReport {
+    let entry = &executor.entry;
+    ExecutorReport {
+        executor: entry.id.clone(),
+        availability: match executor.availability {
+            Availability::Ready => "ready",
+            Availability::Draining => "draining",
+            Availability::Unlisted => "unlisted",
+        },
+        capacity: entry.capacity,
+        free: entry.capacity.saturating_sub(executor.reserved()),
+        runs: executor.tasks.len() as u32,
+        rests_for: executor.health.rests_for(now),
+        heard_ago: executor.heard.map(|heard| now.since(heard)),
+        silent: executor.is_silent,
+    }
+}
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -276,11 +276,8 @@
             return;
         };
         let idle = now.since(run.progress.1);
-        let spec = self
-            .jobs
-            .get(task.job())
-            .and_then(|job| job.step_spec(task.step()));
-        let can_stall = spec.is_some_and(|spec| !spec.long_running);
+        let job = self.jobs.get(task.job());
+        let can_stall = job.is_some_and(|job| !job.is_long_running(task.step()));
         if !can_stall || idle < self.limits.stall || run.progress.0 >= 100 {
             return;
         }
--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod hold;
 mod hold_request;
 mod hold_step;
+mod inspect;
 mod limits;
 mod listing;
 mod order;
--- a/crates/jobs/src/fleet/executor_health.rs
+++ b/crates/jobs/src/fleet/executor_health.rs
@@ -35,6 +35,11 @@
         self.rests_until = self.rests_until.max(now.after(REST));
     }
 
+    /// Returns the time for which a suspect still gets no new runs.
+    pub fn rests_for(&self, now: Timestamp) -> Option<Millis> {
+        self.is_suspect(now).then(|| self.rests_until.since(now))
+    }
+
     /// Tells whether the executor is a suspect.
     pub fn is_suspect(&self, now: Timestamp) -> bool {
         now < self.rests_until
--- a/crates/jobs/src/id/step_key.rs
+++ b/crates/jobs/src/id/step_key.rs
@@ -2,6 +2,7 @@
 use std::str::FromStr;
 
 use lagoon_core::id::ParseIdError;
+use serde::{Serialize, Serializer};
 
 use crate::id::{JobId, TaskKey};
 
@@ -50,6 +51,12 @@
     }
 }
 
+impl Serialize for StepKey {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
 impl FromStr for StepKey {
     type Err = ParseIdError;
 
--- a/crates/jobs/src/id/task_key.rs
+++ b/crates/jobs/src/id/task_key.rs
@@ -2,6 +2,7 @@
 use std::str::FromStr;
 
 use lagoon_core::id::ParseIdError;
+use serde::{Serialize, Serializer};
 
 use crate::id::{JobId, StepKey};
 
@@ -40,6 +41,12 @@
     }
 }
 
+impl Serialize for TaskKey {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
 impl FromStr for TaskKey {
     type Err = ParseIdError;
 
--- a/crates/jobs/src/job/job.rs
+++ b/crates/jobs/src/job/job.rs
@@ -99,6 +99,11 @@
         number
     }
 
+    /// Returns the occurrences that have begun, with their numbers.
+    pub fn rounds(&self) -> impl Iterator<Item = (u32, &Round)> {
+        self.rounds.iter().map(|(number, round)| (*number, round))
+    }
+
     /// Returns an occurrence that has begun.
     pub fn round(&self, occurrence: u32) -> Option<&Round> {
         self.rounds.get(&occurrence)
@@ -122,6 +127,11 @@
         self.record.spec().steps().get(usize::from(key.step()))
     }
 
+    /// Tells whether the tasks of a step run until the job is cancelled.
+    pub fn is_long_running(&self, key: StepKey) -> bool {
+        self.step_spec(key).is_some_and(|spec| spec.long_running)
+    }
+
     /// Tells whether a task belongs to the job.
     pub fn has_task(&self, task: TaskKey) -> bool {
         let spec = self.step_spec(task.step());
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod job;
 pub mod policy;
 pub mod record;
+pub mod report;
 pub mod run;
 pub mod spec;
--- a/crates/jobs/tests/dispatch/main.rs
+++ b/crates/jobs/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod leases;
 mod placement;
 mod random;
+mod report;
 mod sim;
 mod sim_adviser;
 mod sim_executor;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod context;
 mod desk;
 mod node;
+mod operator;
 mod owner;
 mod peers;
 mod policy;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,7 +18,7 @@
 use crate::owner::{self, Office};
 use crate::peers::PeerService;
 use crate::settings::LimitSettings;
-use crate::{NodeSettings, cell, policy};
+use crate::{NodeSettings, cell, operator, policy};
 
 /// Limits of callers' connections; the platform's largest body is 256 KiB.
 const CALLER_LIMITS: Limits = Limits {
@@ -65,7 +65,11 @@
             .await?
             .serve(ready);
         let metrics = Server::bind(listen.metrics, SMALL_LIMITS).await?;
-        let metrics = metrics.serve(cx.metrics.text_router());
+        let metrics = metrics.serve(
+            cx.metrics
+                .text_router()
+                .merge(operator::router(cx.clone(), office.clone())),
+        );
         let desk = Arc::new(Desk::new(cx.clone(), office.clone()));
         let callers = Server::bind(listen.callers, CALLER_LIMITS).await?;
         let callers = callers.serve(front::router(desk));
--- /dev/null
+++ b/crates/node/src/operator/router.rs
@@ -0,0 +1,89 @@
+use axum::extract::{Path, State};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Json, Router};
+use lagoon_core::{Refusal, ResultCode};
+use lagoon_jobs::id::JobId;
+use lagoon_process::answer::ErrorBody;
+use serde_json::json;
+
+use crate::context::Context;
+use crate::operator::cell_report::CellReport;
+use crate::owner::Office;
+
+#[derive(Debug, Clone)]
+struct Operator {
+    cx: Context,
+    office: Office,
+}
+
+/// Answers questions of operators: the cell, and on its owner executors and jobs.
+pub(crate) fn router(cx: Context, office: Office) -> Router {
+    Router::new()
+        .route("/v1/cell", get(cell))
+        .route("/v1/executors", get(executors))
+        .route("/v1/jobs/{id}", get(job))
+        .with_state(Operator { cx, office })
+}
+
+async fn cell(State(op): State<Operator>) -> Json<CellReport> {
+    let view = op.cx.current_cell();
+    let serving = op.office.shard().map(|shard| {
+        shard.with(|dispatcher| {
+            let queues = dispatcher.backlog().queues.into_iter();
+            let waiting = queues.map(|(queue, load)| (queue, load.waiting)).collect();
+            (dispatcher.epoch(), waiting)
+        })
+    });
+    let (serves_as, waiting) = serving.unzip();
+    Json(CellReport {
+        member: op.cx.member().clone(),
+        has_store: op.cx.has_store(),
+        configuration: op.cx.current_policy().map(|policy| policy.version()),
+        owner: view.owner.clone(),
+        serves_as,
+        members: view.members.values().cloned().collect(),
+        waiting: waiting.unwrap_or_default(),
+    })
+}
+
+async fn executors(State(op): State<Operator>) -> Response {
+    let Some(shard) = op.office.shard() else {
+        return not_owner(&op);
+    };
+    let now = op.cx.clock.now();
+    let executors = shard.with(|dispatcher| dispatcher.report_executors(now));
+    Json(json!({ "executors": executors })).into_response()
+}
+
+async fn job(State(op): State<Operator>, Path(id): Path<String>) -> Response {
+    let Ok(id) = id.parse::<JobId>() else {
+        let text = format!("{id:?} is no job id: 16 hexadecimal digits");
+        return ErrorBody::response(&Refusal::new(ResultCode::Malformed, text));
+    };
+    let Some(shard) = op.office.shard() else {
+        return not_owner(&op);
+    };
+    let now = op.cx.clock.now();
+    match shard.with(|dispatcher| dispatcher.report_job(id, now)) {
+        Some(report) => Json(report).into_response(),
+        None => {
+            let text = format!("{id} is not known here, or has ended and was forgotten");
+            ErrorBody::response(&Refusal::new(ResultCode::UnknownWork, text))
+        }
+    }
+}
+
+/// Refuses what only the owner knows, and names the owner.
+fn not_owner(op: &Operator) -> Response {
+    let owner = op.cx.current_cell().owner.clone();
+    let text = match owner {
+        Some(owner) => format!(
+            "ask the owner, {}; {} does not place work",
+            owner.member,
+            op.cx.member()
+        ),
+        None => "the cell has no owner at present".to_owned(),
+    };
+    ErrorBody::response(&Refusal::new(ResultCode::NotOwner, text))
+}
--- a/crates/node/tests/node/cell.rs
+++ b/crates/node/tests/node/cell.rs
@@ -17,10 +17,13 @@
 /// Share of a processor that nodes have unless a test says otherwise, in cores.
 const STRENGTH: f64 = 0.5;
 
+/// A node with the addresses of its callers, readiness and metrics.
+type Started = (Node, SocketAddr, SocketAddr, SocketAddr);
+
 /// Nodes on a stand-in, with a client.
 pub(crate) struct Cell {
     pub(crate) site: SiteHandle,
-    nodes: Vec<Option<(Node, SocketAddr, SocketAddr)>>,
+    nodes: Vec<Option<Started>>,
     client: Transport,
     /// Time after which a node that ceased to renew its lease is gone.
     pub(crate) store_lease: Duration,
@@ -88,7 +91,7 @@
         let settings: NodeSettings =
             lagoon_process::settings::parse(Path::new("test.yaml"), &settings).unwrap();
         let node = Node::bind(settings, Clock::anchored()).await.unwrap();
-        self.nodes[number] = Some((node, callers, readiness));
+        self.nodes[number] = Some((node, callers, readiness, metrics));
         self.eventually("the node is ready", async |cell: &Self| {
             cell.call_at(readiness, Method::GET, "/v1/readiness", None)
                 .await
@@ -119,6 +122,12 @@
         owner["member"].as_str().unwrap()[1..].parse().unwrap()
     }
 
+    /// Asks a node what it believes.
+    pub(crate) async fn inspect(&self, node: usize, path: &str) -> (u16, Value) {
+        let metrics = self.nodes[node].as_ref().unwrap().3;
+        self.call_at(metrics, Method::GET, path, None).await
+    }
+
     /// Calls a node; 0 stands for no answer.
     pub(crate) async fn call(
         &self,
--- a/crates/node/tests/node/whole_path.rs
+++ b/crates/node/tests/node/whole_path.rs
@@ -124,4 +124,24 @@
             assert_eq!(cell.state(node, &job).await, "done");
         }
     }
+
+    /// Guards against an operator who is told nothing, or by a node that does not know.
+    operators_see_what_a_node_believes {
+        let cell = Cell::start(2, 1).await;
+        let owner = cell.owner().await;
+        let other = 1 - owner;
+        cell.submit_until_accepted(other, "/plain/00000000000000d1", "ms=5000", json!([{"count": 5, "cpu": 1000}])).await;
+        cell.wait_for_starts(4).await;
+        let (status, job) = cell.inspect(owner, "/v1/jobs/00000000000000d1").await;
+        assert_eq!(status, 200, "{job}");
+        assert_eq!(job["steps"][0]["waits_for"], "room", "{job}");
+        assert_eq!(job["steps"][0]["runs"].as_array().map(Vec::len), Some(4), "{job}");
+        let (_, executors) = cell.inspect(owner, "/v1/executors").await;
+        assert_eq!(executors["executors"][0]["runs"], 4, "{executors}");
+        let (_, view) = cell.inspect(other, "/v1/cell").await;
+        assert_eq!(view["owner"]["member"], format!("m{owner}"), "{view}");
+        assert_eq!(view["members"].as_array().map(Vec::len), Some(2), "{view}");
+        let (status, refusal) = cell.inspect(other, "/v1/executors").await;
+        assert_eq!((status, &refusal["name"]), (503, &json!("not_owner")), "{refusal}");
+    }
 }
--- a/crates/process/src/reference/node.rs
+++ b/crates/process/src/reference/node.rs
@@ -11,7 +11,7 @@
     "listen.callers": "address", required, "any", "Address for callers.";
     "listen.readiness": "address", required, "any", "Address at which the platform asks whether the node takes calls.";
     "listen.peers": "address", required, "any", "Address for calls of other nodes.";
-    "listen.metrics": "address", required, "any", "Address of `GET /metrics`, in text form.";
+    "listen.metrics": "address", required, "any", "Address of `GET /metrics`, in text form, and of `lagoonctl inspect`.";
     "store": "address", required, "any", "Address of the platform's store.";
     "adviser": "address", required, "any", "Address of the placement adviser.";
     "limits": "mapping", required, "any", "Times that the platform sets.";
