Begin jobs whatever the clock of the node that accepted them says

Jobs without times are due at once now, and an occurrence that has run has begun. Both new tests failed before.

--- a/crates/jobs/src/dispatch/ends.rs
+++ b/crates/jobs/src/dispatch/ends.rs
@@ -29,6 +29,7 @@
             return self.job_record(task.job());
         };
         let queue = job.record().queue().clone();
+        self.jobs.begin_up_to(task.job(), task.step().occurrence());
         if let (EndKind::Done, Some(started)) = (end.how, started) {
             self.times.learn(&queue, now.since(started));
         }
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -182,11 +182,14 @@
 
     fn adopt(&mut self, slot: ExecutorSlot, row: &RunningRow, now: Timestamp) -> bool {
         let task = row.task;
-        let job = self
-            .jobs
-            .get_mut(task.job())
-            .filter(|job| job.is_live() && job.has_task(task));
-        let Some(job) = job.filter(|_| self.runs.get(task).is_none()) else {
+        let job = self.jobs.get(task.job());
+        if self.runs.get(task).is_some()
+            || !job.is_some_and(|job| job.is_live() && job.has_task(task))
+        {
+            return false;
+        }
+        self.jobs.begin_up_to(task.job(), task.step().occurrence());
+        let Some(job) = self.jobs.get_mut(task.job()) else {
             return false;
         };
         let queue = self.policy.queue(job.record().queue());
--- a/crates/jobs/src/job/job.rs
+++ b/crates/jobs/src/job/job.rs
@@ -86,15 +86,15 @@
                 Some(schedule.due(self.next_round))
             }
             Some(_) => None,
-            None => (self.next_round == 0).then_some(self.record.accepted()),
+            // Due at once: the time of acceptance was read from the clock of another node, which may be ahead.
+            None => (self.next_round == 0).then_some(Timestamp::default()),
         }
     }
 
     /// Begins the next occurrence; returns its number.
-    pub fn begin_round(&mut self, due: Timestamp) -> u32 {
+    pub fn begin_round(&mut self) -> u32 {
         let number = self.next_round;
-        self.rounds
-            .insert(number, Round::new(due, self.record.spec()));
+        self.rounds.insert(number, Round::new(self.record.spec()));
         self.next_round += 1;
         number
     }
@@ -104,6 +104,15 @@
         self.rounds.iter().map(|(number, round)| (*number, round))
     }
 
+    /// Begins the occurrences up to one that has run, whatever the time; returns those that had not begun.
+    pub fn begin_up_to(&mut self, occurrence: u32) -> Vec<u32> {
+        let mut begun = Vec::new();
+        while self.next_due().is_some() && self.next_round <= occurrence {
+            begun.push(self.begin_round());
+        }
+        begun
+    }
+
     /// Returns an occurrence that has begun.
     pub fn round(&self, occurrence: u32) -> Option<&Round> {
         self.rounds.get(&occurrence)
@@ -135,7 +144,9 @@
     /// Tells whether a task belongs to the job.
     pub fn has_task(&self, task: TaskKey) -> bool {
         let spec = self.step_spec(task.step());
-        spec.is_some_and(|spec| task.index() < spec.count)
+        let schedule = self.record.spec().schedule();
+        let occurrences = schedule.map_or(1, |schedule| schedule.occurrences);
+        task.step().occurrence() < occurrences && spec.is_some_and(|spec| task.index() < spec.count)
     }
 
     /// Returns steps of an occurrence whose earlier steps are done and which are not done.
@@ -180,11 +191,8 @@
             self.end(outcome, now);
             return;
         }
-        let last = progress.steps.iter().map(|step| step.occurrence).max();
-        while let (Some(due), Some(last)) = (self.next_due(), last)
-            && self.next_round <= last
-        {
-            self.begin_round(due);
+        if let Some(last) = progress.steps.iter().map(|step| step.occurrence).max() {
+            self.begin_up_to(last);
         }
         for stored in &progress.steps {
             let key = StepKey::new(self.id, stored.occurrence, stored.step);
--- a/crates/jobs/src/job/job_table.rs
+++ b/crates/jobs/src/job/job_table.rs
@@ -90,7 +90,7 @@
             let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_live()) else {
                 continue;
             };
-            let occurrence = job.begin_round(due);
+            let occurrence = job.begin_round();
             self.open.extend(job.open_steps(occurrence));
             if let Some(next) = job.next_due() {
                 self.due.insert((next, id));
@@ -98,6 +98,23 @@
         }
     }
 
+    /// Begins the occurrences of a job up to one that has run, which is so before its time by this process's clock if that
+    /// of an earlier owner was ahead.
+    pub fn begin_up_to(&mut self, id: JobId, occurrence: u32) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_live()) else {
+            return;
+        };
+        if let Some(due) = job.next_due() {
+            self.due.remove(&(due, id));
+        }
+        for begun in job.begin_up_to(occurrence) {
+            self.open.extend(job.open_steps(begun));
+        }
+        if let Some(next) = job.next_due() {
+            self.due.insert((next, id));
+        }
+    }
+
     /// Returns the steps that can be worked on.
     pub fn open_steps(&self) -> impl Iterator<Item = StepKey> {
         self.open.iter().copied()
--- a/crates/jobs/src/job/round.rs
+++ b/crates/jobs/src/job/round.rs
@@ -1,21 +1,17 @@
-use lagoon_core::unit::Timestamp;
-
 use crate::job::Step;
 use crate::spec::JobSpec;
 
 /// One occurrence of a job.
 #[derive(Debug, Clone)]
 pub struct Round {
-    /// When it was due.
-    pub due: Timestamp,
     /// Its steps.
     pub steps: Vec<Step>,
 }
 
 impl Round {
-    pub(crate) fn new(due: Timestamp, spec: &JobSpec) -> Self {
+    pub(crate) fn new(spec: &JobSpec) -> Self {
         let steps = spec.steps().iter().map(Step::new).collect();
-        Self { due, steps }
+        Self { steps }
     }
 
     /// Tells whether the steps that `step` waits for are done.
--- a/crates/jobs/tests/dispatch/takeover.rs
+++ b/crates/jobs/tests/dispatch/takeover.rs
@@ -1,9 +1,11 @@
 //! What a new owner makes of the runs, ends and records of earlier ones.
 
+use lagoon_core::unit::Millis;
 use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::id::StepKey;
-use lagoon_jobs::job::{JobState, Progress};
+use lagoon_jobs::job::{JobRecord, JobState, Progress};
 use lagoon_jobs::run::EndKind;
+use lagoon_jobs::spec::{JobSpec, Schedule};
 
 use crate::world::{World, end, job_id, listing, record, recovering, starts, step, stops};
 
@@ -25,6 +27,46 @@
         assert_eq!(world.state(job_id(1)), JobState::Running);
     }
 
+    /// Guards against an end that is acknowledged and lost, after which its task runs again: the job was accepted by a node
+    /// whose clock is ahead, and the new owner took it for one that has not begun.
+    a_job_accepted_by_a_clock_ahead_has_begun {
+        let mut dispatcher = recovering(2, &[("e1", 8)]);
+        let now = lagoon_core::unit::Timestamp::from_millis(1_000);
+        let ahead = lagoon_core::unit::Timestamp::from_millis(5_000);
+        let spec = JobSpec::new("p", vec![step(1, 1)], None).unwrap();
+        let job = JobRecord::new("urgent".parse().unwrap(), ahead, spec);
+        dispatcher.load(job_id(1), job, &Progress::default(), now);
+        let task = StepKey::new(job_id(1), 0, 0).task(0);
+        let ended = vec![end(1, task, 1, EndKind::Done)];
+        dispatcher.listed(ExecutorSlot::new(0), &listing(now, &[], ended), now, now);
+        let mut world = World::serve(dispatcher);
+        world.pass(6_000);
+        world.list(0, &[], vec![]);
+        assert!(starts(&world.plan()).is_empty());
+        world.record_all();
+        assert_eq!(world.state(job_id(1)), JobState::Done);
+    }
+
+    /// Guards against an occurrence that an earlier owner, whose clock was ahead, has begun, and whose runs and ends the new
+    /// owner does not know.
+    an_occurrence_that_has_run_has_begun {
+        let mut dispatcher = recovering(2, &[("e1", 8)]);
+        let now = lagoon_core::unit::Timestamp::from_millis(1_000);
+        let first = lagoon_core::unit::Timestamp::from_millis(4_000);
+        let schedule = Schedule { first, interval: Millis::new(1_000), occurrences: 2 };
+        let spec = JobSpec::new("p", vec![step(1, 1)], Some(schedule)).unwrap();
+        let job = JobRecord::new("urgent".parse().unwrap(), now, spec);
+        dispatcher.load(job_id(1), job, &Progress::default(), now);
+        let task = |occurrence| StepKey::new(job_id(1), occurrence, 0).task(0);
+        let ended = vec![end(1, task(0), 1, EndKind::Done)];
+        dispatcher.listed(ExecutorSlot::new(0), &listing(now, &[(task(1), 1)], ended), now, now);
+        let mut world = World::serve(dispatcher);
+        assert!(stops(&world.plan()).is_empty());
+        world.pass(9_000);
+        world.list(0, &[(task(1), 1)], vec![]);
+        assert!(starts(&world.plan()).is_empty());
+    }
+
     /// Guards against a start of inherited work that may still run on an executor that was not heard.
     inherited_work_waits_for_executors_that_were_not_heard {
         let mut dispatcher = recovering(2, &[("e1", 8), ("e2", 8)]);
