--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -59,7 +59,11 @@
                 }
                 tracing::warn!(epoch = %claim.epoch, "owner: this member has stepped down");
             }
-            Ok(None) => tracing::info!("owner: another member claimed the cell first"),
+            Ok(None) => {
+                tracing::info!("owner: another member claimed the cell first");
+                // Until the watch reports that claim, another one would only fail.
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
             Err(e) => {
                 tracing::warn!("owner: claim failed: {e}");
                 tokio::time::sleep(RETRY_PAUSE).await;
