Claim the cell again when a claim of one's own took effect late

A claim that the store did not answer and carried out seconds later left the cell with an owner that did not know that it was one: nobody served until that process ended. Such a claim, like one of an earlier life, is now replaced at once.

--- a/crates/node/src/cell/claim.rs
+++ b/crates/node/src/cell/claim.rs
@@ -14,18 +14,17 @@
     pub(crate) heads: Revision,
 }
 
-/// Claims the cell; `None` if another member was faster. If this member has not owned it since it was started, it replaces
-/// an earlier life of its own.
+/// Claims the cell; `None` if another member was faster. A claim of this member that it does not serve is replaced.
 pub(crate) async fn claim(
     cx: &Context,
     lease: LeaseId,
-    has_owned: bool,
+    served: Option<Epoch>,
 ) -> Result<Option<Claim>, PlatformError> {
     let (heads, owner) = tokio::join!(cx.store.list(Keys::HEADS), cx.store.get(Keys::OWNER));
     let ((items, _), owner) = (heads?, owner?);
     let replaces = match &owner {
         None => Revision::default(),
-        Some(item) if !has_owned && is_own(cx, item) => item.revision,
+        Some(item) if is_unserved(cx, item, served) => item.revision,
         Some(_) => return Ok(None),
     };
     let last = items.iter().map(|item| Head::read(item).epoch).max();
@@ -71,9 +70,9 @@
     })
 }
 
-fn is_own(cx: &Context, item: &StoreItem) -> bool {
+fn is_unserved(cx: &Context, item: &StoreItem, served: Option<Epoch>) -> bool {
     let owner = serde_json::from_slice::<OwnerEntry>(&item.value);
-    owner.is_ok_and(|owner| owner.member == *cx.member())
+    owner.is_ok_and(|owner| owner.is_unserved(cx.member(), served))
 }
 
 /// Finds out whether a claim without an answer took effect.
--- a/crates/node/src/cell/owner_entry.rs
+++ b/crates/node/src/cell/owner_entry.rs
@@ -11,3 +11,10 @@
     pub(crate) address: SocketAddr,
     pub(crate) epoch: Epoch,
 }
+
+impl OwnerEntry {
+    /// Tells whether it names `member` with an epoch that this process does not serve; `served` is the last one it did.
+    pub(super) fn is_unserved(&self, member: &MemberId, served: Option<Epoch>) -> bool {
+        self.member == *member && served.is_none_or(|served| served < self.epoch)
+    }
+}
--- a/crates/node/src/cell/turn.rs
+++ b/crates/node/src/cell/turn.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use lagoon_adapter::store::LeaseId;
-use lagoon_jobs::id::MemberId;
+use lagoon_jobs::id::{Epoch, MemberId};
 use tokio::time::Instant;
 
 use crate::cell::{CellView, LeaseHandle};
@@ -15,18 +15,19 @@
 /// Waits until nobody serves the cell, this member has a lease, and it is its turn to claim.
 ///
 /// The turn follows the members as they register: after a restart of everything, a weak member that only knew the first
-/// few would claim the cell before stronger ones. A member that has not owned the cell since it was started, but is named as
-/// its owner, does not wait until the lease of its earlier life lapses.
+/// few would claim the cell before stronger ones. A member that is named as the owner with an epoch that it has not served
+/// claims at once: an earlier life of it served that epoch, or a claim of its own took effect without an answer. `served` is
+/// the last epoch that it served.
 pub(crate) async fn wait_for_turn(
     cx: &Context,
     lease: &mut LeaseHandle,
-    has_owned: bool,
+    served: Option<Epoch>,
 ) -> LeaseId {
     let mut cell = cx.cell.subscribe();
     let mut vacant_since = None;
     loop {
         let held = *lease.borrow_and_update();
-        let wait = claim_wait(&cell.borrow_and_update(), cx.member(), has_owned);
+        let wait = claim_wait(&cell.borrow_and_update(), cx.member(), served);
         let due = wait.map(|wait| *vacant_since.get_or_insert_with(Instant::now) + wait);
         if due.is_none() {
             vacant_since = None;
@@ -50,11 +51,11 @@
 }
 
 /// Returns how long a member waits before it claims a cell that nobody serves; `None` if somebody does.
-fn claim_wait(view: &CellView, member: &MemberId, has_owned: bool) -> Option<Duration> {
+fn claim_wait(view: &CellView, member: &MemberId, served: Option<Epoch>) -> Option<Duration> {
     match &view.owner {
         _ if !view.is_known => None,
         None => Some(FIRST_WAIT + WAIT_A_TURN * view.turn(member) as u32),
-        Some(owner) if owner.member == *member && !has_owned => Some(Duration::ZERO),
+        Some(owner) if owner.is_unserved(member, served) => Some(Duration::ZERO),
         Some(_) => None,
     }
 }
--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -38,15 +38,15 @@
 
 /// Claims the cell whenever it has no owner, and serves it; ends when the node stops.
 pub(crate) async fn run(cx: Context, mut lease: LeaseHandle, office: Office, mut stop: Signal) {
-    let mut has_owned = false;
+    let mut served = None;
     loop {
         let held = tokio::select! {
-            held = wait_for_turn(&cx, &mut lease, has_owned) => held,
+            held = wait_for_turn(&cx, &mut lease, served) => held,
             () = stop.wait() => return,
         };
-        match claim(&cx, held, has_owned).await {
+        match claim(&cx, held, served).await {
             Ok(Some(claim)) => {
-                has_owned = true;
+                served = Some(claim.epoch);
                 tracing::info!(epoch = %claim.epoch, "owner: this member owns the cell");
                 tokio::select! {
                     () = serve(&cx, claim, &lease, &office) => office.set(None),
--- a/crates/node/tests/node/takeover.rs
+++ b/crates/node/tests/node/takeover.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use lagoon_standin::site::StoreFault;
 use serde_json::json;
 
 use crate::cell::Cell;
@@ -92,6 +93,25 @@
         cell.check();
     }
 
+    /// Guards against a cell that nobody serves although it has an owner: the claim had no answer and took effect later.
+    a_claim_that_takes_effect_late_is_followed_by_another {
+        let mut cell = Cell::start(0, 1).await;
+        cell.add_node_of(0.12).await;
+        assert_eq!(cell.owner().await, 0);
+        cell.add_node_of(0.5).await;
+        let is_owned_by = |cell: &Cell, member: &str| {
+            cell.site.read("lagoon/cell/owner").is_some_and(|owner| owner["member"] == member)
+        };
+        cell.eventually("the stronger node owns the cell", async |cell: &Cell| is_owned_by(cell, "m1")).await;
+        cell.submit_until_accepted(0, JOB, "ms=100", json!([{"count": 1, "cpu": 1000}, {"count": 1, "cpu": 1000, "after": [0]}])).await;
+        cell.site.set_store_fault(StoreFault::LateWrites);
+        cell.crash_node(1);
+        cell.eventually("the other node is named as owner", async |cell: &Cell| is_owned_by(cell, "m0")).await;
+        cell.site.set_store_fault(StoreFault::None);
+        cell.wait_for_state(0, JOB, "done").await;
+        cell.check();
+    }
+
     /// Guards against a handover that brings no gain, each of which costs half a second of placement.
     a_slightly_stronger_member_leaves_the_cell_where_it_is {
         let mut cell = Cell::start(0, 1).await;
--- a/crates/standin/src/site/kv_api.rs
+++ b/crates/standin/src/site/kv_api.rs
@@ -17,6 +17,9 @@
 /// Time between two looks for events while a watch waits.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
 
+/// Delay of writes that are done late, longer than their callers wait.
+const LATE: Duration = Duration::from_millis(1_500);
+
 pub(super) type Shared = Arc<Mutex<KvState>>;
 type Params = Query<HashMap<String, String>>;
 
@@ -98,6 +101,14 @@
 }
 
 async fn commit(State(shared): State<Shared>, Json(body): Json<Value>) -> Response {
+    if lock(&shared).fault == StoreFault::LateWrites {
+        tokio::spawn(async move {
+            tokio::time::sleep(LATE).await;
+            // A write whose condition does not hold any more has no effect.
+            let _ = lock(&shared).commit(&body);
+        });
+        return std::future::pending().await;
+    }
     call(&shared, |state| {
         let writes = body["writes"].as_array().cloned().unwrap_or_default();
         let leases = writes.iter().filter_map(|write| write["lease"].as_u64());
--- a/crates/standin/src/site/kv_state.rs
+++ b/crates/standin/src/site/kv_state.rs
@@ -14,6 +14,8 @@
     Busy,
     /// It does what a call asks and does not answer.
     LosesAnswers,
+    /// It does not answer writes, and does them a while later if their conditions still hold.
+    LateWrites,
 }
 
 /// Keys, leases and history of the store.
