Record executors, so that a later owner asks those whose entries have vanished

An executor is now recorded before the first start on it, and its record is removed once it is not listed and nothing can run there.

--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -13,8 +13,9 @@
         executor.ends.advance(&core.ledger);
         let is_first = executor.heard.is_none();
         let is_empty = executor.tasks.is_empty();
-        let is_listed = executor.availability != Availability::Unlisted;
-        if is_empty && !(is_first && is_listed) && !executor.ends.has_unsent() {
+        // Of one that is not listed, only earlier owners' runs are asked for.
+        let is_asked = executor.availability != Availability::Unlisted || executor.is_recorded;
+        if is_empty && !(is_first && is_asked) && !executor.ends.has_unsent() {
             return match executor.ends.awaits_record() {
                 true => HoldStep::AwaitRecord,
                 false => HoldStep::Idle,
--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod dispatcher;
 mod displace;
 mod ends;
+mod fleet_records;
 mod hold;
 mod hold_request;
 mod hold_step;
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -28,6 +28,8 @@
     pub puts_off_since: Option<Timestamp>,
     /// The last hold was not answered, so no lease is granted until one is.
     pub is_silent: bool,
+    /// The store holds a record of it, so that a later owner asks it for its runs even if it is not listed.
+    pub is_recorded: bool,
     /// When its last list arrived here.
     pub heard: Option<Timestamp>,
     reserved: Resources,
@@ -46,6 +48,7 @@
             strays: BTreeMap::new(),
             puts_off_since: None,
             is_silent: false,
+            is_recorded: false,
             heard: None,
             reserved: Resources::ZERO,
         }
@@ -53,6 +56,7 @@
 
     pub(crate) fn update(&mut self, entry: ExecutorEntry) {
         self.availability = availability(&entry);
+        self.is_recorded &= self.entry.address == entry.address;
         self.entry = entry;
     }
 
@@ -88,7 +92,7 @@
         let known = self.heard.is_some() && self.clock.is_known();
         let sound = use_suspects || !self.health.is_suspect(now);
         Room {
-            open: known && sound && self.availability == Availability::Ready,
+            open: known && sound && self.is_recorded && self.availability == Availability::Ready,
             free: self.entry.capacity.saturating_sub(self.reserved()),
             capacity: self.entry.capacity,
         }
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod executor;
 mod executor_entry;
 mod executor_health;
+mod executor_record;
 mod executor_slot;
 #[expect(clippy::module_inception, reason = "one type per file")]
 mod fleet;
@@ -16,6 +17,7 @@
 
 pub use self::{
     availability::Availability, end_cursor::EndCursor, executor::Executor,
-    executor_entry::ExecutorEntry, executor_health::ExecutorHealth, executor_slot::ExecutorSlot,
-    fleet::Fleet, lease_clock::LeaseClock, room::Room,
+    executor_entry::ExecutorEntry, executor_health::ExecutorHealth,
+    executor_record::ExecutorRecord, executor_slot::ExecutorSlot, fleet::Fleet,
+    lease_clock::LeaseClock, room::Room,
 };
--- a/crates/jobs/src/record/record_lane.rs
+++ b/crates/jobs/src/record/record_lane.rs
@@ -14,6 +14,9 @@
     /// Number of lanes for which a cell has keys. Their conditions and writes fit into one transaction.
     pub const COUNT: usize = 4;
 
+    /// The lane that is always in use.
+    pub const FIRST: Self = Self(0);
+
     /// Returns every lane.
     pub fn all() -> impl Iterator<Item = Self> {
         (0..Self::COUNT as u8).map(Self)
--- a/crates/jobs/tests/dispatch/gangs.rs
+++ b/crates/jobs/tests/dispatch/gangs.rs
@@ -121,6 +121,7 @@
         let filled = world.submit(9, "urgent", vec![gang(3, 5)]);
         assert!(!stops(&world.plan()).is_empty());
         world.dispatcher.observe(entry("e4", 9), world.now);
+        world.record_executors();
         world.list(3, &[], Vec::new());
         let urgent = world.submit(2, "urgent", vec![step(1, 5)]);
         let started = starts(&world.plan());
--- a/crates/jobs/tests/dispatch/sim.rs
+++ b/crates/jobs/tests/dispatch/sim.rs
@@ -6,7 +6,7 @@
 use lagoon_jobs::dispatch::{
     AskOrder, Dispatcher, HoldStep, Order, Serving, StartOrder, StopOrder,
 };
-use lagoon_jobs::fleet::ExecutorSlot;
+use lagoon_jobs::fleet::{ExecutorRecord, ExecutorSlot};
 use lagoon_jobs::id::{Epoch, ExecutorId, JobId, StepKey, TaskKey};
 use lagoon_jobs::job::{JobRecord, Progress};
 use lagoon_jobs::record::RecordLane;
@@ -48,6 +48,10 @@
     progress: BTreeMap<JobId, Progress>,
     cancelled: BTreeSet<JobId>,
     gangs: SimGangs,
+    /// Records of executors.
+    fleet: BTreeMap<ExecutorId, ExecutorRecord>,
+    /// Executors whose entries have vanished from the list while they run on.
+    unlisted: BTreeSet<usize>,
     /// Tasks whose end was acknowledged as done; of a gang all, if one was.
     noted: BTreeSet<TaskKey>,
     quiet: bool,
@@ -71,6 +75,8 @@
             progress: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             gangs: SimGangs::default(),
+            fleet: BTreeMap::new(),
+            unlisted: BTreeSet::new(),
             noted: BTreeSet::new(),
             quiet: false,
         };
@@ -96,6 +102,13 @@
                 let ms = self.rng.random_range(500..8_000);
                 self.executors[i].silent_until = self.now.after(Millis::new(ms));
             }
+            if self.rng.random_bool(0.004) {
+                let i = self.rng.random_range(0..EXECUTORS);
+                self.unlist(i);
+            }
+            if self.rng.random_bool(0.01) {
+                self.list_all();
+            }
             if self.rng.random_bool(0.004) {
                 self.take_over();
             }
@@ -106,6 +119,7 @@
     /// Plays without faults until every job has ended.
     pub(crate) fn finish(&mut self, ms: u64) {
         self.quiet = true;
+        self.list_all();
         for _ in 0..ms / STEP_MS {
             self.step();
             let ended = |id: &JobId| {
@@ -161,6 +175,21 @@
         self.dispatcher.cancel(id, self.now);
     }
 
+    /// Lets the entry of an executor vanish.
+    fn unlist(&mut self, i: usize) {
+        let id = self.executors[i].entry().id;
+        if self.fleet.contains_key(&id) && self.unlisted.insert(i) {
+            self.dispatcher.unlist(&id);
+        }
+    }
+
+    /// Lets the entries that vanished come back.
+    fn list_all(&mut self) {
+        for i in std::mem::take(&mut self.unlisted) {
+            self.dispatcher.observe(self.executors[i].entry(), self.now);
+        }
+    }
+
     /// Replaces the owner by one that knows only what the store holds and the executors list.
     fn take_over(&mut self) {
         self.epoch += 1;
@@ -170,7 +199,20 @@
         next.set_members(&["m1", "m2", "m3"].map(|id| id.parse().unwrap()));
         let mut heard = Vec::new();
         for i in 0..EXECUTORS {
-            let (slot, _) = next.observe(self.executors[i].entry(), now);
+            // In the order of their slots, which tests address them by.
+            let entry = self.executors[i].entry();
+            let slot = ExecutorSlot::new(i as u32);
+            match (self.unlisted.contains(&i), self.fleet.get(&entry.id)) {
+                (true, Some(record)) => next.load_executor(record.clone(), now),
+                (true, None) => panic!("seed {}: {} is not recorded", self.seed, entry.id),
+                (false, record) => {
+                    let record = record.cloned();
+                    next.observe(entry, now);
+                    record
+                        .into_iter()
+                        .for_each(|record| next.load_executor(record, now));
+                }
+            }
             if self.executors[i].is_silent(now) {
                 continue;
             }
@@ -380,6 +422,27 @@
 
     fn record(&mut self) {
         RecordLane::all().for_each(|lane| self.record_lane(lane));
+        if !self.quiet && self.rng.random_bool(0.2) {
+            return;
+        }
+        let new = self.dispatcher.unrecorded_executors(30);
+        let records = new
+            .iter()
+            .map(|(_, record)| (record.id.clone(), record.clone()));
+        self.fleet.extend(records);
+        self.dispatcher.executors_recorded(&new);
+        let gone = self.dispatcher.take_gone_executors(30, self.now);
+        for id in gone {
+            // The slot of one that is forgotten is not known to a later owner.
+            let i = self
+                .executors
+                .iter()
+                .position(|e| e.entry().id == id)
+                .unwrap();
+            self.unlisted.remove(&i);
+            self.fleet.remove(&id);
+            self.dispatcher.observe(self.executors[i].entry(), self.now);
+        }
     }
 
     fn record_lane(&mut self, lane: RecordLane) {
--- a/crates/jobs/tests/dispatch/takeover.rs
+++ b/crates/jobs/tests/dispatch/takeover.rs
@@ -1,7 +1,8 @@
 //! What a new owner makes of the runs, ends and records of earlier ones.
 
 use lagoon_core::unit::Millis;
-use lagoon_jobs::fleet::ExecutorSlot;
+use lagoon_jobs::dispatch::HoldStep;
+use lagoon_jobs::fleet::{ExecutorRecord, ExecutorSlot};
 use lagoon_jobs::id::StepKey;
 use lagoon_jobs::job::{JobRecord, JobState, Progress};
 use lagoon_jobs::run::EndKind;
@@ -82,6 +83,50 @@
         assert_eq!(starts(&world.plan()).len(), 1);
     }
 
+    /// Guards against a second run of a task that goes on at an executor whose entry has vanished: its last owner knew it,
+    /// and the next one found nothing that names it.
+    runs_of_an_executor_that_is_not_listed_are_waited_for {
+        let now = lagoon_core::unit::Timestamp::from_millis(1_000);
+        let mut dispatcher = recovering(2, &[("e1", 8)]);
+        let gone = ExecutorRecord::from(&crate::world::entry("e2", 8));
+        dispatcher.load_executor(gone, now);
+        dispatcher.load(job_id(1), record("urgent", vec![step(1, 1)]), &Progress::default(), now);
+        let asked = dispatcher.next_hold(ExecutorSlot::new(1), false, now);
+        assert!(matches!(asked, HoldStep::Hold(_)), "{asked:?}");
+        dispatcher.listed(ExecutorSlot::new(0), &listing(now, &[], vec![]), now, now);
+        let mut world = World::serve(dispatcher);
+        assert!(starts(&world.plan()).is_empty());
+        let task = StepKey::new(job_id(1), 0, 0).task(0);
+        world.list(1, &[(task, 1)], vec![]);
+        world.pass(9_000);
+        world.list(0, &[], vec![]);
+        world.list(1, &[(task, 1)], vec![]);
+        assert!(starts(&world.plan()).is_empty());
+        assert_eq!(world.state(job_id(1)), JobState::Running);
+    }
+
+    /// Guards against a start on an executor that a later owner would not ask if its entry vanished.
+    nothing_starts_on_an_executor_that_is_not_recorded {
+        let mut world = World::with(&[("e1", 1)]);
+        world.dispatcher.observe(crate::world::entry("e2", 8), world.now);
+        world.list(1, &[], vec![]);
+        world.submit(1, "urgent", vec![step(1, 4)]);
+        assert!(starts(&world.plan()).is_empty());
+        world.record_executors();
+        assert_eq!(starts(&world.plan()).len(), 1);
+    }
+
+    /// Guards against records of executors that are kept for ever.
+    an_executor_that_is_gone_is_forgotten {
+        let mut world = World::with(&[("e1", 8), ("e2", 8)]);
+        world.dispatcher.unlist(&"e2".parse().unwrap());
+        assert!(world.dispatcher.take_gone_executors(8, world.now).is_empty());
+        world.pass(9_000);
+        let gone = world.dispatcher.take_gone_executors(8, world.now);
+        assert_eq!(gone, ["e2".parse().unwrap()]);
+        assert!(world.dispatcher.take_gone_executors(8, world.now).is_empty());
+    }
+
     /// Guards against failed runs that are not counted because executors list them in another order than they happened.
     failures_count_in_any_order {
         let mut dispatcher = recovering(2, &[("e1", 8), ("e2", 8)]);
--- a/crates/jobs/tests/dispatch/world.rs
+++ b/crates/jobs/tests/dispatch/world.rs
@@ -163,11 +163,19 @@
 
     pub(crate) fn serve(dispatcher: Dispatcher<Recovering>) -> Self {
         let now = Timestamp::from_millis(1_000);
-        Self {
+        let mut world = Self {
             dispatcher: dispatcher.serve(now),
             now,
             sequences: vec![0; 64],
-        }
+        };
+        world.record_executors();
+        world
+    }
+
+    /// Records all executors that are not recorded.
+    pub(crate) fn record_executors(&mut self) {
+        let new = self.dispatcher.unrecorded_executors(usize::MAX);
+        self.dispatcher.executors_recorded(&new);
     }
 
     pub(crate) fn pass(&mut self, ms: u64) {
--- a/crates/node/src/cell/keys.rs
+++ b/crates/node/src/cell/keys.rs
@@ -1,4 +1,4 @@
-use lagoon_jobs::id::{JobId, MemberId};
+use lagoon_jobs::id::{ExecutorId, JobId, MemberId};
 use lagoon_jobs::record::RecordLane;
 
 /// Keys under which the cell keeps its state in the store.
@@ -15,6 +15,8 @@
     /// Prefix of the heads of the record lanes: epoch of the owner and number of its last write in the lane, a condition
     /// of every write of the owner.
     pub(crate) const HEADS: &str = "lagoon/head/";
+    /// Prefix of the executors that owners have used.
+    pub(crate) const EXECUTORS: &str = "lagoon/executor/";
     /// Prefix of accepted jobs and of their cancellations.
     pub(crate) const JOBS: &str = "lagoon/job/";
     /// Prefix of the progress of jobs.
@@ -29,6 +31,10 @@
         format!("{}{lane}", Self::HEADS)
     }
 
+    pub(crate) fn executor(id: &ExecutorId) -> String {
+        format!("{}{id}", Self::EXECUTORS)
+    }
+
     pub(crate) fn job(id: JobId) -> String {
         format!("{}{id}", Self::JOBS)
     }
--- a/crates/node/src/owner/follow_executors.rs
+++ b/crates/node/src/owner/follow_executors.rs
@@ -101,6 +101,7 @@
     tracing::debug!(executor = %id, draining, is_new, "owner: executor entry");
     if is_new {
         tracing::info!(executor = %id, "owner: executor appeared");
+        shard.fleet_changed.notify_one();
         drivers.spawn(drive_executor::drive(cx.clone(), shard.clone(), slot, id));
     } else {
         shard.wake(slot).notify_one();
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -19,6 +19,9 @@
 /// Time between two searches for jobs whose final state was kept long enough.
 const EXPIRE_EVERY: Duration = Duration::from_secs(5);
 
+/// Time between two searches for executors that are gone. New ones are recorded at once.
+const CHECK_FLEET_EVERY: Duration = Duration::from_secs(1);
+
 /// Most keys of the store that one job has: itself, its cancellation and its progress.
 const MAX_KEYS_A_JOB: usize = 3;
 /// Most of them that are left over once its final state is durable.
@@ -133,6 +136,46 @@
         }
     }
 
+    /// Records executors before they are used, and removes the records of those that are gone, until the task is aborted.
+    pub(super) async fn run_fleet(self: Arc<Self>, shard: Arc<Shard>) {
+        let mut check = tokio::time::interval(CHECK_FLEET_EVERY);
+        loop {
+            tokio::select! {
+                () = shard.fleet_changed.notified() => {}
+                _ = check.tick() => {}
+            }
+            while !self.write_fleet(&shard).await {}
+        }
+    }
+
+    /// Writes what fits into one transaction; true if nothing was left to write.
+    async fn write_fleet(&self, shard: &Shard) -> bool {
+        let lane = RecordLane::FIRST;
+        let mut position = self.positions[lane.index()].lock().await;
+        let mut txn = self.begin(lane, *position);
+        let new = shard.with(|dispatcher| dispatcher.unrecorded_executors(txn.room()));
+        for (_, record) in &new {
+            let value = serde_json::to_vec(record).expect("records have string keys");
+            txn = txn.put(Keys::executor(&record.id), value);
+        }
+        let now = self.cx.clock.now();
+        let gone = shard.with(|dispatcher| dispatcher.take_gone_executors(txn.room(), now));
+        for id in &gone {
+            txn = txn.remove(Keys::executor(id));
+        }
+        if new.is_empty() && gone.is_empty() {
+            return true;
+        }
+        let is_written = self.commit(lane, &mut position, txn).await;
+        drop(position);
+        if is_written {
+            shard.change(|dispatcher| dispatcher.executors_recorded(&new));
+        } else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        false
+    }
+
     /// Writes the owner's key again after it was lost, if no other member has claimed the cell.
     pub(super) async fn reassert(&self, lease: &LeaseHandle) -> Result<bool, PlatformError> {
         let Some(lease) = *lease.borrow() else {
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -41,7 +41,10 @@
     cx: &Context,
     epoch: Epoch,
 ) -> Result<(Dispatcher<Serving>, Followed), PlatformError> {
-    let (executors, executors_at) = cx.store.list(EXECUTOR_PREFIX).await?;
+    let ((executors, executors_at), (records, _)) = tokio::try_join!(
+        cx.store.list(EXECUTOR_PREFIX),
+        cx.store.list(Keys::EXECUTORS)
+    )?;
     let current = cx.current_limits();
     let limits = DispatchLimits {
         lease: RUN_LEASE.min(current.max_lease),
@@ -62,6 +65,14 @@
             Err(e) => tracing::warn!(key = %item.key, "owner: executor entry ignored: {e}"),
         }
     }
+    for item in &records {
+        match serde_json::from_slice(&item.value) {
+            Ok(record) => dispatcher.load_executor(record, cx.clock.now()),
+            Err(e) => {
+                tracing::error!(key = %item.key, "owner: executor record is not readable: {e}")
+            }
+        }
+    }
     // Once the executors are fenced no earlier owner starts anything, so each job that runs is in the list read after.
     let heard = hear_executors(cx, &mut dispatcher).await;
     let jobs = load_jobs(cx, &mut dispatcher).await?;
--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -104,6 +104,7 @@
     for lane in RecordLane::all() {
         tasks.spawn(recorder.clone().run(shard.clone(), lane));
     }
+    tasks.spawn(recorder.clone().run_fleet(shard.clone()));
     tasks.spawn(keep::keep(
         cx.clone(),
         shard.clone(),
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -23,6 +23,8 @@
     orders: mpsc::UnboundedSender<Order>,
     /// Something changed that may allow a placement.
     pub(super) changed: Notify,
+    /// An executor appeared that is not recorded.
+    pub(super) fleet_changed: Notify,
     /// Progress of a lane waits to be written.
     pub(super) to_record: [Notify; RecordLane::COUNT],
     /// Number of writes of progress that took effect.
@@ -40,6 +42,7 @@
             dispatcher: Mutex::new(dispatcher),
             orders,
             changed: Notify::new(),
+            fleet_changed: Notify::new(),
             to_record: std::array::from_fn(|_| Notify::new()),
             recorded: watch::Sender::new(0),
             wakes: Mutex::default(),
--- a/crates/node/tests/node/takeover.rs
+++ b/crates/node/tests/node/takeover.rs
@@ -93,6 +93,20 @@
         cell.check();
     }
 
+    /// Guards against a second run of tasks on an executor whose entry vanished before the takeover, and which runs on.
+    runs_of_an_executor_that_vanished_from_the_list_are_adopted {
+        let mut cell = Cell::start(2, 2).await;
+        let owner = cell.owner().await;
+        let other = 1 - owner;
+        cell.submit_until_accepted(other, JOB, "ms=4000", json!([{"count": 6, "cpu": 1000}])).await;
+        cell.wait_for_starts(6).await;
+        cell.site.unlist_executor("e0");
+        cell.crash_node(owner);
+        cell.wait_for_state(other, JOB, "done").await;
+        assert_eq!(cell.site.log().starts().len(), 6);
+        cell.check();
+    }
+
     /// Guards against a cell that nobody serves although it has an owner: the claim had no answer and took effect later.
     a_claim_that_takes_effect_late_is_followed_by_another {
         let mut cell = Cell::start(0, 1).await;
