Forget executors that have left at once, and do not wait for those whose address is taken

A record now goes as soon as nothing can run on an executor that takes no more tasks, and an executor of an earlier owner whose address answers 421 is not waited for.

--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -7,7 +7,7 @@
 use crate::dispatch::claims::Claims;
 use crate::dispatch::{DispatchLimits, Order, StopOrder};
 use crate::fleet::{ExecutorSlot, Fleet};
-use crate::id::{Epoch, RunNumber, TaskKey};
+use crate::id::{Epoch, ExecutorId, RunNumber, TaskKey};
 use crate::job::{JobTable, RunTimes, TaskPhase};
 use crate::policy::CellPolicy;
 use crate::record::{Ledger, Leftovers};
@@ -31,6 +31,8 @@
     pub(super) claims: Claims,
     /// Executors that have not listed their runs to this owner. Inherited work may run there.
     pub(super) unheard: BTreeSet<ExecutorSlot>,
+    /// Executors of earlier owners that are gone and whose records are to be removed.
+    pub(super) left: Vec<ExecutorId>,
     /// When no run that an earlier owner started can exist any more on an executor that was not heard.
     pub(super) inherited_lapse: Timestamp,
 }
@@ -54,6 +56,7 @@
             orders: Vec::new(),
             claims: Claims::default(),
             unheard: BTreeSet::new(),
+            left: Vec::new(),
             inherited_lapse: now.after(lapse).after(slack),
         }
     }
--- a/crates/jobs/src/dispatch/fleet_records.rs
+++ b/crates/jobs/src/dispatch/fleet_records.rs
@@ -23,9 +23,9 @@
 }
 
 impl Dispatcher<Serving> {
-    /// Returns up to `max` listed executors that are not recorded. Nothing starts on them before they are.
+    /// Returns up to `max` executors that could take tasks and are not recorded. Nothing starts on them before they are.
     pub fn unrecorded_executors(&self, max: usize) -> Vec<(ExecutorSlot, ExecutorRecord)> {
-        let is_new = |e: &Executor| !e.is_recorded && e.availability != Availability::Unlisted;
+        let is_new = |e: &Executor| !e.is_recorded && e.availability == Availability::Ready;
         let executors = self.core.fleet.iter().filter(|(_, e)| is_new(e));
         let records = executors.map(|(slot, e)| (slot, ExecutorRecord::from(&e.entry)));
         records.take(max).collect()
@@ -39,24 +39,27 @@
         }
     }
 
-    /// Takes up to `max` recorded executors that are no longer listed and on which nothing can run any more. Their
-    /// records are to be removed.
+    /// Takes up to `max` recorded executors that take no more tasks and on which nothing can run. Their records are to be
+    /// removed, or a later owner would wait for executors that have left.
     pub fn take_gone_executors(&mut self, max: usize, now: Timestamp) -> Vec<ExecutorId> {
-        if now <= self.core.inherited_lapse {
-            return Vec::new();
-        }
+        let is_inherited_over = now > self.core.inherited_lapse;
         let is_gone = |e: &Executor| {
-            let is_unused = e.tasks.is_empty() && e.strays.is_empty() && e.clock.has_lapsed(now);
-            e.is_recorded && e.availability == Availability::Unlisted && is_unused
+            // What this owner ordered there is settled; what earlier ones did is listed, or has lapsed.
+            let is_unused = e.tasks.is_empty() && e.strays.is_empty();
+            let is_settled = is_unused && (e.heard.is_some() || is_inherited_over);
+            e.is_recorded && e.availability != Availability::Ready && is_settled
         };
+        let left = &mut self.core.left;
+        let mut ids = left.split_off(left.len().saturating_sub(max));
         let fleet = self.core.fleet.iter();
         let gone = fleet.filter(|(_, e)| is_gone(e)).map(|(slot, _)| slot);
-        let slots: Vec<ExecutorSlot> = gone.take(max).collect();
+        let slots: Vec<ExecutorSlot> = gone.take(max - ids.len()).collect();
         let forget = |slot| {
             let executor = self.core.fleet.get_mut(slot);
             executor.is_recorded = false;
             executor.entry.id.clone()
         };
-        slots.into_iter().map(forget).collect()
+        ids.extend(slots.into_iter().map(forget));
+        ids
     }
 }
--- a/crates/jobs/src/dispatch/replaced.rs
+++ b/crates/jobs/src/dispatch/replaced.rs
@@ -2,28 +2,35 @@
 
 use lagoon_core::unit::Timestamp;
 
-use crate::dispatch::{Dispatcher, Serving};
+use crate::dispatch::Dispatcher;
 use crate::fleet::{Availability, ExecutorSlot};
 
-impl Dispatcher<Serving> {
+impl<S> Dispatcher<S> {
     /// Notes that another executor answered at `address`, where this one took orders. Its runs are gone, and orders to
     /// it that are still under way are refused there.
     ///
-    /// An executor that was never heard, or that has another address by now, may run work of an earlier owner elsewhere,
-    /// so that nothing of it is dropped.
+    /// One that has another address by now may run work there, and so may one that was never heard, unless it is recorded
+    /// with this address. Nothing of these is dropped.
     pub fn replaced(&mut self, slot: ExecutorSlot, address: SocketAddr, now: Timestamp) {
         self.hold_failed(slot, now);
         let core = &mut self.core;
         let executor = core.fleet.get_mut(slot);
-        if executor.heard.is_none() || executor.entry.address != address {
+        let is_known = executor.heard.is_some() || executor.is_recorded;
+        if !is_known || executor.entry.address != address {
             return;
         }
+        if executor.heard.is_none() {
+            // Of one that is gone nothing is asked, and a later owner need not wait for it.
+            executor.is_recorded = false;
+            core.left.push(executor.entry.id.clone());
+        }
         tracing::warn!(
             executor = %executor.entry.id, %address, runs = executor.tasks.len(),
             "dispatch: another executor has the address, runs are gone"
         );
         // Its entry stays listed for a while; if it lives elsewhere, it writes a new one.
         executor.availability = Availability::Unlisted;
+        core.unheard.remove(&slot);
         core.drop_runs(slot);
     }
 }
--- a/crates/jobs/tests/dispatch/takeover.rs
+++ b/crates/jobs/tests/dispatch/takeover.rs
@@ -116,17 +116,37 @@
         assert_eq!(starts(&world.plan()).len(), 1);
     }
 
-    /// Guards against records of executors that are kept for ever.
-    an_executor_that_is_gone_is_forgotten {
+    /// Guards against inherited work that waits for an executor that has left: nothing of it runs, and its record stays.
+    an_executor_that_has_left_is_forgotten_at_once {
         let mut world = World::with(&[("e1", 8), ("e2", 8)]);
+        world.submit(1, "urgent", vec![step(4, 3)]);
+        let started = world.start_all();
+        let on_second: Vec<_> = started.iter().filter(|order| order.slot.get() == 1).cloned().collect();
+        assert_eq!(on_second.len(), 2);
         world.dispatcher.unlist(&"e2".parse().unwrap());
         assert!(world.dispatcher.take_gone_executors(8, world.now).is_empty());
-        world.pass(9_000);
+        world.ended(&on_second[0], EndKind::Done);
+        world.ended(&on_second[1], EndKind::Done);
         let gone = world.dispatcher.take_gone_executors(8, world.now);
         assert_eq!(gone, ["e2".parse().unwrap()]);
         assert!(world.dispatcher.take_gone_executors(8, world.now).is_empty());
     }
 
+    /// Guards against inherited work that waits for an executor at whose address another one answers.
+    an_executor_whose_address_is_taken_is_not_waited_for {
+        let now = lagoon_core::unit::Timestamp::from_millis(1_000);
+        let mut dispatcher = recovering(2, &[("e1", 8)]);
+        let gone = ExecutorRecord::from(&crate::world::entry("e2", 8));
+        dispatcher.load_executor(gone.clone(), now);
+        dispatcher.load(job_id(1), record("urgent", vec![step(1, 1)]), &Progress::default(), now);
+        dispatcher.listed(ExecutorSlot::new(0), &listing(now, &[], vec![]), now, now);
+        dispatcher.replaced(ExecutorSlot::new(1), gone.address, now);
+        let mut world = World::serve(dispatcher);
+        assert_eq!(starts(&world.plan()).len(), 1);
+        let left = world.dispatcher.take_gone_executors(8, world.now);
+        assert_eq!(left, ["e2".parse().unwrap()]);
+    }
+
     /// Guards against failed runs that are not counted because executors list them in another order than they happened.
     failures_count_in_any_order {
         let mut dispatcher = recovering(2, &[("e1", 8), ("e2", 8)]);
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -7,6 +7,7 @@
 mod drive_executor;
 mod follow_executors;
 mod follow_jobs;
+mod heard;
 mod keep;
 mod office;
 mod orders;
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -19,8 +19,9 @@
 /// Time between two searches for jobs whose final state was kept long enough.
 const EXPIRE_EVERY: Duration = Duration::from_secs(5);
 
-/// Time between two searches for executors that are gone. New ones are recorded at once.
-const CHECK_FLEET_EVERY: Duration = Duration::from_secs(1);
+/// Time between two searches for executors that have left. New ones are recorded at once. After a takeover, inherited work
+/// waits for each executor that is recorded and does not answer, so that records of those that have left go soon.
+const CHECK_FLEET_EVERY: Duration = Duration::from_millis(300);
 
 /// Most keys of the store that one job has: itself, its cancellation and its progress.
 const MAX_KEYS_A_JOB: usize = 3;
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lagoon_adapter::{EXECUTOR_PREFIX, decode_entry};
-use lagoon_core::unit::{Millis, Timestamp};
+use lagoon_core::unit::Millis;
 use lagoon_jobs::dispatch::{
     DispatchLimits, Dispatcher, HoldRequest, HoldStep, Recovering, Serving,
 };
@@ -12,12 +12,13 @@
 use lagoon_jobs::job::{JobRecord, Progress};
 use lagoon_jobs::policy::CellPolicy;
 use lagoon_jobs::record::RecordLane;
-use lagoon_jobs::run::{HoldOutcome, Listing};
+use lagoon_jobs::run::HoldOutcome;
 use lagoon_platform::PlatformError;
 use tokio::task::JoinSet;
 
 use crate::cell::Keys;
 use crate::context::Context;
+use crate::owner::heard::Heard;
 use crate::owner::run::Followed;
 
 /// Lease that a hold grants to runs: long enough that a successor reaches the executors before runs lapse.
@@ -76,8 +77,17 @@
     // Once the executors are fenced no earlier owner starts anything, so each job that runs is in the list read after.
     let heard = hear_executors(cx, &mut dispatcher).await;
     let jobs = load_jobs(cx, &mut dispatcher).await?;
-    for (slot, listing, asked) in heard {
-        dispatcher.listed(slot, &listing, asked, cx.clock.now());
+    for answer in heard {
+        let now = cx.clock.now();
+        match answer.outcome {
+            HoldOutcome::Listed(listing) => {
+                dispatcher.listed(answer.slot, &listing, answer.asked, now);
+            }
+            HoldOutcome::OtherExecutor => dispatcher.replaced(answer.slot, answer.address, now),
+            HoldOutcome::Fenced => {
+                tracing::warn!(slot = %answer.slot, %epoch, "owner: executor has seen a later owner");
+            }
+        }
     }
     let unheard = dispatcher.unheard();
     if unheard > 0 {
@@ -150,10 +160,7 @@
 }
 
 /// Holds every executor under the new epoch, which fences earlier owners, and returns what they run.
-async fn hear_executors(
-    cx: &Context,
-    dispatcher: &mut Dispatcher<Recovering>,
-) -> Vec<(ExecutorSlot, Listing, Timestamp)> {
+async fn hear_executors(cx: &Context, dispatcher: &mut Dispatcher<Recovering>) -> Vec<Heard> {
     let mut holds = JoinSet::new();
     let now = cx.clock.now();
     for (slot, id) in dispatcher.executors() {
@@ -165,8 +172,7 @@
     let hear_all = async {
         while let Ok(Some(answer)) = tokio::time::timeout(HEAR_QUIET, holds.join_next()).await {
             match answer {
-                Ok((slot, Some((listing, asked)))) => heard.push((slot, listing, asked)),
-                Ok((slot, None)) => tracing::warn!(%slot, "owner: executor did not list its runs"),
+                Ok(answer) => heard.extend(answer),
                 Err(e) => tracing::error!("owner: a hold ended early: {e}"),
             }
         }
@@ -176,19 +182,18 @@
     heard
 }
 
-async fn hold(
-    cx: Context,
-    slot: ExecutorSlot,
-    id: ExecutorId,
-    req: HoldRequest,
-) -> (ExecutorSlot, Option<(Listing, Timestamp)>) {
+async fn hold(cx: Context, slot: ExecutorSlot, id: ExecutorId, req: HoldRequest) -> Option<Heard> {
     let asked = cx.clock.now();
     match cx.executors.hold(&id, &req).await {
-        Ok(HoldOutcome::Listed(listing)) => (slot, Some((listing, asked))),
-        Ok(HoldOutcome::Fenced | HoldOutcome::OtherExecutor) => (slot, None),
+        Ok(outcome) => Some(Heard {
+            slot,
+            address: req.address,
+            outcome,
+            asked,
+        }),
         Err(e) => {
-            tracing::warn!(executor = %id, "owner: hold failed: {e}");
-            (slot, None)
+            tracing::warn!(executor = %id, "owner: executor did not list its runs: {e}");
+            None
         }
     }
 }
