--- a/crates/jobs/src/dispatch/fleet_records.rs
+++ b/crates/jobs/src/dispatch/fleet_records.rs
@@ -51,6 +51,12 @@
         };
         let left = &mut self.core.left;
         let mut ids = left.split_off(left.len().saturating_sub(max));
+        let fleet = &self.core.fleet;
+        let is_back = |id: &ExecutorId| {
+            let executor = fleet.slot(id).map(|slot| fleet.get(slot));
+            executor.is_some_and(|e| e.availability == Availability::Ready)
+        };
+        ids.retain(|id| !is_back(id));
         let fleet = self.core.fleet.iter();
         let gone = fleet.filter(|(_, e)| is_gone(e)).map(|(slot, _)| slot);
         let slots: Vec<ExecutorSlot> = gone.take(max - ids.len()).collect();
--- a/crates/jobs/tests/dispatch/takeover.rs
+++ b/crates/jobs/tests/dispatch/takeover.rs
@@ -147,6 +147,21 @@
         assert_eq!(left, ["e2".parse().unwrap()]);
     }
 
+    /// Guards against a record that is removed although its executor is back at another address.
+    an_executor_that_is_back_is_not_forgotten {
+        let now = lagoon_core::unit::Timestamp::from_millis(1_000);
+        let mut dispatcher = recovering(2, &[("e1", 8)]);
+        let gone = ExecutorRecord::from(&crate::world::entry("e2", 8));
+        dispatcher.load_executor(gone.clone(), now);
+        dispatcher.replaced(ExecutorSlot::new(1), gone.address, now);
+        let mut world = World::serve(dispatcher);
+        let mut back = crate::world::entry("e2", 8);
+        back.address = "127.0.0.1:9001".parse().unwrap();
+        world.dispatcher.observe(back, world.now);
+        assert_eq!(world.dispatcher.unrecorded_executors(8).len(), 1);
+        assert!(world.dispatcher.take_gone_executors(8, world.now).is_empty());
+    }
+
     /// Guards against failed runs that are not counted because executors list them in another order than they happened.
     failures_count_in_any_order {
         let mut dispatcher = recovering(2, &[("e1", 8), ("e2", 8)]);
