--- /dev/null
+++ b/crates/jobs/tests/dispatch/sim/fleet.rs
@@ -0,0 +1,75 @@
+//! The list of executors, and owners that follow each other.
+
+use lagoon_jobs::dispatch::{Dispatcher, HoldStep};
+use lagoon_jobs::fleet::ExecutorSlot;
+use lagoon_jobs::id::Epoch;
+
+use super::{EXECUTORS, Sim};
+use crate::world::{limits, policy};
+
+impl Sim {
+    /// Lets the entry of an executor vanish.
+    pub(super) fn unlist(&mut self, i: usize) {
+        let id = self.executors[i].entry().id;
+        if self.fleet.contains_key(&id) && self.unlisted.insert(i) {
+            self.dispatcher.unlist(&id);
+        }
+    }
+
+    /// Lets the entries that vanished come back.
+    pub(super) fn list_all(&mut self) {
+        for i in std::mem::take(&mut self.unlisted) {
+            self.dispatcher.observe(self.executors[i].entry(), self.now);
+        }
+    }
+
+    /// Replaces the owner by one that knows only what the store holds and the executors list.
+    pub(super) fn take_over(&mut self) {
+        self.epoch += 1;
+        let now = self.now;
+        let mut next = Dispatcher::open(Epoch::new(self.epoch), limits(), now);
+        next.set_policy(policy());
+        next.set_members(&["m1", "m2", "m3"].map(|id| id.parse().unwrap()));
+        let mut heard = Vec::new();
+        for i in 0..EXECUTORS {
+            // In the order of their slots, which tests address them by.
+            let entry = self.executors[i].entry();
+            let slot = ExecutorSlot::new(i as u32);
+            match (self.unlisted.contains(&i), self.fleet.get(&entry.id)) {
+                (true, Some(record)) => next.load_executor(record.clone(), now),
+                (true, None) => panic!("seed {}: {} is not recorded", self.seed, entry.id),
+                (false, record) => {
+                    let record = record.cloned();
+                    next.observe(entry, now);
+                    record
+                        .into_iter()
+                        .for_each(|record| next.load_executor(record, now));
+                }
+            }
+            if self.executors[i].is_silent(now) {
+                continue;
+            }
+            if let HoldStep::Hold(req) = next.next_hold(slot, false, now) {
+                heard.extend(
+                    self.executors[i]
+                        .hold(&req, now)
+                        .map(|listing| (slot, listing)),
+                );
+            }
+        }
+        for (id, record) in &self.records {
+            let progress = self.progress.get(id).cloned().unwrap_or_default();
+            match progress.outcome {
+                Some(state) => next.load_ended(*id, state, now),
+                None => next.load(*id, record.clone(), &progress, now),
+            }
+        }
+        for id in &self.cancelled {
+            next.cancel(*id, now);
+        }
+        for (slot, listing) in heard {
+            next.listed(slot, &listing, now, now);
+        }
+        self.dispatcher = next.serve(now);
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/dispatch/sim/mod.rs
@@ -0,0 +1,225 @@
+//! Executors, a store and a network in virtual time, driven from a seed.
+
+mod fleet;
+mod late;
+mod orders;
+mod record;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lagoon_core::unit::{Millis, Timestamp};
+use lagoon_jobs::dispatch::{Dispatcher, HoldStep, Order, Serving};
+use lagoon_jobs::fleet::{ExecutorRecord, ExecutorSlot};
+use lagoon_jobs::id::{Epoch, ExecutorId, JobId, StepKey, TaskKey};
+use lagoon_jobs::job::{JobRecord, Progress};
+use lagoon_jobs::spec::{JobSpec, StepSpec};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use self::late::Late;
+use crate::sim_executor::SimExecutor;
+use crate::sim_gangs::SimGangs;
+use crate::world::{job_id, limits, step};
+
+const EXECUTORS: usize = 5;
+const CORES: u64 = 8;
+/// Length of one step of virtual time in milliseconds.
+const STEP_MS: u64 = 25;
+
+pub(crate) struct Sim {
+    rng: SmallRng,
+    seed: u64,
+    now: Timestamp,
+    epoch: u64,
+    dispatcher: Dispatcher<Serving>,
+    executors: Vec<SimExecutor>,
+    late: Vec<(Timestamp, Late)>,
+    records: BTreeMap<JobId, JobRecord>,
+    progress: BTreeMap<JobId, Progress>,
+    cancelled: BTreeSet<JobId>,
+    gangs: SimGangs,
+    /// Records of executors.
+    fleet: BTreeMap<ExecutorId, ExecutorRecord>,
+    /// Executors whose entries have vanished from the list while they run on.
+    unlisted: BTreeSet<usize>,
+    /// Tasks whose end was acknowledged as done; of a gang all, if one was.
+    noted: BTreeSet<TaskKey>,
+    quiet: bool,
+}
+
+impl Sim {
+    pub(crate) fn new(seed: u64) -> Self {
+        let now = Timestamp::from_millis(1_000);
+        let name = |number: usize| format!("e{number}").parse::<ExecutorId>().unwrap();
+        let mut sim = Self {
+            rng: SmallRng::seed_from_u64(seed),
+            seed,
+            now,
+            epoch: 0,
+            dispatcher: Dispatcher::open(Epoch::new(0), limits(), now).serve(now),
+            executors: (0..EXECUTORS)
+                .map(|i| SimExecutor::new(name(i), CORES, now))
+                .collect(),
+            late: Vec::new(),
+            records: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+            gangs: SimGangs::default(),
+            fleet: BTreeMap::new(),
+            unlisted: BTreeSet::new(),
+            noted: BTreeSet::new(),
+            quiet: false,
+        };
+        sim.take_over();
+        sim
+    }
+
+    /// Plays with faults.
+    pub(crate) fn play(&mut self, ms: u64) {
+        for number in 0..ms / STEP_MS {
+            if self.rng.random_bool(0.25) && self.records.len() < 60 {
+                self.submit(number);
+            }
+            if self.rng.random_bool(0.005) {
+                self.cancel_one();
+            }
+            if self.rng.random_bool(0.004) {
+                let i = self.rng.random_range(0..EXECUTORS);
+                self.executors[i].restart(self.now);
+            }
+            if self.rng.random_bool(0.006) {
+                let i = self.rng.random_range(0..EXECUTORS);
+                let ms = self.rng.random_range(500..8_000);
+                self.executors[i].silent_until = self.now.after(Millis::new(ms));
+            }
+            if self.rng.random_bool(0.004) {
+                let i = self.rng.random_range(0..EXECUTORS);
+                self.unlist(i);
+            }
+            if self.rng.random_bool(0.01) {
+                self.list_all();
+            }
+            if self.rng.random_bool(0.004) {
+                self.take_over();
+            }
+            self.step();
+        }
+    }
+
+    /// Plays without faults until every job has ended.
+    pub(crate) fn finish(&mut self, ms: u64) {
+        self.quiet = true;
+        self.list_all();
+        for _ in 0..ms / STEP_MS {
+            self.step();
+            let ended = |id: &JobId| {
+                self.dispatcher
+                    .job(*id)
+                    .is_some_and(|view| view.state.is_final())
+            };
+            if self.records.keys().all(ended) {
+                return;
+            }
+        }
+        let open: Vec<String> = self
+            .records
+            .keys()
+            .filter_map(|id| Some((id, self.dispatcher.job(*id)?.state)))
+            .filter(|(_, state)| !state.is_final())
+            .map(|(id, state)| format!("{id} {state}"))
+            .collect();
+        panic!("seed {}: jobs do not end: {open:?}", self.seed);
+    }
+
+    fn submit(&mut self, number: u64) {
+        let id = job_id(number + 1);
+        let count = self.rng.random_range(1..=4);
+        let need = self.rng.random_range(1..=3);
+        let first = StepSpec {
+            gang: self.rng.random_bool(0.25),
+            saves_progress: self.rng.random_bool(0.5),
+            ..step(count, need)
+        };
+        let mut steps = vec![first];
+        if self.rng.random_bool(0.4) {
+            steps.push(StepSpec {
+                after: [0].into_iter().collect(),
+                ..step(2, 1)
+            });
+        }
+        let queue = ["urgent", "bulk", "advised", "medium", "quick"][self.rng.random_range(0..5)];
+        let spec = JobSpec::new("payload", steps, None).unwrap();
+        let record = JobRecord::new(queue.parse().unwrap(), self.now, spec);
+        self.records.insert(id, record.clone());
+        self.dispatcher.submit(id, record, self.now);
+    }
+
+    fn cancel_one(&mut self) {
+        let count = self.records.len();
+        if count == 0 {
+            return;
+        }
+        let i = self.rng.random_range(0..count);
+        let id = *self.records.keys().nth(i).unwrap();
+        self.cancelled.insert(id);
+        self.dispatcher.cancel(id, self.now);
+    }
+
+    fn step(&mut self) {
+        self.now = self.now.after(Millis::new(STEP_MS));
+        self.deliver_late();
+        self.settle();
+        self.hold_all();
+        self.record();
+        if self.now.as_millis() % 500 < STEP_MS {
+            self.dispatcher.tick(self.now);
+        }
+        self.dispatcher.plan(self.now);
+        for order in self.dispatcher.take_orders() {
+            match order {
+                Order::Start(start) => self.send_start(start),
+                Order::Stop(stop) => self.send_stop(&stop),
+                Order::Ask(ask) => self.send_ask(ask),
+                Order::StepDown => {}
+            }
+        }
+    }
+
+    fn settle(&mut self) {
+        for executor in &mut self.executors {
+            executor.settle(self.now);
+        }
+        let records = &self.records;
+        let count =
+            |step: StepKey| records[&step.job()].spec().steps()[usize::from(step.step())].count;
+        let (rng, quiet) = (&mut self.rng, self.quiet);
+        let draw = || {
+            let time = Millis::new(rng.random_range(200..2_500));
+            (time, !quiet && rng.random_bool(0.1))
+        };
+        self.gangs
+            .settle(&mut self.executors, count, draw, self.now);
+    }
+
+    fn hold_all(&mut self) {
+        for i in 0..EXECUTORS {
+            let slot = ExecutorSlot::new(i as u32);
+            let overdue = self.now.as_millis() % 400 < STEP_MS;
+            let HoldStep::Hold(req) = self.dispatcher.next_hold(slot, overdue, self.now) else {
+                continue;
+            };
+            if self.executors[i].is_silent(self.now) {
+                self.dispatcher.hold_failed(slot, self.now);
+                continue;
+            }
+            let noted = self.executors[i].done_up_to(req.acknowledged);
+            for task in noted {
+                self.noted.extend(self.spoken_for(task));
+            }
+            if let Some(listing) = self.executors[i].hold(&req, self.now) {
+                let asked = Timestamp::from_millis(self.now.as_millis() - 1);
+                self.dispatcher.listed(slot, &listing, asked, self.now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/dispatch/sim/record.rs
@@ -0,0 +1,48 @@
+//! What owners write to the store.
+
+use lagoon_jobs::record::RecordLane;
+use rand::Rng;
+
+use super::Sim;
+
+impl Sim {
+    pub(super) fn record(&mut self) {
+        RecordLane::all().for_each(|lane| self.record_lane(lane));
+        if !self.quiet && self.rng.random_bool(0.2) {
+            return;
+        }
+        let new = self.dispatcher.unrecorded_executors(30);
+        let records = new
+            .iter()
+            .map(|(_, record)| (record.id.clone(), record.clone()));
+        self.fleet.extend(records);
+        self.dispatcher.executors_recorded(&new);
+        let gone = self.dispatcher.take_gone_executors(30, self.now);
+        for id in gone {
+            // The slot of one that is forgotten is not known to a later owner.
+            let i = self
+                .executors
+                .iter()
+                .position(|e| e.entry().id == id)
+                .unwrap();
+            self.unlisted.remove(&i);
+            self.fleet.remove(&id);
+            self.dispatcher.observe(self.executors[i].entry(), self.now);
+        }
+    }
+
+    fn record_lane(&mut self, lane: RecordLane) {
+        let batch = self.dispatcher.take_records(lane, 30);
+        let jobs: Vec<_> = batch.iter().map(|(id, number, _)| (*id, *number)).collect();
+        if !self.quiet && self.rng.random_bool(0.2) {
+            self.dispatcher.not_recorded(&jobs);
+            return;
+        }
+        for (id, _, progress) in batch {
+            let stored = serde_json::to_vec(&progress).unwrap();
+            self.progress
+                .insert(id, serde_json::from_slice(&stored).unwrap());
+        }
+        self.dispatcher.recorded(&jobs);
+    }
+}
