--- a/crates/core/src/placement/gang_hold.rs
+++ b/crates/core/src/placement/gang_hold.rs
@@ -118,8 +118,8 @@
         })
     }
 
-    /// Lets go of workers on which nothing was freed since the last call, such as those full of services, and plans
-    /// the others anew. `hold_for_gang` replaces them.
+    /// Drops workers on which nothing was freed since the last call, such as those full of services, and plans the
+    /// others anew. `hold_for_gang` replaces them.
     pub fn renew_hold(&mut self) {
         let Some(hold) = &mut self.hold else {
             return;
--- a/crates/node/tests/node/cell.rs
+++ b/crates/node/tests/node/cell.rs
@@ -4,10 +4,9 @@
 
 use hyper::Method;
 use lagoon_node::{Node, NodeSettings};
-use lagoon_platform::{Call, ClientSettings, Endpoint, Transport};
 use lagoon_process::Clock;
 use lagoon_standin::free_address;
-use lagoon_standin::site::SiteHandle;
+use lagoon_standin::site::{SiteCaller, SiteHandle};
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
@@ -24,7 +23,7 @@
 pub(crate) struct Cell {
     pub(crate) site: SiteHandle,
     nodes: Vec<Option<Started>>,
-    client: Transport,
+    client: SiteCaller,
     /// Time after which a node that ceased to renew its lease is gone.
     pub(crate) store_lease: Duration,
 }
@@ -42,7 +41,7 @@
         let mut cell = Self {
             site,
             nodes: Vec::new(),
-            client: Transport::new(ClientSettings::default()),
+            client: SiteCaller::default(),
             store_lease: Duration::from_secs(1),
         };
         for _ in 0..nodes {
@@ -93,7 +92,8 @@
         let node = Node::bind(settings, Clock::anchored()).await.unwrap();
         self.nodes[number] = Some((node, callers, readiness, metrics));
         self.eventually("the node is ready", async |cell: &Self| {
-            cell.call_at(readiness, Method::GET, "/v1/readiness", None)
+            cell.client
+                .call(readiness, Method::GET, "/v1/readiness", None)
                 .await
                 .0
                 == 200
@@ -125,7 +125,7 @@
     /// Asks a node what it believes.
     pub(crate) async fn inspect(&self, node: usize, path: &str) -> (u16, Value) {
         let metrics = self.nodes[node].as_ref().unwrap().3;
-        self.call_at(metrics, Method::GET, path, None).await
+        self.client.call(metrics, Method::GET, path, None).await
     }
 
     /// Calls a node; 0 stands for no answer.
@@ -137,7 +137,7 @@
         body: Option<&Value>,
     ) -> (u16, Value) {
         let callers = self.nodes[node].as_ref().unwrap().1;
-        self.call_at(callers, method, path, body).await
+        self.client.call(callers, method, path, body).await
     }
 
     pub(crate) async fn submit(&self, node: usize, path: &str, steps: Value) -> u16 {
@@ -172,10 +172,8 @@
     }
 
     pub(crate) async fn state(&self, node: usize, path: &str) -> String {
-        match self.call(node, Method::GET, path, None).await {
-            (200, body) => body["state"].as_str().unwrap_or_default().to_owned(),
-            (status, _) => status.to_string(),
-        }
+        let callers = self.nodes[node].as_ref().unwrap().1;
+        self.client.state(callers, path).await
     }
 
     pub(crate) async fn wait_for_state(&self, node: usize, path: &str, state: &str) {
@@ -207,22 +205,4 @@
     pub(crate) fn check(&self) {
         assert_eq!(self.site.log().violations(), Vec::<String>::new());
     }
-
-    async fn call_at(
-        &self,
-        address: SocketAddr,
-        method: Method,
-        path: &str,
-        body: Option<&Value>,
-    ) -> (u16, Value) {
-        let mut call = Call::new(method, &Endpoint::from(address), path)
-            .header("host", "cell.example".to_owned());
-        if let Some(body) = body {
-            call = call.json(body);
-        }
-        match self.client.send(call).await {
-            Ok(answer) => (answer.status, answer.json().unwrap_or(Value::Null)),
-            Err(_) => (0, Value::Null),
-        }
-    }
 }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -13,11 +13,12 @@
 mod listener;
 mod payload;
 mod run_log;
+mod site_caller;
 mod site_handle;
 mod start_entry;
 mod store_door;
 
 pub use self::{
-    kv_state::StoreFault, run_log::RunLog, site_handle::SiteHandle, start_entry::StartEntry,
-    store_door::StoreDoor,
+    kv_state::StoreFault, run_log::RunLog, site_caller::SiteCaller, site_handle::SiteHandle,
+    start_entry::StartEntry, store_door::StoreDoor,
 };
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use hyper::Method;
-use lagoon_platform::{Call, ClientSettings, Endpoint, Transport};
-use serde_json::{Value, json};
+use lagoon_standin::site::SiteCaller;
+use serde_json::json;
 use tokio::time::Instant;
 
 /// Pause before the next attempt of a submission.
@@ -30,14 +30,14 @@
 /// Calls nodes over connections that stay open until their node is gone.
 #[derive(Debug, Clone)]
 pub(crate) struct Caller {
-    transport: Transport,
+    client: SiteCaller,
     nodes: Vec<SocketAddr>,
 }
 
 impl Caller {
     pub(crate) fn new(nodes: Vec<SocketAddr>) -> Self {
         Self {
-            transport: Transport::new(ClientSettings::default()),
+            client: SiteCaller::default(),
             nodes,
         }
     }
@@ -66,7 +66,10 @@
         let body = json!({"spec": format!("ms={run_ms}"), "steps": steps});
         for attempt in 0..ATTEMPTS {
             let node = (number as usize + attempt) % self.nodes.len();
-            let (status, _) = self.call(node, Method::POST, &job.path, Some(&body)).await;
+            let (status, _) = self
+                .client
+                .call(self.nodes[node], Method::POST, &job.path, Some(&body))
+                .await;
             match status {
                 200 => {
                     job.accepted = true;
@@ -88,7 +91,10 @@
     async fn cancel(&self, job: &mut Job) {
         for node in 0..ATTEMPTS {
             let node = node % self.nodes.len();
-            let (status, _) = self.call(node, Method::DELETE, &job.path, None).await;
+            let (status, _) = self
+                .client
+                .call(self.nodes[node], Method::DELETE, &job.path, None)
+                .await;
             if status == 200 {
                 job.cancelled = Some(Instant::now());
                 return;
@@ -99,28 +105,6 @@
 
     /// Returns the state of a job as a node shows it; the status if it shows none.
     pub(crate) async fn state(&self, node: usize, path: &str) -> String {
-        match self.call(node, Method::GET, path, None).await {
-            (200, body) => body["state"].as_str().unwrap_or_default().to_owned(),
-            (status, _) => status.to_string(),
-        }
-    }
-
-    /// Calls a node; 0 stands for no answer.
-    async fn call(
-        &self,
-        node: usize,
-        method: Method,
-        path: &str,
-        body: Option<&Value>,
-    ) -> (u16, Value) {
-        let endpoint = Endpoint::from(self.nodes[node]);
-        let mut call = Call::new(method, &endpoint, path).header("host", "cell.example".to_owned());
-        if let Some(body) = body {
-            call = call.json(body);
-        }
-        match self.transport.send(call).await {
-            Ok(answer) => (answer.status, answer.json().unwrap_or(Value::Null)),
-            Err(_) => (0, Value::Null),
-        }
+        self.client.state(self.nodes[node], path).await
     }
 }
