Show the faults of the incident by tests that fail

Seven cases fail on this code: a run that an executor's new life has confirmed is dropped when that life becomes known (2), an executor is forgotten while its ends are not recorded (1), and ends behind one of an unknown job or on a later page do not count, so that their tasks start again (4).

The case an_executor_that_has_left_is_forgotten_at_once asked for the record to go before the ends are durable, which is the fault itself; it now records them first and asks for the same afterwards.

--- /dev/null
+++ b/crates/jobs/tests/dispatch/ends.rs
@@ -0,0 +1,96 @@
+//! Ends that an owner learns of late, because the executor lists them in parts or others come before them.
+
+use lagoon_core::unit::{Millis, Timestamp};
+use lagoon_jobs::dispatch::HoldStep;
+use lagoon_jobs::fleet::ExecutorSlot;
+use lagoon_jobs::id::{StepKey, TaskKey};
+use lagoon_jobs::job::{JobState, Progress};
+use lagoon_jobs::run::{EndKind, Listing};
+
+use crate::world::{World, end, job_id, listing, record, recovering, starts, step};
+
+/// Job that the owner does not know yet.
+const UNKNOWN: u64 = 9;
+
+cases! {
+    /// Guards against a second run of a task whose end waits behind that of a job that is not known yet.
+    an_end_behind_one_of_an_unknown_job_counts {
+        let mut world = World::with(&[("e1", 8)]);
+        let id = world.submit(1, "urgent", vec![step(1, 1)]);
+        let order = world.start_all().remove(0);
+        let ends = vec![done(1, UNKNOWN, 1), done(2, 1, order.number.get())];
+        world.list(0, &[], ends.clone());
+        assert!(starts(&world.plan()).is_empty());
+        world.record_all();
+        assert_eq!(world.state(id), JobState::Done);
+        assert_eq!(world.acknowledged(0).unwrap_or(0), 0);
+        world.submit(UNKNOWN, "urgent", vec![step(1, 1)]);
+        world.list(0, &[], ends);
+        assert!(starts(&world.plan()).is_empty());
+        world.record_all();
+        assert_eq!(world.acknowledged(0), Some(2));
+    }
+
+    /// Guards against a second run of inherited work whose end waits behind that of a job that is not known yet.
+    an_inherited_end_behind_one_of_an_unknown_job_counts {
+        let now = Timestamp::from_millis(1_000);
+        let mut dispatcher = recovering(2, &[("e1", 8)]);
+        dispatcher.load(job_id(1), record("urgent", vec![step(1, 1)]), &Progress::default(), now);
+        let ends = vec![done(1, UNKNOWN, 1), done(2, 1, 1)];
+        dispatcher.listed(ExecutorSlot::new(0), &listing(now, &[], ends), now, now);
+        let mut world = World::serve(dispatcher);
+        assert!(starts(&world.plan()).is_empty());
+        world.record_all();
+        assert_eq!(world.state(job_id(1)), JobState::Done);
+    }
+
+    /// Guards against an end of an unknown job that is acknowledged while the store can't tell of the job, after which the job
+    /// runs again.
+    an_end_of_an_unknown_job_waits_as_long_as_the_job_is_unknown {
+        let mut world = World::with(&[("e1", 8)]);
+        let ends = vec![done(1, UNKNOWN, 1)];
+        world.list(0, &[], ends.clone());
+        world.pass(20_000);
+        world.list(0, &[], ends.clone());
+        assert_eq!(world.acknowledged(0).unwrap_or(0), 0);
+        let id = world.submit(UNKNOWN, "urgent", vec![step(1, 1)]);
+        world.list(0, &[], ends);
+        assert!(starts(&world.plan()).is_empty());
+        world.record_all();
+        assert_eq!(world.state(id), JobState::Done);
+    }
+
+    /// Guards against a second run of inherited work whose end is on a later page of the executor's first list.
+    inherited_work_waits_for_the_last_page_of_ends {
+        let now = Timestamp::from_millis(1_000);
+        let mut dispatcher = recovering(2, &[("e1", 8)]);
+        for number in [1, 2] {
+            dispatcher.load(job_id(number), record("urgent", vec![step(1, 1)]), &Progress::default(), now);
+        }
+        let first_page = Listing {
+            complete: false,
+            ..listing(now, &[], vec![done(1, 1, 1)])
+        };
+        dispatcher.listed(ExecutorSlot::new(0), &first_page, now, now);
+        let mut world = World::serve(dispatcher);
+        assert!(starts(&world.plan()).is_empty());
+        world.record_all();
+        let asked = world.dispatcher.next_hold(ExecutorSlot::new(0), false, world.now);
+        let HoldStep::Hold(req) = asked else {
+            panic!("the next page is not asked for: {asked:?}");
+        };
+        assert_eq!((req.acknowledged, req.wait), (1, Millis::ZERO));
+        world.list(0, &[], vec![done(2, 2, 1)]);
+        assert!(starts(&world.plan()).is_empty());
+        world.record_all();
+        assert_eq!(world.state(job_id(2)), JobState::Done);
+    }
+}
+
+fn done(sequence: u64, job: u64, number: u64) -> lagoon_jobs::run::EndedRow {
+    end(sequence, task(job), number, EndKind::Done)
+}
+
+fn task(job: u64) -> TaskKey {
+    StepKey::new(job_id(job), 0, 0).task(0)
+}
--- a/crates/jobs/tests/dispatch/main.rs
+++ b/crates/jobs/tests/dispatch/main.rs
@@ -4,11 +4,13 @@
 mod cases;
 mod admission;
 mod advice;
+mod ends;
 mod gangs;
 mod leases;
 mod placement;
 mod random;
 mod report;
+mod restarts;
 mod sim;
 mod sim_adviser;
 mod sim_executor;
--- a/crates/jobs/tests/dispatch/takeover.rs
+++ b/crates/jobs/tests/dispatch/takeover.rs
@@ -127,11 +127,25 @@
         assert!(world.dispatcher.take_gone_executors(8, world.now).is_empty());
         world.ended(&on_second[0], EndKind::Done);
         world.ended(&on_second[1], EndKind::Done);
+        world.record_all();
         let gone = world.dispatcher.take_gone_executors(8, world.now);
         assert_eq!(gone, ["e2".parse().unwrap()]);
         assert!(world.dispatcher.take_gone_executors(8, world.now).is_empty());
     }
 
+    /// Guards against a second run of a task whose end was heard and not recorded: the next owner would not ask the executor,
+    /// whose entry has vanished.
+    an_executor_is_not_forgotten_before_its_ends_are_recorded {
+        let mut world = World::with(&[("e1", 8)]);
+        world.submit(1, "urgent", vec![step(1, 1)]);
+        let order = world.start_all().remove(0);
+        world.dispatcher.unlist(&"e1".parse().unwrap());
+        world.ended(&order, EndKind::Done);
+        assert!(world.dispatcher.take_gone_executors(8, world.now).is_empty());
+        world.record_all();
+        assert_eq!(world.dispatcher.take_gone_executors(8, world.now).len(), 1);
+    }
+
     /// Guards against inherited work that waits for an executor at whose address another one answers.
     an_executor_whose_address_is_taken_is_not_waited_for {
         let now = lagoon_core::unit::Timestamp::from_millis(1_000);
