Log what tells the hypotheses of the incident apart

The log did not say that an executor's record is removed and with how many ends unrecorded, which runs an executor's new life ends and how far each had come, that an end waits for its job, or that a list of ends has further pages. Each is a line now; no decision changes.

--- a/crates/jobs/src/dispatch/fleet_records.rs
+++ b/crates/jobs/src/dispatch/fleet_records.rs
@@ -63,6 +63,10 @@
         let forget = |slot| {
             let executor = self.core.fleet.get_mut(slot);
             executor.is_recorded = false;
+            tracing::info!(
+                executor = %executor.entry.id, heard_ms = executor.heard.map(|at| now.since(at).get()),
+                unrecorded_ends = executor.ends.unrecorded(), "dispatch: executor has left, its record is removed"
+            );
             executor.entry.id.clone()
         };
         ids.extend(slots.into_iter().map(forget));
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -46,8 +46,17 @@
         executor.heard = None;
         let id = executor.entry.id.clone();
         let tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
-        tracing::warn!(executor = %id, runs = tasks.len(), "dispatch: executor started again, its runs are lost");
+        tracing::warn!(
+            executor = %id, earlier = known.map(Life::get), life = life.map(Life::get), runs = tasks.len(),
+            "dispatch: executor started again, its runs are lost"
+        );
         for task in tasks {
+            if let Some(run) = self.runs.get(task) {
+                tracing::info!(
+                    %task, run = %run.number, executor = %id, phase = ?run.phase, ordered_ms = now.since(run.ordered).get(),
+                    "dispatch: run belongs to an earlier life"
+                );
+            }
             self.lose_run(task);
         }
     }
@@ -113,6 +122,11 @@
         }
         if listing.complete {
             self.drop_missing(slot, &present, asked);
+        } else {
+            tracing::info!(
+                executor = %self.fleet.get(slot).entry.id, ends = listing.ended.len(),
+                "dispatch: the list of ends has another page"
+            );
         }
     }
 
@@ -124,6 +138,9 @@
             executor.puts_off_since = None;
             return false;
         }
+        if executor.puts_off_since.is_none() {
+            tracing::info!(task = %end.task, run = %end.number, executor = %executor.entry.id, "dispatch: end of an unknown job waits");
+        }
         let since = *executor.puts_off_since.get_or_insert(now);
         let waits = now.since(since) < UNKNOWN_JOB_WAIT;
         if !waits {
@@ -257,7 +274,8 @@
             }
             match run.phase {
                 RunPhase::Running { since } if since < asked => {
-                    tracing::warn!(%task, run = %run.number, "dispatch: run is no longer listed");
+                    let executor = &self.fleet.get(slot).entry.id;
+                    tracing::warn!(%task, run = %run.number, %executor, "dispatch: run is no longer listed");
                     self.drop_run(task);
                 }
                 RunPhase::Stopping {
--- a/crates/jobs/src/dispatch/tick.rs
+++ b/crates/jobs/src/dispatch/tick.rs
@@ -25,7 +25,8 @@
         for slot in lapsed {
             let executor = core.fleet.get(slot);
             tracing::warn!(
-                executor = %executor.entry.id, runs = executor.tasks.len(), "dispatch: lease lapsed, runs are gone"
+                executor = %executor.entry.id, runs = executor.tasks.len(),
+                heard_ms = executor.heard.map(|at| now.since(at).get()), "dispatch: lease lapsed, runs are gone"
             );
             core.drop_runs(slot);
         }
--- a/crates/jobs/src/fleet/end_cursor.rs
+++ b/crates/jobs/src/fleet/end_cursor.rs
@@ -40,6 +40,11 @@
         self.acknowledged
     }
 
+    /// Returns the number of ends that wait for their records.
+    pub fn unrecorded(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Tells whether an end waits for its record.
     pub fn awaits_record(&self) -> bool {
         !self.pending.is_empty()
