Keep runs that an executor's new life may have confirmed

Callers could see a task run twice at the same time, and its first result be thrown away.

Cause: when an executor's new life became known, each confirmed run there was dropped and its task was free at once. The answer to a start does not name the life that carried it out, so the run may belong to the new life: when the list of executors names that life after the start was confirmed, or when a list that was made before the start arrives after its answer. The task then started elsewhere beside its run.

Now a run records the life that listed it. One that the earlier life listed is dropped as before. Any other waits for a list of the new life that was asked for after the confirmation. A stop that the earlier life answered is repeated, because the new life does not know of it, and a gang that lost a member this way is stopped.

The case a_new_life_loses_the_runs_of_the_old_one asked for a list in the same millisecond as the confirmation, when the two can't be put in order; it now asks a millisecond later and demands the same.

--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -57,27 +57,32 @@
                     "dispatch: run belongs to an earlier life"
                 );
             }
-            self.lose_run(task);
+            self.lose_run(task, life);
         }
     }
 
-    /// Drops a run of an executor's earlier life, unless an order to start it may still arrive in the new life.
-    fn lose_run(&mut self, task: TaskKey) {
-        let is_confirmed = |run: &Run| {
-            matches!(
-                run.phase,
-                RunPhase::Running { .. } | RunPhase::Stopping { confirmed: Some(_) }
-            )
+    /// Drops a run that ended with an earlier life of its executor. Any other waits for a list of the new life: an order to
+    /// start may still arrive there, or the new life has carried it out.
+    fn lose_run(&mut self, task: TaskKey, life: Option<Life>) {
+        let Some(run) = self.runs.get_mut(task) else {
+            return;
         };
-        match self.runs.get(task).map(is_confirmed) {
-            Some(true) => {
+        let has_ended = run.ended_before(life);
+        match &mut run.phase {
+            RunPhase::Running { .. } | RunPhase::Stopping { confirmed: Some(_) } if has_ended => {
                 self.drop_run(task);
                 if self.is_gang(task.step()) {
                     self.stop_step(task);
                 }
             }
-            Some(false) => self.stop(task),
-            None => {}
+            RunPhase::Running { .. } => {}
+            RunPhase::Stopping { confirmed } => {
+                // The new life does not know of a stop that the earlier one has answered.
+                *confirmed = None;
+                let (slot, number) = (run.slot, run.number);
+                self.order_stop(slot, task, number);
+            }
+            RunPhase::Starting | RunPhase::Unconfirmed { .. } => self.stop(task),
         }
     }
 
@@ -150,10 +155,12 @@
     }
 
     fn apply_row(&mut self, slot: ExecutorSlot, row: &RunningRow, now: Timestamp) {
+        let life = self.fleet.get(slot).life;
         let Some(run) = self.runs.matching(row.task, row.number, slot) else {
             self.apply_unknown_row(slot, row, now);
             return;
         };
+        run.listed_by = life;
         match run.phase {
             RunPhase::Starting | RunPhase::Unconfirmed { .. } => {
                 run.phase = RunPhase::Running { since: now };
@@ -231,6 +238,7 @@
             ordered: now,
             yields_at,
             progress: (row.percent, now),
+            listed_by: self.fleet.get(slot).life,
         };
         self.runs.insert(run, &mut self.fleet);
         true
@@ -277,6 +285,9 @@
                     let executor = &self.fleet.get(slot).entry.id;
                     tracing::warn!(%task, run = %run.number, %executor, "dispatch: run is no longer listed");
                     self.drop_run(task);
+                    if self.is_gang(task.step()) {
+                        self.stop_step(task);
+                    }
                 }
                 RunPhase::Stopping {
                     confirmed: Some(at),
--- a/crates/jobs/src/dispatch/plan.rs
+++ b/crates/jobs/src/dispatch/plan.rs
@@ -206,6 +206,7 @@
             ordered: now,
             yields_at,
             progress: (0, now),
+            listed_by: None,
         };
         self.runs.insert(run, &mut self.fleet);
         true
--- a/crates/jobs/src/run/run.rs
+++ b/crates/jobs/src/run/run.rs
@@ -1,7 +1,7 @@
 use lagoon_core::unit::{Resources, Timestamp};
 
 use crate::fleet::ExecutorSlot;
-use crate::id::{RunNumber, TaskKey};
+use crate::id::{Life, RunNumber, TaskKey};
 use crate::run::RunPhase;
 
 /// One run of a task.
@@ -23,6 +23,8 @@
     pub yields_at: Option<u32>,
     /// Progress in percent and when it last changed.
     pub progress: (u32, Timestamp),
+    /// Life of the executor that listed it. The answer to a start does not name one.
+    pub listed_by: Option<Life>,
 }
 
 impl Run {
@@ -31,6 +33,11 @@
         matches!(self.phase, RunPhase::Running { .. })
     }
 
+    /// Tells whether it ended with a life before `life`. One that was confirmed and not listed may run in either.
+    pub fn ended_before(&self, life: Option<Life>) -> bool {
+        self.listed_by.is_some() && self.listed_by < life
+    }
+
     /// Tells whether it may be stopped to make room for work of a queue with `rank`.
     pub fn yields_to(&self, rank: u32) -> bool {
         self.is_running() && self.yields_at.is_some_and(|own| own > rank)
--- a/crates/jobs/tests/dispatch/leases.rs
+++ b/crates/jobs/tests/dispatch/leases.rs
@@ -89,6 +89,7 @@
         let mut world = World::with(&[("e1", 4)]);
         world.submit(1, "urgent", vec![step(1, 1)]);
         let order = world.start_all().remove(0);
+        world.pass(1);
         let mut reborn = listing(world.now, &[], vec![]);
         reborn.life = Some(Life::new(2));
         reborn.executor_ms = 5;
