Apply each end that executors list, whatever job comes before it

Callers could see a task run again after it had ended.

Cause: the first end of a job that the owner did not know yet held back all later ends of that executor for up to five seconds. Runs whose ends were held back are not among the runs either, so they counted as gone and their tasks started again; a new owner started inherited tasks whose ends it had been told of. After five seconds the end of the unknown job was acknowledged unread, although the store may not have answered in that time; the job then ran again once it was known.

Now ends are handled one by one. An end of an unknown job is kept, only the acknowledgement stops before it, and it is applied when the job becomes known. The owner looks in the store for such a job (a job is stored before its first start), so that it neither guesses by time nor waits for a watch; if the store does not hold it, its ends are acknowledged and its runs stopped.

--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 
 use lagoon_core::unit::{Millis, Timestamp};
@@ -7,7 +7,7 @@
 use crate::dispatch::claims::Claims;
 use crate::dispatch::{DispatchLimits, Order, StopOrder};
 use crate::fleet::{ExecutorSlot, Fleet};
-use crate::id::{Epoch, ExecutorId, RunNumber, TaskKey};
+use crate::id::{Epoch, ExecutorId, JobId, RunNumber, TaskKey};
 use crate::job::{JobTable, RunTimes, TaskPhase};
 use crate::policy::CellPolicy;
 use crate::record::{Ledger, Leftovers};
@@ -31,6 +31,10 @@
     pub(super) claims: Claims,
     /// Executors that have not listed their runs to this owner. Inherited work may run there.
     pub(super) unheard: BTreeSet<ExecutorSlot>,
+    /// Jobs that executors name and the owner does not know, with the time of the last order to look for each.
+    pub(super) unknown: BTreeMap<JobId, Timestamp>,
+    /// Jobs that executors name and the store does not hold.
+    pub(super) absent: HashSet<JobId>,
     /// Executors of earlier owners that are gone and whose records are to be removed.
     pub(super) left: Vec<ExecutorId>,
     /// When no run that an earlier owner started can exist any more on an executor that was not heard.
@@ -56,6 +60,8 @@
             orders: Vec::new(),
             claims: Claims::default(),
             unheard: BTreeSet::new(),
+            unknown: BTreeMap::new(),
+            absent: HashSet::new(),
             left: Vec::new(),
             inherited_lapse: now.after(lapse).after(slack),
         }
--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -124,7 +124,7 @@
         if self.core.jobs.insert(job) {
             tracing::info!(job = %id, %queue, "dispatch: job queued");
             self.core.jobs.begin_due(now);
-            self.core.adopt_strays(id, now);
+            self.core.apply_waiting(id, now);
         }
     }
 }
--- a/crates/jobs/src/dispatch/ends.rs
+++ b/crates/jobs/src/dispatch/ends.rs
@@ -8,13 +8,15 @@
 use crate::run::{EndKind, EndedRow};
 
 impl Core {
+    /// Applies an end that an executor lists, and notes what has to be durable before it is acknowledged.
+    pub(super) fn handle_end(&mut self, slot: ExecutorSlot, end: &EndedRow, now: Timestamp) {
+        let record = self.apply_end(slot, end, now);
+        let executor = self.fleet.get_mut(slot);
+        executor.ends.handle(end.sequence, end.task.job(), record);
+    }
+
     /// Applies an end that an executor lists; returns the record that has to be durable before it is acknowledged.
-    pub(super) fn apply_end(
-        &mut self,
-        slot: ExecutorSlot,
-        end: &EndedRow,
-        now: Timestamp,
-    ) -> RecordNumber {
+    fn apply_end(&mut self, slot: ExecutorSlot, end: &EndedRow, now: Timestamp) -> RecordNumber {
         let task = end.task;
         let started = self
             .runs
--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -15,13 +15,14 @@
         let is_empty = executor.tasks.is_empty();
         // Of one that is not listed, only earlier owners' runs are asked for.
         let is_asked = executor.availability != Availability::Unlisted || executor.is_recorded;
-        if is_empty && !(is_first && is_asked) && !executor.ends.has_unsent() {
-            return match executor.ends.awaits_record() {
+        let awaits = executor.ends.awaits_record(&core.ledger);
+        let has_unsent = executor.ends.has_unsent();
+        if is_empty && !(is_first && is_asked) && !has_unsent {
+            return match awaits || executor.ends.awaits_job() {
                 true => HoldStep::AwaitRecord,
                 false => HoldStep::Idle,
             };
         }
-        let awaits = executor.ends.awaits_record();
         if awaits && !overdue && !is_first {
             return HoldStep::AwaitRecord;
         }
--- a/crates/jobs/src/dispatch/hold_step.rs
+++ b/crates/jobs/src/dispatch/hold_step.rs
@@ -5,7 +5,7 @@
 pub enum HoldStep {
     /// Hold it.
     Hold(HoldRequest),
-    /// Wait until the records of its ends are durable.
+    /// Wait until the records of its ends are durable and their jobs are known.
     AwaitRecord,
     /// Wait until something is started there.
     Idle,
--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! orders nothing; [`Dispatcher::serve`] turns it into a `Dispatcher<Serving>`, which places work. A start is never
 //! repeated elsewhere before the first one is known to be without effect.
 
+mod adopt;
 mod advised;
 mod ask;
 mod ask_for_each;
@@ -21,6 +22,7 @@
 mod inspect;
 mod limits;
 mod listing;
+mod lives;
 mod order;
 mod pass;
 mod place_each;
@@ -33,7 +35,9 @@
 mod stage;
 mod started;
 mod stopped;
+mod stored_job;
 mod tick;
+mod unknown_jobs;
 mod view;
 
 pub use self::{
@@ -43,5 +47,6 @@
     limits::DispatchLimits,
     order::{AskOrder, Order, StartOrder, StopOrder},
     stage::{Recovering, Serving},
+    stored_job::StoredJob,
     view::{Backlog, JobView, QueueLoad},
 };
--- a/crates/jobs/src/dispatch/order.rs
+++ b/crates/jobs/src/dispatch/order.rs
@@ -5,7 +5,7 @@
 
 use crate::fleet::ExecutorSlot;
 use crate::id::{
-    AdviceTicket, Checkpoint, Epoch, ExecutorId, MemberId, RunNumber, StepKey, TaskKey,
+    AdviceTicket, Checkpoint, Epoch, ExecutorId, JobId, MemberId, RunNumber, StepKey, TaskKey,
 };
 
 /// Something that the driver has to carry out.
@@ -17,6 +17,8 @@
     Stop(StopOrder),
     /// Ask the adviser.
     Ask(AskOrder),
+    /// Look in the store for a job that an executor names.
+    Look(JobId),
     /// Cease to be the owner, because a later one exists.
     StepDown,
 }
--- /dev/null
+++ b/crates/jobs/src/dispatch/stored_job.rs
@@ -0,0 +1,12 @@
+use crate::job::{JobRecord, JobState};
+
+/// What the store holds of a job that an executor names and the owner does not know.
+#[derive(Debug, Clone)]
+pub enum StoredJob {
+    /// An accepted job.
+    Live(JobRecord),
+    /// Only the final state of a job that has ended.
+    Ended(JobState),
+    /// Nothing.
+    Absent,
+}
--- a/crates/jobs/src/fleet/end_cursor.rs
+++ b/crates/jobs/src/fleet/end_cursor.rs
@@ -1,13 +1,18 @@
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
+
+use smallvec::SmallVec;
 
 use crate::id::JobId;
 use crate::record::{Ledger, RecordNumber};
+use crate::run::EndedRow;
 
 /// Position in the ends that one life of an executor lists: which were handled, and which may be acknowledged.
 #[derive(Debug, Clone, Default)]
 pub struct EndCursor {
-    handled: u64,
-    pending: VecDeque<(u64, JobId, RecordNumber)>,
+    /// Ends that were handled and not acknowledged, each with what has to be durable before.
+    handled: BTreeMap<u64, (JobId, RecordNumber)>,
+    /// Ends of jobs that are not known yet. Nothing from the first of them on is acknowledged.
+    waiting: BTreeMap<u64, EndedRow>,
     acknowledged: u64,
     sent: u64,
 }
@@ -15,22 +20,43 @@
 impl EndCursor {
     /// Tells whether an end was handled before; executors list ends until they are acknowledged.
     pub fn is_handled(&self, sequence: u64) -> bool {
-        sequence <= self.handled
+        sequence <= self.acknowledged || self.handled.contains_key(&sequence)
     }
 
     /// Notes that an end was handled; it may be acknowledged once `record` of its job is durable.
     pub fn handle(&mut self, sequence: u64, job: JobId, record: RecordNumber) {
-        self.handled = sequence;
-        self.pending.push_back((sequence, job, record));
+        self.waiting.remove(&sequence);
+        self.handled.insert(sequence, (job, record));
+    }
+
+    /// Keeps an end until its job becomes known; true if it was not kept before.
+    pub fn wait(&mut self, end: &EndedRow) -> bool {
+        let earlier = self.waiting.insert(end.sequence, end.clone());
+        earlier.is_none()
+    }
+
+    /// Returns the ends of a job that wait for it to become known.
+    pub fn waiting_for(&self, job: JobId) -> SmallVec<[EndedRow; 4]> {
+        let ends = self.waiting.values();
+        ends.filter(|end| end.task.job() == job).cloned().collect()
+    }
+
+    /// Tells whether an end waits for its job to become known.
+    pub fn awaits_job(&self) -> bool {
+        !self.waiting.is_empty()
     }
 
-    /// Moves the acknowledgement up to the first end that is not durable.
+    /// Moves the acknowledgement up to the first end that waits or is not durable.
     pub fn advance(&mut self, ledger: &Ledger) {
-        while let Some((sequence, job, record)) = self.pending.front()
-            && ledger.is_durable(*job, *record)
-        {
-            self.acknowledged = *sequence;
-            self.pending.pop_front();
+        while let Some(first) = self.handled.first_entry() {
+            let (sequence, (job, record)) = (*first.key(), *first.get());
+            let waits = self.waiting.first_key_value();
+            let is_next = waits.is_none_or(|(waits, _)| sequence < *waits);
+            if !is_next || !ledger.is_durable(job, record) {
+                return;
+            }
+            self.acknowledged = sequence;
+            first.remove();
         }
     }
 
@@ -40,15 +66,15 @@
         self.acknowledged
     }
 
-    /// Tells whether the records of all ends that were handled are durable.
-    pub fn is_durable(&self, ledger: &Ledger) -> bool {
-        let mut pending = self.pending.iter();
-        pending.all(|(_, job, record)| ledger.is_durable(*job, *record))
+    /// Tells whether the record of an end that was handled is not durable.
+    pub fn awaits_record(&self, ledger: &Ledger) -> bool {
+        let mut handled = self.handled.values();
+        handled.any(|(job, record)| !ledger.is_durable(*job, *record))
     }
 
-    /// Tells whether an end waits for its record.
-    pub fn awaits_record(&self) -> bool {
-        !self.pending.is_empty()
+    /// Tells whether every end that was listed is handled and durable.
+    pub fn is_settled(&self, ledger: &Ledger) -> bool {
+        !self.awaits_job() && !self.awaits_record(ledger)
     }
 
     /// Tells whether an acknowledgement was not sent yet.
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -24,8 +24,6 @@
     pub tasks: BTreeSet<TaskKey>,
     /// Runs listed there that should not exist; they take room until they are gone.
     pub strays: BTreeMap<TaskKey, (RunNumber, Resources)>,
-    /// Since when an end of a job that is not known has been put off.
-    pub puts_off_since: Option<Timestamp>,
     /// The last hold was not answered, so no lease is granted until one is.
     pub is_silent: bool,
     /// The store holds a record of it, so that a later owner asks it for its runs even if it is not listed.
@@ -46,7 +44,6 @@
             health: ExecutorHealth::default(),
             tasks: BTreeSet::new(),
             strays: BTreeMap::new(),
-            puts_off_since: None,
             is_silent: false,
             is_recorded: false,
             heard: None,
@@ -67,7 +64,6 @@
         self.ends = EndCursor::default();
         self.health = ExecutorHealth::default();
         self.strays.clear();
-        self.puts_off_since = None;
     }
 
     pub(crate) fn reserve(&mut self, task: TaskKey, need: Resources) {
--- a/crates/jobs/tests/dispatch/sim/mod.rs
+++ b/crates/jobs/tests/dispatch/sim/mod.rs
@@ -180,6 +180,7 @@
                 Order::Start(start) => self.send_start(start),
                 Order::Stop(stop) => self.send_stop(&stop),
                 Order::Ask(ask) => self.send_ask(ask),
+                Order::Look(id) => self.look(id),
                 Order::StepDown => {}
             }
         }
--- a/crates/jobs/tests/dispatch/sim/record.rs
+++ b/crates/jobs/tests/dispatch/sim/record.rs
@@ -1,11 +1,24 @@
 //! What owners write to the store.
 
+use lagoon_jobs::dispatch::StoredJob;
+use lagoon_jobs::id::JobId;
 use lagoon_jobs::record::RecordLane;
 use rand::Rng;
 
 use super::Sim;
 
 impl Sim {
+    /// Looks for a job in the store.
+    pub(super) fn look(&mut self, id: JobId) {
+        let outcome = self.progress.get(&id).and_then(|found| found.outcome);
+        let found = match (outcome, self.records.get(&id)) {
+            (Some(state), _) => StoredJob::Ended(state),
+            (None, Some(record)) => StoredJob::Live(record.clone()),
+            (None, None) => StoredJob::Absent,
+        };
+        self.dispatcher.looked(id, found, self.now);
+    }
+
     pub(super) fn record(&mut self) {
         RecordLane::all().for_each(|lane| self.record_lane(lane));
         if !self.quiet && self.rng.random_bool(0.2) {
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -9,6 +9,7 @@
 mod follow_jobs;
 mod heard;
 mod keep;
+mod look;
 mod office;
 mod orders;
 mod outcomes;
--- a/crates/node/src/owner/orders.rs
+++ b/crates/node/src/owner/orders.rs
@@ -13,6 +13,7 @@
 
 use crate::context::Context;
 use crate::owner::Shard;
+use crate::owner::look::send_look;
 
 /// Orders in flight to one executor, so that its connections stay far below its limit of 64.
 const MAX_ORDERS: usize = 6;
@@ -48,6 +49,9 @@
             Some(Order::Ask(ask)) => {
                 calls.spawn(send_ask(cx.clone(), shard.clone(), ask));
             }
+            Some(Order::Look(id)) => {
+                calls.spawn(send_look(cx.clone(), shard.clone(), id));
+            }
             Some(Order::StepDown) => {
                 // A full channel means that the step is already under way.
                 let _ = step_down.try_send(());
