Wait for all pages of an executor's first list of ends

Callers could see a task run again after it had ended.

Cause: executors list 500 ends at a time. A new owner took an executor for heard after the first page, so that inherited tasks whose ends were on later pages started again. The same page let the record of the executor go.

An executor now counts as heard once a list was complete. Until then it is held again as soon as ends of the page are acknowledged, and inherited work waits for it, whatever the time, because the holds renew its lease and its ends count.

--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -29,7 +29,7 @@
     pub(super) orders: Vec<Order>,
     /// What gangs claimed in the last pass.
     pub(super) claims: Claims,
-    /// Executors that have not listed their runs to this owner. Inherited work may run there.
+    /// Executors that have not listed all their runs and ends to this owner. Inherited work may run or have ended there.
     pub(super) unheard: BTreeSet<ExecutorSlot>,
     /// Jobs that executors name and the owner does not know, with the time of the last order to look for each.
     pub(super) unknown: BTreeMap<JobId, Timestamp>,
@@ -67,9 +67,12 @@
         }
     }
 
-    /// Tells whether a task of an earlier owner may still run somewhere unseen.
+    /// Tells whether a task of an earlier owner may still run, or its end be listed, somewhere unseen. The leases of an
+    /// executor that listed a part are renewed, so that its other ends count whatever the time.
     pub(super) fn may_run_unseen(&self, now: Timestamp) -> bool {
-        !self.unheard.is_empty() && now <= self.inherited_lapse
+        let has_begun = |slot: &ExecutorSlot| self.fleet.get(*slot).heard.is_some();
+        !self.unheard.is_empty()
+            && (now <= self.inherited_lapse || self.unheard.iter().any(has_begun))
     }
 
     /// Orders a run to stop, if it isn't stopping already.
--- a/crates/jobs/src/dispatch/fleet_records.rs
+++ b/crates/jobs/src/dispatch/fleet_records.rs
@@ -48,7 +48,11 @@
             // What this owner ordered there is settled; what earlier ones did is listed, or has lapsed. Without a record a
             // later owner does not ask for ends that are not durable, and starts their tasks again.
             let is_unused = e.tasks.is_empty() && e.strays.is_empty() && e.ends.is_settled(ledger);
-            let is_settled = is_unused && (e.heard.is_some() || is_inherited_over);
+            let is_settled = is_unused
+                && match e.heard {
+                    Some(_) => e.has_listed_all,
+                    None => is_inherited_over,
+                };
             e.is_recorded && e.availability != Availability::Ready && is_settled
         };
         let left = &mut self.core.left;
--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -13,20 +13,24 @@
         executor.ends.advance(&core.ledger);
         let is_first = executor.heard.is_none();
         let is_empty = executor.tasks.is_empty();
+        let has_more = !is_first && !executor.has_listed_all;
         // Of one that is not listed, only earlier owners' runs are asked for.
         let is_asked = executor.availability != Availability::Unlisted || executor.is_recorded;
         let awaits = executor.ends.awaits_record(&core.ledger);
         let has_unsent = executor.ends.has_unsent();
-        if is_empty && !(is_first && is_asked) && !has_unsent {
+        let has_reason = !is_empty || is_first && is_asked || has_more || has_unsent;
+        if !has_reason {
             return match awaits || executor.ends.awaits_job() {
                 true => HoldStep::AwaitRecord,
                 false => HoldStep::Idle,
             };
         }
-        if awaits && !overdue && !is_first {
+        // The next ends are listed once some are acknowledged.
+        let is_blocked = awaits || has_more && !has_unsent;
+        if is_blocked && !overdue && !is_first {
             return HoldStep::AwaitRecord;
         }
-        let waits = !is_first && !is_empty && !awaits;
+        let waits = !is_first && !has_more && !is_empty && !awaits;
         HoldStep::Hold(HoldRequest {
             address: executor.entry.address,
             epoch: core.epoch,
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -43,7 +43,6 @@
         if is_first {
             executor.clock.assume_granted(max_lease, now);
         }
-        self.unheard.remove(&slot);
         for end in &listing.ended {
             if self.fleet.get(slot).ends.is_handled(end.sequence) {
                 continue;
@@ -60,6 +59,8 @@
             self.apply_row(slot, row, now);
         }
         if listing.complete {
+            self.unheard.remove(&slot);
+            self.fleet.get_mut(slot).has_listed_all = true;
             self.drop_missing(slot, &present, asked);
         } else {
             tracing::info!(
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -24,6 +24,8 @@
     pub tasks: BTreeSet<TaskKey>,
     /// Runs listed there that should not exist; they take room until they are gone.
     pub strays: BTreeMap<TaskKey, (RunNumber, Resources)>,
+    /// Its present life has listed all ends up to some moment, so that what ended before it is known.
+    pub has_listed_all: bool,
     /// The last hold was not answered, so no lease is granted until one is.
     pub is_silent: bool,
     /// The store holds a record of it, so that a later owner asks it for its runs even if it is not listed.
@@ -44,6 +46,7 @@
             health: ExecutorHealth::default(),
             tasks: BTreeSet::new(),
             strays: BTreeMap::new(),
+            has_listed_all: false,
             is_silent: false,
             is_recorded: false,
             heard: None,
@@ -64,6 +67,7 @@
         self.ends = EndCursor::default();
         self.health = ExecutorHealth::default();
         self.strays.clear();
+        self.has_listed_all = false;
     }
 
     pub(crate) fn reserve(&mut self, task: TaskKey, need: Resources) {
