Bound what an owner orders by what the store last confirmed

Callers could see a task run twice at the same time, started by two owners.

Cause: an owner stepped down only when it heard of a later one, from the store, a member or an executor. One that was paused or cut off went on: after a pause it dropped runs whose leases had lapsed meanwhile and started their tasks at once, on any executor that had not seen the later owner or had started again and forgotten it. Its successor counted on a bound of 3 s for renewed leases that nothing enforced. Orders that were decided in the same pass as the step down still went out.

Now the dispatcher takes confirmations of the ownership, each with the time at which it was asked for. It starts tasks for the time of the owner's lease in the store after the last one (1.1 s) and renews leases of runs for 3 s. After an executor or the store told it of a later owner it starts and renews nothing. A write of progress confirms, since every claim changes the head that is its condition; otherwise the head is read. The clock counts pauses.

--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -5,6 +5,7 @@
 
 use crate::advice::AdviceBook;
 use crate::dispatch::claims::Claims;
+use crate::dispatch::tenure::Tenure;
 use crate::dispatch::{DispatchLimits, Order, StopOrder};
 use crate::fleet::{ExecutorSlot, Fleet};
 use crate::id::{Epoch, ExecutorId, JobId, RunNumber, TaskKey};
@@ -17,6 +18,7 @@
 #[derive(Debug)]
 pub(super) struct Core {
     pub(super) epoch: Epoch,
+    pub(super) tenure: Tenure,
     pub(super) limits: DispatchLimits,
     pub(super) policy: Arc<CellPolicy>,
     pub(super) jobs: JobTable,
@@ -48,6 +50,7 @@
         let slack = Millis::new(limits.lease.get() / 30);
         Self {
             epoch,
+            tenure: Tenure::default(),
             limits,
             policy: Arc::default(),
             jobs: JobTable::default(),
--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -1,6 +1,6 @@
 use lagoon_core::unit::{Millis, Timestamp};
 
-use crate::dispatch::{Dispatcher, HoldRequest, HoldStep, Order};
+use crate::dispatch::{Dispatcher, HoldRequest, HoldStep};
 use crate::fleet::{Availability, ExecutorSlot};
 
 impl<S> Dispatcher<S> {
@@ -37,7 +37,7 @@
             acknowledged: executor.ends.acknowledge(),
             // A hold without an answer may take effect late; granting again each time would put off for ever when
             // the runs there are known to have lapsed.
-            lease_end_ms: match executor.is_silent {
+            lease_end_ms: match executor.is_silent || !core.tenure.may_renew(&limits, now) {
                 true => None,
                 false => executor.clock.grant(limits.lease, now),
             },
@@ -49,11 +49,6 @@
         })
     }
 
-    /// Notes that an executor has seen a later owner.
-    pub fn fenced(&mut self) {
-        self.core.orders.push(Order::StepDown);
-    }
-
     /// Notes that an executor did not answer a hold; it gets no new runs for a while.
     pub fn hold_failed(&mut self, slot: ExecutorSlot, now: Timestamp) {
         let executor = self.core.fleet.get_mut(slot);
--- a/crates/jobs/src/dispatch/limits.rs
+++ b/crates/jobs/src/dispatch/limits.rs
@@ -11,7 +11,10 @@
     pub hold_wait: Millis,
     /// Time for which a final state is kept.
     pub retention: Millis,
-    /// Time after which an earlier owner has ceased to renew leases.
+    /// Time after the last confirmation of the ownership in which tasks are started: that of the owner's lease in the store,
+    /// before whose end no other member claims.
+    pub owner_lease: Millis,
+    /// Time after the last confirmation in which leases of runs are renewed. A later owner counts on it.
     pub owner_lapse: Millis,
     /// Time without progress after which a run counts as stalled.
     pub stall: Millis,
--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -36,6 +36,7 @@
 mod started;
 mod stopped;
 mod stored_job;
+mod tenure;
 mod tick;
 mod unknown_jobs;
 mod view;
--- a/crates/jobs/src/dispatch/plan.rs
+++ b/crates/jobs/src/dispatch/plan.rs
@@ -35,7 +35,9 @@
     /// Places what can be placed now, most urgent first.
     pub fn plan(&mut self, now: Timestamp) {
         self.core.jobs.begin_due(now);
-        self.core.plan(now);
+        if self.core.tenure.may_start(&self.core.limits, now) {
+            self.core.plan(now);
+        }
     }
 }
 
--- a/crates/jobs/src/dispatch/started.rs
+++ b/crates/jobs/src/dispatch/started.rs
@@ -1,7 +1,7 @@
 use lagoon_core::unit::Timestamp;
 
 use crate::dispatch::core::Core;
-use crate::dispatch::{Dispatcher, Order, Serving, StartOrder};
+use crate::dispatch::{Dispatcher, Serving, StartOrder};
 use crate::run::{RunPhase, StartOutcome, StartRefusal};
 
 impl Dispatcher<Serving> {
@@ -46,7 +46,7 @@
 
     fn start_refused(&mut self, order: &StartOrder, reason: StartRefusal, now: Timestamp) {
         match reason {
-            StartRefusal::Fenced => self.orders.push(Order::StepDown),
+            StartRefusal::Fenced => self.step_down(),
             StartRefusal::Ticket => self.advice.drop_ticket(order.task.step(), order.slot),
             StartRefusal::OldRun | StartRefusal::LeaseOver | StartRefusal::Invalid => {}
             StartRefusal::NoRoom | StartRefusal::OtherLife | StartRefusal::Unhealthy => {
--- /dev/null
+++ b/crates/jobs/src/dispatch/tenure.rs
@@ -0,0 +1,57 @@
+use lagoon_core::unit::{Millis, Timestamp};
+
+use crate::dispatch::{DispatchLimits, Dispatcher, Order};
+
+/// How long an owner may act on what the store last confirmed of its ownership. It can't hear of a later owner while it is
+/// paused or cut off, so the time of the confirmation bounds what it orders.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Tenure {
+    /// When the last confirmation was asked for.
+    confirmed: Timestamp,
+    /// A later owner exists.
+    is_over: bool,
+}
+
+impl Tenure {
+    fn confirm(&mut self, asked: Timestamp) {
+        self.confirmed = self.confirmed.max(asked);
+    }
+
+    fn lasts(&self, time: Millis, now: Timestamp) -> bool {
+        !self.is_over && now <= self.confirmed.after(time)
+    }
+
+    /// Tells whether tasks may be started.
+    pub(super) fn may_start(&self, limits: &DispatchLimits, now: Timestamp) -> bool {
+        self.lasts(limits.owner_lease, now)
+    }
+
+    /// Tells whether leases of runs may be renewed.
+    pub(super) fn may_renew(&self, limits: &DispatchLimits, now: Timestamp) -> bool {
+        self.lasts(limits.owner_lapse, now)
+    }
+}
+
+impl<S> Dispatcher<S> {
+    /// Notes that the store has confirmed the ownership in answer to a call that was sent at `asked`.
+    pub fn confirm(&mut self, asked: Timestamp) {
+        self.core.tenure.confirm(asked);
+    }
+
+    /// Notes that a later owner exists. Nothing is started or renewed any more.
+    pub fn fenced(&mut self) {
+        self.core.step_down();
+    }
+
+    /// Returns when the last confirmation of the ownership was asked for.
+    pub fn confirmed(&self) -> Timestamp {
+        self.core.tenure.confirmed
+    }
+}
+
+impl super::core::Core {
+    pub(super) fn step_down(&mut self) {
+        self.tenure.is_over = true;
+        self.orders.push(Order::StepDown);
+    }
+}
--- a/crates/jobs/tests/dispatch/main.rs
+++ b/crates/jobs/tests/dispatch/main.rs
@@ -16,4 +16,5 @@
 mod sim_executor;
 mod sim_gangs;
 mod takeover;
+mod tenure;
 mod world;
--- a/crates/jobs/tests/dispatch/sim/mod.rs
+++ b/crates/jobs/tests/dispatch/sim/mod.rs
@@ -167,6 +167,7 @@
 
     fn step(&mut self) {
         self.now = self.now.after(Millis::new(STEP_MS));
+        self.dispatcher.confirm(self.now);
         self.deliver_late();
         self.settle();
         self.hold_all();
--- a/crates/jobs/tests/dispatch/world.rs
+++ b/crates/jobs/tests/dispatch/world.rs
@@ -30,6 +30,7 @@
         max_lease: MAX_LEASE,
         hold_wait: Millis::new(1_500),
         retention: Millis::new(120_000),
+        owner_lease: Millis::new(1_100),
         owner_lapse: Millis::new(3_000),
         stall: Millis::new(4_500),
         record_lanes: 2,
@@ -178,8 +179,10 @@
         self.dispatcher.executors_recorded(&new);
     }
 
+    /// Lets time pass in which the store answers the owner.
     pub(crate) fn pass(&mut self, ms: u64) {
         self.now = self.now.after(Millis::new(ms));
+        self.dispatcher.confirm(self.now);
     }
 
     pub(crate) fn submit(&mut self, number: u64, queue: &str, steps: Vec<StepSpec>) -> JobId {
--- a/crates/node/src/cell/claim.rs
+++ b/crates/node/src/cell/claim.rs
@@ -1,4 +1,5 @@
 use lagoon_adapter::store::{LeaseId, Revision, StoreItem, Transaction, TxnOutcome};
+use lagoon_core::unit::Timestamp;
 use lagoon_jobs::id::Epoch;
 use lagoon_jobs::record::RecordLane;
 use lagoon_platform::PlatformError;
@@ -12,6 +13,8 @@
     pub(crate) epoch: Epoch,
     /// Revision of the heads of all lanes.
     pub(crate) heads: Revision,
+    /// When it was asked for.
+    pub(crate) asked: Timestamp,
 }
 
 /// Claims the cell; `None` if another member was faster. A claim of this member that it does not serve is replaced.
@@ -36,10 +39,15 @@
         (lane, revision, Head { epoch, write: 0 })
     });
     let txn = owner_transaction(cx, epoch, replaces, heads, lease);
+    let asked = cx.clock.now();
     match cx.store.commit(txn).await {
-        Ok(TxnOutcome::Committed(heads)) => Ok(Some(Claim { epoch, heads })),
+        Ok(TxnOutcome::Committed(heads)) => Ok(Some(Claim {
+            epoch,
+            heads,
+            asked,
+        })),
         Ok(TxnOutcome::Conflict(_) | TxnOutcome::LeaseEnded) => Ok(None),
-        Err(e) => confirm(cx, epoch).await.and_then(|found| match found {
+        Err(e) => find_claim(cx, epoch).await.and_then(|found| match found {
             Some(claim) => Ok(Some(claim)),
             None => Err(e),
         }),
@@ -76,7 +84,8 @@
 }
 
 /// Finds out whether a claim without an answer took effect.
-async fn confirm(cx: &Context, epoch: Epoch) -> Result<Option<Claim>, PlatformError> {
+async fn find_claim(cx: &Context, epoch: Epoch) -> Result<Option<Claim>, PlatformError> {
+    let asked = cx.clock.now();
     let Some(owner) = cx.store.get(Keys::OWNER).await? else {
         return Ok(None);
     };
@@ -84,5 +93,9 @@
         .is_ok_and(|entry| entry.member == *cx.member() && entry.epoch == epoch);
     // All keys were written by the same transaction, so they have its revision.
     let heads = owner.revision;
-    Ok(is_ours.then_some(Claim { epoch, heads }))
+    Ok(is_ours.then_some(Claim {
+        epoch,
+        heads,
+        asked,
+    }))
 }
--- a/crates/node/src/cell/mod.rs
+++ b/crates/node/src/cell/mod.rs
@@ -22,7 +22,7 @@
     keys::Keys,
     member_entry::MemberEntry,
     owner_entry::OwnerEntry,
-    register::{LeaseHandle, register},
+    register::{LEASE_TTL, LeaseHandle, register},
     relay::relay,
     turn::wait_for_turn,
 };
--- a/crates/node/src/cell/register.rs
+++ b/crates/node/src/cell/register.rs
@@ -10,7 +10,7 @@
 use crate::context::Context;
 
 /// Time after which a member that ceased to renew is gone. Short, because nothing is placed until its successor begins.
-const LEASE_TTL: Millis = Millis::new(1_100);
+pub(crate) const LEASE_TTL: Millis = Millis::new(1_100);
 /// Time between two renewals, so that two may be lost.
 const RENEW_EVERY: Duration = Duration::from_millis(250);
 /// Time for a renewal; one that takes longer is given up, so that the next is not too late. A slow store takes 0.4 s.
--- /dev/null
+++ b/crates/node/src/owner/confirm.rs
@@ -0,0 +1,73 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoon_core::unit::{Millis, Timestamp};
+use lagoon_jobs::id::Epoch;
+use lagoon_jobs::record::RecordLane;
+use lagoon_platform::PlatformError;
+use tokio::sync::mpsc;
+
+use crate::cell::{Head, Keys};
+use crate::context::Context;
+use crate::owner::Shard;
+
+/// Age of the last confirmation at which another is asked for, so that two may be lost before starts cease. Each write of
+/// progress confirms the ownership too, so that a busy owner asks seldom.
+const CONFIRM_AFTER: Millis = Millis::new(300);
+/// Pause after a question without an answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// What the store says of an ownership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Confirmation {
+    /// No other member had claimed the cell when it was asked at this time.
+    Owned(Timestamp),
+    /// Another member has claimed the cell, or its records are gone.
+    Lost,
+}
+
+/// Asks the store whether the epoch is still the last one. Every claim writes the heads of all lanes.
+///
+/// # Errors
+///
+/// When there is no answer.
+pub(super) async fn confirm(cx: &Context, epoch: Epoch) -> Result<Confirmation, PlatformError> {
+    let asked = cx.clock.now();
+    let head = cx.store.get(&Keys::head(RecordLane::FIRST)).await?;
+    let found = head.as_ref().map(Head::read);
+    Ok(match found {
+        Some(found) if found.epoch == epoch => Confirmation::Owned(asked),
+        found => {
+            let found = found.map(|head| head.epoch.get());
+            tracing::warn!(found, own = %epoch, "owner: the store does not confirm the ownership");
+            Confirmation::Lost
+        }
+    })
+}
+
+/// Keeps the ownership confirmed, until the task is aborted.
+pub(super) async fn keep_confirmed(cx: Context, shard: Arc<Shard>, step_down: mpsc::Sender<()>) {
+    let epoch = shard.with(|dispatcher| dispatcher.epoch());
+    loop {
+        let confirmed = shard.with(|dispatcher| dispatcher.confirmed());
+        let age = cx.clock.now().since(confirmed);
+        if age < CONFIRM_AFTER {
+            tokio::time::sleep(CONFIRM_AFTER.saturating_sub(age).to_duration()).await;
+            continue;
+        }
+        match confirm(&cx, epoch).await {
+            Ok(Confirmation::Owned(asked)) => shard.change(|dispatcher| dispatcher.confirm(asked)),
+            Ok(Confirmation::Lost) => {
+                shard.change(|dispatcher| dispatcher.fenced());
+                // A full channel means that the step is already under way.
+                let _ = step_down.try_send(());
+                return;
+            }
+            Err(e) => {
+                cx.metrics.count("owner.confirmation_failed", 1);
+                tracing::warn!(age_ms = age.get(), "owner: ownership not confirmed: {e}");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -4,6 +4,7 @@
 //! executor, records to write, or time. Each changes the dispatcher under its lock and leaves the calls that follow from
 //! it to [`orders`].
 
+mod confirm;
 mod drive_executor;
 mod follow_executors;
 mod follow_jobs;
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -97,7 +97,7 @@
         if jobs.is_empty() && leftovers.is_empty() {
             return;
         }
-        let is_written = self.commit(lane, &mut position, txn).await;
+        let is_written = self.commit(shard, lane, &mut position, txn).await;
         drop(position);
         if is_written {
             self.cx.metrics.count("records.written", jobs.len() as u64);
@@ -130,7 +130,7 @@
                     .remove(Keys::cancelled(*id))
                     .remove(Keys::progress(*id));
             }
-            if !self.commit(lane, &mut position, txn).await {
+            if !self.commit(shard, lane, &mut position, txn).await {
                 return;
             }
             shard.with(|dispatcher| dispatcher.forget(&expired));
@@ -167,7 +167,7 @@
         if new.is_empty() && gone.is_empty() {
             return true;
         }
-        let is_written = self.commit(lane, &mut position, txn).await;
+        let is_written = self.commit(shard, lane, &mut position, txn).await;
         drop(position);
         if is_written {
             shard.change(|dispatcher| dispatcher.executors_recorded(&new));
@@ -222,7 +222,14 @@
             .put(key, self.head(position).encode())
     }
 
-    async fn commit(&self, lane: RecordLane, position: &mut Position, txn: Transaction) -> bool {
+    /// Commits a write; true if it took effect, which confirms the ownership.
+    async fn commit(
+        &self,
+        shard: &Shard,
+        lane: RecordLane,
+        position: &mut Position,
+        txn: Transaction,
+    ) -> bool {
         let began = self.cx.clock.now();
         let answer = self.cx.store.commit(txn).await;
         let label = if answer.is_ok() { "answered" } else { "failed" };
@@ -232,6 +239,7 @@
             Ok(TxnOutcome::Committed(revision)) => {
                 position.revision = revision;
                 position.write += 1;
+                shard.with(|dispatcher| dispatcher.confirm(began));
                 true
             }
             Ok(TxnOutcome::Conflict(items)) => {
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -8,7 +8,7 @@
     DispatchLimits, Dispatcher, HoldRequest, HoldStep, Recovering, Serving,
 };
 use lagoon_jobs::fleet::ExecutorSlot;
-use lagoon_jobs::id::{Epoch, ExecutorId, JobId};
+use lagoon_jobs::id::{ExecutorId, JobId};
 use lagoon_jobs::job::{JobRecord, Progress};
 use lagoon_jobs::policy::CellPolicy;
 use lagoon_jobs::record::RecordLane;
@@ -16,8 +16,9 @@
 use lagoon_platform::PlatformError;
 use tokio::task::JoinSet;
 
-use crate::cell::Keys;
+use crate::cell::{Claim, Keys, LEASE_TTL};
 use crate::context::Context;
+use crate::owner::confirm::{Confirmation, confirm};
 use crate::owner::heard::Heard;
 use crate::owner::run::Followed;
 
@@ -25,7 +26,8 @@
 const RUN_LEASE: Millis = Millis::new(5_000);
 /// Time for which a hold waits for an end; two may be lost within a lease.
 const HOLD_WAIT: Millis = Millis::new(1_500);
-/// Time after which an earlier owner, fenced by the executors it still reaches, has ceased to renew leases.
+/// Time after the last confirmation of its ownership in which an owner renews leases of runs, so that they outlast most
+/// outages of the store; a later owner waits for that long and for the lease itself.
 const OWNER_LAPSE: Millis = Millis::new(3_000);
 /// Time without progress after which a run counts as stalled; above the time for which a gang waits for members.
 const STALL: Millis = Millis::new(4_500);
@@ -40,8 +42,9 @@
 /// Reads back jobs from the store and runs from the executors.
 pub(super) async fn recover(
     cx: &Context,
-    epoch: Epoch,
+    claim: Claim,
 ) -> Result<(Dispatcher<Serving>, Followed), PlatformError> {
+    let epoch = claim.epoch;
     let ((executors, executors_at), (records, _)) = tokio::try_join!(
         cx.store.list(EXECUTOR_PREFIX),
         cx.store.list(Keys::EXECUTORS)
@@ -52,11 +55,13 @@
         max_lease: current.max_lease,
         hold_wait: HOLD_WAIT,
         retention: current.retention,
+        owner_lease: LEASE_TTL.max(current.min_store_lease),
         owner_lapse: OWNER_LAPSE,
         stall: STALL,
         record_lanes: (executors.len() / EXECUTORS_A_LANE + 1).min(RecordLane::COUNT),
     };
     let mut dispatcher = Dispatcher::open(epoch, limits, cx.clock.now());
+    dispatcher.confirm(claim.asked);
     dispatcher.set_policy(first_policy(cx).await);
     for item in &executors {
         match decode_entry(&item.key, &item.value) {
@@ -76,7 +81,12 @@
     }
     // Once the executors are fenced no earlier owner starts anything, so each job that runs is in the list read after.
     let heard = hear_executors(cx, &mut dispatcher).await;
-    let jobs = load_jobs(cx, &mut dispatcher).await?;
+    let (jobs, confirmation) =
+        tokio::try_join!(load_jobs(cx, &mut dispatcher), confirm(cx, epoch))?;
+    match confirmation {
+        Confirmation::Owned(asked) => dispatcher.confirm(asked),
+        Confirmation::Lost => dispatcher.fenced(),
+    }
     for answer in heard {
         let now = cx.clock.now();
         match answer.outcome {
--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -15,7 +15,7 @@
 use crate::owner::recorder::Recorder;
 use crate::owner::succession::{give_up, wait_for_stronger};
 use crate::owner::{
-    Office, Shard, drive_executor, follow_executors, follow_jobs, keep, orders, recover,
+    Office, Shard, confirm, drive_executor, follow_executors, follow_jobs, keep, orders, recover,
 };
 
 /// Pause after a claim that failed.
@@ -75,7 +75,7 @@
 /// Reads back the state of the cell and places work until this member steps down.
 async fn serve(cx: &Context, claim: Claim, lease: &LeaseHandle, office: &Office) {
     let (dispatcher, followed) = loop {
-        match recover::recover(cx, claim.epoch).await {
+        match recover::recover(cx, claim).await {
             Ok(recovered) => break recovered,
             Err(e) => {
                 tracing::warn!("owner: recovery failed: {e}");
@@ -105,6 +105,11 @@
         tasks.spawn(recorder.clone().run(shard.clone(), lane));
     }
     tasks.spawn(recorder.clone().run_fleet(shard.clone()));
+    tasks.spawn(confirm::keep_confirmed(
+        cx.clone(),
+        shard.clone(),
+        step_down.clone(),
+    ));
     tasks.spawn(keep::keep(
         cx.clone(),
         shard.clone(),
