Name the owner in each job that is stored, as a condition of its write

Callers could see a task run twice at the same time, started by two owners.

Cause: a member that has not heard of a takeover tells the earlier owner of a job that was accepted after it. Inherited jobs wait for executors that the new owner has not heard, but such a job is new to it and starts at once, while the earlier owner starts it on an executor that only it reaches.

Now a job is stored on the condition that the owner's key has not changed, and names that owner's epoch. If it has changed, the job is stored again under the later one. An owner that is told of a job of a later owner steps down without starting it; one that finds a job of an earlier owner, or of none, treats it as inherited. So a job that does not wait can't be known to an earlier owner.

--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -116,9 +116,15 @@
 }
 
 impl Dispatcher<Serving> {
-    /// Takes in a job that was accepted; a repeated one is ignored.
+    /// Takes in a job that was accepted; a repeated one is ignored. A job that was stored under another owner may have been
+    /// started by that one.
     pub fn submit(&mut self, id: JobId, record: JobRecord, now: Timestamp) {
+        if record.owner() > Some(self.core.epoch) {
+            tracing::warn!(job = %id, owner = record.owner().map(Epoch::get), "dispatch: job belongs to a later owner");
+            return self.core.step_down();
+        }
         let mut job = Job::new(id, record);
+        job.inherited = job.record().owner() != Some(self.core.epoch);
         self.core.set_objective(&mut job);
         let queue = job.record().queue().clone();
         if self.core.jobs.insert(job) {
--- a/crates/jobs/src/job/job_record.rs
+++ b/crates/jobs/src/job/job_record.rs
@@ -1,7 +1,7 @@
 use lagoon_core::unit::Timestamp;
 use serde::{Deserialize, Serialize};
 
-use crate::id::QueueName;
+use crate::id::{Epoch, QueueName};
 use crate::spec::JobSpec;
 
 /// What the store holds of an accepted job.
@@ -10,6 +10,9 @@
 pub struct JobRecord {
     queue: QueueName,
     accepted: Timestamp,
+    /// Owner of the cell when the job was stored; none if there was none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    owner: Option<Epoch>,
     spec: JobSpec,
 }
 
@@ -19,10 +22,21 @@
         Self {
             queue,
             accepted,
+            owner: None,
             spec,
         }
     }
 
+    /// Names the owner of the cell when the job is stored.
+    pub fn under(self, owner: Option<Epoch>) -> Self {
+        Self { owner, ..self }
+    }
+
+    /// Returns the owner of the cell when the job was stored.
+    pub fn owner(&self) -> Option<Epoch> {
+        self.owner
+    }
+
     /// Returns the queue.
     pub fn queue(&self) -> &QueueName {
         &self.queue
--- a/crates/jobs/tests/dispatch/sim/mod.rs
+++ b/crates/jobs/tests/dispatch/sim/mod.rs
@@ -149,7 +149,8 @@
         }
         let queue = ["urgent", "bulk", "advised", "medium", "quick"][self.rng.random_range(0..5)];
         let spec = JobSpec::new("payload", steps, None).unwrap();
-        let record = JobRecord::new(queue.parse().unwrap(), self.now, spec);
+        let record = JobRecord::new(queue.parse().unwrap(), self.now, spec)
+            .under(Some(Epoch::new(self.epoch)));
         self.records.insert(id, record.clone());
         self.dispatcher.submit(id, record, self.now);
     }
--- a/crates/jobs/tests/dispatch/tenure.rs
+++ b/crates/jobs/tests/dispatch/tenure.rs
@@ -1,11 +1,13 @@
 //! What an owner may order that does not know whether another member has claimed the cell since.
 
-use lagoon_core::unit::Millis;
+use lagoon_core::unit::{Millis, Timestamp};
 use lagoon_jobs::dispatch::{HoldStep, Order};
 use lagoon_jobs::fleet::ExecutorSlot;
+use lagoon_jobs::id::Epoch;
+use lagoon_jobs::job::Progress;
 use lagoon_jobs::run::{StartOutcome, StartRefusal};
 
-use crate::world::{World, limits, starts, step};
+use crate::world::{World, job_id, limits, listing, record, recovering, starts, step};
 
 cases! {
     /// Guards against a start by an owner that was paused, or cut off, for longer than its lease in the store.
@@ -57,6 +59,33 @@
         world.pass(10);
         assert!(starts(&world.plan()).is_empty());
     }
+
+    /// Guards against a start of a job by an earlier owner that was told of it after the claim.
+    a_job_of_a_later_owner_ends_the_earlier_one {
+        let mut world = World::with(&[("e1", 8)]);
+        let later = record("urgent", vec![step(1, 1)]).under(Some(Epoch::new(2)));
+        world.dispatcher.submit(job_id(1), later, world.now);
+        let orders = world.plan();
+        assert!(orders.iter().any(|order| matches!(order, Order::StepDown)));
+        assert!(starts(&orders).is_empty());
+    }
+
+    /// Guards against a second run of a job that was stored under the earlier owner, which may have started it on an executor
+    /// that was not heard.
+    a_job_stored_under_the_earlier_owner_waits_for_unheard_executors {
+        let now = Timestamp::from_millis(1_000);
+        let mut dispatcher = recovering(2, &[("e1", 8), ("e2", 8)]);
+        dispatcher.load(job_id(1), record("urgent", vec![step(1, 1)]), &Progress::default(), now);
+        dispatcher.listed(ExecutorSlot::new(0), &listing(now, &[], vec![]), now, now);
+        let mut world = World::serve(dispatcher);
+        let earlier = record("urgent", vec![step(1, 1)]).under(Some(Epoch::new(1)));
+        world.dispatcher.submit(job_id(2), earlier, world.now);
+        assert!(starts(&world.plan()).is_empty());
+        world.submit(3, "urgent", vec![step(1, 1)]);
+        assert_eq!(starts(&world.plan()).len(), 1);
+        world.pass(9_000);
+        assert_eq!(starts(&world.plan()).len(), 2);
+    }
 }
 
 fn renewed(world: &mut World) -> bool {
--- a/crates/jobs/tests/dispatch/world.rs
+++ b/crates/jobs/tests/dispatch/world.rs
@@ -187,7 +187,8 @@
 
     pub(crate) fn submit(&mut self, number: u64, queue: &str, steps: Vec<StepSpec>) -> JobId {
         let id = job_id(number);
-        self.dispatcher.submit(id, record(queue, steps), self.now);
+        let record = record(queue, steps).under(Some(self.dispatcher.epoch()));
+        self.dispatcher.submit(id, record, self.now);
         id
     }
 
--- a/crates/node/src/cell/cell_view.rs
+++ b/crates/node/src/cell/cell_view.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use lagoon_adapter::store::{Event, StoreItem};
+use lagoon_adapter::store::{Event, Revision, StoreItem};
 use lagoon_jobs::id::MemberId;
 
 use crate::cell::{Keys, MemberEntry, OwnerEntry};
@@ -15,6 +15,8 @@
     /// The store has been read.
     pub(crate) is_known: bool,
     pub(crate) owner: Option<OwnerEntry>,
+    /// Last change of the owner's key; none if the key does not exist or another member told of the owner.
+    pub(crate) owner_at: Option<Revision>,
     pub(crate) members: BTreeMap<MemberId, MemberEntry>,
 }
 
@@ -31,7 +33,10 @@
     pub(crate) fn apply(&mut self, event: &Event) {
         match event {
             Event::Written(item) => self.write(item),
-            Event::Removed(key) if key == Keys::OWNER => self.owner = None,
+            Event::Removed(key) if key == Keys::OWNER => {
+                self.owner = None;
+                self.owner_at = None;
+            }
             Event::Removed(key) => {
                 let member = key
                     .strip_prefix(Keys::MEMBERS)
@@ -78,6 +83,7 @@
             .is_none_or(|known| known.epoch < owner.epoch);
         if is_later {
             self.owner = Some(owner);
+            self.owner_at = None;
         }
         is_later
     }
@@ -85,7 +91,10 @@
     fn write(&mut self, item: &StoreItem) {
         if item.key == Keys::OWNER {
             match serde_json::from_slice(&item.value) {
-                Ok(owner) => self.owner = Some(owner),
+                Ok(owner) => {
+                    self.owner = Some(owner);
+                    self.owner_at = Some(item.revision);
+                }
                 Err(e) => tracing::error!("cell: owner entry is not readable: {e}"),
             }
         } else if item.key.starts_with(Keys::MEMBERS) {
--- a/crates/node/src/desk/desk.rs
+++ b/crates/node/src/desk/desk.rs
@@ -63,11 +63,11 @@
     }
 
     /// Stores a job by a call of this node.
-    async fn store_here(&self, queue: &Queue, id: JobId, record: &[u8]) -> StoredHere {
-        match store_job(&self.cx.store, id, record.to_vec()).await {
-            Stored::Now(revision) => {
+    async fn store_here(&self, queue: &Queue, id: JobId, record: JobRecord) -> StoredHere {
+        match store_job(&self.cx, id, record).await {
+            Stored::Now(revision, record) => {
                 tracing::info!(job = %id, queue = %queue.name, %revision, "desk: job accepted");
-                self.owner.notify(id, record.to_vec());
+                self.owner.notify(id, record);
                 StoredHere::Is("accepted")
             }
             Stored::Before => {
@@ -78,6 +78,10 @@
                 tracing::warn!(job = %id, effect = ?e.effect(), "desk: job not confirmed by the store: {e}");
                 StoredHere::Not
             }
+            Stored::Contended => {
+                tracing::warn!(job = %id, "desk: job not stored, the cell changes hands");
+                StoredHere::Not
+            }
             Stored::Unknown(e) => {
                 tracing::warn!(job = %id, effect = ?e.effect(), "desk: job not confirmed by the store: {e}");
                 StoredHere::Unknown
@@ -87,15 +91,21 @@
 
     /// Stores a job, by a call of this node or of another member. Nothing is written while no store call is answered: the
     /// job could be stored without its caller ever being told.
-    async fn store(&self, queue: &Queue, id: JobId, record: &[u8]) -> (SubmitReply, &'static str) {
+    async fn store(
+        &self,
+        queue: &Queue,
+        id: JobId,
+        record: JobRecord,
+    ) -> (SubmitReply, &'static str) {
         if self.cx.has_store() {
-            match self.store_here(queue, id, record).await {
+            match self.store_here(queue, id, record.clone()).await {
                 StoredHere::Is(label) => return (SubmitReply::Accepted, label),
                 StoredHere::Unknown => return (SubmitReply::Unknown, "unconfirmed"),
                 StoredHere::Not => {}
             }
         }
-        let reply = self.peers.store_job(id, record).await;
+        let record = serde_json::to_vec(&record).expect("job records have string keys");
+        let reply = self.peers.store_job(id, &record).await;
         let label = match &reply {
             SubmitReply::Accepted => "accepted_by_peer",
             SubmitReply::Unknown => "unconfirmed",
@@ -142,8 +152,7 @@
     ) -> SubmitReply {
         let began = self.cx.clock.now();
         let record = JobRecord::new(queue.name.clone(), began, spec);
-        let record = serde_json::to_vec(&record).expect("job records have string keys");
-        let (reply, outcome) = self.store(queue, id, &record).await;
+        let (reply, outcome) = self.store(queue, id, record).await;
         let time = self.cx.clock.now().since(began);
         self.cx.metrics.observe("submit", outcome, time);
         reply
--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -5,11 +5,10 @@
 mod desk;
 mod owner_view;
 mod store_job;
+mod store_outcome;
 mod stored;
 mod through_peers;
 
 pub(crate) use self::{
-    cancel_job::cancel_job,
-    desk::Desk,
-    store_job::{Stored, store_job},
+    cancel_job::cancel_job, desk::Desk, store_job::store_job, store_outcome::Stored,
 };
--- a/crates/node/src/peers/service.rs
+++ b/crates/node/src/peers/service.rs
@@ -1,6 +1,7 @@
 use lagoon_adapter::front::CancelReply;
 use lagoon_core::unit::Millis;
 use lagoon_jobs::id::{ExecutorId, JobId, StepKey};
+use lagoon_jobs::job::JobRecord;
 use lagoon_wire::v1::cancel_job_response::Outcome;
 use lagoon_wire::v1::cell_peer_server::CellPeer;
 use lagoon_wire::v1::{
@@ -87,9 +88,11 @@
             tracing::info!(job = %id, "peers: job not stored for another member, the store does not answer here either");
             return Ok(Response::new(StoreJobResponse { stored: false }));
         }
-        let stored = match store_job(&self.cx.store, id, req.record.clone()).await {
-            Stored::Now(_) => {
-                self.office.notify(id, &req.record, self.cx.clock.now());
+        let record: JobRecord = serde_json::from_slice(&req.record)
+            .map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let stored = match store_job(&self.cx, id, record).await {
+            Stored::Now(_, record) => {
+                self.office.notify(id, &record, self.cx.clock.now());
                 true
             }
             Stored::Before => true,
@@ -97,6 +100,10 @@
                 tracing::warn!(job = %id, "peers: job not stored for another member: {e}");
                 false
             }
+            Stored::Contended => {
+                tracing::warn!(job = %id, "peers: job not stored for another member, the cell changes hands");
+                false
+            }
             Stored::Unknown(e) => return Err(Status::deadline_exceeded(e.to_string())),
         };
         tracing::info!(job = %id, stored, "peers: asked to store a job");
--- a/crates/node/tests/node/takeover.rs
+++ b/crates/node/tests/node/takeover.rs
@@ -23,6 +23,30 @@
         cell.check();
     }
 
+    /// Guards against a job that an earlier owner starts because it was stored after a takeover without naming the later owner.
+    a_job_names_the_owner_at_the_time_it_is_stored {
+        let mut cell = Cell::start(2, 2).await;
+        let owner = cell.owner().await;
+        let other = 1 - owner;
+        let named = async |cell: &Cell, number: u64| {
+            let id = format!("{number:016x}");
+            cell.submit_until_accepted(other, &format!("/plain/{id}"), "ms=9000", json!([{"count": 1, "cpu": 10}])).await;
+            cell.site.read(&format!("lagoon/job/{id}")).unwrap()["owner"].as_u64()
+        };
+        assert_eq!(named(&cell, 1).await, Some(1));
+        cell.crash_node(owner);
+        let mut number = 1;
+        let mut seen = Vec::new();
+        while seen.last() != Some(&Some(2)) {
+            number += 1;
+            seen.push(named(&cell, number).await);
+            assert!(number < 2_000, "no job names the later owner: {seen:?}");
+        }
+        seen.dedup();
+        assert!([vec![Some(1), None, Some(2)], vec![Some(1), Some(2)]].contains(&seen), "{seen:?}");
+        cell.check();
+    }
+
     /// Guards against a planned stop that loses or repeats work.
     a_stopped_owner_hands_over {
         let mut cell = Cell::start(2, 2).await;
