Ask executors with runs of no job until these have ended

Jobs could wait for ever although an executor was free.

Cause: a run that belongs to no live job takes room until a list lacks it, but an executor that ran nothing else was not held any more, so that no list came. Its room stayed taken for the rest of the owner's time.

Such an executor is held like any other that runs something.

--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -12,7 +12,7 @@
         let executor = core.fleet.get_mut(slot);
         executor.ends.advance(&core.ledger);
         let is_first = executor.heard.is_none();
-        let is_empty = executor.tasks.is_empty();
+        let is_empty = executor.tasks.is_empty() && executor.strays.is_empty();
         let has_more = !is_first && !executor.has_listed_all;
         // Of one that is not listed, only earlier owners' runs are asked for.
         let is_asked = executor.availability != Availability::Unlisted || executor.is_recorded;
--- a/crates/jobs/tests/dispatch/leases.rs
+++ b/crates/jobs/tests/dispatch/leases.rs
@@ -100,6 +100,19 @@
         assert_eq!(again[0].lease_end_ms / 1_000, 5);
     }
 
+    /// Guards against room that a run without a job takes for ever, because nobody asks for its end.
+    an_executor_with_a_run_of_no_job_is_asked_until_it_has_ended {
+        let mut world = World::with(&[("e1", 4)]);
+        let task = lagoon_jobs::id::StepKey::new(crate::world::job_id(9), 0, 0).task(0);
+        world.list(0, &[(task, 1)], vec![]);
+        world.submit(1, "urgent", vec![step(1, 4)]);
+        assert!(starts(&world.plan()).is_empty());
+        let asked = world.dispatcher.next_hold(ExecutorSlot::new(0), false, world.now);
+        assert!(matches!(asked, HoldStep::Hold(_)), "{asked:?}");
+        world.list(0, &[], vec![]);
+        assert_eq!(starts(&world.plan()).len(), 1);
+    }
+
     /// Guards against an outage of the store that makes all leases lapse because ends can't be recorded.
     a_hold_goes_on_while_records_are_overdue {
         let mut world = World::with(&[("e1", 8)]);
