Wait for an executor that listed a part of its ends until its lease has lapsed

The owner renews the lease of an executor that it has heard in part, so that the ends it has not listed yet count for longer than the time for which an executor that was never heard is waited for; and one that went silent afterwards must not be waited for without end. Inherited work now waits for the first as long as a lease granted there lasts.

--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -71,11 +71,14 @@
     }
 
     /// Tells whether a task of an earlier owner may still run, or its end be listed, somewhere unseen. The leases of an
-    /// executor that listed a part are renewed, so that its other ends count whatever the time.
+    /// executor that listed a part are renewed, so that its other ends count until these lapse.
     pub(super) fn may_run_unseen(&self, now: Timestamp) -> bool {
-        let has_begun = |slot: &ExecutorSlot| self.fleet.get(*slot).heard.is_some();
+        let holds_ends = |slot: &ExecutorSlot| {
+            let executor = self.fleet.get(*slot);
+            executor.heard.is_some() && !executor.clock.has_lapsed(now)
+        };
         !self.unheard.is_empty()
-            && (now <= self.inherited_lapse || self.unheard.iter().any(has_begun))
+            && (now <= self.inherited_lapse || self.unheard.iter().any(holds_ends))
     }
 
     /// Orders a run to stop, if it isn't stopping already.
--- a/crates/jobs/tests/dispatch/ends.rs
+++ b/crates/jobs/tests/dispatch/ends.rs
@@ -60,6 +60,24 @@
         assert_eq!(world.state(id), JobState::Done);
     }
 
+    /// Guards against inherited work that waits for ever for an executor that listed a part of its ends and went silent.
+    inherited_work_does_not_outwait_a_lease {
+        let now = Timestamp::from_millis(1_000);
+        let mut dispatcher = recovering(2, &[("e1", 8), ("e2", 8)]);
+        dispatcher.load(job_id(1), record("urgent", vec![step(1, 1)]), &Progress::default(), now);
+        let first_page = Listing {
+            complete: false,
+            ..listing(now, &[], vec![done(1, 2, 1)])
+        };
+        dispatcher.listed(ExecutorSlot::new(0), &first_page, now, now);
+        dispatcher.listed(ExecutorSlot::new(1), &listing(now, &[], vec![]), now, now);
+        let mut world = World::serve(dispatcher);
+        world.dispatcher.hold_failed(ExecutorSlot::new(0), world.now);
+        assert!(starts(&world.plan()).is_empty());
+        world.pass(9_000);
+        assert_eq!(starts(&world.plan()).len(), 1);
+    }
+
     /// Guards against a second run of inherited work whose end is on a later page of the executor's first list.
     inherited_work_waits_for_the_last_page_of_ends {
         let now = Timestamp::from_millis(1_000);
@@ -75,7 +93,12 @@
         let mut world = World::serve(dispatcher);
         assert!(starts(&world.plan()).is_empty());
         world.record_all();
-        let asked = world.dispatcher.next_hold(ExecutorSlot::new(0), false, world.now);
+        for _ in 0..5 {
+            world.pass(3_000);
+            let _ = world.dispatcher.next_hold(ExecutorSlot::new(0), true, world.now);
+            assert!(starts(&world.plan()).is_empty());
+        }
+        let asked = world.dispatcher.next_hold(ExecutorSlot::new(0), true, world.now);
         let HoldStep::Hold(req) = asked else {
             panic!("the next page is not asked for: {asked:?}");
         };
