Acknowledge no ends to a life of an executor that has not listed them

Callers could see a task run again after it had ended, or its end be lost.

Cause: a hold names an executor by its id only, and a new life counts its ends from one. The first hold that reached a new life carried the acknowledgement of the earlier one, so that ends of the new life were forgotten before the owner had read them.

Now the answer to a start brings the executor's clock. A clock that has come further than the time since the last reading is that of the known life, so the run belongs to it; one that went back belongs to a new life, whose list is asked for at once. Ends are only acknowledged while every run there is known to belong to the present life; then a new life has no ends of ours. This also frees runs of an earlier life without waiting for a list.

--- a/crates/jobs/src/dispatch/adopt.rs
+++ b/crates/jobs/src/dispatch/adopt.rs
@@ -69,7 +69,7 @@
             ordered: now,
             yields_at,
             progress: (row.percent, now),
-            listed_by: self.fleet.get(slot).life,
+            life: self.fleet.get(slot).life,
         };
         self.runs.insert(run, &mut self.fleet);
         true
--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -7,6 +7,7 @@
     /// Returns what the driver of an executor does next. With `overdue` it holds even if records are not durable yet,
     /// so that leases outlast an outage of the store.
     pub fn next_hold(&mut self, slot: ExecutorSlot, overdue: bool, now: Timestamp) -> HoldStep {
+        let is_of_present_life = self.core.is_of_present_life(slot);
         let core = &mut self.core;
         let limits = core.limits;
         let executor = core.fleet.get_mut(slot);
@@ -34,7 +35,12 @@
         HoldStep::Hold(HoldRequest {
             address: executor.entry.address,
             epoch: core.epoch,
-            acknowledged: executor.ends.acknowledge(),
+            // A run of which no life is known may be one of a new life, whose ends have the numbers of those of the earlier
+            // one: these are not acknowledged before they are listed.
+            acknowledged: match is_of_present_life {
+                true => executor.ends.acknowledge(),
+                false => 0,
+            },
             // A hold without an answer may take effect late; granting again each time would put off for ever when
             // the runs there are known to have lapsed.
             lease_end_ms: match executor.is_silent || !core.tenure.may_renew(&limits, now) {
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -76,7 +76,7 @@
             self.apply_unknown_row(slot, row, now);
             return;
         };
-        run.listed_by = life;
+        run.life = life;
         match run.phase {
             RunPhase::Starting | RunPhase::Unconfirmed { .. } => {
                 run.phase = RunPhase::Running { since: now };
--- a/crates/jobs/src/dispatch/lives.rs
+++ b/crates/jobs/src/dispatch/lives.rs
@@ -38,6 +38,27 @@
         }
     }
 
+    /// Notes that an executor may have started again: it is asked for its list at once, and leases may last longer than they
+    /// were granted for on the clock of the earlier life.
+    pub(super) fn doubt_life(&mut self, slot: ExecutorSlot, now: Timestamp) {
+        let max_lease = self.limits.max_lease;
+        let executor = self.fleet.get_mut(slot);
+        tracing::warn!(executor = %executor.entry.id, "dispatch: executor may have started again, its clock went back");
+        executor.clock.restart();
+        executor.clock.assume_granted(max_lease, now);
+        executor.heard = None;
+    }
+
+    /// Tells whether everything that runs on an executor is known to run in its present life.
+    pub(super) fn is_of_present_life(&self, slot: ExecutorSlot) -> bool {
+        let executor = self.fleet.get(slot);
+        let mut runs = executor
+            .tasks
+            .iter()
+            .filter_map(|task| self.runs.get(*task));
+        runs.all(|run| run.life.is_some() && run.life == executor.life)
+    }
+
     /// Drops a run that ended with an earlier life of its executor. Any other waits for a list of the new life: an order to
     /// start may still arrive there, or the new life has carried it out.
     fn lose_run(&mut self, task: TaskKey, life: Option<Life>) {
--- a/crates/jobs/src/dispatch/plan.rs
+++ b/crates/jobs/src/dispatch/plan.rs
@@ -208,7 +208,7 @@
             ordered: now,
             yields_at,
             progress: (0, now),
-            listed_by: None,
+            life: None,
         };
         self.runs.insert(run, &mut self.fleet);
         true
--- a/crates/jobs/src/dispatch/started.rs
+++ b/crates/jobs/src/dispatch/started.rs
@@ -18,11 +18,18 @@
             return;
         };
         match outcome {
-            StartOutcome::Started => {
+            StartOutcome::Started { executor_ms } => {
                 if matches!(run.phase, RunPhase::Starting | RunPhase::Unconfirmed { .. }) {
                     run.phase = RunPhase::Running { since: now };
                     run.progress = (0, now);
                 }
+                let executor = self.fleet.get(order.slot);
+                if executor_ms.is_some_and(|ms| executor.clock.is_of_same_life(ms, now)) {
+                    run.life = executor.life;
+                }
+                if executor_ms.is_some_and(|ms| executor.clock.has_gone_back(ms)) {
+                    self.doubt_life(order.slot, now);
+                }
                 self.jobs.set_started(task.job());
                 return;
             }
--- a/crates/jobs/src/fleet/lease_clock.rs
+++ b/crates/jobs/src/fleet/lease_clock.rs
@@ -3,6 +3,9 @@
 /// Share by which an executor's clock may run slower than ours, in percent, rounded up from the platform's 2%.
 const DRIFT_PERCENT: u64 = 3;
 
+/// Time by which an answer may be older than one that arrived before it; the time for which an order's answer is waited for.
+const OVERTAKEN: Millis = Millis::new(1_000);
+
 /// Relates the steady clock of an executor to ours and bounds when its runs have lapsed for certain.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LeaseClock {
@@ -20,6 +23,21 @@
         }
     }
 
+    /// Tells whether a reading that arrives now is of the life that was read last. The clock of a life that began since starts
+    /// at zero, so it can't have come further than the time that has passed.
+    pub fn is_of_same_life(&self, executor_ms: u64, now: Timestamp) -> bool {
+        self.reading.is_some_and(|(_, at)| {
+            let passed = now.since(at).get();
+            executor_ms > passed + passed * DRIFT_PERCENT / 100
+        }) && !self.has_gone_back(executor_ms)
+    }
+
+    /// Tells whether a reading is of a life that began since the last one.
+    pub fn has_gone_back(&self, executor_ms: u64) -> bool {
+        let goes_back = |known| executor_ms.saturating_add(OVERTAKEN.get()) < known;
+        self.reading.is_some_and(|(known, _)| goes_back(known))
+    }
+
     /// Forgets the reading, because the clock of a new life starts anew.
     pub fn restart(&mut self) {
         self.reading = None;
--- a/crates/jobs/src/run/run.rs
+++ b/crates/jobs/src/run/run.rs
@@ -23,8 +23,8 @@
     pub yields_at: Option<u32>,
     /// Progress in percent and when it last changed.
     pub progress: (u32, Timestamp),
-    /// Life of the executor that listed it. The answer to a start does not name one.
-    pub listed_by: Option<Life>,
+    /// Life of the executor in which it is known to run or to have run.
+    pub life: Option<Life>,
 }
 
 impl Run {
@@ -33,9 +33,9 @@
         matches!(self.phase, RunPhase::Running { .. })
     }
 
-    /// Tells whether it ended with a life before `life`. One that was confirmed and not listed may run in either.
+    /// Tells whether it ended with a life before `life`. One of which no life is known may run in either.
     pub fn ended_before(&self, life: Option<Life>) -> bool {
-        self.listed_by.is_some() && self.listed_by < life
+        self.life.is_some() && self.life < life
     }
 
     /// Tells whether it may be stopped to make room for work of a queue with `rank`.
--- a/crates/jobs/src/run/start_outcome.rs
+++ b/crates/jobs/src/run/start_outcome.rs
@@ -4,7 +4,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartOutcome {
     /// The task runs.
-    Started,
+    Started {
+        /// The executor's clock in milliseconds, if the answer tells it.
+        executor_ms: Option<u64>,
+    },
     /// It was refused and won't run.
     Refused(StartRefusal),
     /// The order never left, so it won't run.
--- a/crates/jobs/tests/dispatch/gangs.rs
+++ b/crates/jobs/tests/dispatch/gangs.rs
@@ -40,7 +40,7 @@
         let mut world = World::with(&[("e1", 4), ("e2", 4)]);
         world.submit(1, "urgent", vec![gang(4, 2)]);
         let started = starts(&world.plan());
-        world.dispatcher.started(&started[0], StartOutcome::Started, world.now);
+        world.dispatcher.started(&started[0], world.confirmed(), world.now);
         let refused = StartOutcome::Refused(StartRefusal::Ticket);
         world.dispatcher.started(&started[1], refused, world.now);
         assert_eq!(stops(&world.plan()).len(), 3);
--- a/crates/jobs/tests/dispatch/restarts.rs
+++ b/crates/jobs/tests/dispatch/restarts.rs
@@ -1,9 +1,10 @@
 //! What an owner believes of an executor that has started again under its id.
 
 use lagoon_core::unit::Timestamp;
+use lagoon_jobs::dispatch::StartOrder;
 use lagoon_jobs::fleet::ExecutorEntry;
 use lagoon_jobs::id::{Life, TaskKey};
-use lagoon_jobs::run::{EndedRow, Listing};
+use lagoon_jobs::run::{EndKind, EndedRow, Listing, StartOutcome};
 
 use crate::world::{World, entry, listing, starts, step};
 
@@ -12,7 +13,7 @@
     a_run_confirmed_by_the_new_life_outlasts_its_entry {
         let mut world = World::with(&[("e1", 4), ("e2", 4)]);
         world.submit(1, "urgent", vec![step(1, 4)]);
-        let order = world.start_all().remove(0);
+        let order = start(&mut world, None);
         world.dispatcher.observe(reborn(order.executor.as_str()), world.now);
         assert!(starts(&world.plan()).is_empty());
         let asked = world.now;
@@ -27,7 +28,7 @@
         let mut world = World::with(&[("e1", 4), ("e2", 4)]);
         world.submit(1, "urgent", vec![step(1, 4)]);
         let asked = world.now;
-        let order = world.start_all().remove(0);
+        let order = start(&mut world, None);
         world.pass(20);
         let list = of_new_life(world.now, &[], vec![]);
         world.dispatcher.listed(order.slot, &list, asked, world.now);
@@ -38,7 +39,7 @@
     a_run_that_the_new_life_does_not_list_starts_again {
         let mut world = World::with(&[("e1", 4), ("e2", 4)]);
         world.submit(1, "urgent", vec![step(1, 4)]);
-        let order = world.start_all().remove(0);
+        let order = start(&mut world, None);
         world.dispatcher.observe(reborn(order.executor.as_str()), world.now);
         world.pass(1);
         let asked = world.now;
@@ -50,6 +51,43 @@
         assert!(again[0].number > order.number);
     }
 
+    /// Guards against work that waits for a list although the clock in the answer to its start was that of the earlier life.
+    a_run_confirmed_by_the_earlier_life_starts_again_at_once {
+        let mut world = World::with(&[("e1", 4), ("e2", 4)]);
+        world.submit(1, "urgent", vec![step(1, 4)]);
+        let order = world.start_all().remove(0);
+        world.dispatcher.observe(reborn(order.executor.as_str()), world.now);
+        assert_eq!(starts(&world.plan()).len(), 1);
+    }
+
+    /// Guards against ends that are acknowledged before they are listed: the executor has started again, and its ends have the
+    /// numbers of those that its earlier life has listed.
+    ends_of_a_new_life_are_not_acknowledged_unread {
+        let mut world = World::with(&[("e1", 4)]);
+        world.submit(1, "urgent", vec![step(1, 4)]);
+        let order = world.start_all().remove(0);
+        world.ended(&order, EndKind::Done);
+        world.record_all();
+        world.submit(2, "urgent", vec![step(1, 4)]);
+        let order = start(&mut world, Some(5));
+        assert_eq!(world.acknowledged(0), Some(0));
+        let list = of_new_life(world.now, &[(order.task, order.number.get())], vec![]);
+        world.dispatcher.listed(order.slot, &list, world.now, world.now);
+        assert_eq!(world.acknowledged(0), Some(0));
+    }
+
+    /// Guards against acknowledgements that are put off while an executor takes new runs all the time.
+    ends_are_acknowledged_beside_runs_of_the_same_life {
+        let mut world = World::with(&[("e1", 4)]);
+        world.submit(1, "urgent", vec![step(1, 4)]);
+        let order = world.start_all().remove(0);
+        world.ended(&order, EndKind::Done);
+        world.record_all();
+        world.submit(2, "urgent", vec![step(1, 4)]);
+        world.start_all();
+        assert_eq!(world.acknowledged(0), Some(1));
+    }
+
     /// Guards against work that waits for a list although the earlier life had listed its run, which therefore ended with it.
     a_run_listed_by_the_earlier_life_starts_again_at_once {
         let mut world = World::with(&[("e1", 4), ("e2", 4)]);
@@ -61,6 +99,15 @@
     }
 }
 
+/// Starts a task; the executor's answer tells this time on its clock.
+fn start(world: &mut World, executor_ms: Option<u64>) -> StartOrder {
+    let order = starts(&world.plan()).remove(0);
+    world.pass(1);
+    let outcome = StartOutcome::Started { executor_ms };
+    world.dispatcher.started(&order, outcome, world.now);
+    order
+}
+
 fn reborn(id: &str) -> ExecutorEntry {
     ExecutorEntry {
         life: Some(Life::new(2)),
--- a/crates/jobs/tests/dispatch/sim/orders.rs
+++ b/crates/jobs/tests/dispatch/sim/orders.rs
@@ -61,7 +61,7 @@
             return StartOutcome::Refused(StartRefusal::Ticket);
         }
         let outcome = executor.start(order, need, time, fails, self.now);
-        if outcome == StartOutcome::Started {
+        if matches!(outcome, StartOutcome::Started { .. }) {
             self.check(order);
         }
         outcome
--- a/crates/jobs/tests/dispatch/sim_executor.rs
+++ b/crates/jobs/tests/dispatch/sim_executor.rs
@@ -97,7 +97,7 @@
             .get(&order.task)
             .is_some_and(|run| run.number == order.number)
         {
-            return StartOutcome::Started;
+            return self.started(now);
         }
         if self
             .highest
@@ -118,7 +118,12 @@
             began: now,
         };
         self.running.insert(order.task, run);
-        StartOutcome::Started
+        self.started(now)
+    }
+
+    fn started(&self, now: Timestamp) -> StartOutcome {
+        let executor_ms = Some(self.clock(now));
+        StartOutcome::Started { executor_ms }
     }
 
     /// Stops a run; false for an earlier owner.
--- a/crates/jobs/tests/dispatch/world.rs
+++ b/crates/jobs/tests/dispatch/world.rs
@@ -220,12 +220,17 @@
         let starts = starts(&self.plan());
         for order in &starts {
             self.pass(1);
-            self.dispatcher
-                .started(order, StartOutcome::Started, self.now);
+            self.dispatcher.started(order, self.confirmed(), self.now);
         }
         starts
     }
 
+    /// Returns the answer of an executor that started a task.
+    pub(crate) fn confirmed(&self) -> StartOutcome {
+        let executor_ms = Some(self.now.as_millis());
+        StartOutcome::Started { executor_ms }
+    }
+
     /// Answers a question: all executors named are good.
     pub(crate) fn advise(&mut self, order: &AskOrder, valid_ms: u64) {
         let good = order
--- a/crates/node/src/owner/orders.rs
+++ b/crates/node/src/owner/orders.rs
@@ -66,7 +66,7 @@
     let began = cx.clock.now();
     let outcome = cx.executors.start(&order).await;
     let label = match outcome {
-        StartOutcome::Started => "started",
+        StartOutcome::Started { .. } => "started",
         StartOutcome::Refused(_) => "refused",
         StartOutcome::NotSent => "not_sent",
         StartOutcome::Unknown => "unknown",
