Pause before a hold that can acknowledge nothing

An executor answers a hold at once as long as it lists an end that is not acknowledged. Where an end waits for its job, or ends wait until it is known to which life the runs beside them belong, holds were repeated as fast as the link allows, each of them billed. Such a hold now waits for the next record that is written, and 400 ms at most, as for ends that wait for their record.

--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -26,8 +26,11 @@
                 false => HoldStep::Idle,
             };
         }
-        // The next ends are listed once some are acknowledged.
-        let is_blocked = awaits || has_more && !has_unsent;
+        // The executor answers at once as long as it lists ends, so that a hold that acknowledges none would be repeated
+        // without a pause.
+        let has_ack = has_unsent && is_of_present_life;
+        let awaits_ack = has_more || has_unsent || executor.ends.awaits_job();
+        let is_blocked = awaits || awaits_ack && !has_ack;
         if is_blocked && !overdue && !is_first {
             return HoldStep::AwaitRecord;
         }
--- a/crates/jobs/tests/dispatch/ends.rs
+++ b/crates/jobs/tests/dispatch/ends.rs
@@ -60,6 +60,19 @@
         assert_eq!(world.state(id), JobState::Done);
     }
 
+    /// Guards against holds that are repeated as fast as the link allows: the executor answers at once while it lists an end
+    /// that can't be acknowledged.
+    a_hold_that_acknowledges_nothing_is_not_repeated_at_once {
+        let mut world = World::with(&[("e1", 8)]);
+        world.submit(1, "urgent", vec![step(2, 1)]);
+        let started = world.start_all();
+        let running: Vec<_> = started.iter().map(|order| (order.task, order.number.get())).collect();
+        world.list(0, &running, vec![done(1, UNKNOWN, 1)]);
+        let slot = ExecutorSlot::new(0);
+        assert!(matches!(world.dispatcher.next_hold(slot, false, world.now), HoldStep::AwaitRecord));
+        assert!(matches!(world.dispatcher.next_hold(slot, true, world.now), HoldStep::Hold(_)));
+    }
+
     /// Guards against inherited work that waits for ever for an executor that listed a part of its ends and went silent.
     inherited_work_does_not_outwait_a_lease {
         let now = Timestamp::from_millis(1_000);
--- a/crates/jobs/tests/dispatch/restarts.rs
+++ b/crates/jobs/tests/dispatch/restarts.rs
@@ -1,7 +1,7 @@
 //! What an owner believes of an executor that has started again under its id.
 
-use lagoon_core::unit::Timestamp;
-use lagoon_jobs::dispatch::StartOrder;
+use lagoon_core::unit::{Millis, Timestamp};
+use lagoon_jobs::dispatch::{HoldStep, StartOrder};
 use lagoon_jobs::fleet::ExecutorEntry;
 use lagoon_jobs::id::{Life, TaskKey};
 use lagoon_jobs::run::{EndKind, EndedRow, Listing, StartOutcome};
@@ -69,13 +69,26 @@
         world.ended(&order, EndKind::Done);
         world.record_all();
         world.submit(2, "urgent", vec![step(1, 4)]);
-        let order = start(&mut world, Some(5));
+        let order = start(&mut world, None);
+        let slot = order.slot;
+        assert!(matches!(world.dispatcher.next_hold(slot, false, world.now), HoldStep::AwaitRecord));
         assert_eq!(world.acknowledged(0), Some(0));
         let list = of_new_life(world.now, &[(order.task, order.number.get())], vec![]);
         world.dispatcher.listed(order.slot, &list, world.now, world.now);
         assert_eq!(world.acknowledged(0), Some(0));
     }
 
+    /// Guards against a new life that is noticed only by a later list although the answer to a start shows its clock.
+    a_clock_that_went_back_has_the_executor_asked_at_once {
+        let mut world = World::with(&[("e1", 4)]);
+        world.submit(1, "urgent", vec![step(1, 4)]);
+        let order = start(&mut world, Some(5));
+        let HoldStep::Hold(req) = world.dispatcher.next_hold(order.slot, false, world.now) else {
+            panic!("the executor is not asked");
+        };
+        assert_eq!((req.wait, req.lease_end_ms), (Millis::ZERO, None));
+    }
+
     /// Guards against acknowledgements that are put off while an executor takes new runs all the time.
     ends_are_acknowledged_beside_runs_of_the_same_life {
         let mut world = World::with(&[("e1", 4)]);
