Go on with a hold as soon as the answer to a start tells its life

A hold that waited to know in which life of its executor a run is went on with the next record or after 400 ms, so that ends were heard late when records are slow. The driver now also wakes when a start was answered. The 400 ms after which a hold is due whatever the records count from the first wait; before, each record that was written began them anew.

--- a/crates/node/src/owner/drive_executor.rs
+++ b/crates/node/src/owner/drive_executor.rs
@@ -6,6 +6,7 @@
 use lagoon_jobs::id::ExecutorId;
 use lagoon_jobs::run::HoldOutcome;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::context::Context;
 use crate::owner::Shard;
@@ -32,22 +33,32 @@
 pub(super) async fn drive(cx: Context, shard: Arc<Shard>, slot: ExecutorSlot, id: ExecutorId) {
     let wake = shard.wake(slot);
     let mut recorded = shard.recorded.subscribe();
-    let mut overdue = false;
+    let mut due = None;
     loop {
         recorded.mark_unchanged();
         let now = cx.clock.now();
+        let overdue = due.is_some_and(|due| due <= Instant::now());
         match shard.with(|dispatcher| dispatcher.next_hold(slot, overdue, now)) {
             HoldStep::Idle => {
-                overdue = false;
+                due = None;
                 wake.notified().await;
             }
             HoldStep::AwaitRecord => {
-                let changed = tokio::time::timeout(RECORD_OVERDUE, recorded.changed()).await;
-                overdue = changed.is_err();
+                let until = match due.filter(|_| !overdue) {
+                    Some(due) => due,
+                    None => Instant::now() + RECORD_OVERDUE,
+                };
+                due = Some(until);
+                tokio::select! {
+                    // The shard keeps the sender, so that this ends with a change only.
+                    _ = recorded.changed() => {}
+                    () = wake.notified() => {}
+                    () = tokio::time::sleep_until(until) => {}
+                }
             }
             HoldStep::Hold(req) => {
                 hold(&cx, &shard, slot, &id, &req).await;
-                overdue = false;
+                due = None;
             }
         }
     }
--- a/crates/node/src/owner/orders.rs
+++ b/crates/node/src/owner/orders.rs
@@ -74,6 +74,8 @@
     cx.metrics
         .observe("executor.start", label, cx.clock.now().since(began));
     shard.change(|dispatcher| dispatcher.started(&order, outcome, cx.clock.now()));
+    // A hold may wait to know in which life of the executor this run is.
+    shard.wake(order.slot).notify_one();
 }
 
 async fn send_stop(cx: Context, shard: Arc<Shard>, order: StopOrder) {
