See by the head of a lane that a write without an answer took effect

Cause: a write of progress whose answer was lost cost 1.2 s, and its jobs were written again although they were durable, with the answer lost again.

Each attempt now has a number of its own in the head. The head is read every 0.3 s while the answer is due, a conflict shows the attempt that came before, and the jobs of an attempt that took effect are durable and not written again.

Evidence: faults::jobs_end_while_answers_to_writes_are_lost and ledger::what_an_unanswered_write_holds_is_not_written_again; the first ran into its limit of 20 s before.

--- a/crates/jobs/src/record/ledger.rs
+++ b/crates/jobs/src/record/ledger.rs
@@ -72,9 +72,15 @@
         jobs
     }
 
-    /// Notes that a write took effect.
+    /// Notes that a write took effect. What was put back meanwhile and has not changed since need not be written again.
     pub fn written(&mut self, jobs: &[(JobId, RecordNumber)]) {
-        self.durable.extend(jobs.iter().copied());
+        for (job, number) in jobs {
+            if self.changed.get(job) == Some(number) {
+                self.changed.remove(job);
+            }
+            let durable = self.durable.entry(*job).or_default();
+            *durable = number.max(durable).to_owned();
+        }
     }
 
     /// Puts the jobs of a write that failed back, before the others.
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -29,6 +29,18 @@
 }
 
 cases! {
+    /// Guards against progress that is written again and again because only the effect of each write is seen, not its answer.
+    what_an_unanswered_write_holds_is_not_written_again(ledger) {
+        jobs(0..2).into_iter().for_each(|job| { ledger.mark(job); });
+        let taken = ledger.take(RecordLane::FIRST, WRITE);
+        ledger.put_back(&taken);
+        let later = ledger.mark(JobId::new(1));
+        ledger.written(&taken);
+        assert!(ledger.is_durable(taken[0].0, taken[0].1));
+        assert!(!ledger.is_durable(JobId::new(1), later));
+        assert_eq!(take(&mut ledger), jobs(1..2));
+    }
+
     /// Guards against callers that wait seconds for a final state behind progress that nobody asks for, while the store is
     /// slow.
     final_states_come_first(ledger) {
--- a/crates/node/src/owner/keep.rs
+++ b/crates/node/src/owner/keep.rs
@@ -40,7 +40,7 @@
             }
             Some(_) => {}
             None => {
-                match recorder.reassert(&lease).await {
+                match recorder.reassert(&shard, &lease).await {
                     Ok(true) => tracing::info!("owner: ownership written again"),
                     Ok(false) => tokio::time::sleep(RETRY_PAUSE).await,
                     Err(e) => {
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -14,6 +14,7 @@
 mod office;
 mod orders;
 mod outcomes;
+mod position;
 mod recorder;
 mod recover;
 mod run;
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -5,17 +5,21 @@
 use lagoon_jobs::id::{Epoch, JobId};
 use lagoon_jobs::job::JobState;
 use lagoon_jobs::record::{RecordLane, RecordNumber};
-use lagoon_platform::PlatformError;
+use lagoon_platform::{Effect, PlatformError};
 use tokio::sync::{Mutex, MutexGuard, mpsc};
 
 use crate::cell::{Claim, Head, Keys, LeaseHandle, owner_transaction};
 use crate::context::Context;
 use crate::owner::Shard;
+use crate::owner::position::{Position, Written};
 
 /// Time in which changes gather before a write. Each write is billed, and a caller waits for it before it sees an end.
 const GROUP_PAUSE: Duration = Duration::from_millis(25);
 /// Pause after a write that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
+/// Time after which the head of a lane is read to see whether a write took effect. The slowest link takes 40 ms there and back,
+/// a slow store 0.25 s.
+const LOOK_EVERY: Duration = Duration::from_millis(300);
 /// Time between two searches for jobs whose final state was kept long enough.
 const EXPIRE_EVERY: Duration = Duration::from_secs(5);
 
@@ -38,22 +42,25 @@
     step_down: mpsc::Sender<()>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Position {
-    revision: Revision,
-    write: u64,
+/// What became of an attempt to write.
+#[derive(Debug)]
+enum Attempt {
+    /// It took effect.
+    Made,
+    /// It had no effect, but an earlier one without an answer had: the progress of these jobs is durable.
+    Overtaken(Written),
+    /// It had no effect.
+    Failed,
+    /// It was not answered and may take effect.
+    Unknown,
 }
 
 impl Recorder {
     pub(super) fn new(cx: Context, claim: Claim, step_down: mpsc::Sender<()>) -> Self {
-        let position = Position {
-            revision: claim.heads,
-            write: 0,
-        };
         Self {
             cx,
             epoch: claim.epoch,
-            positions: std::array::from_fn(|_| Mutex::new(position)),
+            positions: std::array::from_fn(|_| Mutex::new(Position::new(claim.heads))),
             step_down,
         }
     }
@@ -78,8 +85,8 @@
     /// Writes what fits into one transaction, and asks for another write if something is left.
     async fn write(&self, shard: &Shard, lane: RecordLane) {
         let mut position = self.positions[lane.index()].lock().await;
-        let mut txn = self.begin(lane, *position);
-        let mut jobs: Vec<(JobId, RecordNumber)> = Vec::new();
+        let (number, mut txn) = self.begin(lane, &mut position);
+        let mut jobs = Written::new();
         let records = shard.with(|dispatcher| dispatcher.take_records(lane, txn.room()));
         for (id, number, progress) in records {
             let value = serde_json::to_vec(&progress).expect("progress has string keys");
@@ -97,27 +104,36 @@
         if jobs.is_empty() && leftovers.is_empty() {
             return;
         }
-        let is_written = self.commit(shard, lane, &mut position, txn).await;
+        let attempt = self.commit(shard, lane, &mut position, number, txn).await;
+        if matches!(attempt, Attempt::Unknown) {
+            position.keep_unanswered(number, jobs.clone());
+        }
         drop(position);
-        if is_written {
-            self.cx.metrics.count("records.written", jobs.len() as u64);
-            shard.record_written(&jobs);
-        } else {
+        if !matches!(attempt, Attempt::Made) {
             shard.with(|dispatcher| {
                 dispatcher.not_recorded(&jobs);
                 dispatcher.put_back_leftovers(leftovers);
             });
-            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        match attempt {
+            Attempt::Made => self.note_written(shard, &jobs),
+            Attempt::Overtaken(earlier) => self.note_written(shard, &earlier),
+            Attempt::Failed | Attempt::Unknown => tokio::time::sleep(RETRY_PAUSE).await,
         }
         if shard.with(|dispatcher| dispatcher.records_waiting(lane)) > 0 {
             shard.to_record[lane.index()].notify_one();
         }
     }
 
+    fn note_written(&self, shard: &Shard, jobs: &[(JobId, RecordNumber)]) {
+        self.cx.metrics.count("records.written", jobs.len() as u64);
+        shard.record_written(jobs);
+    }
+
     async fn remove_expired(&self, shard: &Shard, lane: RecordLane) {
         loop {
             let mut position = self.positions[lane.index()].lock().await;
-            let mut txn = self.begin(lane, *position);
+            let (number, mut txn) = self.begin(lane, &mut position);
             let max = txn.room() / MAX_KEYS_A_JOB;
             let expired =
                 shard.with(|dispatcher| dispatcher.expired(lane, max, self.cx.clock.now()));
@@ -130,7 +146,10 @@
                     .remove(Keys::cancelled(*id))
                     .remove(Keys::progress(*id));
             }
-            if !self.commit(shard, lane, &mut position, txn).await {
+            if !self
+                .commit_other(shard, lane, &mut position, number, txn)
+                .await
+            {
                 return;
             }
             shard.with(|dispatcher| dispatcher.forget(&expired));
@@ -153,7 +172,7 @@
     async fn write_fleet(&self, shard: &Shard) -> bool {
         let lane = RecordLane::FIRST;
         let mut position = self.positions[lane.index()].lock().await;
-        let mut txn = self.begin(lane, *position);
+        let (number, mut txn) = self.begin(lane, &mut position);
         let new = shard.with(|dispatcher| dispatcher.unrecorded_executors(txn.room()));
         for (_, record) in &new {
             let value = serde_json::to_vec(record).expect("records have string keys");
@@ -167,7 +186,9 @@
         if new.is_empty() && gone.is_empty() {
             return true;
         }
-        let is_written = self.commit(shard, lane, &mut position, txn).await;
+        let is_written = self
+            .commit_other(shard, lane, &mut position, number, txn)
+            .await;
         drop(position);
         if is_written {
             shard.change(|dispatcher| dispatcher.executors_recorded(&new));
@@ -178,29 +199,34 @@
     }
 
     /// Writes the owner's key again after it was lost, if no other member has claimed the cell.
-    pub(super) async fn reassert(&self, lease: &LeaseHandle) -> Result<bool, PlatformError> {
+    pub(super) async fn reassert(
+        &self,
+        shard: &Shard,
+        lease: &LeaseHandle,
+    ) -> Result<bool, PlatformError> {
         let Some(lease) = *lease.borrow() else {
             return Ok(false);
         };
         // Each lane is locked until the end, so that no write is under way whose revision the claim would miss.
-        let mut positions: Vec<MutexGuard<'_, Position>> = Vec::new();
-        for position in &self.positions {
-            positions.push(position.lock().await);
+        let mut positions: Vec<(RecordLane, u64, MutexGuard<'_, Position>)> = Vec::new();
+        for lane in RecordLane::all() {
+            let mut position = self.positions[lane.index()].lock().await;
+            positions.push((lane, position.next_attempt(), position));
         }
-        let heads = RecordLane::all().zip(&positions);
-        let heads = heads.map(|(lane, at)| (lane, at.revision, self.head(**at)));
+        let heads = positions.iter();
+        let heads = heads.map(|(lane, number, at)| (*lane, at.revision, self.head(*number)));
         let txn = owner_transaction(&self.cx, self.epoch, Revision::default(), heads, lease);
         match self.cx.store.commit(txn).await? {
             TxnOutcome::Committed(revision) => {
-                for position in &mut positions {
-                    position.revision = revision;
-                    position.write += 1;
+                for (_, number, position) in &mut positions {
+                    position.advance(revision, *number);
                 }
                 Ok(true)
             }
             TxnOutcome::Conflict(items) => {
-                for (lane, position) in RecordLane::all().zip(&mut positions) {
-                    self.follow_head(lane, position, &items);
+                for (lane, _, position) in &mut positions {
+                    let written = self.follow_head(*lane, position, &items);
+                    self.note_written(shard, &written);
                 }
                 Ok(false)
             }
@@ -208,69 +234,121 @@
         }
     }
 
-    fn head(&self, position: Position) -> Head {
+    fn head(&self, write: u64) -> Head {
         Head {
             epoch: self.epoch,
-            write: position.write + 1,
+            write,
         }
     }
 
-    fn begin(&self, lane: RecordLane, position: Position) -> Transaction {
-        let key = Keys::head(lane);
-        Transaction::new()
+    /// Begins a write with the number of the attempt, which the head of the lane tells once it has taken effect.
+    fn begin(&self, lane: RecordLane, position: &mut Position) -> (u64, Transaction) {
+        let (key, number) = (Keys::head(lane), position.next_attempt());
+        let txn = Transaction::new()
             .expect(key.clone(), position.revision)
-            .put(key, self.head(position).encode())
+            .put(key, self.head(number).encode());
+        (number, txn)
     }
 
-    /// Commits a write; true if it took effect, which confirms the ownership.
-    async fn commit(
+    /// Commits a write without progress of jobs; true if it took effect.
+    async fn commit_other(
         &self,
         shard: &Shard,
         lane: RecordLane,
         position: &mut Position,
+        number: u64,
         txn: Transaction,
     ) -> bool {
+        match self.commit(shard, lane, position, number, txn).await {
+            Attempt::Made => true,
+            Attempt::Overtaken(earlier) => {
+                self.note_written(shard, &earlier);
+                false
+            }
+            Attempt::Failed | Attempt::Unknown => false,
+        }
+    }
+
+    /// Commits a write. One that takes effect confirms the ownership.
+    async fn commit(
+        &self,
+        shard: &Shard,
+        lane: RecordLane,
+        position: &mut Position,
+        number: u64,
+        txn: Transaction,
+    ) -> Attempt {
         let began = self.cx.clock.now();
-        let answer = self.cx.store.commit(txn).await;
+        let answer = tokio::select! {
+            answer = self.cx.store.commit(txn) => answer,
+            revision = self.see_effect(lane, number) => Ok(TxnOutcome::Committed(revision)),
+        };
         let label = if answer.is_ok() { "answered" } else { "failed" };
         let time = self.cx.clock.now().since(began);
         self.cx.metrics.observe("record.write", label, time);
         match answer {
             Ok(TxnOutcome::Committed(revision)) => {
-                position.revision = revision;
-                position.write += 1;
+                position.advance(revision, number);
                 shard.with(|dispatcher| dispatcher.confirm(began));
-                true
+                Attempt::Made
             }
             Ok(TxnOutcome::Conflict(items)) => {
-                self.follow_head(lane, position, &items);
-                false
+                let earlier = self.follow_head(lane, position, &items);
+                match earlier.is_empty() {
+                    true => Attempt::Failed,
+                    false => Attempt::Overtaken(earlier),
+                }
             }
-            Ok(TxnOutcome::LeaseEnded) => false,
+            Ok(TxnOutcome::LeaseEnded) => Attempt::Failed,
             Err(e) => {
                 tracing::warn!(%lane, "owner: progress not written: {e}");
-                false
+                match e.effect() {
+                    Effect::None => Attempt::Failed,
+                    Effect::Unknown => Attempt::Unknown,
+                }
             }
         }
     }
 
-    /// Takes over the revision of a write of ours that was not answered, or steps down for a later owner.
-    fn follow_head(&self, lane: RecordLane, position: &mut Position, items: &[StoreItem]) {
+    /// Returns the revision of a write once the head of its lane tells that it took effect. Ends of jobs wait for this, and an
+    /// answer that is lost is otherwise noticed only when the time for it is over.
+    async fn see_effect(&self, lane: RecordLane, number: u64) -> Revision {
+        loop {
+            tokio::time::sleep(LOOK_EVERY).await;
+            match self.cx.store.get(&Keys::head(lane)).await {
+                Ok(Some(item)) if Head::read(&item) == self.head(number) => {
+                    tracing::info!(%lane, write = number, "owner: a write without an answer took effect");
+                    return item.revision;
+                }
+                Ok(_) => {}
+                Err(e) => tracing::debug!(%lane, "owner: head not read: {e}"),
+            }
+        }
+    }
+
+    /// Takes over the revision of a write of ours that was not answered, and returns the jobs whose progress it holds, or
+    /// steps down for a later owner.
+    fn follow_head(
+        &self,
+        lane: RecordLane,
+        position: &mut Position,
+        items: &[StoreItem],
+    ) -> Written {
         let key = Keys::head(lane);
         let item = items.iter().find(|item| item.key == key);
         match item.map(|item| (item, Head::read(item))) {
             Some((item, found)) if found.epoch == self.epoch => {
-                if found.write != position.write {
+                if item.revision != position.revision {
                     tracing::info!(%lane, write = found.write, "owner: a write without an answer took effect");
                 }
-                position.revision = item.revision;
-                position.write = found.write;
+                position.advance(item.revision, found.write)
             }
             found => {
                 let epoch = found.map(|(_, head)| head.epoch.get());
                 tracing::warn!(%lane, found = epoch, own = %self.epoch, "owner: a later owner has claimed the cell");
                 // A full channel means that the step is already under way.
                 let _ = self.step_down.try_send(());
+                Written::new()
             }
         }
     }
--- a/crates/node/tests/node/faults.rs
+++ b/crates/node/tests/node/faults.rs
@@ -44,6 +44,18 @@
         cell.check();
     }
 
+    /// Guards against jobs that are not done for as long as the store loses the answers to writes, although it does these.
+    jobs_end_while_answers_to_writes_are_lost {
+        let cell = Cell::start(1, 1).await;
+        cell.submit_until_accepted(0, JOB, "ms=600", json!([{"count": 4, "cpu": 1000}, {"count": 1, "cpu": 1000, "after": [0]}])).await;
+        cell.wait_for_starts(4).await;
+        cell.site.set_store_fault(StoreFault::LosesWriteAnswers);
+        cell.wait_for_state(0, JOB, "done").await;
+        cell.site.set_store_fault(StoreFault::None);
+        assert_eq!(cell.site.log().starts().len(), 5);
+        cell.check();
+    }
+
     /// Guards against a refusal that is not true: a submission whose write was not answered may be stored.
     a_lost_answer_is_no_refusal {
         let cell = Cell::start(1, 1).await;
--- a/crates/standin/src/site/kv_api.rs
+++ b/crates/standin/src/site/kv_api.rs
@@ -109,7 +109,7 @@
         });
         return std::future::pending().await;
     }
-    call(&shared, |state| {
+    let answer = call(&shared, |state| {
         let writes = body["writes"].as_array().cloned().unwrap_or_default();
         let leases = writes.iter().filter_map(|write| write["lease"].as_u64());
         if leases.into_iter().any(|lease| !state.has_lease(lease)) {
@@ -123,7 +123,11 @@
             }
         }
     })
-    .await
+    .await;
+    if lock(&shared).fault == StoreFault::LosesWriteAnswers && answer.status().is_success() {
+        std::future::pending::<()>().await;
+    }
+    answer
 }
 
 async fn lease(State(shared): State<Shared>, Json(body): Json<Value>) -> Response {
--- a/crates/standin/src/site/kv_state.rs
+++ b/crates/standin/src/site/kv_state.rs
@@ -14,6 +14,8 @@
     Busy,
     /// It does what a call asks and does not answer.
     LosesAnswers,
+    /// It does writes and does not answer them; reads are answered.
+    LosesWriteAnswers,
     /// It does not answer writes, and does them a while later if their conditions still hold.
     LateWrites,
 }
