--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -4,12 +4,14 @@
 //! executor, records to write, or time. Each changes the dispatcher under its lock and leaves the calls that follow from
 //! it to [`orders`].
 
+mod attempt;
 mod confirm;
 mod drive_executor;
 mod follow_executors;
 mod follow_jobs;
 mod heard;
 mod keep;
+mod lanes;
 mod look;
 mod office;
 mod orders;
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -1,25 +1,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lagoon_adapter::store::{Revision, StoreItem, Transaction, TxnOutcome};
-use lagoon_jobs::id::{Epoch, JobId};
+use lagoon_adapter::store::Transaction;
+use lagoon_jobs::id::JobId;
 use lagoon_jobs::job::JobState;
 use lagoon_jobs::record::{RecordLane, RecordNumber};
-use lagoon_platform::{Effect, PlatformError};
-use tokio::sync::{Mutex, MutexGuard, mpsc};
+use lagoon_platform::PlatformError;
+use tokio::sync::mpsc;
 
-use crate::cell::{Claim, Head, Keys, LeaseHandle, owner_transaction};
+use crate::cell::{Claim, Keys, LeaseHandle};
 use crate::context::Context;
 use crate::owner::Shard;
+use crate::owner::attempt::Attempt;
+use crate::owner::lanes::Lanes;
 use crate::owner::position::{Position, Written};
 
 /// Time in which changes gather before a write. Each write is billed, and a caller waits for it before it sees an end.
 const GROUP_PAUSE: Duration = Duration::from_millis(25);
 /// Pause after a write that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
-/// Time after which the head of a lane is read to see whether a write took effect. The slowest link takes 40 ms there and back,
-/// a slow store 0.25 s.
-const LOOK_EVERY: Duration = Duration::from_millis(300);
 /// Time between two searches for jobs whose final state was kept long enough.
 const EXPIRE_EVERY: Duration = Duration::from_secs(5);
 
@@ -32,36 +31,18 @@
 /// Most of them that are left over once its final state is durable.
 const LEFTOVER_KEYS: usize = MAX_KEYS_A_JOB - 1;
 
-/// Writes progress to the store, in lanes that do not wait for each other. Every write has the head of its lane as its
-/// condition, so that none takes effect after a later owner has claimed the cell, and none late after a newer one.
+/// Writes progress to the store, in lanes that do not wait for each other.
 #[derive(Debug)]
 pub(super) struct Recorder {
     cx: Context,
-    epoch: Epoch,
-    positions: [Mutex<Position>; RecordLane::COUNT],
-    step_down: mpsc::Sender<()>,
-}
-
-/// What became of an attempt to write.
-#[derive(Debug)]
-enum Attempt {
-    /// It took effect.
-    Made,
-    /// It had no effect, but an earlier one without an answer had: the progress of these jobs is durable.
-    Overtaken(Written),
-    /// It had no effect.
-    Failed,
-    /// It was not answered and may take effect.
-    Unknown,
+    lanes: Lanes,
 }
 
 impl Recorder {
     pub(super) fn new(cx: Context, claim: Claim, step_down: mpsc::Sender<()>) -> Self {
         Self {
+            lanes: Lanes::new(cx.clone(), claim, step_down),
             cx,
-            epoch: claim.epoch,
-            positions: std::array::from_fn(|_| Mutex::new(Position::new(claim.heads))),
-            step_down,
         }
     }
 
@@ -84,8 +65,8 @@
 
     /// Writes what fits into one transaction, and asks for another write if something is left.
     async fn write(&self, shard: &Shard, lane: RecordLane) {
-        let mut position = self.positions[lane.index()].lock().await;
-        let (number, mut txn) = self.begin(lane, &mut position);
+        let mut position = self.lanes.lock(lane).await;
+        let (number, mut txn) = self.lanes.begin(lane, &mut position);
         let mut jobs = Written::new();
         let records = shard.with(|dispatcher| dispatcher.take_records(lane, txn.room()));
         for (id, number, progress) in records {
@@ -104,7 +85,10 @@
         if jobs.is_empty() && leftovers.is_empty() {
             return;
         }
-        let attempt = self.commit(shard, lane, &mut position, number, txn).await;
+        let attempt = self
+            .lanes
+            .commit(shard, lane, &mut position, number, txn)
+            .await;
         if matches!(attempt, Attempt::Unknown) {
             position.keep_unanswered(number, jobs.clone());
         }
@@ -132,8 +116,8 @@
 
     async fn remove_expired(&self, shard: &Shard, lane: RecordLane) {
         loop {
-            let mut position = self.positions[lane.index()].lock().await;
-            let (number, mut txn) = self.begin(lane, &mut position);
+            let mut position = self.lanes.lock(lane).await;
+            let (number, mut txn) = self.lanes.begin(lane, &mut position);
             let max = txn.room() / MAX_KEYS_A_JOB;
             let expired =
                 shard.with(|dispatcher| dispatcher.expired(lane, max, self.cx.clock.now()));
@@ -171,8 +155,8 @@
     /// Writes what fits into one transaction; true if nothing was left to write.
     async fn write_fleet(&self, shard: &Shard) -> bool {
         let lane = RecordLane::FIRST;
-        let mut position = self.positions[lane.index()].lock().await;
-        let (number, mut txn) = self.begin(lane, &mut position);
+        let mut position = self.lanes.lock(lane).await;
+        let (number, mut txn) = self.lanes.begin(lane, &mut position);
         let new = shard.with(|dispatcher| dispatcher.unrecorded_executors(txn.room()));
         for (_, record) in &new {
             let value = serde_json::to_vec(record).expect("records have string keys");
@@ -207,47 +191,9 @@
         let Some(lease) = *lease.borrow() else {
             return Ok(false);
         };
-        // Each lane is locked until the end, so that no write is under way whose revision the claim would miss.
-        let mut positions: Vec<(RecordLane, u64, MutexGuard<'_, Position>)> = Vec::new();
-        for lane in RecordLane::all() {
-            let mut position = self.positions[lane.index()].lock().await;
-            positions.push((lane, position.next_attempt(), position));
-        }
-        let heads = positions.iter();
-        let heads = heads.map(|(lane, number, at)| (*lane, at.revision, self.head(*number)));
-        let txn = owner_transaction(&self.cx, self.epoch, Revision::default(), heads, lease);
-        match self.cx.store.commit(txn).await? {
-            TxnOutcome::Committed(revision) => {
-                for (_, number, position) in &mut positions {
-                    position.advance(revision, *number);
-                }
-                Ok(true)
-            }
-            TxnOutcome::Conflict(items) => {
-                for (lane, _, position) in &mut positions {
-                    let written = self.follow_head(*lane, position, &items);
-                    self.note_written(shard, &written);
-                }
-                Ok(false)
-            }
-            TxnOutcome::LeaseEnded => Ok(false),
-        }
-    }
-
-    fn head(&self, write: u64) -> Head {
-        Head {
-            epoch: self.epoch,
-            write,
-        }
-    }
-
-    /// Begins a write with the number of the attempt, which the head of the lane tells once it has taken effect.
-    fn begin(&self, lane: RecordLane, position: &mut Position) -> (u64, Transaction) {
-        let (key, number) = (Keys::head(lane), position.next_attempt());
-        let txn = Transaction::new()
-            .expect(key.clone(), position.revision)
-            .put(key, self.head(number).encode());
-        (number, txn)
+        let (is_written, earlier) = self.lanes.reassert(lease).await?;
+        self.note_written(shard, &earlier);
+        Ok(is_written)
     }
 
     /// Commits a write without progress of jobs; true if it took effect.
@@ -259,7 +205,7 @@
         number: u64,
         txn: Transaction,
     ) -> bool {
-        match self.commit(shard, lane, position, number, txn).await {
+        match self.lanes.commit(shard, lane, position, number, txn).await {
             Attempt::Made => true,
             Attempt::Overtaken(earlier) => {
                 self.note_written(shard, &earlier);
@@ -268,88 +214,4 @@
             Attempt::Failed | Attempt::Unknown => false,
         }
     }
-
-    /// Commits a write. One that takes effect confirms the ownership.
-    async fn commit(
-        &self,
-        shard: &Shard,
-        lane: RecordLane,
-        position: &mut Position,
-        number: u64,
-        txn: Transaction,
-    ) -> Attempt {
-        let began = self.cx.clock.now();
-        let answer = tokio::select! {
-            answer = self.cx.store.commit(txn) => answer,
-            revision = self.see_effect(lane, number) => Ok(TxnOutcome::Committed(revision)),
-        };
-        let label = if answer.is_ok() { "answered" } else { "failed" };
-        let time = self.cx.clock.now().since(began);
-        self.cx.metrics.observe("record.write", label, time);
-        match answer {
-            Ok(TxnOutcome::Committed(revision)) => {
-                position.advance(revision, number);
-                shard.with(|dispatcher| dispatcher.confirm(began));
-                Attempt::Made
-            }
-            Ok(TxnOutcome::Conflict(items)) => {
-                let earlier = self.follow_head(lane, position, &items);
-                match earlier.is_empty() {
-                    true => Attempt::Failed,
-                    false => Attempt::Overtaken(earlier),
-                }
-            }
-            Ok(TxnOutcome::LeaseEnded) => Attempt::Failed,
-            Err(e) => {
-                tracing::warn!(%lane, "owner: progress not written: {e}");
-                match e.effect() {
-                    Effect::None => Attempt::Failed,
-                    Effect::Unknown => Attempt::Unknown,
-                }
-            }
-        }
-    }
-
-    /// Returns the revision of a write once the head of its lane tells that it took effect. Ends of jobs wait for this, and an
-    /// answer that is lost is otherwise noticed only when the time for it is over.
-    async fn see_effect(&self, lane: RecordLane, number: u64) -> Revision {
-        loop {
-            tokio::time::sleep(LOOK_EVERY).await;
-            match self.cx.store.get(&Keys::head(lane)).await {
-                Ok(Some(item)) if Head::read(&item) == self.head(number) => {
-                    tracing::info!(%lane, write = number, "owner: a write without an answer took effect");
-                    return item.revision;
-                }
-                Ok(_) => {}
-                Err(e) => tracing::debug!(%lane, "owner: head not read: {e}"),
-            }
-        }
-    }
-
-    /// Takes over the revision of a write of ours that was not answered, and returns the jobs whose progress it holds, or
-    /// steps down for a later owner.
-    fn follow_head(
-        &self,
-        lane: RecordLane,
-        position: &mut Position,
-        items: &[StoreItem],
-    ) -> Written {
-        let key = Keys::head(lane);
-        let item = items.iter().find(|item| item.key == key);
-        match item.map(|item| (item, Head::read(item))) {
-            Some((item, found)) if found.epoch == self.epoch => {
-                if item.revision != position.revision {
-                    tracing::info!(%lane, write = found.write, "owner: a write without an answer took effect");
-                }
-                position.advance(item.revision, found.write)
-            }
-            found => {
-                let epoch = found.map(|(_, head)| head.epoch.get());
-                tracing::warn!(%lane, found = epoch, own = %self.epoch, "owner: a later owner has claimed the cell");
-                // A full channel means that the step is already under way.
-                let _ = self.step_down.try_send(());
-                Written::new()
-            }
-        }
-    }
 }
