Attribute runs to a life of their executor by when lists were asked for

A run that was confirmed before a list of the present life was asked for can't be of a later life, so it is attributed to that life now, and starts without an answer are stopped whether or not the list is complete.

The life that made a list was alive after the list was asked for, not after it arrived; time counts from the question now.

ends::a_run_that_ended_on_the_next_page_holds_back_no_acknowledgement and restarts::a_clock_counts_from_the_question_for_the_last_list were seen to fail with the changes taken out.

--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -36,7 +36,7 @@
             tracing::debug!(executor = %executor.entry.id, "dispatch: list of an earlier life ignored");
             return;
         }
-        executor.clock.read(listing.executor_ms, now);
+        executor.clock.read(listing.executor_ms, asked, now);
         let is_first = executor.heard.is_none();
         executor.heard = Some(now);
         executor.is_silent = false;
@@ -58,6 +58,8 @@
             present.insert((row.task, row.number));
             self.apply_row(slot, row, now);
         }
+        self.attribute_runs(slot, asked);
+        self.stop_missing(slot, &present, asked);
         if listing.complete {
             self.unheard.remove(&slot);
             self.fleet.get_mut(slot).has_listed_all = true;
@@ -99,6 +101,24 @@
         self.jobs.set_started(row.task.job());
     }
 
+    /// Stops runs that a list lacks although the answer to their start was given up before it was asked for.
+    fn stop_missing(
+        &mut self,
+        slot: ExecutorSlot,
+        present: &HashSet<(TaskKey, RunNumber)>,
+        asked: Timestamp,
+    ) {
+        for task in self.missing(slot, present) {
+            let phase = self.runs.get(task).map(|run| run.phase);
+            if matches!(phase, Some(RunPhase::Unconfirmed { since }) if since < asked) {
+                self.stop(task);
+                if self.is_gang(task.step()) {
+                    self.stop_step(task);
+                }
+            }
+        }
+    }
+
     /// Drops runs that a complete list lacks although the executor had confirmed them before it was asked.
     fn drop_missing(
         &mut self,
@@ -106,14 +126,10 @@
         present: &HashSet<(TaskKey, RunNumber)>,
         asked: Timestamp,
     ) {
-        let tasks: Vec<TaskKey> = self.fleet.get(slot).tasks.iter().copied().collect();
-        for task in tasks {
+        for task in self.missing(slot, present) {
             let Some(run) = self.runs.get(task) else {
                 continue;
             };
-            if present.contains(&(task, run.number)) {
-                continue;
-            }
             match run.phase {
                 RunPhase::Running { since } if since < asked => {
                     let executor = &self.fleet.get(slot).entry.id;
@@ -126,17 +142,21 @@
                 RunPhase::Stopping {
                     confirmed: Some(at),
                 } if at < asked => self.drop_run(task),
-                RunPhase::Unconfirmed { since } if since < asked => {
-                    self.stop(task);
-                    if self.is_gang(task.step()) {
-                        self.stop_step(task);
-                    }
-                }
                 _ => {}
             }
         }
     }
 
+    /// Returns the tasks of an executor whose runs a list lacks.
+    fn missing(&self, slot: ExecutorSlot, present: &HashSet<(TaskKey, RunNumber)>) -> Vec<TaskKey> {
+        let tasks = self.fleet.get(slot).tasks.iter().copied();
+        let is_missing = |task: &TaskKey| {
+            let run = self.runs.get(*task);
+            run.is_some_and(|run| !present.contains(&(*task, run.number)))
+        };
+        tasks.filter(is_missing).collect()
+    }
+
     fn check_stalled(&mut self, task: TaskKey, now: Timestamp) {
         let Some(run) = self.runs.get(task) else {
             return;
--- a/crates/jobs/src/dispatch/lives.rs
+++ b/crates/jobs/src/dispatch/lives.rs
@@ -59,6 +59,25 @@
         runs.all(|run| run.life.is_some() && run.life == executor.life)
     }
 
+    /// Notes the life of runs that were confirmed, or whose stop was, before a list of the present life was asked for: no later
+    /// life can have begun them.
+    pub(super) fn attribute_runs(&mut self, slot: ExecutorSlot, asked: Timestamp) {
+        let executor = self.fleet.get(slot);
+        for task in &executor.tasks {
+            let Some(run) = self.runs.get_mut(*task) else {
+                continue;
+            };
+            let settled = match run.phase {
+                RunPhase::Running { since } => Some(since),
+                RunPhase::Stopping { confirmed } => confirmed,
+                RunPhase::Starting | RunPhase::Unconfirmed { .. } => None,
+            };
+            if run.life.is_none() && settled.is_some_and(|at| at < asked) {
+                run.life = executor.life;
+            }
+        }
+    }
+
     /// Drops a run that ended with an earlier life of its executor. Any other waits for a list of the new life: an order to
     /// start may still arrive there, or the new life has carried it out.
     fn lose_run(&mut self, task: TaskKey, life: Option<Life>) {
--- a/crates/jobs/src/fleet/lease_clock.rs
+++ b/crates/jobs/src/fleet/lease_clock.rs
@@ -11,25 +11,27 @@
 pub struct LeaseClock {
     /// Reading of the executor's clock, and when it arrived here.
     reading: Option<(u64, Timestamp)>,
+    /// When the last list of the life that is read was asked for. It was alive after that.
+    asked: Timestamp,
     lapsed_at: Timestamp,
 }
 
 impl LeaseClock {
-    /// Takes a reading of the executor's clock in milliseconds.
-    pub fn read(&mut self, executor_ms: u64, now: Timestamp) {
+    /// Takes a reading of the executor's clock in milliseconds, from an answer to a call that was sent at `asked`.
+    pub fn read(&mut self, executor_ms: u64, asked: Timestamp, now: Timestamp) {
+        self.asked = self.asked.max(asked);
         // An answer that was overtaken carries an older reading; the newer one is closer.
         if self.reading.is_none_or(|(known, _)| executor_ms >= known) {
             self.reading = Some((executor_ms, now));
         }
     }
 
-    /// Tells whether a reading that arrives now is of the life that was read last. The clock of a life that began since starts
-    /// at zero, so it can't have come further than the time that has passed.
+    /// Tells whether a reading that arrives now is of the life that was read last. A later life began after the last list was
+    /// asked for, and its clock, which starts at zero, can't have come further than the time since.
     pub fn is_of_same_life(&self, executor_ms: u64, now: Timestamp) -> bool {
-        self.reading.is_some_and(|(_, at)| {
-            let passed = now.since(at).get();
-            executor_ms > passed + passed * DRIFT_PERCENT / 100
-        }) && !self.has_gone_back(executor_ms)
+        let passed = now.since(self.asked).get();
+        let is_older = executor_ms > passed + passed * DRIFT_PERCENT / 100;
+        self.is_known() && is_older && !self.has_gone_back(executor_ms)
     }
 
     /// Tells whether a reading is of a life that began since the last one.
@@ -41,6 +43,7 @@
     /// Forgets the reading, because the clock of a new life starts anew.
     pub fn restart(&mut self) {
         self.reading = None;
+        self.asked = Timestamp::default();
     }
 
     /// Returns the time on the executor's clock at which a lease granted now ends, and remembers the grant; `None`
--- a/crates/jobs/tests/dispatch/ends.rs
+++ b/crates/jobs/tests/dispatch/ends.rs
@@ -5,9 +5,9 @@
 use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::id::{StepKey, TaskKey};
 use lagoon_jobs::job::{JobState, Progress};
-use lagoon_jobs::run::{EndKind, Listing};
+use lagoon_jobs::run::{EndKind, Listing, StartOutcome};
 
-use crate::world::{World, end, job_id, listing, record, recovering, starts, step};
+use crate::world::{World, end, job_id, listing, record, recovering, starts, step, stops};
 
 /// Job that the owner does not know yet.
 const UNKNOWN: u64 = 9;
@@ -73,6 +73,28 @@
         assert!(matches!(world.dispatcher.next_hold(slot, true, world.now), HoldStep::Hold(_)));
     }
 
+    /// Guards against an executor whose ends are never acknowledged, because the end of a run whose start was not answered is on
+    /// the next page.
+    a_run_that_ended_on_the_next_page_holds_back_no_acknowledgement {
+        let mut world = World::with(&[("e1", 8)]);
+        world.submit(1, "urgent", vec![step(2, 1)]);
+        let orders = starts(&world.plan());
+        for (order, outcome) in orders.iter().zip([StartOutcome::Started { executor_ms: None }, StartOutcome::Unknown]) {
+            world.dispatcher.started(order, outcome, world.now);
+        }
+        world.submit(2, "urgent", vec![step(1, 9)]);
+        world.pass(1);
+        let ended = end(1, task(2), 1, EndKind::Failed);
+        let page = |now| Listing { complete: false, ..listing(now, &[], vec![ended.clone()]) };
+        world.dispatcher.listed(ExecutorSlot::new(0), &page(world.now), world.now, world.now);
+        let stop = stops(&world.plan()).remove(0);
+        world.dispatcher.stop_confirmed(&stop, world.now);
+        world.pass(1);
+        world.dispatcher.listed(ExecutorSlot::new(0), &page(world.now), world.now, world.now);
+        world.record_all();
+        assert_eq!(world.acknowledged(0), Some(1));
+    }
+
     /// Guards against inherited work that waits for ever for an executor that listed a part of its ends and went silent.
     inherited_work_does_not_outwait_a_lease {
         let now = Timestamp::from_millis(1_000);
--- a/crates/jobs/tests/dispatch/restarts.rs
+++ b/crates/jobs/tests/dispatch/restarts.rs
@@ -2,7 +2,7 @@
 
 use lagoon_core::unit::{Millis, Timestamp};
 use lagoon_jobs::dispatch::{HoldStep, StartOrder};
-use lagoon_jobs::fleet::ExecutorEntry;
+use lagoon_jobs::fleet::{ExecutorEntry, ExecutorSlot};
 use lagoon_jobs::id::{Life, TaskKey};
 use lagoon_jobs::run::{EndKind, EndedRow, Listing, StartOutcome};
 
@@ -78,6 +78,21 @@
         assert_eq!(world.acknowledged(0), Some(0));
     }
 
+    /// Guards against a run of a new life that is taken for one of the earlier life, whose list was long on its way.
+    a_clock_counts_from_the_question_for_the_last_list {
+        let mut world = World::with(&[("e1", 4), ("e2", 4)]);
+        let asked = world.now;
+        world.pass(400);
+        let list = Listing { executor_ms: 1_020, ..listing(world.now, &[], vec![]) };
+        for slot in 0..2 {
+            world.dispatcher.listed(ExecutorSlot::new(slot), &list, asked, world.now);
+        }
+        world.submit(1, "urgent", vec![step(1, 4)]);
+        let order = start(&mut world, Some(380));
+        world.dispatcher.observe(reborn(order.executor.as_str()), world.now);
+        assert!(starts(&world.plan()).is_empty());
+    }
+
     /// Guards against a new life that is noticed only by a later list although the answer to a start shows its clock.
     a_clock_that_went_back_has_the_executor_asked_at_once {
         let mut world = World::with(&[("e1", 4)]);
