Grant leases by the slowest clock that an executor may have

A task could run twice at the same time after a takeover: the earlier owner's last start lasted longer than its successor waits.

Cause: a lease was granted up to a time on the executor's clock, worked out from the last reading as if that clock kept time. It also did not count on an owner's lease in the store that is longer than 3 s.

The grant now takes the clock for the slowest that it may be, so that a lease ends in time whatever the reading's age. An idle executor is asked for its clock every 65 s, because such a lease is shorter than meant on a clock that keeps time. The successor counts on the longer of the two times.

--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -45,7 +45,8 @@
 
 impl Core {
     pub(super) fn new(epoch: Epoch, limits: DispatchLimits, now: Timestamp) -> Self {
-        let lapse = limits.owner_lapse.saturating_add(limits.lease);
+        let lapse = limits.owner_lapse.max(limits.owner_lease);
+        let lapse = lapse.saturating_add(limits.lease);
         // An executor's clock may be 2% slow, rounded up here.
         let slack = Millis::new(limits.lease.get() / 30);
         Self {
--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -19,7 +19,8 @@
         let is_asked = executor.availability != Availability::Unlisted || executor.is_recorded;
         let awaits = executor.ends.awaits_record(&core.ledger);
         let has_unsent = executor.ends.has_unsent();
-        let has_reason = !is_empty || is_first && is_asked || has_more || has_unsent;
+        let is_outdated = is_asked && !executor.is_silent && executor.clock.is_outdated(now);
+        let has_reason = !is_empty || is_first && is_asked || has_more || has_unsent || is_outdated;
         if !has_reason {
             return match awaits || executor.ends.awaits_job() {
                 true => HoldStep::AwaitRecord,
--- a/crates/jobs/src/fleet/lease_clock.rs
+++ b/crates/jobs/src/fleet/lease_clock.rs
@@ -6,6 +6,9 @@
 /// Time by which an answer may be older than one that arrived before it; the time for which an order's answer is waited for.
 const OVERTAKEN: Millis = Millis::new(1_000);
 
+/// Age of a reading at which an idle executor is asked for another: leases granted on it are two seconds shorter.
+const MAX_READING_AGE: Millis = Millis::new(65_000);
+
 /// Relates the steady clock of an executor to ours and bounds when its runs have lapsed for certain.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LeaseClock {
@@ -47,10 +50,12 @@
     }
 
     /// Returns the time on the executor's clock at which a lease granted now ends, and remembers the grant; `None`
-    /// before the first reading.
+    /// before the first reading. The clock is taken for the slowest that it may be, so that no lease lasts longer than `lease`
+    /// on that clock, however old the reading is: a later owner counts on it.
     pub fn grant(&mut self, lease: Millis, now: Timestamp) -> Option<u64> {
         let (executor_ms, at) = self.reading?;
-        let ahead = now.since(at).get() + lease.get();
+        let passed = now.since(at).get();
+        let ahead = passed - passed * DRIFT_PERCENT / 100 + lease.get();
         let longest = ahead + ahead * DRIFT_PERCENT / 100;
         self.lapsed_at = self.lapsed_at.max(at.after(Millis::new(longest)));
         Some(executor_ms + ahead)
@@ -67,6 +72,12 @@
         now > self.lapsed_at
     }
 
+    /// Tells whether the reading is so old that leases granted on it would be much shorter than meant.
+    pub fn is_outdated(&self, now: Timestamp) -> bool {
+        self.reading
+            .is_some_and(|(_, at)| now.since(at) > MAX_READING_AGE)
+    }
+
     /// Tells whether the executor's clock has been read.
     pub fn is_known(&self) -> bool {
         self.reading.is_some()
--- a/crates/jobs/tests/dispatch/leases.rs
+++ b/crates/jobs/tests/dispatch/leases.rs
@@ -113,6 +113,20 @@
         assert_eq!(starts(&world.plan()).len(), 1);
     }
 
+    /// Guards against leases that are much shorter than meant, because the clock of an idle executor was read long before.
+    an_idle_executor_is_asked_for_its_clock_now_and_then {
+        let mut world = World::with(&[("e1", 4)]);
+        world.pass(60_000);
+        assert!(matches!(world.dispatcher.next_hold(ExecutorSlot::new(0), false, world.now), HoldStep::Idle));
+        world.pass(6_000);
+        let HoldStep::Hold(req) = world.dispatcher.next_hold(ExecutorSlot::new(0), false, world.now) else {
+            panic!("the executor is not asked");
+        };
+        assert_eq!(req.wait, Millis::ZERO);
+        world.list(0, &[], vec![]);
+        assert!(matches!(world.dispatcher.next_hold(ExecutorSlot::new(0), false, world.now), HoldStep::Idle));
+    }
+
     /// Guards against an outage of the store that makes all leases lapse because ends can't be recorded.
     a_hold_goes_on_while_records_are_overdue {
         let mut world = World::with(&[("e1", 8)]);
--- a/crates/jobs/tests/dispatch/tenure.rs
+++ b/crates/jobs/tests/dispatch/tenure.rs
@@ -1,13 +1,15 @@
 //! What an owner may order that does not know whether another member has claimed the cell since.
 
 use lagoon_core::unit::{Millis, Timestamp};
-use lagoon_jobs::dispatch::{HoldStep, Order};
+use lagoon_jobs::dispatch::{DispatchLimits, Dispatcher, HoldStep, Order, Recovering};
 use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::id::Epoch;
 use lagoon_jobs::job::Progress;
 use lagoon_jobs::run::{StartOutcome, StartRefusal};
 
-use crate::world::{World, job_id, limits, listing, record, recovering, starts, step};
+use crate::world::{
+    World, entry, job_id, limits, listing, policy, record, recovering, starts, step,
+};
 
 cases! {
     /// Guards against a start by an owner that was paused, or cut off, for longer than its lease in the store.
@@ -86,6 +88,81 @@
         world.pass(9_000);
         assert_eq!(starts(&world.plan()).len(), 2);
     }
+
+    /// Guards against a second run beside one that an earlier owner started in its last moment.
+    a_later_owner_outwaits_the_leases_of_the_earlier_one {
+        assert!(outwaits(limits(), Millis::new(1_000)));
+    }
+
+    /// Guards against a second run beside one whose lease ends late: the clock of an executor, 2% slow, was read long before.
+    a_later_owner_outwaits_a_lease_granted_on_an_old_reading {
+        let limits = DispatchLimits { max_lease: Millis::new(10_000), ..limits() };
+        assert!(outwaits(limits, Millis::new(200_000)));
+    }
+
+    /// Guards against a second run beside one that was started late in an owner's lease, where the store's shortest is long.
+    a_later_owner_outwaits_starts_in_a_long_lease_of_the_owner {
+        let limits = DispatchLimits { owner_lease: Millis::new(6_000), ..limits() };
+        assert!(outwaits(limits, Millis::new(1_000)));
+    }
+}
+
+/// Tells whether the task that an earlier owner starts in its last moment, on an executor that was idle for a time and that the
+/// later owner does not hear, is not started again while its lease lasts.
+fn outwaits(limits: DispatchLimits, idle: Millis) -> bool {
+    let began = Timestamp::from_millis(1_000);
+    let job = || record("urgent", vec![step(1, 1)]);
+    let (first, second) = (ExecutorSlot::new(0), ExecutorSlot::new(1));
+    let mut earlier = recovering_with(1, limits, &["e1"], began);
+    earlier.listed(first, &listing(began, &[], vec![]), began, began);
+    let mut earlier = earlier.serve(began);
+    let new = earlier.unrecorded_executors(8);
+    earlier.executors_recorded(&new);
+    let confirmed = began.after(idle);
+    earlier.confirm(confirmed);
+    earlier.submit(job_id(1), job().under(Some(Epoch::new(1))), confirmed);
+    let started = confirmed.after(limits.owner_lease);
+    earlier.plan(started);
+    let order = starts(&earlier.take_orders()).remove(0);
+
+    // The executor's clock shows `began` at that time and runs 2% slow.
+    let clock = |at: Timestamp| began.as_millis() + at.since(began).get() * 98 / 100;
+    let lease_end = order
+        .lease_end_ms
+        .min(clock(started) + limits.max_lease.get());
+    let alive = |at: Timestamp| clock(at) < lease_end;
+
+    let claimed = confirmed.after(Millis::new(1));
+    let mut later = recovering_with(2, limits, &["e1", "e2"], claimed);
+    later.load(job_id(1), job(), &Progress::default(), claimed);
+    later.listed(second, &listing(claimed, &[], vec![]), claimed, claimed);
+    let mut later = later.serve(claimed);
+    let new = later.unrecorded_executors(8);
+    later.executors_recorded(&new);
+    let mut now = claimed;
+    while alive(now) {
+        later.confirm(now);
+        later.plan(now);
+        if !starts(&later.take_orders()).is_empty() {
+            return false;
+        }
+        now = now.after(Millis::new(50));
+    }
+    true
+}
+
+fn recovering_with(
+    epoch: u64,
+    limits: DispatchLimits,
+    executors: &[&str],
+    now: Timestamp,
+) -> Dispatcher<Recovering> {
+    let mut dispatcher = Dispatcher::open(Epoch::new(epoch), limits, now);
+    dispatcher.set_policy(policy());
+    for id in executors {
+        dispatcher.observe(entry(id, 8), now);
+    }
+    dispatcher
 }
 
 fn renewed(world: &mut World) -> bool {
--- a/crates/node/src/owner/drive_executor.rs
+++ b/crates/node/src/owner/drive_executor.rs
@@ -13,6 +13,8 @@
 
 /// Time without a write of progress after which an executor is held all the same, so that leases outlast an outage.
 const RECORD_OVERDUE: Duration = Duration::from_millis(400);
+/// Time between two looks whether an idle executor is to be held.
+const IDLE_CHECK: Duration = Duration::from_secs(30);
 /// Pause after a hold that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -41,7 +43,8 @@
         match shard.with(|dispatcher| dispatcher.next_hold(slot, overdue, now)) {
             HoldStep::Idle => {
                 due = None;
-                wake.notified().await;
+                // Without a change, it ends because the clock of an idle executor is to be read again.
+                let _ = tokio::time::timeout(IDLE_CHECK, wake.notified()).await;
             }
             HoldStep::AwaitRecord => {
                 let until = match due.filter(|_| !overdue) {
