Send an acknowledgement again whose hold was lost, and pause while ends stay listed

Cause: an acknowledgement counted as sent whatever became of its hold. An idle executor then listed its end for the rest of the owner's time; beside a run of which no life was known, holds that acknowledge nothing went round as fast as the link allows, because the executor answers at once while it lists an end.

A hold that failed makes the next one send the acknowledgement again, and a hold waits for the next record as long as ends are listed that it does not acknowledge.

--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -30,8 +30,7 @@
         // The executor answers at once as long as it lists ends, so that a hold that acknowledges none would be repeated
         // without a pause.
         let has_ack = has_unsent && is_of_present_life;
-        let awaits_ack = has_more || has_unsent || executor.ends.awaits_job();
-        let is_blocked = awaits || awaits_ack && !has_ack;
+        let is_blocked = awaits || executor.ends.is_listing() && !has_ack;
         if is_blocked && !overdue && !is_first {
             return HoldStep::AwaitRecord;
         }
@@ -63,6 +62,7 @@
     pub fn hold_failed(&mut self, slot: ExecutorSlot, now: Timestamp) {
         let executor = self.core.fleet.get_mut(slot);
         executor.is_silent = true;
+        executor.ends.resend();
         executor.health.suspect(now);
     }
 }
--- a/crates/jobs/src/fleet/end_cursor.rs
+++ b/crates/jobs/src/fleet/end_cursor.rs
@@ -15,6 +15,8 @@
     waiting: BTreeMap<u64, EndedRow>,
     acknowledged: u64,
     sent: u64,
+    /// Last end that was listed.
+    listed: u64,
 }
 
 impl EndCursor {
@@ -25,12 +27,14 @@
 
     /// Notes that an end was handled; it may be acknowledged once `record` of its job is durable.
     pub fn handle(&mut self, sequence: u64, job: JobId, record: RecordNumber) {
+        self.listed = self.listed.max(sequence);
         self.waiting.remove(&sequence);
         self.handled.insert(sequence, (job, record));
     }
 
     /// Keeps an end until its job becomes known; true if it was not kept before.
     pub fn wait(&mut self, end: &EndedRow) -> bool {
+        self.listed = self.listed.max(end.sequence);
         let earlier = self.waiting.insert(end.sequence, end.clone());
         earlier.is_none()
     }
@@ -77,8 +81,18 @@
         !self.awaits_job() && !self.awaits_record(ledger)
     }
 
+    /// Notes that the hold with the last acknowledgement may be lost, so that it is sent again.
+    pub fn resend(&mut self) {
+        self.sent = 0;
+    }
+
     /// Tells whether an acknowledgement was not sent yet.
     pub fn has_unsent(&self) -> bool {
         self.sent < self.acknowledged
     }
+
+    /// Tells whether the executor still lists an end, for which it answers each hold at once.
+    pub fn is_listing(&self) -> bool {
+        self.sent < self.listed
+    }
 }
--- a/crates/jobs/tests/dispatch/ends.rs
+++ b/crates/jobs/tests/dispatch/ends.rs
@@ -5,7 +5,7 @@
 use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::id::{StepKey, TaskKey};
 use lagoon_jobs::job::{JobState, Progress};
-use lagoon_jobs::run::{EndKind, Listing, StartOutcome};
+use lagoon_jobs::run::{EndKind, EndedRow, Listing, StartOutcome};
 
 use crate::world::{World, end, job_id, listing, record, recovering, starts, step, stops};
 
@@ -73,6 +73,26 @@
         assert!(matches!(world.dispatcher.next_hold(slot, true, world.now), HoldStep::Hold(_)));
     }
 
+    /// Guards against holds that are repeated as fast as the link allows: the one that acknowledged an end was lost, and beside a
+    /// start that was not answered the next ones acknowledge nothing.
+    a_hold_after_a_lost_acknowledgement_is_not_repeated_at_once {
+        let mut world = World::with(&[("e1", 8)]);
+        let slot = ExecutorSlot::new(0);
+        let ended = lose_acknowledgement(&mut world);
+        world.submit(2, "urgent", vec![step(1, 1)]);
+        assert_eq!(starts(&world.plan()).len(), 1);
+        world.list(0, &[], vec![ended]);
+        let next = world.dispatcher.next_hold(slot, false, world.now);
+        assert!(matches!(next, HoldStep::AwaitRecord), "{next:?}");
+    }
+
+    /// Guards against an end that an idle executor lists for ever: the hold that acknowledged it was lost.
+    a_lost_acknowledgement_is_sent_again {
+        let mut world = World::with(&[("e1", 8)]);
+        lose_acknowledgement(&mut world);
+        assert_eq!(world.acknowledged(0), Some(1));
+    }
+
     /// Guards against an executor whose ends are never acknowledged, because the end of a run whose start was not answered is on
     /// the next page.
     a_run_that_ended_on_the_next_page_holds_back_no_acknowledgement {
@@ -145,7 +165,18 @@
     }
 }
 
-fn done(sequence: u64, job: u64, number: u64) -> lagoon_jobs::run::EndedRow {
+/// Has a task end, and loses the hold that acknowledges the end; returns the end.
+fn lose_acknowledgement(world: &mut World) -> EndedRow {
+    world.submit(1, "urgent", vec![step(1, 1)]);
+    let order = world.start_all().remove(0);
+    world.ended(&order, EndKind::Done);
+    world.record_all();
+    assert_eq!(world.acknowledged(0), Some(1));
+    world.dispatcher.hold_failed(order.slot, world.now);
+    done(1, 1, order.number.get())
+}
+
+fn done(sequence: u64, job: u64, number: u64) -> EndedRow {
     end(sequence, task(job), number, EndKind::Done)
 }
 
