Ask an executor that is gone for nothing more

Cause: what an executor was asked for (the end of a run that should not exist, or the next page of its ends) was only settled by a list. One that was replaced at its address or had left lists nothing, so it was held every quarter of a second for the rest of the owner's time, its record stayed, and each later owner waited for it before it started inherited work.

Runs that should not exist end with the executor's lease or its place at the address, like any other, and so does the wait for further pages. Of one that is replaced nothing is asked.

--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -76,7 +76,7 @@
     pub(super) fn may_run_unseen(&self, now: Timestamp) -> bool {
         let holds_ends = |slot: &ExecutorSlot| {
             let executor = self.fleet.get(*slot);
-            executor.heard.is_some() && !executor.clock.has_lapsed(now)
+            executor.heard.is_some() && !executor.is_heard_out(now)
         };
         !self.unheard.is_empty()
             && (now <= self.inherited_lapse || self.unheard.iter().any(holds_ends))
--- a/crates/jobs/src/dispatch/fleet_records.rs
+++ b/crates/jobs/src/dispatch/fleet_records.rs
@@ -47,10 +47,10 @@
         let is_gone = |e: &Executor| {
             // What this owner ordered there is settled; what earlier ones did is listed, or has lapsed. Without a record a
             // later owner does not ask for ends that are not durable, and starts their tasks again.
-            let is_unused = e.tasks.is_empty() && e.strays.is_empty() && e.ends.is_settled(ledger);
+            let is_unused = !e.has_runs() && e.ends.is_settled(ledger);
             let is_settled = is_unused
                 && match e.heard {
-                    Some(_) => e.has_listed_all,
+                    Some(_) => e.is_heard_out(now),
                     None => is_inherited_over,
                 };
             e.is_recorded && e.availability != Availability::Ready && is_settled
--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -13,10 +13,12 @@
         let executor = core.fleet.get_mut(slot);
         executor.ends.advance(&core.ledger);
         let is_first = executor.heard.is_none();
-        let is_empty = executor.tasks.is_empty() && executor.strays.is_empty();
-        let has_more = !is_first && !executor.has_listed_all;
+        let is_empty = !executor.has_runs();
+        let is_listed = executor.availability != Availability::Unlisted;
+        let has_more =
+            !is_first && !executor.has_listed_all && (is_listed || !executor.is_heard_out(now));
         // Of one that is not listed, only earlier owners' runs are asked for.
-        let is_asked = executor.availability != Availability::Unlisted || executor.is_recorded;
+        let is_asked = is_listed || executor.is_recorded;
         let awaits = executor.ends.awaits_record(&core.ledger);
         let has_unsent = executor.ends.has_unsent();
         let is_outdated = is_asked && !executor.is_silent && executor.clock.is_outdated(now);
--- a/crates/jobs/src/dispatch/replaced.rs
+++ b/crates/jobs/src/dispatch/replaced.rs
@@ -19,9 +19,10 @@
         if !is_known || executor.entry.address != address {
             return;
         }
-        if executor.heard.is_none() {
+        if !executor.has_listed_all {
             // Of one that is gone nothing is asked, and a later owner need not wait for it.
             executor.is_recorded = false;
+            executor.has_listed_all = true;
             core.left.push(executor.entry.id.clone());
         }
         tracing::warn!(
@@ -30,6 +31,7 @@
         );
         // Its entry stays listed for a while; if it lives elsewhere, it writes a new one.
         executor.availability = Availability::Unlisted;
+        executor.strays.clear();
         core.unheard.remove(&slot);
         core.drop_runs(slot);
     }
--- a/crates/jobs/src/dispatch/tick.rs
+++ b/crates/jobs/src/dispatch/tick.rs
@@ -19,7 +19,7 @@
         let lapsed: Vec<ExecutorSlot> = core
             .fleet
             .iter()
-            .filter(|(_, e)| !e.tasks.is_empty() && e.clock.has_lapsed(now))
+            .filter(|(_, e)| e.has_runs() && e.clock.has_lapsed(now))
             .map(|(slot, _)| slot)
             .collect();
         for slot in lapsed {
@@ -29,6 +29,7 @@
                 heard_ms = executor.heard.map(|at| now.since(at).get()), "dispatch: lease lapsed, runs are gone"
             );
             core.drop_runs(slot);
+            core.fleet.get_mut(slot).strays.clear();
         }
     }
 
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -81,6 +81,17 @@
         }
     }
 
+    /// Tells whether something runs there or may run there, wanted or not.
+    pub fn has_runs(&self) -> bool {
+        !self.tasks.is_empty() || !self.strays.is_empty()
+    }
+
+    /// Tells whether nothing more will be listed of what happened before: all of it was, or it binds nobody any more, because
+    /// the lease has lapsed.
+    pub fn is_heard_out(&self, now: Timestamp) -> bool {
+        self.has_listed_all || self.clock.has_lapsed(now)
+    }
+
     /// Returns what runs take, wanted or not.
     pub fn reserved(&self) -> Resources {
         let strays = self.strays.values();
--- a/crates/jobs/tests/dispatch/leases.rs
+++ b/crates/jobs/tests/dispatch/leases.rs
@@ -3,9 +3,9 @@
 use lagoon_core::unit::Millis;
 use lagoon_jobs::dispatch::HoldStep;
 use lagoon_jobs::fleet::ExecutorSlot;
-use lagoon_jobs::id::Life;
+use lagoon_jobs::id::{Life, StepKey};
 
-use crate::world::{World, listing, starts, step};
+use crate::world::{World, entry, job_id, listing, starts, step};
 
 cases! {
     /// Guards against a second run while the lease of the first may not have run out on a clock that is 2% slow.
@@ -41,6 +41,33 @@
         assert_eq!(starts(&world.plan()).len(), 1);
     }
 
+    /// Guards against holds without end to an executor at whose address another one answers: runs listed there that should not
+    /// exist are gone with it.
+    an_executor_whose_address_is_taken_holds_no_strays {
+        let mut world = World::with(&[("e1", 4)]);
+        let slot = ExecutorSlot::new(0);
+        world.list(0, &[(StepKey::new(job_id(9), 0, 0).task(0), 1)], vec![]);
+        world.dispatcher.replaced(slot, entry("e1", 4).address, world.now);
+        assert!(matches!(world.dispatcher.next_hold(slot, true, world.now), HoldStep::Idle));
+        assert_eq!(world.dispatcher.take_gone_executors(8, world.now).len(), 1);
+    }
+
+    /// Guards against an executor that has left and is asked, and kept on record, for ever for a run that should not exist.
+    a_run_that_should_not_exist_does_not_outlast_its_lease {
+        let mut world = World::with(&[("e1", 4)]);
+        let slot = ExecutorSlot::new(0);
+        world.list(0, &[(StepKey::new(job_id(9), 0, 0).task(0), 1)], vec![]);
+        world.dispatcher.unlist(&"e1".parse().unwrap());
+        for _ in 0..10 {
+            let _ = world.dispatcher.next_hold(slot, true, world.now);
+            world.dispatcher.hold_failed(slot, world.now);
+            world.pass(1_000);
+            world.dispatcher.tick(world.now);
+        }
+        assert!(matches!(world.dispatcher.next_hold(slot, true, world.now), HoldStep::Idle));
+        assert_eq!(world.dispatcher.take_gone_executors(8, world.now).len(), 1);
+    }
+
     /// Guards against a second run while the first goes on in a new life of its executor: an order sent just before the
     /// restart was known names a time on the old clock, and the new life grants the longest lease for it.
     a_new_life_may_hold_the_longest_lease {
--- a/crates/jobs/tests/dispatch/takeover.rs
+++ b/crates/jobs/tests/dispatch/takeover.rs
@@ -5,7 +5,7 @@
 use lagoon_jobs::fleet::{ExecutorRecord, ExecutorSlot};
 use lagoon_jobs::id::StepKey;
 use lagoon_jobs::job::{JobRecord, JobState, Progress};
-use lagoon_jobs::run::EndKind;
+use lagoon_jobs::run::{EndKind, Listing};
 use lagoon_jobs::spec::{JobSpec, Schedule};
 
 use crate::world::{World, end, job_id, listing, record, recovering, starts, step, stops};
@@ -146,6 +146,22 @@
         assert_eq!(world.dispatcher.take_gone_executors(8, world.now).len(), 1);
     }
 
+    /// Guards against an executor that is asked, and kept on record, for ever: it listed a part of its ends before another one
+    /// took its address.
+    an_executor_replaced_between_two_pages_is_forgotten {
+        let now = lagoon_core::unit::Timestamp::from_millis(1_000);
+        let mut dispatcher = recovering(2, &[("e1", 8)]);
+        let record = ExecutorRecord::from(&crate::world::entry("e1", 8));
+        dispatcher.load_executor(record.clone(), now);
+        let slot = ExecutorSlot::new(0);
+        let first_page = Listing { complete: false, ..listing(now, &[], vec![]) };
+        dispatcher.listed(slot, &first_page, now, now);
+        dispatcher.replaced(slot, record.address, now);
+        let mut world = World::serve(dispatcher);
+        assert!(matches!(world.dispatcher.next_hold(slot, true, world.now), HoldStep::Idle));
+        assert_eq!(world.dispatcher.take_gone_executors(8, world.now).len(), 1);
+    }
+
     /// Guards against inherited work that waits for an executor at whose address another one answers.
     an_executor_whose_address_is_taken_is_not_waited_for {
         let now = lagoon_core::unit::Timestamp::from_millis(1_000);
