Remove the records of executors that have left after a write that failed, too

Cause: an executor counted as forgotten before the write that removes its record was made. When that write failed or was not answered, the record stayed for good, and each later owner asked the executor and held inherited work back.

The ids are put back when the write fails.

--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -177,6 +177,7 @@
         if is_written {
             shard.change(|dispatcher| dispatcher.executors_recorded(&new));
         } else {
+            shard.with(|dispatcher| dispatcher.put_back_gone(gone));
             tokio::time::sleep(RETRY_PAUSE).await;
         }
         false
--- a/crates/node/tests/node/faults.rs
+++ b/crates/node/tests/node/faults.rs
@@ -56,6 +56,27 @@
         cell.check();
     }
 
+    /// Guards against work that a later owner holds back for executors that have left: the write that should have removed their
+    /// records failed.
+    records_of_executors_that_left_are_removed_after_a_failed_write {
+        let mut cell = Cell::start(0, 5).await;
+        cell.store_lease = Duration::from_secs(15);
+        cell.add_node().await;
+        let recorded = async |cell: &Cell, count: usize| {
+            let what = format!("{count} executors are recorded");
+            cell.eventually(&what, async |cell: &Cell| cell.site.keys("lagoon/executor/").len() == count).await;
+        };
+        recorded(&cell, 5).await;
+        for left in [["e1", "e2"], ["e3", "e4"]] {
+            left.iter().for_each(|id| cell.site.unlist_executor(id));
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            cell.site.set_store_fault(StoreFault::Busy);
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            cell.site.set_store_fault(StoreFault::None);
+        }
+        recorded(&cell, 1).await;
+    }
+
     /// Guards against a refusal that is not true: a submission whose write was not answered may be stored.
     a_lost_answer_is_no_refusal {
         let cell = Cell::start(1, 1).await;
