Acknowledge ends of jobs that were forgotten

An end behind one that waits was never acknowledged once its job had been forgotten after its retention, because the ledger did not tell any more that its record was durable; the record of the executor stayed too. Forgetting a job now settles its ends.

--- a/crates/jobs/src/dispatch/records.rs
+++ b/crates/jobs/src/dispatch/records.rs
@@ -70,6 +70,7 @@
         for id in jobs {
             self.core.jobs.remove(*id);
             self.core.ledger.forget(*id);
+            self.core.fleet.forget_job(*id);
         }
     }
 }
--- a/crates/jobs/src/fleet/end_cursor.rs
+++ b/crates/jobs/src/fleet/end_cursor.rs
@@ -50,6 +50,12 @@
         !self.waiting.is_empty()
     }
 
+    /// Notes that a job was forgotten, whose final state was durable.
+    pub fn forget(&mut self, job: JobId) {
+        let of_job = self.handled.values_mut().filter(|(id, _)| *id == job);
+        of_job.for_each(|(_, record)| *record = RecordNumber::default());
+    }
+
     /// Moves the acknowledgement up to the first end that waits or is not durable.
     pub fn advance(&mut self, ledger: &Ledger) {
         while let Some(first) = self.handled.first_entry() {
--- a/crates/jobs/src/fleet/fleet.rs
+++ b/crates/jobs/src/fleet/fleet.rs
@@ -3,7 +3,7 @@
 use lagoon_core::unit::Timestamp;
 
 use crate::fleet::{Availability, Executor, ExecutorEntry, ExecutorSlot, Room};
-use crate::id::{ExecutorId, ServiceName};
+use crate::id::{ExecutorId, JobId, ServiceName};
 
 /// Share of the ready executors, in percent, that may be set aside as suspect; beyond it suspects are used again.
 const MAX_SUSPECT_PERCENT: usize = 25;
@@ -59,6 +59,11 @@
         slots.zip(&self.executors)
     }
 
+    /// Notes that a job was forgotten; its ends need not be recorded any more.
+    pub fn forget_job(&mut self, job: JobId) {
+        self.executors.iter_mut().for_each(|e| e.ends.forget(job));
+    }
+
     /// Returns the number of executors.
     pub fn len(&self) -> usize {
         self.executors.len()
--- a/crates/jobs/tests/dispatch/ends.rs
+++ b/crates/jobs/tests/dispatch/ends.rs
@@ -1,13 +1,14 @@
 //! Ends that an owner learns of late, because the executor lists them in parts or others come before them.
 
 use lagoon_core::unit::{Millis, Timestamp};
-use lagoon_jobs::dispatch::HoldStep;
+use lagoon_jobs::dispatch::{HoldStep, StoredJob};
 use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::id::{StepKey, TaskKey};
 use lagoon_jobs::job::{JobState, Progress};
+use lagoon_jobs::record::RecordLane;
 use lagoon_jobs::run::{EndKind, EndedRow, Listing, StartOutcome};
 
-use crate::world::{World, end, job_id, listing, record, recovering, starts, step, stops};
+use crate::world::{World, end, job_id, limits, listing, record, recovering, starts, step, stops};
 
 /// Job that the owner does not know yet.
 const UNKNOWN: u64 = 9;
@@ -93,6 +94,22 @@
         assert_eq!(world.acknowledged(0), Some(1));
     }
 
+    /// Guards against ends that are never acknowledged: the job of one was forgotten while an end before it waited.
+    an_end_of_a_forgotten_job_is_acknowledged {
+        let mut world = World::with(&[("e1", 8)]);
+        world.submit(1, "urgent", vec![step(1, 1)]);
+        let order = world.start_all().remove(0);
+        world.list(0, &[], vec![done(1, UNKNOWN, 1), done(2, 1, order.number.get())]);
+        world.record_all();
+        world.pass(limits().retention.get() + 1_000);
+        let lanes = RecordLane::all();
+        let expired: Vec<_> = lanes.flat_map(|lane| world.dispatcher.expired(lane, 8, world.now)).collect();
+        assert_eq!(expired, [job_id(1)]);
+        world.dispatcher.forget(&expired);
+        world.dispatcher.looked(job_id(UNKNOWN), StoredJob::Absent, world.now);
+        assert_eq!(world.acknowledged(0), Some(2));
+    }
+
     /// Guards against an executor whose ends are never acknowledged, because the end of a run whose start was not answered is on
     /// the next page.
     a_run_that_ended_on_the_next_page_holds_back_no_acknowledgement {
