Drop every run of an earlier life that was listed, and acknowledge nothing to a silent executor

A run that the earlier life had listed and that was to stop waited for its stop and, on an executor with a full page of ends, held back the acknowledgement that would have moved the page on: its job never ended. An earlier life that listed a run took its order, so nothing of it is left; the run is dropped whatever its phase.

A hold to an executor that does not answer may take effect late, in a new life, where an acknowledgement removes ends that were not listed. Holds to a silent executor carry none; the first answered one is followed by one that does.

--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -31,7 +31,9 @@
         }
         // The executor answers at once as long as it lists ends, so that a hold that acknowledges none would be repeated
         // without a pause.
-        let has_ack = has_unsent && is_of_present_life;
+        // A hold to a silent executor may reach a new life of it late.
+        let may_ack = is_of_present_life && !executor.is_silent;
+        let has_ack = has_unsent && may_ack;
         let is_blocked = awaits || executor.ends.is_listing() && !has_ack;
         if is_blocked && !overdue && !is_first {
             return HoldStep::AwaitRecord;
@@ -42,7 +44,7 @@
             epoch: core.epoch,
             // A run of which no life is known may be one of a new life, whose ends have the numbers of those of the earlier
             // one: these are not acknowledged before they are listed.
-            acknowledged: match is_of_present_life {
+            acknowledged: match may_ack {
                 true => executor.ends.acknowledge(),
                 false => 0,
             },
--- a/crates/jobs/src/dispatch/lives.rs
+++ b/crates/jobs/src/dispatch/lives.rs
@@ -86,7 +86,7 @@
         };
         let has_ended = run.ended_before(life);
         match &mut run.phase {
-            RunPhase::Running { .. } | RunPhase::Stopping { confirmed: Some(_) } if has_ended => {
+            _ if has_ended => {
                 self.drop_run(task);
                 if self.is_gang(task.step()) {
                     self.stop_step(task);
--- a/crates/jobs/tests/dispatch/restarts.rs
+++ b/crates/jobs/tests/dispatch/restarts.rs
@@ -104,6 +104,37 @@
         assert_eq!((req.wait, req.lease_end_ms), (Millis::ZERO, None));
     }
 
+    /// Guards against a run that is waited for although the earlier life had listed it: it was to stop, and its order can't reach
+    /// the new life.
+    a_run_of_the_earlier_life_that_was_to_stop_is_gone {
+        let mut world = World::with(&[("e1", 4), ("e2", 4)]);
+        let id = world.submit(1, "urgent", vec![step(1, 4)]);
+        let order = world.start_all().remove(0);
+        world.list(order.slot.get(), &[(order.task, order.number.get())], vec![]);
+        world.dispatcher.cancel(id, world.now);
+        world.dispatcher.observe(reborn(order.executor.as_str()), world.now);
+        let list = of_new_life(world.now, &[], vec![]);
+        world.dispatcher.listed(order.slot, &list, world.now, world.now);
+        world.submit(2, "urgent", vec![step(2, 4)]);
+        world.record_executors();
+        assert_eq!(starts(&world.plan()).len(), 2);
+    }
+
+    /// Guards against an acknowledgement that reaches a new life late, in a hold to an executor that did not answer.
+    a_silent_executor_gets_no_acknowledgement {
+        let mut world = World::with(&[("e1", 4)]);
+        world.submit(1, "urgent", vec![step(2, 1)]);
+        let orders = world.start_all();
+        let running = [(orders[1].task, orders[1].number.get())];
+        let ended = crate::world::end(1, orders[0].task, orders[0].number.get(), EndKind::Done);
+        world.list(0, &running, vec![ended]);
+        world.record_all();
+        world.dispatcher.hold_failed(orders[0].slot, world.now);
+        assert_eq!(world.acknowledged(0), Some(0));
+        world.list(0, &running, vec![]);
+        assert_eq!(world.acknowledged(0), Some(1));
+    }
+
     /// Guards against acknowledgements that are put off while an executor takes new runs all the time.
     ends_are_acknowledged_beside_runs_of_the_same_life {
         let mut world = World::with(&[("e1", 4)]);
