Check the owner's lease again right before a start is sent

An order to start waits for one of six permits of its executor. One that waited beside silent calls, or in a paused process, was sent after the owner's lease may have ended; a new life of the executor, which has forgotten the fence, would have taken it.

The bound is checked again after the permit; an order that may not be sent has no effect, and the executor is not blamed.

--- a/crates/jobs/src/dispatch/started.rs
+++ b/crates/jobs/src/dispatch/started.rs
@@ -42,6 +42,7 @@
                 return;
             }
             StartOutcome::Refused(reason) => self.start_refused(order, reason, now),
+            StartOutcome::Withheld => {}
             StartOutcome::NotSent => self.fleet.get_mut(order.slot).health.suspect(now),
         }
         tracing::info!(%task, run = %order.number, executor = %order.executor, ?outcome, "dispatch: start had no effect");
--- a/crates/jobs/src/dispatch/tenure.rs
+++ b/crates/jobs/src/dispatch/tenure.rs
@@ -43,6 +43,11 @@
         self.core.step_down();
     }
 
+    /// Tells whether an order to start may be sent now. It may have been decided a while ago.
+    pub fn may_start(&self, now: Timestamp) -> bool {
+        self.core.tenure.may_start(&self.core.limits, now)
+    }
+
     /// Returns when the last confirmation of the ownership was asked for.
     pub fn confirmed(&self) -> Timestamp {
         self.core.tenure.confirmed
--- a/crates/jobs/src/run/start_outcome.rs
+++ b/crates/jobs/src/run/start_outcome.rs
@@ -12,6 +12,8 @@
     Refused(StartRefusal),
     /// The order never left, so it won't run.
     NotSent,
+    /// The owner may not start tasks any more, so the order was not sent.
+    Withheld,
     /// No answer came; it may run now or later.
     Unknown,
 }
--- a/crates/jobs/tests/dispatch/tenure.rs
+++ b/crates/jobs/tests/dispatch/tenure.rs
@@ -47,6 +47,22 @@
         assert!(!renewed(&mut world));
     }
 
+    /// Guards against an order that waits for its turn and is sent after the owner's lease may have ended.
+    an_order_is_sent_only_while_the_lease_lasts {
+        let mut world = World::with(&[("e1", 8)]);
+        world.submit(1, "urgent", vec![step(1, 1)]);
+        let order = starts(&world.plan()).remove(0);
+        let end = world.now.after(limits().owner_lease);
+        assert!(world.dispatcher.may_start(end));
+        world.now = end.after(Millis::new(1));
+        assert!(!world.dispatcher.may_start(world.now));
+        world.dispatcher.started(&order, StartOutcome::Withheld, world.now);
+        world.dispatcher.confirm(world.now);
+        let again = starts(&world.plan());
+        assert_eq!(again.len(), 1);
+        assert_eq!(again[0].slot, order.slot);
+    }
+
     /// Guards against starts that an owner decides after an executor told it of a later owner.
     a_fenced_owner_starts_nothing {
         let mut world = World::with(&[("e1", 8)]);
--- a/crates/node/src/owner/orders.rs
+++ b/crates/node/src/owner/orders.rs
@@ -64,11 +64,15 @@
 async fn send_start(cx: Context, shard: Arc<Shard>, order: StartOrder, permits: Arc<Semaphore>) {
     let _permit = permits.acquire().await;
     let began = cx.clock.now();
-    let outcome = cx.executors.start(&order).await;
+    let outcome = match shard.with(|dispatcher| dispatcher.may_start(began)) {
+        true => cx.executors.start(&order).await,
+        false => StartOutcome::Withheld,
+    };
     let label = match outcome {
         StartOutcome::Started { .. } => "started",
         StartOutcome::Refused(_) => "refused",
         StartOutcome::NotSent => "not_sent",
+        StartOutcome::Withheld => "withheld",
         StartOutcome::Unknown => "unknown",
     };
     cx.metrics
