Ask for the next confirmation without waiting for the answer to the last

A question for the ownership waited up to 1.2 s for its answer, longer than the 1.1 s that a confirmation lasts, so that one lost answer stopped starts on an owner that writes no progress. Questions are now 0.3 s apart whether or not they are answered.

--- a/crates/node/src/owner/confirm.rs
+++ b/crates/node/src/owner/confirm.rs
@@ -1,21 +1,20 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use lagoon_core::unit::{Millis, Timestamp};
 use lagoon_jobs::id::Epoch;
 use lagoon_jobs::record::RecordLane;
 use lagoon_platform::PlatformError;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::cell::{Head, Keys};
 use crate::context::Context;
 use crate::owner::Shard;
 
-/// Age of the last confirmation at which another is asked for, so that two may be lost before starts cease. Each write of
-/// progress confirms the ownership too, so that a busy owner asks seldom.
-const CONFIRM_AFTER: Millis = Millis::new(300);
-/// Pause after a question without an answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Age of the last confirmation at which another is asked for, and time between two questions, so that two may be lost before
+/// starts cease. Each write of progress confirms the ownership too, so that a busy owner asks seldom.
+const CONFIRM_EVERY: Millis = Millis::new(300);
 
 /// What the store says of an ownership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,29 +44,51 @@
     })
 }
 
-/// Keeps the ownership confirmed, until the task is aborted.
+/// Keeps the ownership confirmed, until the task is aborted. A question that is not answered does not put off the next one.
 pub(super) async fn keep_confirmed(cx: Context, shard: Arc<Shard>, step_down: mpsc::Sender<()>) {
     let epoch = shard.with(|dispatcher| dispatcher.epoch());
+    let mut questions = JoinSet::new();
+    let mut due = Instant::now();
     loop {
-        let confirmed = shard.with(|dispatcher| dispatcher.confirmed());
-        let age = cx.clock.now().since(confirmed);
-        if age < CONFIRM_AFTER {
-            tokio::time::sleep(CONFIRM_AFTER.saturating_sub(age).to_duration()).await;
-            continue;
-        }
-        match confirm(&cx, epoch).await {
-            Ok(Confirmation::Owned(asked)) => shard.change(|dispatcher| dispatcher.confirm(asked)),
-            Ok(Confirmation::Lost) => {
+        let answer = tokio::select! {
+            () = tokio::time::sleep_until(due) => {
+                let confirmed = shard.with(|dispatcher| dispatcher.confirmed());
+                let age = cx.clock.now().since(confirmed);
+                let left = CONFIRM_EVERY.saturating_sub(age);
+                if left == Millis::ZERO {
+                    questions.spawn(ask(cx.clone(), epoch));
+                    due = Instant::now() + CONFIRM_EVERY.to_duration();
+                } else {
+                    due = Instant::now() + left.to_duration();
+                }
+                continue;
+            }
+            Some(answer) = questions.join_next() => answer,
+        };
+        match answer {
+            Ok(Some(Confirmation::Owned(asked))) => {
+                shard.change(|dispatcher| dispatcher.confirm(asked));
+            }
+            Ok(Some(Confirmation::Lost)) => {
                 shard.change(|dispatcher| dispatcher.fenced());
                 // A full channel means that the step is already under way.
                 let _ = step_down.try_send(());
                 return;
             }
-            Err(e) => {
-                cx.metrics.count("owner.confirmation_failed", 1);
-                tracing::warn!(age_ms = age.get(), "owner: ownership not confirmed: {e}");
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+            Ok(None) => {}
+            Err(e) => tracing::error!("owner: a question for the ownership ended early: {e}"),
+        }
+    }
+}
+
+/// Asks once; `None` if there is no answer.
+async fn ask(cx: Context, epoch: Epoch) -> Option<Confirmation> {
+    match confirm(&cx, epoch).await {
+        Ok(confirmation) => Some(confirmation),
+        Err(e) => {
+            cx.metrics.count("owner.confirmation_failed", 1);
+            tracing::warn!(%epoch, "owner: ownership not confirmed: {e}");
+            None
         }
     }
 }
