Give up the owner's key after each step down

An owner that stepped down although no other member had claimed the cell, such as one whose record head was gone, left its key in the store under a lease that it went on renewing, so that nobody claimed. The key is removed if it still names that epoch, as at a handover.

--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -49,15 +49,22 @@
                 served = Some(claim.epoch);
                 tracing::info!(epoch = %claim.epoch, "owner: this member owns the cell");
                 tokio::select! {
-                    () = serve(&cx, claim, &lease, &office) => office.set(None),
-                    () = wait_for_stronger(&cx) => hand_over(&cx, claim.epoch, &office).await,
+                    () = serve(&cx, claim, &lease, &office) => {}
+                    () = wait_for_stronger(&cx) => {
+                        tracing::info!(epoch = %claim.epoch, "owner: handing over to a stronger member");
+                    }
                     () = stop.wait() => {
                         office.set(None);
                         tracing::info!(member = %cx.member(), "owner: handing over, this node stops");
                         return;
                     }
                 }
+                office.set(None);
                 tracing::warn!(epoch = %claim.epoch, "owner: this member has stepped down");
+                tokio::select! {
+                    () = give_up_surely(&cx, claim.epoch) => {}
+                    () = stop.wait() => return,
+                }
             }
             Ok(None) => {
                 tracing::info!("owner: another member claimed the cell first");
@@ -164,10 +171,8 @@
     }
 }
 
-/// Gives up ownership to a much stronger member: no order follows, so it can begin at once.
-async fn hand_over(cx: &Context, epoch: Epoch, office: &Office) {
-    office.set(None);
-    tracing::info!(%epoch, "owner: handing over to a stronger member");
+/// Removes the owner's key if it still names this epoch, so that the next member can claim the cell at once. No order follows.
+async fn give_up_surely(cx: &Context, epoch: Epoch) {
     while let Err(e) = give_up(cx, epoch).await {
         tracing::warn!(%epoch, "owner: ownership not given up yet: {e}");
         tokio::time::sleep(RETRY_PAUSE).await;
