Bound the unanswered writes that a lane remembers

While the store is silent, a lane kept each attempt with its jobs. An attempt without an answer takes effect within 12 s or not at all, so ten attempts cover that time.

--- a/crates/node/src/owner/position.rs
+++ b/crates/node/src/owner/position.rs
@@ -6,6 +6,10 @@
 /// Jobs whose progress one write holds.
 pub(super) type Written = Vec<(JobId, RecordNumber)>;
 
+/// Attempts that are remembered. Those without an answer take effect within 12 s or not at all, and one takes 1.3 s; the jobs of
+/// one that is not remembered are written again.
+const MAX_UNANSWERED: usize = 10;
+
 /// Where a lane of records stands in the store.
 #[derive(Debug, Clone)]
 pub(super) struct Position {
@@ -34,6 +38,9 @@
 
     /// Notes that an attempt was not answered and may take effect.
     pub(super) fn keep_unanswered(&mut self, attempt: u64, jobs: Written) {
+        if self.unanswered.len() == MAX_UNANSWERED {
+            self.unanswered.remove(0);
+        }
         self.unanswered.push((attempt, jobs));
     }
 
