Log the runs that are lost with a lease, and how long inherited work waits

The log did not name the runs of an executor whose lease expired, nor whether their starts had been answered, and it did not say until when inherited work waits for unreported executors. With both, a second run of a task after an expired lease and one after a takeover can be told apart. No decision changes.

--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -106,6 +106,7 @@
             jobs = self.core.jobs.iter().count(),
             runs = self.core.runs.len(),
             unreported = self.core.unreported.len(),
+            inherited_wait_ms = self.core.inherited_lease_end.since(now).get(),
             "dispatch: recovery is complete, placement begins"
         );
         Dispatcher {
--- a/crates/jobs/src/dispatch/tick.rs
+++ b/crates/jobs/src/dispatch/tick.rs
@@ -28,6 +28,7 @@
                 executor = %executor.entry.id, runs = executor.tasks.len(),
                 heard_ms = executor.listed_at.map(|at| now.since(at).get()), "dispatch: the lease of an executor expired, its runs are lost"
             );
+            core.log_lost_runs(slot, now);
             core.drop_runs(slot);
             core.fleet.get_mut(slot).unexpected_runs.clear();
         }
@@ -49,6 +50,20 @@
 }
 
 impl Core {
+    fn log_lost_runs(&self, slot: ExecutorSlot, now: Timestamp) {
+        let executor = self.fleet.get(slot);
+        let runs = executor
+            .tasks
+            .iter()
+            .filter_map(|task| self.runs.get(*task));
+        for run in runs {
+            tracing::info!(
+                task = %run.task, run = %run.number, executor = %executor.entry.id, phase = ?run.phase,
+                ordered_ms = now.since(run.requested_at).get(), "dispatch: run is lost with the lease of its executor"
+            );
+        }
+    }
+
     /// Drops all runs of an executor on which nothing can run any more.
     pub(super) fn drop_runs(&mut self, slot: ExecutorSlot) {
         let tasks: Vec<TaskKey> = self.fleet.get(slot).tasks.iter().copied().collect();
