Count on the longest lease of an executor when a new owner waits for inherited work

Cause: a lease end is a time on the executor's clock, which starts at zero with each incarnation. A new owner waited for the 3 s in which the earlier one may renew leases and the 5 s that it means to grant, 8.2 s in all. Class of fault: a bound that holds for one incarnation of an executor is used for all. Evidence: a_later_owner_waits_out_a_lease_on_the_clock_of_an_earlier_incarnation failed before ("assertion failed: waits_out_lease") and passes now. Three tests that ask for the work after 9 s ask 0.25 s later: the shorter time is the fault itself.

--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -45,10 +45,11 @@
 
 impl Core {
     pub(super) fn new(epoch: Epoch, limits: DispatchLimits, now: Timestamp) -> Self {
+        // An executor that has restarted takes a lease end on its earlier clock as the longest lease that it grants.
         let expiry = limits.lease_renewal_window.max(limits.owner_lease);
-        let expiry = expiry.saturating_add(limits.lease);
+        let expiry = expiry.saturating_add(limits.max_lease);
         // An executor's clock may be up to 2% slow; rounded up.
-        let slack = Millis::new(limits.lease.get() / 30);
+        let slack = Millis::new(limits.max_lease.get() / 30);
         Self {
             epoch,
             ownership: Ownership::default(),
--- a/crates/jobs/tests/dispatch/ends.rs
+++ b/crates/jobs/tests/dispatch/ends.rs
@@ -152,7 +152,7 @@
         let mut harness = Harness::serve(dispatcher);
         harness.dispatcher.hold_failed(ExecutorSlot::new(0), harness.now);
         assert!(starts(&harness.plan()).is_empty());
-        harness.advance(9_000);
+        harness.advance(9_250);
         assert_eq!(starts(&harness.plan()).len(), 1);
     }
 
--- a/crates/jobs/tests/dispatch/ownership.rs
+++ b/crates/jobs/tests/dispatch/ownership.rs
@@ -102,33 +102,40 @@
         assert!(starts(&harness.plan()).is_empty());
         harness.submit(3, "urgent", vec![step(1, 1)]);
         assert_eq!(starts(&harness.plan()).len(), 1);
-        harness.advance(9_000);
+        harness.advance(9_250);
         assert_eq!(starts(&harness.plan()).len(), 2);
     }
 
     /// Guards against a second run beside one that an earlier owner started at the very end of its lease.
     a_later_owner_waits_out_the_leases_of_the_earlier_one {
-        assert!(waits_out_lease(limits(), Millis::new(1_000)));
+        assert!(waits_out_lease(limits(), Millis::new(1_000), false));
+    }
+
+    /// Guards against a second run beside one on an executor that restarted unnoticed, which takes the lease end on its
+    /// earlier clock as the longest lease.
+    a_later_owner_waits_out_a_lease_on_the_clock_of_an_earlier_incarnation {
+        let limits = DispatchLimits { max_lease: Millis::new(10_000), ..limits() };
+        assert!(waits_out_lease(limits, Millis::new(60_000), true));
     }
 
     /// Guards against a second run beside one whose lease expires late because the reading of the executor's clock,
     /// which is 2% slow, is old.
     a_later_owner_waits_out_a_lease_granted_on_an_old_reading {
         let limits = DispatchLimits { max_lease: Millis::new(10_000), ..limits() };
-        assert!(waits_out_lease(limits, Millis::new(200_000)));
+        assert!(waits_out_lease(limits, Millis::new(200_000), false));
     }
 
     /// Guards against a second run beside one that was started late in an owner's lease, with a store whose shortest
     /// lease is long.
     a_later_owner_waits_out_starts_late_in_a_long_owner_lease {
         let limits = DispatchLimits { owner_lease: Millis::new(6_000), ..limits() };
-        assert!(waits_out_lease(limits, Millis::new(1_000)));
+        assert!(waits_out_lease(limits, Millis::new(1_000), false));
     }
 }
 
 /// Returns true if a later owner waits for the lease of a task that the earlier owner started at the very end of its
-/// own lease, on an executor that was idle for `idle` and is unreported to the later owner.
-fn waits_out_lease(limits: DispatchLimits, idle: Millis) -> bool {
+/// own lease, on an executor that was idle for `idle`, may have `restarted` since, and is unreported to the later owner.
+fn waits_out_lease(limits: DispatchLimits, idle: Millis, restarted: bool) -> bool {
     let began = Timestamp::from_millis(1_000);
     let job = || record("urgent", vec![step(1, 1)]);
     let (first, second) = (ExecutorSlot::new(0), ExecutorSlot::new(1));
@@ -144,8 +151,11 @@
     earlier.plan(started);
     let request = starts(&earlier.take_effects()).remove(0);
 
-    // The executor's clock is right at `began` and runs 2% slow.
-    let clock = |at: Timestamp| began.as_millis() + at.since(began).get() * 98 / 100;
+    // The executor's clock is right at `began` and runs 2% slow; after a restart it starts at zero.
+    let clock = |at: Timestamp| match restarted {
+        true => at.since(confirmed).get() * 98 / 100,
+        false => began.as_millis() + at.since(began).get() * 98 / 100,
+    };
     let lease_end = request
         .lease_end_ms
         .min(clock(started) + limits.max_lease.get());
--- a/crates/jobs/tests/dispatch/takeover.rs
+++ b/crates/jobs/tests/dispatch/takeover.rs
@@ -78,7 +78,7 @@
         let started = harness.start_all();
         assert_eq!(started.len(), 1);
         assert_eq!(started[0].task.job(), job_id(2));
-        harness.advance(9_000);
+        harness.advance(9_250);
         assert_eq!(starts(&harness.plan()).len(), 1);
     }
 
