Keep a run whose start was not answered until a later incarnation can't run it

Callers could see a task run twice at the same time: TWICE, without a takeover. A start that is not answered may take effect up to 12 s later, and an executor that has restarted unnoticed then grants its longest lease, because the lease end is a time on its earlier clock. If the executor falls silent, the owner counted the run as lost 5.15 s after the grant and started the task elsewhere. An unanswered hold may extend the lease of a later incarnation in the same way, and so may a start that was answered without showing the incarnation. The lease clock now keeps a second bound for requests that were not answered: the longest delay and the longest lease after they were given up. It applies to runs that are not known to be in the current incarnation, and to all runs of a later incarnation once that becomes known; a list of the known incarnation that was requested afterwards lifts it, because a connection ends with its process. Runs of the known incarnation are lost when their lease expires, as before. An executor that does not answer holds gets no starts, whatever the share of suspects, and is held until it answers: an unanswered start now holds up its task for longer. The random runs now have both deployments' longest leases, runs that outlast a lease, executors that carry out requests without answering or restart out of reach, and replaced owners that go on, paused at times. a_hold_after_a_lost_acknowledgement_is_not_repeated_at_once started a task on an executor after its hold had failed, which no longer happens; the executor now lists its ends before the start, and the same is demanded.

--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -23,8 +23,14 @@
         let has_unsent = executor.ends.has_unsent();
         let is_outdated =
             may_be_polled && !executor.is_unresponsive && executor.clock.is_outdated(now);
-        let is_due =
-            !is_empty || is_first && may_be_polled || has_more || has_unsent || is_outdated;
+        // An unresponsive executor gets no starts until it answers.
+        let is_probed = executor.is_unresponsive && executor.availability == Availability::Ready;
+        let is_due = !is_empty
+            || is_first && may_be_polled
+            || has_more
+            || has_unsent
+            || is_outdated
+            || is_probed;
         if !is_due {
             return match awaits_record || executor.ends.has_deferred() {
                 true => HoldAction::AwaitRecord,
@@ -66,7 +72,13 @@
 
     /// Records that an executor did not answer a hold. It becomes a suspect, which gets no new runs.
     pub fn hold_failed(&mut self, slot: ExecutorSlot, now: Timestamp) {
+        let limits = self.core.limits;
         let executor = self.core.fleet.get_mut(slot);
+        // Only the first of several unanswered holds carries a lease.
+        if !executor.is_unresponsive {
+            let (delay, max_lease) = (limits.max_request_delay, limits.max_lease);
+            executor.clock.record_unanswered(delay, max_lease, now);
+        }
         executor.is_unresponsive = true;
         executor.ends.resend();
         executor.health.mark_suspect(now);
--- a/crates/jobs/src/dispatch/limits.rs
+++ b/crates/jobs/src/dispatch/limits.rs
@@ -7,6 +7,8 @@
     pub lease: Millis,
     /// Longest lease that an executor accepts.
     pub max_lease: Millis,
+    /// Longest time after which an unanswered request to an executor may still take effect.
+    pub max_request_delay: Millis,
     /// Longest time for which a hold waits for an end.
     pub hold_wait: Millis,
     /// Time for which the final state of a job is kept.
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -40,6 +40,7 @@
         executor
             .clock
             .record_reading(listing.executor_ms, sent_at, now);
+        executor.clock.confirm_incarnation(sent_at);
         let is_first = executor.listed_at.is_none();
         executor.listed_at = Some(now);
         executor.is_unresponsive = false;
--- a/crates/jobs/src/dispatch/replaced.rs
+++ b/crates/jobs/src/dispatch/replaced.rs
@@ -4,6 +4,7 @@
 
 use crate::dispatch::Dispatcher;
 use crate::fleet::{Availability, ExecutorSlot};
+use crate::id::TaskKey;
 
 impl<S> Dispatcher<S> {
     /// Records that another executor answered at `address`, where this one used to be. Its runs are lost, and requests to it
@@ -32,7 +33,8 @@
         // Its entry stays in the list for some time; if it runs elsewhere, it writes a new one.
         executor.availability = Availability::Unlisted;
         executor.unexpected_runs.clear();
+        let lost: Vec<TaskKey> = executor.tasks.iter().copied().collect();
         core.unreported.remove(&slot);
-        core.drop_runs(slot);
+        core.drop_runs(&lost);
     }
 }
--- a/crates/jobs/src/dispatch/started.rs
+++ b/crates/jobs/src/dispatch/started.rs
@@ -23,9 +23,12 @@
                     run.phase = RunPhase::Running { since: now };
                     run.progress = (0, now);
                 }
-                let executor = self.fleet.get(req.slot);
+                let executor = self.fleet.get_mut(req.slot);
                 if executor_ms.is_some_and(|ms| executor.clock.is_same_incarnation(ms, now)) {
                     run.incarnation = executor.incarnation;
+                } else {
+                    // A later incarnation takes the lease end, a time on the earlier clock, as the longest lease.
+                    executor.clock.assume_granted(self.limits.max_lease, now);
                 }
                 if executor_ms.is_some_and(|ms| executor.clock.has_gone_back(ms)) {
                     self.suspect_restart(req.slot, now);
@@ -38,7 +41,11 @@
                     run.phase = RunPhase::Unconfirmed { since: now };
                 }
                 tracing::warn!(%task, run = %req.number, executor = %req.executor, "dispatch: executor did not answer a start, the run is unconfirmed");
-                self.fleet.get_mut(req.slot).health.mark_suspect(now);
+                let limits = self.limits;
+                let executor = self.fleet.get_mut(req.slot);
+                let (delay, max_lease) = (limits.max_request_delay, limits.max_lease);
+                executor.clock.record_unanswered(delay, max_lease, now);
+                executor.health.mark_suspect(now);
                 return;
             }
             StartOutcome::Refused(reason) => self.start_refused(req, reason, now),
--- a/crates/jobs/src/dispatch/tick.rs
+++ b/crates/jobs/src/dispatch/tick.rs
@@ -4,7 +4,7 @@
 use crate::dispatch::{Dispatcher, Serving};
 use crate::fleet::ExecutorSlot;
 use crate::id::TaskKey;
-use crate::run::RunPhase;
+use crate::run::{Run, RunPhase};
 
 impl Dispatcher<Serving> {
     /// Handles expired leases and unanswered stops. The driver calls this about once a second.
@@ -23,14 +23,18 @@
             .map(|(slot, _)| slot)
             .collect();
         for slot in expired {
+            core.fleet.get_mut(slot).unexpected_runs.clear();
+            let lost = core.expired_runs(slot, now);
+            if lost.is_empty() {
+                continue;
+            }
             let executor = core.fleet.get(slot);
             tracing::warn!(
-                executor = %executor.entry.id, runs = executor.tasks.len(),
+                executor = %executor.entry.id, runs = lost.len(),
                 heard_ms = executor.listed_at.map(|at| now.since(at).get()), "dispatch: the lease of an executor expired, its runs are lost"
             );
-            core.log_lost_runs(slot, now);
-            core.drop_runs(slot);
-            core.fleet.get_mut(slot).unexpected_runs.clear();
+            core.log_lost_runs(&lost, now);
+            core.drop_runs(&lost);
         }
     }
 
@@ -50,24 +54,35 @@
 }
 
 impl Core {
-    fn log_lost_runs(&self, slot: ExecutorSlot, now: Timestamp) {
+    /// Returns the tasks whose runs have ended because the lease of their executor has expired. A run that is not known to
+    /// be in the current incarnation may be in a later one, where its lease may have been granted late.
+    fn expired_runs(&self, slot: ExecutorSlot, now: Timestamp) -> Vec<TaskKey> {
         let executor = self.fleet.get(slot);
+        let all_expired = executor.clock.has_expired_in_all_incarnations(now);
+        let has_ended = |run: &Run| match run.phase {
+            RunPhase::Starting => false,
+            _ => all_expired || run.incarnation == executor.incarnation,
+        };
         let runs = executor
             .tasks
             .iter()
             .filter_map(|task| self.runs.get(*task));
-        for run in runs {
+        let ended = runs.filter(|run| has_ended(run));
+        ended.map(|run| run.task).collect()
+    }
+
+    fn log_lost_runs(&self, tasks: &[TaskKey], now: Timestamp) {
+        for run in tasks.iter().filter_map(|task| self.runs.get(*task)) {
             tracing::info!(
-                task = %run.task, run = %run.number, executor = %executor.entry.id, phase = ?run.phase,
+                task = %run.task, run = %run.number, executor = %self.fleet.get(run.slot).entry.id, phase = ?run.phase,
                 ordered_ms = now.since(run.requested_at).get(), "dispatch: run is lost with the lease of its executor"
             );
         }
     }
 
-    /// Drops all runs of an executor on which nothing can run any more.
-    pub(super) fn drop_runs(&mut self, slot: ExecutorSlot) {
-        let tasks: Vec<TaskKey> = self.fleet.get(slot).tasks.iter().copied().collect();
-        for task in tasks {
+    /// Drops runs that can't exist any more.
+    pub(super) fn drop_runs(&mut self, tasks: &[TaskKey]) {
+        for &task in tasks {
             self.drop_run(task);
             if self.is_gang(task.step()) {
                 self.stop_step(task);
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -100,12 +100,17 @@
         unexpected_runs.fold(self.reserved, |sum, (_, need)| sum.saturating_add(*need))
     }
 
-    /// Returns the capacity for new runs. A suspect executor has none unless `use_suspects` is set.
+    /// Returns the capacity for new runs. A suspect executor has none unless `use_suspects` is set, and an unresponsive one
+    /// has none: a start that it does not answer holds up its task for long.
     pub fn free_capacity(&self, now: Timestamp, use_suspects: bool) -> FreeCapacity {
         let known = self.listed_at.is_some() && self.clock.has_reading();
         let usable = use_suspects || !self.health.is_suspect(now);
         FreeCapacity {
-            open: known && usable && self.is_recorded && self.availability == Availability::Ready,
+            open: known
+                && usable
+                && !self.is_unresponsive
+                && self.is_recorded
+                && self.availability == Availability::Ready,
             free: self.entry.capacity.saturating_sub(self.reserved()),
             capacity: self.entry.capacity,
         }
--- a/crates/jobs/src/fleet/lease_clock.rs
+++ b/crates/jobs/src/fleet/lease_clock.rs
@@ -17,8 +17,12 @@
     reading: Option<(u64, Timestamp)>,
     /// When the latest list of the incarnation being read was requested. The incarnation was alive after that.
     list_requested_at: Timestamp,
-    /// When all leases that may have been granted have expired.
+    /// When all leases that may have been granted to the incarnation being read have expired.
     expires_at: Timestamp,
+    /// When the last unanswered request that may have granted a lease was given up.
+    unanswered_at: Timestamp,
+    /// When all leases that unanswered requests may have granted to a later incarnation have expired.
+    unanswered_expire_at: Timestamp,
 }
 
 impl LeaseClock {
@@ -48,10 +52,28 @@
         self.reading.is_some_and(|(known, _)| goes_back(known))
     }
 
-    /// Drops the reading, because the clock of a new incarnation starts at zero.
+    /// Drops the reading, because the clock of a new incarnation starts at zero. The unanswered requests may take effect in
+    /// the new incarnation.
     pub fn reset(&mut self) {
         self.reading = None;
         self.list_requested_at = Timestamp::default();
+        self.expires_at = self.expires_at.max(self.unanswered_expire_at);
+    }
+
+    /// Records that a request that may have granted a lease was not answered. If the executor had restarted, the request may
+    /// take effect up to `delay` from now and grant `max_lease`, because its lease end is a time on the earlier clock.
+    pub fn record_unanswered(&mut self, delay: Millis, max_lease: Millis, now: Timestamp) {
+        let longest = max_lease.get() + max_lease.get() * MAX_DRIFT_PERCENT / 100;
+        self.unanswered_at = now;
+        self.unanswered_expire_at = now.after(delay).after(Millis::new(longest));
+    }
+
+    /// Records a list of the known incarnation that was requested at `sent_at`. Requests that were given up before reached
+    /// this incarnation or none, because their connections ended with its process.
+    pub fn confirm_incarnation(&mut self, sent_at: Timestamp) {
+        if self.unanswered_at < sent_at {
+            self.unanswered_expire_at = Timestamp::default();
+        }
     }
 
     /// Grants a lease and returns its end on the executor's clock, in milliseconds; `None` before the first reading.
@@ -78,6 +100,12 @@
         now > self.expires_at
     }
 
+    /// Returns true if all leases have expired, including those that unanswered requests may have granted to a later
+    /// incarnation.
+    pub fn has_expired_in_all_incarnations(&self, now: Timestamp) -> bool {
+        now > self.expires_at.max(self.unanswered_expire_at)
+    }
+
     /// Returns true if the reading is so old that leases granted on it would be much too short.
     pub fn is_outdated(&self, now: Timestamp) -> bool {
         self.reading
--- a/crates/jobs/tests/dispatch/ends.rs
+++ b/crates/jobs/tests/dispatch/ends.rs
@@ -82,9 +82,9 @@
         let mut harness = Harness::with(&[("e1", 8)]);
         let slot = ExecutorSlot::new(0);
         let ended = lose_acknowledgement(&mut harness);
+        harness.list(0, &[], vec![ended]);
         harness.submit(2, "urgent", vec![step(1, 1)]);
         assert_eq!(starts(&harness.plan()).len(), 1);
-        harness.list(0, &[], vec![ended]);
         let next = harness.dispatcher.next_hold(slot, false, harness.now);
         assert!(matches!(next, HoldAction::AwaitRecord), "{next:?}");
     }
--- a/crates/jobs/tests/dispatch/harness.rs
+++ b/crates/jobs/tests/dispatch/harness.rs
@@ -28,6 +28,7 @@
     DispatchLimits {
         lease: LEASE,
         max_lease: MAX_LEASE,
+        max_request_delay: Millis::new(12_000),
         hold_wait: Millis::new(1_500),
         retention: Millis::new(120_000),
         owner_lease: Millis::new(1_100),
--- a/crates/jobs/tests/dispatch/leases.rs
+++ b/crates/jobs/tests/dispatch/leases.rs
@@ -4,8 +4,9 @@
 use lagoon_jobs::dispatch::HoldAction;
 use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::id::{Incarnation, StepKey};
+use lagoon_jobs::run::StartOutcome;
 
-use crate::harness::{Harness, entry, job_id, listing, starts, step};
+use crate::harness::{Harness, MAX_LEASE, entry, job_id, listing, starts, step};
 
 cases! {
     /// Guards against a second run while the lease of the first may not have expired on a clock that is 2% slow.
@@ -27,6 +28,59 @@
         assert_eq!(starts(&harness.plan()).len(), 1);
     }
 
+    /// Guards against a second run beside one that an executor, which restarted unnoticed, starts late and without an
+    /// answer, with the longest lease because the lease end is on its earlier clock.
+    an_unanswered_start_may_run_in_a_later_incarnation {
+        let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
+        harness.submit(1, "urgent", vec![step(1, 4)]);
+        let request = starts(&harness.plan()).remove(0);
+        harness.dispatcher.started(&request, StartOutcome::Unknown, harness.now);
+        harness.dispatcher.hold_failed(request.slot, harness.now);
+        let longest = 12_000 + MAX_LEASE.get() * 100 / 98;
+        assert_eq!(starts_within(&mut harness, longest), 0);
+        assert_eq!(starts_within(&mut harness, 1_000), 1);
+    }
+
+    /// Guards against a second run in the same way after a start that was answered, by an executor whose answer does not
+    /// tell its incarnation.
+    a_start_answered_by_an_unknown_incarnation_may_have_the_longest_lease {
+        let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
+        harness.advance(20_000);
+        harness.submit(1, "urgent", vec![step(1, 4)]);
+        let request = starts(&harness.plan()).remove(0);
+        let outcome = StartOutcome::Started { executor_ms: Some(15_000) };
+        harness.dispatcher.started(&request, outcome, harness.now);
+        assert_eq!(starts_within(&mut harness, MAX_LEASE.get() * 100 / 98), 0);
+        assert_eq!(starts_within(&mut harness, 1_000), 1);
+    }
+
+    /// Guards against a second run beside one in a new incarnation, whose lease an unanswered hold may extend late.
+    an_unanswered_hold_may_extend_the_lease_of_a_later_incarnation {
+        let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
+        harness.submit(1, "urgent", vec![step(1, 4)]);
+        let request = harness.start_all().remove(0);
+        harness.dispatcher.hold_failed(request.slot, harness.now);
+        let failed_at = harness.now;
+        let mut restarted = listing(harness.now, &[], vec![]);
+        restarted.incarnation = Some(Incarnation::new(2));
+        harness.dispatcher.listed(request.slot, &restarted, harness.now, harness.now);
+        let again = harness.start_all().remove(0);
+        assert_eq!(again.slot, request.slot);
+        let longest = 12_000 + MAX_LEASE.get() * 100 / 98 - harness.now.since(failed_at).get();
+        assert_eq!(starts_within(&mut harness, longest), 0);
+        assert_eq!(starts_within(&mut harness, 1_000), 1);
+    }
+
+    /// Guards against starts on an executor that does not answer, which would hold up their tasks for long.
+    an_unresponsive_executor_gets_no_starts_however_many_there_are {
+        let mut harness = Harness::with(&[("e1", 4)]);
+        harness.dispatcher.hold_failed(ExecutorSlot::new(0), harness.now);
+        harness.submit(1, "urgent", vec![step(1, 4)]);
+        assert!(starts(&harness.plan()).is_empty());
+        harness.list(0, &[], vec![]);
+        assert_eq!(starts(&harness.plan()).len(), 1);
+    }
+
     /// Guards against repeated holds to a dead executor that extend its lease forever.
     repeated_holds_do_not_extend_the_lease {
         let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
@@ -174,3 +228,14 @@
         assert!(req.lease_end_ms.is_some());
     }
 }
+
+/// Returns the number of starts within a time, with ticks and placement passes.
+fn starts_within(harness: &mut Harness, ms: u64) -> usize {
+    let end = harness.now.after(Millis::new(ms));
+    let mut count = 0;
+    while harness.now < end {
+        harness.dispatcher.tick(harness.now);
+        count += starts(&harness.plan()).len();
+    }
+    count
+}
--- a/crates/jobs/tests/dispatch/random.rs
+++ b/crates/jobs/tests/dispatch/random.rs
@@ -7,7 +7,7 @@
         $(
             /// Guards against overlapping runs, runs after an end that counts, overcommitted executors and jobs that
             /// never end, under lost and delayed requests, crashes, unresponsive executors, cancellations and
-            /// takeovers.
+            /// takeovers from owners that go on.
             #[test]
             fn $name() {
                 for seed in $seeds {
@@ -24,6 +24,8 @@
     first_seeds: 1..=20;
     second_seeds: 21..=40;
     third_seeds: 41..=60;
+    // Two runs at the same time, after an unanswered start to an executor that had restarted.
+    an_unanswered_start_in_a_later_incarnation: 1434..=1434;
 }
 
 /// Runs the seeds in `LAGOON_SEEDS`, such as `1000..2000`, and prints each before it runs.
--- a/crates/jobs/tests/dispatch/sim/fleet.rs
+++ b/crates/jobs/tests/dispatch/sim/fleet.rs
@@ -1,11 +1,14 @@
 //! The simulated registry of executors, and takeovers between owners.
 
+use lagoon_core::unit::Millis;
 use lagoon_jobs::dispatch::{Dispatcher, HoldAction};
 use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::id::Epoch;
 
+use rand::Rng;
+
 use super::{EXECUTORS, Sim};
-use crate::harness::{limits, policy};
+use crate::harness::policy;
 
 impl Sim {
     /// Removes an executor from the registry.
@@ -23,11 +26,19 @@
         }
     }
 
+    /// Restarts an executor while no request reaches it, so that its restart is noticed late.
+    pub(super) fn restart_behind_a_cut(&mut self) {
+        let i = self.rng.random_range(0..EXECUTORS);
+        let ms = self.rng.random_range(100..4_000);
+        self.executors[i].unresponsive_until = self.now.after(Millis::new(ms));
+        self.executors[i].restart(self.now);
+    }
+
     /// Replaces the owner by one that knows only the store and the lists of the executors.
     pub(super) fn take_over(&mut self) {
         self.epoch += 1;
         let now = self.now;
-        let mut next = Dispatcher::open(Epoch::new(self.epoch), limits(), now);
+        let mut next = Dispatcher::open(Epoch::new(self.epoch), self.limits, now);
         next.set_policy(policy());
         next.set_members(&["m1", "m2", "m3"].map(|id| id.parse().unwrap()));
         let mut listings = Vec::new();
@@ -49,7 +60,7 @@
                         .for_each(|record| next.load_executor(record, now));
                 }
             }
-            if self.executors[i].is_unresponsive(now) {
+            if self.executors[i].is_unresponsive(now) || self.executors[i].is_mute(now) {
                 continue;
             }
             if let HoldAction::Hold(req) = next.next_hold(slot, false, now) {
@@ -73,6 +84,7 @@
         for (slot, listing) in listings {
             next.listed(slot, &listing, now, now);
         }
-        self.dispatcher = next.serve(now);
+        let last = std::mem::replace(&mut self.dispatcher, next.serve(now));
+        self.keep_previous(last);
     }
 }
--- a/crates/jobs/tests/dispatch/sim/mod.rs
+++ b/crates/jobs/tests/dispatch/sim/mod.rs
@@ -2,13 +2,14 @@
 
 mod delayed_event;
 mod fleet;
+mod previous_owner;
 mod record;
 mod requests;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use lagoon_core::unit::{Millis, Timestamp};
-use lagoon_jobs::dispatch::{Dispatcher, Effect, HoldAction, Serving};
+use lagoon_jobs::dispatch::{DispatchLimits, Dispatcher, Effect, HoldAction, Serving};
 use lagoon_jobs::fleet::{ExecutorRecord, ExecutorSlot};
 use lagoon_jobs::id::{Epoch, ExecutorId, JobId, StepKey, TaskKey};
 use lagoon_jobs::job::{JobRecord, Progress};
@@ -17,6 +18,7 @@
 use rand::{Rng, SeedableRng};
 
 use self::delayed_event::DelayedEvent;
+use self::previous_owner::PreviousOwner;
 use crate::harness::{job_id, limits, step};
 use crate::sim_executor::SimExecutor;
 use crate::sim_gangs::SimGangs;
@@ -27,11 +29,14 @@
 const STEP_MS: u64 = 25;
 
 pub(crate) struct Sim {
+    limits: DispatchLimits,
     rng: SmallRng,
     seed: u64,
     now: Timestamp,
     epoch: u64,
     dispatcher: Dispatcher<Serving>,
+    /// The last owner, which does not know yet that it was replaced.
+    previous: Option<PreviousOwner>,
     executors: Vec<SimExecutor>,
     delayed: Vec<(Timestamp, DelayedEvent)>,
     records: BTreeMap<JobId, JobRecord>,
@@ -51,14 +56,22 @@
     pub(crate) fn new(seed: u64) -> Self {
         let now = Timestamp::from_millis(1_000);
         let name = |number: usize| format!("e{number}").parse::<ExecutorId>().unwrap();
+        // The longest leases of the users' deployments.
+        let max_lease = Millis::new([6_000, 10_000][(seed % 2) as usize]);
+        let limits = DispatchLimits {
+            max_lease,
+            ..limits()
+        };
         let mut sim = Self {
+            limits,
             rng: SmallRng::seed_from_u64(seed),
             seed,
             now,
             epoch: 0,
-            dispatcher: Dispatcher::open(Epoch::new(0), limits(), now).serve(now),
+            dispatcher: Dispatcher::open(Epoch::new(0), limits, now).serve(now),
+            previous: None,
             executors: (0..EXECUTORS)
-                .map(|i| SimExecutor::new(name(i), CORES, now))
+                .map(|i| SimExecutor::new(name(i), CORES, limits.max_lease, now))
                 .collect(),
             delayed: Vec::new(),
             records: BTreeMap::new(),
@@ -92,6 +105,14 @@
                 let ms = self.rng.random_range(500..8_000);
                 self.executors[i].unresponsive_until = self.now.after(Millis::new(ms));
             }
+            if self.rng.random_bool(0.004) {
+                let i = self.rng.random_range(0..EXECUTORS);
+                let ms = self.rng.random_range(200..3_000);
+                self.executors[i].mute_until = self.now.after(Millis::new(ms));
+            }
+            if self.rng.random_bool(0.003) {
+                self.restart_behind_a_cut();
+            }
             if self.rng.random_bool(0.004) {
                 let i = self.rng.random_range(0..EXECUTORS);
                 self.unlist(i);
@@ -109,6 +130,7 @@
     /// Runs without faults until every job has ended.
     pub(crate) fn run_to_completion(&mut self, ms: u64) {
         self.fault_free = true;
+        self.previous = None;
         self.list_all();
         for _ in 0..ms / STEP_MS {
             self.step();
@@ -176,6 +198,7 @@
         if self.now.as_millis() % 500 < STEP_MS {
             self.dispatcher.tick(self.now);
         }
+        self.step_previous();
         self.dispatcher.plan(self.now);
         for effect in self.dispatcher.take_effects() {
             match effect {
@@ -196,10 +219,7 @@
         let count =
             |step: StepKey| records[&step.job()].spec().steps()[usize::from(step.step())].count;
         let (rng, fault_free) = (&mut self.rng, self.fault_free);
-        let draw = || {
-            let time = Millis::new(rng.random_range(200..2_500));
-            (time, !fault_free && rng.random_bool(0.1))
-        };
+        let draw = || (draw_run_time(rng), !fault_free && rng.random_bool(0.1));
         self.gangs
             .advance(&mut self.executors, count, draw, self.now);
     }
@@ -215,15 +235,24 @@
                 self.dispatcher.hold_failed(slot, self.now);
                 continue;
             }
-            let acknowledged_done = self.executors[i].done_up_to(req.acknowledged);
-            for task in acknowledged_done {
-                self.acknowledged_done
-                    .extend(self.tasks_done_together(task));
-            }
-            if let Some(listing) = self.executors[i].hold(&req, self.now) {
+            let done = self.executors[i].done_up_to(req.acknowledged);
+            self.note_acknowledged(done);
+            let listing = self.executors[i].hold(&req, self.now);
+            if self.executors[i].is_mute(self.now) {
+                self.dispatcher.hold_failed(slot, self.now);
+            } else if let Some(listing) = listing {
                 let sent_at = Timestamp::from_millis(self.now.as_millis() - 1);
                 self.dispatcher.listed(slot, &listing, sent_at, self.now);
             }
         }
     }
 }
+
+/// Returns a run time; a third of the runs last longer than a lease.
+fn draw_run_time(rng: &mut SmallRng) -> Millis {
+    let range = match rng.random_ratio(1, 3) {
+        true => 2_500..15_000,
+        false => 200..2_500,
+    };
+    Millis::new(rng.random_range(range))
+}
--- a/crates/jobs/tests/dispatch/sim/requests.rs
+++ b/crates/jobs/tests/dispatch/sim/requests.rs
@@ -7,14 +7,15 @@
 use rand::Rng;
 
 use super::delayed_event::DelayedEvent;
-use super::{CORES, Sim};
+use super::{CORES, Sim, draw_run_time};
 use crate::harness::policy;
 use crate::sim_adviser;
 use crate::sim_executor::SimExecutor;
 
 impl Sim {
     pub(super) fn send_start(&mut self, request: StartRequest) {
-        let is_lost = !self.fault_free && self.rng.random_bool(0.04);
+        let mute = self.executors[request.slot.index()].is_mute(self.now);
+        let is_lost = mute || !self.fault_free && self.rng.random_bool(0.04);
         let is_delayed = !self.fault_free && self.rng.random_bool(0.04);
         let unresponsive = self.executors[request.slot.index()].is_unresponsive(self.now);
         if is_lost || is_delayed || unresponsive {
@@ -26,7 +27,7 @@
             ));
         }
         if is_delayed {
-            let wait = Millis::new(self.rng.random_range(1_000..6_000));
+            let wait = Millis::new(self.rng.random_range(1_000..12_000));
             let incarnation = self.executors[request.slot.index()].incarnation();
             self.delayed.push((
                 self.now.after(wait),
@@ -51,12 +52,12 @@
         self.delayed.push((self.now.after(wait), answer));
     }
 
-    fn start_now(&mut self, request: &StartRequest) -> StartOutcome {
+    pub(super) fn start_now(&mut self, request: &StartRequest) -> StartOutcome {
         let task = request.task;
         let record = &self.records[&task.job()];
         let spec = &record.spec().steps()[usize::from(task.step().step())];
         let need = spec.reserved().cpu.get() / 1_000;
-        let time = Millis::new(self.rng.random_range(200..2_500));
+        let time = draw_run_time(&mut self.rng);
         let time = (!spec.gang).then_some(time);
         let fails = !self.fault_free && self.rng.random_bool(0.05);
         let is_advised = policy().queue(record.queue()).unwrap().advice.is_some();
@@ -81,6 +82,14 @@
         }
     }
 
+    /// Notes the tasks whose ends a hold has acknowledged as done.
+    pub(super) fn note_acknowledged(&mut self, done: Vec<TaskKey>) {
+        for task in done {
+            let done = self.tasks_done_together(task);
+            self.acknowledged_done.extend(done);
+        }
+    }
+
     /// Checks the invariants right after a start.
     fn check(&self, request: &StartRequest) {
         let (seed, task) = (self.seed, request.task);
@@ -110,7 +119,11 @@
     pub(super) fn send_stop(&mut self, request: &StopRequest) {
         let is_lost = !self.fault_free && self.rng.random_bool(0.1);
         let executor = &mut self.executors[request.slot.index()];
-        if !is_lost && !executor.is_unresponsive(self.now) && executor.stop(request) {
+        if !is_lost
+            && !executor.is_unresponsive(self.now)
+            && executor.stop(request)
+            && !executor.is_mute(self.now)
+        {
             self.dispatcher.stop_confirmed(request, self.now);
         }
     }
--- a/crates/jobs/tests/dispatch/sim_executor.rs
+++ b/crates/jobs/tests/dispatch/sim_executor.rs
@@ -8,7 +8,7 @@
 use lagoon_jobs::id::{Epoch, ExecutorId, Incarnation, RunNumber, TaskKey};
 use lagoon_jobs::run::{ActiveRun, EndedRun, Listing, RunOutcome, StartOutcome, StartRefusal};
 
-use crate::harness::{MAX_LEASE, entry};
+use crate::harness::entry;
 
 #[derive(Debug, Clone, Copy)]
 struct SimRun {
@@ -24,6 +24,7 @@
 pub(crate) struct SimExecutor {
     id: ExecutorId,
     cores: u64,
+    max_lease: Millis,
     incarnation: u64,
     started_at: Timestamp,
     fence: Epoch,
@@ -35,13 +36,16 @@
     /// The lease expired after the ends up to this sequence number. By the platform's rules these no longer count.
     discarded_up_to: u64,
     pub(crate) unresponsive_until: Timestamp,
+    /// Until then requests take effect, but are not answered.
+    pub(crate) mute_until: Timestamp,
 }
 
 impl SimExecutor {
-    pub(crate) fn new(id: ExecutorId, cores: u64, now: Timestamp) -> Self {
+    pub(crate) fn new(id: ExecutorId, cores: u64, max_lease: Millis, now: Timestamp) -> Self {
         Self {
             id,
             cores,
+            max_lease,
             incarnation: 1,
             started_at: now,
             fence: Epoch::new(0),
@@ -52,6 +56,7 @@
             next_end: 1,
             discarded_up_to: 0,
             unresponsive_until: Timestamp::default(),
+            mute_until: Timestamp::default(),
         }
     }
 
@@ -70,12 +75,17 @@
         now < self.unresponsive_until
     }
 
+    pub(crate) fn is_mute(&self, now: Timestamp) -> bool {
+        now < self.mute_until
+    }
+
     /// Drops all state and begins a new incarnation.
     pub(crate) fn restart(&mut self, now: Timestamp) {
-        let fresh = Self::new(self.id.clone(), self.cores, now);
+        let fresh = Self::new(self.id.clone(), self.cores, self.max_lease, now);
         *self = Self {
             incarnation: self.incarnation + 1,
             unresponsive_until: self.unresponsive_until,
+            mute_until: self.mute_until,
             ..fresh
         };
     }
@@ -218,7 +228,7 @@
 
     /// Extends the lease, up to the longest that executors grant.
     fn extend(&mut self, end_ms: u64, now: Timestamp) {
-        let longest = self.clock(now) + MAX_LEASE.get();
+        let longest = self.clock(now) + self.max_lease.get();
         self.lease_end_ms = self.lease_end_ms.max(end_ms.min(longest));
     }
 
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -24,6 +24,8 @@
 
 /// Lease that a hold grants to runs, long enough for a new owner to reach the executors before it expires.
 const RUN_LEASE: Millis = Millis::new(5_000);
+/// Longest time after which an executor may still carry out a request that was not answered, by the platform's rules.
+const MAX_REQUEST_DELAY: Millis = Millis::new(12_000);
 /// Time for which a hold waits for an ended run; two holds may be lost within a lease.
 const HOLD_WAIT: Millis = Millis::new(1_500);
 /// Time after the last confirmation of its ownership in which an owner renews leases of runs, so that runs survive most
@@ -53,6 +55,7 @@
     let limits = DispatchLimits {
         lease: RUN_LEASE.min(current.max_lease),
         max_lease: current.max_lease,
+        max_request_delay: MAX_REQUEST_DELAY,
         hold_wait: HOLD_WAIT,
         retention: current.retention,
         owner_lease: LEASE_TTL.max(current.min_store_lease),
