Skip executor entries that can't be read instead of failing the list

Symptom: with one item under servers/ that the client could not decode, no owner finished its recovery, and a running owner no longer learned of executors that came or went. Jobs were accepted and stayed queued.

Cause: a list or watch decoded its response as a whole, so that one value that is not Base64, one field of another type or one number out of range failed the call. Recovery and the watch of executors then repeated the same call for ever.

Deep nesting ended no process: serde_json skips ignored values without recursion and refuses nesting elsewhere.

Fix: items are decoded one by one. list_foreign and watch_foreign report the key of an item that can't be read with an empty value, which decode_entry refuses, so that its executor counts as not listed. Only the callers that read servers/ use them: recover and follow_executors. One log line per response gives the number of such items and the first three.

All other callers read our own keys, or the operators' configuration, and keep the strict calls, so that no record counts as absent: - claim (heads and owner), confirm and lane_writer (heads): the call fails and is repeated; nothing is claimed or confirmed. - recover (executor records, jobs, progress): recovery fails and is repeated, as before. - follow_jobs, cell::follow, policy::follow: the watch fails, is logged and repeated; the last state stays in use. - stored_state, look_up_job, hand_over, store_job, cancel_job: the caller gets an error, and no absent job.

--- a/crates/node/src/owner/follow_executors.rs
+++ b/crates/node/src/owner/follow_executors.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lagoon_adapter::store::{Event, Revision, StoreItem, WatchOutcome};
-use lagoon_adapter::{EXECUTOR_PREFIX, decode_entry};
+use lagoon_adapter::{EXECUTOR_PREFIX, UnreadableItems, decode_entry};
 use lagoon_core::unit::Millis;
 use lagoon_jobs::id::ExecutorId;
 use lagoon_platform::PlatformError;
@@ -46,17 +46,23 @@
     drivers: &mut JoinSet<()>,
 ) -> Result<(), PlatformError> {
     loop {
-        match cx.store.watch(EXECUTOR_PREFIX, *at, WATCH_WAIT).await? {
+        match cx
+            .store
+            .watch_foreign(EXECUTOR_PREFIX, *at, WATCH_WAIT)
+            .await?
+        {
             WatchOutcome::HistoryLost => return Ok(()),
             WatchOutcome::Events { events, next } => {
                 *at = next.max(*at);
                 let is_empty = events.is_empty();
+                let mut unreadable = UnreadableItems::default();
                 for event in &events {
                     match event {
-                        Event::Written(item) => apply(cx, shard, item, drivers),
+                        Event::Written(item) => apply(cx, shard, item, drivers, &mut unreadable),
                         Event::Removed(key) => unlist(shard, key),
                     }
                 }
+                log_unreadable(&unreadable);
                 if !is_empty {
                     tokio::time::sleep(BATCH_DELAY).await;
                 }
@@ -74,10 +80,12 @@
         "owner: store no longer has the history of the watch, listing all executors again"
     );
     tokio::time::sleep(RELIST_DELAY).await;
-    let (items, at) = cx.store.list(EXECUTOR_PREFIX).await?;
+    let (items, at) = cx.store.list_foreign(EXECUTOR_PREFIX).await?;
+    let mut unreadable = UnreadableItems::default();
     items
         .iter()
-        .for_each(|item| apply(cx, shard, item, drivers));
+        .for_each(|item| apply(cx, shard, item, drivers, &mut unreadable));
+    log_unreadable(&unreadable);
     let listed: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
     for (_, id) in shard.with(|dispatcher| dispatcher.executors()) {
         let key = format!("{EXECUTOR_PREFIX}{id}");
@@ -88,11 +96,26 @@
     Ok(at)
 }
 
-fn apply(cx: &Context, shard: &Arc<Shard>, item: &StoreItem, drivers: &mut JoinSet<()>) {
+/// Logs entries that name no executor to use.
+pub(super) fn log_unreadable(unreadable: &UnreadableItems) {
+    if !unreadable.is_empty() {
+        tracing::warn!(
+            "owner: invalid executor entries, these executors are not used: {unreadable}"
+        );
+    }
+}
+
+fn apply(
+    cx: &Context,
+    shard: &Arc<Shard>,
+    item: &StoreItem,
+    drivers: &mut JoinSet<()>,
+    unreadable: &mut UnreadableItems,
+) {
     let entry = match decode_entry(&item.key, &item.value) {
         Ok(entry) => entry,
-        Err(e) => {
-            tracing::warn!(key = %item.key, "owner: invalid executor entry, the executor is not used: {e}");
+        Err(reason) => {
+            unreadable.push(&item.key, reason);
             unlist(shard, &item.key);
             return;
         }
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lagoon_adapter::{EXECUTOR_PREFIX, decode_entry};
+use lagoon_adapter::{EXECUTOR_PREFIX, UnreadableItems, decode_entry};
 use lagoon_core::unit::Millis;
 use lagoon_jobs::dispatch::{
     DispatchLimits, Dispatcher, HoldAction, HoldRequest, Recovering, Serving,
@@ -19,6 +19,7 @@
 use crate::cell::{Claim, Keys, LEASE_TTL};
 use crate::context::Context;
 use crate::owner::confirm::{Confirmation, confirm};
+use crate::owner::follow_executors::log_unreadable;
 use crate::owner::hold_response::HoldResponse;
 use crate::owner::run::WatchStart;
 
@@ -46,7 +47,7 @@
 ) -> Result<(Dispatcher<Serving>, WatchStart), PlatformError> {
     let epoch = claim.epoch;
     let ((executors, executors_at), (records, _)) = tokio::try_join!(
-        cx.store.list(EXECUTOR_PREFIX),
+        cx.store.list_foreign(EXECUTOR_PREFIX),
         cx.store.list(Keys::EXECUTORS)
     )?;
     let current = cx.current_limits();
@@ -63,16 +64,16 @@
     let mut dispatcher = Dispatcher::open(epoch, limits, cx.clock.now());
     dispatcher.confirm_ownership(claim.sent_at);
     dispatcher.set_policy(wait_for_policy(cx).await);
+    let mut unreadable = UnreadableItems::default();
     for item in &executors {
         match decode_entry(&item.key, &item.value) {
             Ok(entry) => {
                 dispatcher.observe(entry, cx.clock.now());
             }
-            Err(e) => {
-                tracing::warn!(key = %item.key, "owner: invalid executor entry, the executor is not used: {e}")
-            }
+            Err(reason) => unreadable.push(&item.key, reason),
         }
     }
+    log_unreadable(&unreadable);
     for item in &records {
         match serde_json::from_slice(&item.value) {
             Ok(record) => dispatcher.load_executor(record, cx.clock.now()),
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -5,4 +5,5 @@
 mod cell;
 mod end_to_end;
 mod faults;
+mod odd_entries;
 mod takeover;
--- a/crates/standin/src/site/site_handle.rs
+++ b/crates/standin/src/site/site_handle.rs
@@ -161,6 +161,25 @@
         kv_api::lock(&self.store).delete(&format!("servers/{id}"));
     }
 
+    /// Returns the store entry that an executor writes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the executor doesn't exist.
+    pub fn entry(&self, id: &str) -> Value {
+        self.executors[id].entry()
+    }
+
+    /// Writes an executor's store entry with any bytes, as another program may.
+    pub fn write_entry(&self, id: &str, value: &[u8]) {
+        self.write_unencoded_entry(id, &STANDARD.encode(value));
+    }
+
+    /// Writes an executor's store entry whose value in responses is `text`, which doesn't have to be Base64.
+    pub fn write_unencoded_entry(&self, id: &str, text: &str) {
+        kv_api::lock(&self.store).put(&format!("servers/{id}"), text);
+    }
+
     /// Returns the keys under a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let (items, _) = kv_api::lock(&self.store).range(prefix, "", usize::MAX);
