--- a/crates/node/tests/node/odd_entries.rs
+++ b/crates/node/tests/node/odd_entries.rs
@@ -1,5 +1,7 @@
 //! Entries of other writers among those of the executors.
 
+use std::time::Duration;
+
 use serde_json::{Value, json};
 
 use crate::cell::Cell;
@@ -39,6 +41,20 @@
         cell.assert_no_violations();
     }
 
+    /// Guards against more work on an executor than it has capacity for, because of a number in another writer's entry.
+    work_fits_despite_an_entry_with_a_capacity_out_of_range {
+        let cell = Cell::start(1, 1).await;
+        cell.owner().await;
+        let mut large = cell.site.entry("e0");
+        large["capacity"] = json!({"cpu": u64::MAX, "mem_mb": u64::MAX, "gpu": u32::MAX});
+        cell.site.write_entry("e0", large.to_string().as_bytes());
+        cell.submit_until_accepted(0, JOB, "ms=300", json!([{"count": 8, "cpu": 1000}])).await;
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        cell.site.write_entry("e0", cell.site.entry("e0").to_string().as_bytes());
+        cell.wait_for_state(0, JOB, "done").await;
+        cell.assert_no_violations();
+    }
+
     /// Guards against runs that are lost, or started a second time, because the entry of their executor can't be read for a
     /// while, also by a later owner.
     runs_outlast_odd_entries_of_their_executors {
@@ -49,7 +65,7 @@
         cell.wait_for_starts(8).await;
         for value in odd_values(&cell.site.entry("e0")) {
             cell.site.write_entry("e0", &value);
-            tokio::time::sleep(std::time::Duration::from_millis(120)).await;
+            tokio::time::sleep(Duration::from_millis(120)).await;
         }
         cell.site.write_unencoded_entry("e1", "%%%");
         cell.crash_node(owner);
@@ -92,8 +108,13 @@
         text.replacen(r#""born":"#, r#""born":1e400,"x":"#, 1)
             .into_bytes(),
         with("capacity", json!({"cpu": -1, "mem_mb": 1})),
+        with(
+            "capacity",
+            json!({"cpu": u64::MAX, "mem_mb": u64::MAX, "gpu": u32::MAX}),
+        ),
         with("born", json!("yesterday")),
         with("address", json!("127.0.0.1:70000")),
+        with("address", json!("127.0.0.1:0")),
         with("state", json!("resting")),
         with("service", json!("")),
         with("labels", json!({"a": 1})),
