--- a/crates/node/tests/node/odd_entries.rs
+++ b/crates/node/tests/node/odd_entries.rs
@@ -63,6 +63,8 @@
         let other = 1 - owner;
         cell.submit_until_accepted(other, JOB, "ms=5000", json!([{"count": 8, "cpu": 1000}])).await;
         cell.wait_for_starts(8).await;
+        // Has capacity for every run that counts as lost.
+        cell.site.start_executor("e2", 8_000).await.unwrap();
         for value in odd_values(&cell.site.entry("e0")) {
             cell.site.write_entry("e0", &value);
             tokio::time::sleep(Duration::from_millis(120)).await;
@@ -113,6 +115,7 @@
             json!({"cpu": u64::MAX, "mem_mb": u64::MAX, "gpu": u32::MAX}),
         ),
         with("born", json!("yesterday")),
+        with("born", json!(u64::MAX)),
         with("address", json!("127.0.0.1:70000")),
         with("address", json!("127.0.0.1:0")),
         with("state", json!("resting")),
