Saturate the number of gang tasks that fit on the approved executors

Symptom: the placement pass of a build with overflow checks panics once the tickets of a gang whose tasks need next to nothing have expired. A build without them may request advice that it does not need.

Cause: the number of tasks that fit on one executor is cut at the largest u32, also for tasks that need no resources, and the numbers of several executors were added without a limit.

Evidence, before the change: a_gang_that_needs_next_to_nothing_renews_its_tickets failed with "attempt to add with overflow" in core/src/iter/traits/accum.rs.

Fix: both sums saturate.

--- a/crates/jobs/src/dispatch/request_gang_advice.rs
+++ b/crates/jobs/src/dispatch/request_gang_advice.rs
@@ -35,14 +35,14 @@
                     .fits(&need)
                     .min(c.allowed)
             })
-            .sum();
+            .fold(0, u32::saturating_add);
         if fits_after_preemption >= spec.count {
             return;
         }
         let fits_when_empty: u32 = known
             .iter()
             .map(|c| pass.free_capacity(c.slot).fits_empty(&need).min(c.allowed))
-            .sum();
+            .fold(0, u32::saturating_add);
         let advice = self.advice.step(key);
         let has_waited = advice.is_some_and(|a| pass.now.since(a.answered_at) > WIDEN_AFTER);
         if fits_when_empty >= spec.count && !has_waited {
--- a/crates/jobs/tests/dispatch/advice.rs
+++ b/crates/jobs/tests/dispatch/advice.rs
@@ -116,6 +116,18 @@
         }
     }
 
+    /// Guards against an overflow where each of several executors fits more tasks than can be counted.
+    a_gang_that_needs_next_to_nothing_renews_its_tickets {
+        let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
+        harness.submit(1, "advised", vec![gang(4, 0)]);
+        let request = advice_requests(&harness.plan()).remove(0);
+        harness.advise(&request, 1_500);
+        harness.advance(1_600);
+        let renewal = advice_requests(&harness.plan()).remove(0);
+        harness.advise(&renewal, 1_500);
+        assert_eq!(starts(&harness.plan()).len(), 4);
+    }
+
     /// Guards against preempting work for a gang that can't start yet, so that the work is placed again meanwhile.
     a_gang_preempts_nothing_before_it_has_tickets {
         let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
