Send no acknowledgements to an executor that is gone

Cause: a hold that failed has its acknowledgement sent again, and a pending acknowledgement makes the next hold due at once; the answer 421 counted as such a failure. The acknowledgement is dropped once the answer shows that the executor is gone.

--- a/crates/jobs/src/dispatch/replaced.rs
+++ b/crates/jobs/src/dispatch/replaced.rs
@@ -33,6 +33,7 @@
         // Its entry stays in the list for some time; if it runs elsewhere, it writes a new one.
         executor.availability = Availability::Unlisted;
         executor.unexpected_runs.clear();
+        executor.ends.drop_unsent();
         let lost: Vec<TaskKey> = executor.tasks.iter().copied().collect();
         core.unreported.remove(&slot);
         core.drop_runs(&lost);
--- a/crates/jobs/src/fleet/end_cursor.rs
+++ b/crates/jobs/src/fleet/end_cursor.rs
@@ -93,6 +93,11 @@
         self.sent = 0;
     }
 
+    /// Drops an acknowledgement that was not sent, because its executor is gone.
+    pub fn drop_unsent(&mut self) {
+        self.sent = self.acknowledged;
+    }
+
     /// Returns true if an acknowledgement was not sent yet.
     pub fn has_unsent(&self) -> bool {
         self.sent < self.acknowledged
--- a/crates/jobs/tests/dispatch/leases.rs
+++ b/crates/jobs/tests/dispatch/leases.rs
@@ -4,7 +4,7 @@
 use lagoon_jobs::dispatch::HoldAction;
 use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::id::{Incarnation, StepKey};
-use lagoon_jobs::run::StartOutcome;
+use lagoon_jobs::run::{RunOutcome, StartOutcome};
 
 use crate::harness::{Harness, MAX_LEASE, entry, job_id, listing, starts, step};
 
@@ -106,6 +106,19 @@
         assert_eq!(harness.dispatcher.take_departed_executors(8, harness.now).len(), 1);
     }
 
+    /// Guards against holds to a gone executor, four a second, that carry an acknowledgement which it never received.
+    an_executor_whose_address_is_taken_gets_no_acknowledgement {
+        let mut harness = Harness::with(&[("e1", 4)]);
+        harness.submit(1, "urgent", vec![step(1, 4)]);
+        let request = harness.start_all().remove(0);
+        harness.ended(&request, RunOutcome::Done);
+        harness.record_all();
+        let _ = harness.dispatcher.next_hold(request.slot, false, harness.now);
+        harness.dispatcher.replaced(request.slot, request.address, harness.now);
+        let next = harness.dispatcher.next_hold(request.slot, true, harness.now);
+        assert!(matches!(next, HoldAction::Idle), "{next:?}");
+    }
+
     /// Guards against an executor that has left and is asked, and kept on record, forever because of an unexpected run.
     an_unexpected_run_does_not_outlast_its_lease {
         let mut harness = Harness::with(&[("e1", 4)]);
