Step down when a job of a later owner is read during recovery

An owner that recovers reads the jobs after it has confirmed its ownership at the latest, so that a claim and a job of the later owner may come in between. The later owner does not wait, because a job stored under it counts as unknown to earlier ones: two runs at the same time. A job that arrives later already made an owner step down; one that is loaded does now, too.

--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -72,8 +72,11 @@
         }
     }
 
-    /// Loads a stored job with its progress.
+    /// Loads a stored job with its progress. A job that was stored under a later owner shows that the cell has been claimed.
     pub fn load(&mut self, id: JobId, record: JobRecord, progress: &Progress, now: Timestamp) {
+        if self.core.is_of_later_owner(id, &record) {
+            return self.core.step_down();
+        }
         if let Some(state) = progress.outcome {
             self.core.cleanup.push(id, state);
             self.load_ended(id, state, now);
@@ -120,8 +123,7 @@
     /// Adds an accepted job, unless it is known. A job that was stored under another owner may have been started by that
     /// owner.
     pub fn submit(&mut self, id: JobId, record: JobRecord, now: Timestamp) {
-        if record.owner() > Some(self.core.epoch) {
-            tracing::warn!(job = %id, owner = record.owner().map(Epoch::get), "dispatch: job was stored under a later owner, stepping down");
+        if self.core.is_of_later_owner(id, &record) {
             return self.core.step_down();
         }
         let mut job = Job::new(id, record);
@@ -137,6 +139,14 @@
 }
 
 impl Core {
+    fn is_of_later_owner(&self, id: JobId, record: &JobRecord) -> bool {
+        let is_later = record.owner() > Some(self.epoch);
+        if is_later {
+            tracing::warn!(job = %id, owner = record.owner().map(Epoch::get), "dispatch: job was stored under a later owner, stepping down");
+        }
+        is_later
+    }
+
     fn set_objective(&self, job: &mut Job) {
         let record = job.record();
         let Some(queue) = self.policy.queue(record.queue()) else {
--- a/crates/jobs/tests/dispatch/ownership.rs
+++ b/crates/jobs/tests/dispatch/ownership.rs
@@ -89,6 +89,18 @@
         assert!(starts(&effects).is_empty());
     }
 
+    /// Guards against the same by an owner that reads the job while it recovers.
+    a_recovering_owner_that_reads_a_job_of_a_later_one_starts_nothing {
+        let now = Timestamp::from_millis(1_000);
+        let mut dispatcher = recovering(1, &[("e1", 8)]);
+        let later = record("urgent", vec![step(1, 1)]).under(Some(Epoch::new(2)));
+        dispatcher.load(job_id(1), later, &Progress::default(), now);
+        dispatcher.listed(ExecutorSlot::new(0), &listing(now, &[], vec![]), now, now);
+        let effects = Harness::serve(dispatcher).plan();
+        assert!(effects.iter().any(|effect| matches!(effect, Effect::StepDown)));
+        assert!(starts(&effects).is_empty());
+    }
+
     /// Guards against a second run of a job that was stored under the earlier owner, which may have started it on an
     /// unreported executor.
     a_job_stored_under_the_earlier_owner_waits_for_unreported_executors {
