Read the configuration again after a pause before requests are handled

Cause: a request whose queue is found is handled by the version that the node knows. After a pause these requests run before the watch has answered. A request whose queue is not found reads the store, so it gets the newer version.

No forwarded submission is involved: the node that takes a request decides on its queue.

Fix: a task observes the clock, which counts pauses, each 100 ms; each request does too, so that the first one after a pause notices it. A gap above 250 ms is a pause. Requests then wait for one read of the configuration that was sent after the pause, at most 0.7 s or half of the caller's time. If it fails they are refused with 503, which callers repeat at another node; from 2.5 s after the pause on, when no request from the pause is left, the known version is used, so that a node without the store is not silent.

The test in crates/node/tests/node/pauses.rs runs a node on one thread, blocks it while the configuration changes, and keeps watches silent (new fault of the stand-in). Before the fix the dropped queue gave 200 in place of 404, and 200 in place of 503 without the store.

--- a/crates/node/src/api/job_api.rs
+++ b/crates/node/src/api/job_api.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use lagoon_adapter::api::{CancelReply, JobService, StateReply, SubmitReply};
+use lagoon_adapter::api::{CancelReply, JobService, PolicyReply, StateReply, SubmitReply};
 use lagoon_core::unit::Millis;
 use lagoon_jobs::id::{JobId, QueueName};
 use lagoon_jobs::job::{JobRecord, JobState};
@@ -134,8 +134,8 @@
 }
 
 impl JobService for JobApi {
-    fn policy(&self) -> Option<Arc<CellPolicy>> {
-        self.cx.current_policy()
+    async fn policy(&self, deadline: Millis) -> PolicyReply {
+        policy::read_confirmed(&self.cx, deadline).await
     }
 
     async fn latest_policy(&self) -> Option<Arc<CellPolicy>> {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -10,6 +10,7 @@
 
 use crate::cell::CellView;
 use crate::peers::PeerClients;
+use crate::policy::PolicyGuard;
 use crate::settings::{LimitSettings, NodeSettings};
 
 /// Time-out for a call to the store. It usually answers in 4 ms, and callers wait 3 s in total.
@@ -36,6 +37,7 @@
     pub(crate) peers: PeerClients,
     /// Current configuration; `None` until the first one arrives.
     pub(crate) policy: watch::Sender<Option<Arc<CellPolicy>>>,
+    pub(crate) policy_guard: Arc<PolicyGuard>,
     /// Members and owner of the cell.
     pub(crate) cell: watch::Sender<Arc<CellView>>,
     /// Whether the store answered the last lease call of this node.
@@ -58,6 +60,7 @@
             adviser: AdviserClient::new(endpoint(settings.adviser), transport(ADVISER_TIMEOUT)),
             peers: PeerClients::default(),
             policy: watch::Sender::new(None),
+            policy_guard: Arc::new(PolicyGuard::new(clock)),
             cell: watch::Sender::new(Arc::default()),
             store_reachable: watch::Sender::new(true),
             limits: watch::Sender::new(settings.limits),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -76,6 +76,7 @@
         tasks.spawn(hold_open(vec![small, metrics]));
         tasks.spawn(serve_peers(cx.clone(), shard_handle.clone()).await?);
         tasks.spawn(policy::follow(cx.clone()));
+        tasks.spawn(policy::detect_pauses(cx.clone()));
         tasks.spawn(cell::follow(cx.clone()));
         tasks.spawn(cell::discover_owner(cx.clone()));
         tasks.spawn(follow_readiness(cx.clone(), readiness.clone()));
--- a/crates/node/src/policy/follow.rs
+++ b/crates/node/src/policy/follow.rs
@@ -26,15 +26,19 @@
 
 /// Reads the configuration from the store, applies it and returns the current one.
 pub(crate) async fn read_latest(cx: &Context) -> Result<Option<Arc<CellPolicy>>, PlatformError> {
+    let sent_at = cx.clock.now();
     if let Some(item) = cx.store.get(CONFIG_KEY).await? {
         apply(cx, &item);
     }
+    cx.policy_guard.confirm(sent_at);
     Ok(cx.current_policy())
 }
 
 async fn follow_once(cx: &Context) -> Result<(), PlatformError> {
+    let sent_at = cx.clock.now();
     let (items, mut at) = cx.store.list(CONFIG_KEY).await?;
     items.iter().for_each(|item| apply(cx, item));
+    cx.policy_guard.confirm(sent_at);
     loop {
         match cx.store.watch(CONFIG_KEY, at, WATCH_WAIT).await? {
             WatchOutcome::HistoryLost => {
--- a/crates/node/tests/node/cell.rs
+++ b/crates/node/tests/node/cell.rs
@@ -10,14 +10,16 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
+use crate::node_thread::NodeThread;
+
 /// Time within which an expected state has to occur. A takeover takes about 2 s, and a lease expires after 5 s.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
 /// CPU share of a node in cores, unless a test sets another one.
 const DEFAULT_STRENGTH: f64 = 0.5;
 
-/// A node with its addresses for callers, readiness and metrics.
-type StartedNode = (Node, SocketAddr, SocketAddr, SocketAddr);
+/// A node, unless it runs on a thread of its own, with its addresses for callers, readiness and metrics.
+type StartedNode = (Option<Node>, SocketAddr, SocketAddr, SocketAddr);
 
 /// Nodes against a stand-in for the platform, with a client.
 pub(crate) struct Cell {
@@ -78,7 +80,36 @@
         self.start_node(number, store, DEFAULT_STRENGTH).await;
     }
 
+    /// Starts a node on a thread of its own, where it can be paused.
+    pub(crate) async fn add_pausable_node(&mut self) -> NodeThread {
+        let number = self.nodes.len();
+        let (settings, addresses) = self.settings(number, self.site.store(), DEFAULT_STRENGTH);
+        let node = NodeThread::spawn(settings);
+        let [callers, readiness, metrics] = addresses;
+        self.nodes.push(Some((None, callers, readiness, metrics)));
+        self.wait_until_ready(readiness).await;
+        self.eventually("the node owns the cell", async |cell: &Self| {
+            cell.call(number, Method::GET, "/plain/", None).await.0 == 200
+        })
+        .await;
+        node
+    }
+
     async fn start_node(&mut self, number: usize, store: SocketAddr, strength: f64) {
+        let (settings, addresses) = self.settings(number, store, strength);
+        let node = Node::bind(settings, Clock::anchored()).await.unwrap();
+        let [callers, readiness, metrics] = addresses;
+        self.nodes[number] = Some((Some(node), callers, readiness, metrics));
+        self.wait_until_ready(readiness).await;
+    }
+
+    /// Returns the settings of a node, and its addresses for callers, readiness and metrics.
+    fn settings(
+        &self,
+        number: usize,
+        store: SocketAddr,
+        strength: f64,
+    ) -> (NodeSettings, [SocketAddr; 3]) {
         let lease = self.store_lease.as_secs();
         let [callers, readiness, peers, metrics] = [(); 4].map(|()| free_address().unwrap());
         let adviser = self.site.adviser();
@@ -89,8 +120,10 @@
         );
         let settings: NodeSettings =
             lagoon_process::settings::parse(Path::new("test.yaml"), &settings).unwrap();
-        let node = Node::bind(settings, Clock::anchored()).await.unwrap();
-        self.nodes[number] = Some((node, callers, readiness, metrics));
+        (settings, [callers, readiness, metrics])
+    }
+
+    async fn wait_until_ready(&self, readiness: SocketAddr) {
         self.eventually("the node is ready", async |cell: &Self| {
             cell.client
                 .call(readiness, Method::GET, "/v1/readiness", None)
@@ -109,7 +142,7 @@
     /// Stops a node gracefully, as the platform does.
     pub(crate) async fn stop_node(&mut self, number: usize) {
         let (node, ..) = self.nodes[number].take().unwrap();
-        node.stop().await;
+        node.unwrap().stop().await;
     }
 
     /// Returns the number of the node that owns the cell, once there is one.
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -5,4 +5,6 @@
 mod cell;
 mod end_to_end;
 mod faults;
+mod node_thread;
+mod pauses;
 mod takeover;
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -40,10 +40,12 @@
 pub mod shutdown;
 
 mod clock;
+mod pause_detector;
 mod run_error;
 mod sharded;
 mod token;
 
 pub use crate::{
-    clock::Clock, metrics::Metrics, run_error::RunError, sharded::Sharded, token::Token,
+    clock::Clock, metrics::Metrics, pause_detector::PauseDetector, run_error::RunError,
+    sharded::Sharded, token::Token,
 };
--- a/crates/standin/src/site/kv_api.rs
+++ b/crates/standin/src/site/kv_api.rs
@@ -81,7 +81,9 @@
     let deadline = Instant::now() + Duration::from_millis(u64_param("wait_ms").unwrap_or_default());
     loop {
         let response = handle(&shared, |state| {
+            let is_silent = state.fault == StoreFault::SilentWatches;
             match state.events(&params["prefix"], after) {
+                Some(_) if is_silent => StatusCode::NO_CONTENT.into_response(),
                 None => StatusCode::GONE.into_response(),
                 Some(events) if events.is_empty() && Instant::now() < deadline => {
                     StatusCode::NO_CONTENT.into_response()
--- a/crates/standin/src/site/kv_state.rs
+++ b/crates/standin/src/site/kv_state.rs
@@ -18,6 +18,8 @@
     DropWriteResponses,
     /// Doesn't respond to writes, and executes them after a delay if their preconditions still hold.
     DelayWrites,
+    /// Leaves watches without events. Other calls are served.
+    SilentWatches,
 }
 
 /// Keys, leases and history of the store.
