--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -5,5 +5,7 @@
 mod cell;
 mod end_to_end;
 mod faults;
+mod node_thread;
 mod odd_entries;
+mod pauses;
 mod takeover;
