Count a gang as running although a task of it ended before the successor learned of it

Symptom: after a takeover or a handover, a running gang job was stopped. Callers of at-most-once jobs got "host_lost", other jobs started again from the beginning.

Cause: a job became "running" only on a report of a running task. A successor gets the tasks from one worker after another; if the last report was of a task that had succeeded while others still ran, the job stayed "starting", and the end of fencing stopped it as a gang of which only a part runs.

Evidence: shard_peers borrowing::successor_finds_an_ended_task failed before with "left: Some(Starting), right: Some(Running)". It needs no load.

Why it works: the end of a task now checks the same condition as the start of a task.

Result: the test passes, as do all tests of lagoon-core.

--- a/crates/core/src/shard/tasks.rs
+++ b/crates/core/src/shard/tasks.rs
@@ -165,11 +165,23 @@
             self.effects.push(Effect::Stop { worker, task });
             return;
         }
-        let running = |placement: &TaskPlacement| {
-            placement.state == PlacementState::Running || placement.is_finished()
+        self.mark_if_running(task.work(), now);
+    }
+
+    /// Marks work as running once each of its tasks has started and one still runs. A successor may find that some
+    /// tasks have ended, in any order of the reports.
+    fn mark_if_running(&mut self, work: &WorkId, now: Timestamp) {
+        let Some(record) = self.records.get_mut(work) else {
+            return;
         };
+        let running = |placement: &TaskPlacement| placement.state == PlacementState::Running;
         let all = record.placements.len() == record.spec.task_count as usize;
-        if all && record.placements.iter().all(running) {
+        let started = |placement: &TaskPlacement| running(placement) || placement.is_finished();
+        if all
+            && record.after_stop.is_none()
+            && record.placements.iter().any(running)
+            && record.placements.iter().all(started)
+        {
             record.state = WorkState::Running;
             record.reason = String::new();
             record.started_at.get_or_insert(now);
@@ -188,6 +200,7 @@
         self.update_placement(worker, task, |placement| {
             placement.state = PlacementState::Finished { started }
         });
+        self.mark_if_running(task.work(), now);
         self.complete_if_stopped(task.work(), now);
     }
 
--- a/crates/core/tests/shard_peers/borrowing.rs
+++ b/crates/core/tests/shard_peers/borrowing.rs
@@ -259,6 +259,18 @@
         assert_eq!((successor.starts_sent(), stops_sent(&successor)), (0, 0));
     }
 
+    /// Guards against a successor that stops a running job because one of its tasks had ended before it was reported.
+    successor_finds_an_ended_task: store, owner => {
+        let (work, tasks) = start_gang(&mut owner, &mut store);
+        let mut successor = Owner::claim(&mut store, "s2", None).unwrap();
+        successor.shard.forget_borrowed_workers(|id| *id == worker(WORKER).worker);
+        let running = |task| report(task, TaskPhase::Running);
+        successor.serve(&mut store, 2, 8, vec![running(&tasks[0]), running(&tasks[1])]);
+        successor.fence(OTHER_WORKER, vec![report(&tasks[2], TaskPhase::Succeeded("a".to_owned()))]);
+        assert_eq!(state(&successor, &work), Some(WorkState::Running));
+        assert_eq!((successor.starts_sent(), stops_sent(&successor)), (0, 0));
+    }
+
     /// Guards against borrowed workers that every successor has to fence forever.
     released_in_the_journal: store, owner => {
         let (_, tasks) = start_gang(&mut owner, &mut store);
