Do not count a stopped task of a gang as started

Symptom: after a takeover, a gang job of which one task had been stopped could go on with the remaining tasks and be reported as succeeded, without the output of that task.

Cause: a job became "running" when each task ran or had finished, and a stopped task counts as finished. For inherited work a stopped task decides nothing until all workers have responded, and then a running job was left alone. A previous owner that died between two stops leaves such a job.

Evidence: shard_peers borrowing::successor_finds_a_stopped_task failed before with "left: Some(Running)", without a stop of the other tasks.

Why it works: a task counts only if it runs or has succeeded, so the end of fencing stops what is left of the job and queues or ends it.

--- a/crates/core/src/shard/tasks.rs
+++ b/crates/core/src/shard/tasks.rs
@@ -168,15 +168,15 @@
         self.mark_if_running(task.work(), now);
     }
 
-    /// Marks work as running once each of its tasks has started and one still runs. A successor may find that some
-    /// tasks have ended, in any order of the reports.
+    /// Marks work as running once each of its tasks runs or has succeeded, and one still runs. A successor may find
+    /// that some tasks have ended, in any order of the reports.
     fn mark_if_running(&mut self, work: &WorkId, now: Timestamp) {
         let Some(record) = self.records.get_mut(work) else {
             return;
         };
         let running = |placement: &TaskPlacement| placement.state == PlacementState::Running;
         let all = record.placements.len() == record.spec.task_count as usize;
-        let started = |placement: &TaskPlacement| running(placement) || placement.is_finished();
+        let started = |placement: &TaskPlacement| running(placement) || placement.output.is_some();
         if all
             && record.after_stop.is_none()
             && record.placements.iter().any(running)
--- a/crates/core/tests/shard_peers/borrowing.rs
+++ b/crates/core/tests/shard_peers/borrowing.rs
@@ -271,6 +271,18 @@
         assert_eq!((successor.starts_sent(), stops_sent(&successor)), (0, 0));
     }
 
+    /// Guards against a job that a successor reports as succeeded although one of its tasks was stopped.
+    successor_finds_a_stopped_task: store, owner => {
+        let (work, tasks) = start_gang(&mut owner, &mut store);
+        let mut successor = Owner::claim(&mut store, "s2", None).unwrap();
+        successor.shard.forget_borrowed_workers(|id| *id == worker(WORKER).worker);
+        let (gone, running) = (TaskPhase::Stopped { started: true }, TaskPhase::Running);
+        successor.serve(&mut store, 2, 8, vec![report(&tasks[0], gone), report(&tasks[1], running.clone())]);
+        successor.fence(OTHER_WORKER, vec![report(&tasks[2], running)]);
+        assert_ne!(state(&successor, &work), Some(WorkState::Running));
+        assert_eq!(stops_sent(&successor), 2);
+    }
+
     /// Guards against borrowed workers that every successor has to fence forever.
     released_in_the_journal: store, owner => {
         let (_, tasks) = start_gang(&mut owner, &mut store);
