Wait for the owner and the members in the test of a node that is turned away

Symptom: faults::a_node_that_is_turned_away_learns_the_owner_from_others failed at its first assertion with "left: 1, right: 0", or later with "the job is accepted within 20s".

Cause: a fault of the test. It added nodes 1 and 2 before node 0 had claimed the cell. The delay before a claim is 120 ms, and 120 ms more for each stronger or closer member, so on a busy machine node 1 can claim first. The test also did not wait until node 1 had seen the others before it took the store from it.

Why it works: the test waits until node 0 owns the cell before it adds a node, and until node 1 reports node 0 as the owner and all three members before the store turns it away. All earlier assertions remain.

--- a/crates/node/tests/node/faults.rs
+++ b/crates/node/tests/node/faults.rs
@@ -134,9 +134,15 @@
     /// it would neither return states nor accept cancellations.
     a_node_that_is_turned_away_learns_the_owner_from_others {
         let mut cell = Cell::start(1, 2).await;
+        assert_eq!(cell.owner().await, 0);
         let store_listener = cell.site.add_store_listener().await.unwrap();
         cell.add_node_with_store(store_listener.address()).await;
         cell.add_node().await;
+        cell.eventually("node 1 knows the owner and all members", async |cell: &Cell| {
+            let (_, view) = cell.inspect(1, "/v1/cell").await;
+            view["owner"]["member"] == "m0" && view["members"].as_array().is_some_and(|known| known.len() == 3)
+        })
+        .await;
         assert_eq!(cell.owner().await, 0);
         store_listener.set_unavailable(true);
         cell.crash_node(0);
