Wait in the soak until all tasks of a gang have ended

Cause: a fault of the test. On the platform the tasks of a gang end together and one end represents all of them, so a node ends the job on the first. The simulated executors end each task by its own start, some milliseconds apart. The check that all tasks were done came right after the job was reported as done.

Evidence: the job is a gang of three on one executor.

Why it works: for a gang, the check waits until no task of the job runs, at most until the time limit for the end of all jobs. Then each task must have ended as done, as before. Other jobs are checked at once.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -17,6 +17,7 @@
     pub(crate) id: String,
     pub(crate) path: String,
     pub(crate) tasks: usize,
+    pub(crate) gang: bool,
     /// True if an attempt was accepted.
     pub(crate) accepted: bool,
     /// True if every attempt was refused with a status that guarantees that the job never runs.
@@ -56,6 +57,7 @@
             path: format!("/{queue}/{id}"),
             id,
             tasks,
+            gang,
             accepted: false,
             refused: true,
             cancelled: None,
--- a/tests/soak/guarantees.rs
+++ b/tests/soak/guarantees.rs
@@ -41,6 +41,7 @@
             wait_for_end(caller, node, job, until).await?;
         }
         if !job.may_be_cancelled {
+            wait_for_gang_end(site, job, until).await;
             check_done(site, job)?;
         }
         check_cancelled(site, job)?;
@@ -74,6 +75,19 @@
     }
 }
 
+/// Waits until no task of a gang runs. On the platform the tasks of a gang end together and one end represents all; the
+/// simulated executors end each by its own start.
+async fn wait_for_gang_end(site: &SiteHandle, job: &Job, until: Instant) {
+    let runs = || {
+        let starts = site.log().starts();
+        let mut of_job = starts.iter().filter(|run| run.task.starts_with(&job.id));
+        of_job.any(|run| run.ended.is_none())
+    };
+    while job.gang && runs() && Instant::now() < until {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 fn check_done(site: &SiteHandle, job: &Job) -> Result<(), BoxError> {
     let done = site.log().done_counts();
     let ended = done
