Count on late requests of an earlier clock that are given up after a restart is known

Cause: the bound for unanswered requests was merged only into that of an incarnation that became known later. A start or hold that was still waited for, and names a lease end on the earlier clock, was recorded against the new clock and lifted by the next list. A start whose run had been dropped was not recorded at all. Each clock now has a generation, and requests carry that of their lease end. One that is given up with an earlier generation extends the bound of the current incarnation, which no list lifts. An answer that comes from an unknown incarnation, and a refusal that extends the lease, count as the longest lease. Only holds that carry a lease are recorded.

--- a/crates/jobs/src/dispatch/effect.rs
+++ b/crates/jobs/src/dispatch/effect.rs
@@ -3,7 +3,7 @@
 
 use lagoon_core::unit::{Millis, Timestamp};
 
-use crate::fleet::ExecutorSlot;
+use crate::fleet::{ClockGeneration, ExecutorSlot};
 use crate::id::{
     AdviceTicket, Checkpoint, Epoch, ExecutorId, JobId, MemberId, RunNumber, StepKey, TaskKey,
 };
@@ -44,6 +44,8 @@
     pub ticket: Option<AdviceTicket>,
     /// Expiry of the lease on the executor's clock, in milliseconds.
     pub lease_end_ms: u64,
+    /// Generation of that clock.
+    pub clock_generation: ClockGeneration,
     /// Epoch of the owner, by which executors refuse the requests of earlier owners.
     pub epoch: Epoch,
 }
--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -46,6 +46,14 @@
             return HoldAction::AwaitRecord;
         }
         let may_wait = !is_first && !has_more && !is_empty && !awaits_record;
+        // A hold that is not answered may take effect late. Granting a lease with each one would postpone the time at
+        // which the runs there are known to have ended without limit.
+        let lease_end_ms = match executor.is_unresponsive || !core.ownership.may_renew(&limits, now)
+        {
+            true => None,
+            false => executor.clock.grant(limits.lease, now),
+        };
+        executor.held_generation = lease_end_ms.map(|_| executor.clock.generation());
         HoldAction::Hold(HoldRequest {
             address: executor.entry.address,
             epoch: core.epoch,
@@ -55,13 +63,7 @@
                 true => executor.ends.acknowledge(),
                 false => 0,
             },
-            // A hold that is not answered may take effect late. Granting a lease with each one would postpone the time at
-            // which the runs there are known to have ended without limit.
-            lease_end_ms: match executor.is_unresponsive || !core.ownership.may_renew(&limits, now)
-            {
-                true => None,
-                false => executor.clock.grant(limits.lease, now),
-            },
+            lease_end_ms,
             wait: if may_wait {
                 limits.hold_wait
             } else {
@@ -74,10 +76,11 @@
     pub fn hold_failed(&mut self, slot: ExecutorSlot, now: Timestamp) {
         let limits = self.core.limits;
         let executor = self.core.fleet.get_mut(slot);
-        // Only the first of several unanswered holds carries a lease.
-        if !executor.is_unresponsive {
+        if let Some(generation) = executor.held_generation.take() {
             let (delay, max_lease) = (limits.max_request_delay, limits.max_lease);
-            executor.clock.record_unanswered(delay, max_lease, now);
+            executor
+                .clock
+                .record_unanswered(generation, delay, max_lease, now);
         }
         executor.is_unresponsive = true;
         executor.ends.resend();
--- a/crates/jobs/src/dispatch/plan.rs
+++ b/crates/jobs/src/dispatch/plan.rs
@@ -180,6 +180,7 @@
         step.set_phase(task.index(), TaskPhase::Active);
         step.raise_run_number(task.index(), number);
         let checkpoint = step.attempts(task.index()).checkpoint.clone();
+        let clock_generation = self.fleet.get(slot).clock.generation();
         let executor = &self.fleet.get(slot).entry;
         tracing::info!(
             %task, run = %number, executor = %executor.id, free = %pass.free_capacity(slot).free,
@@ -195,6 +196,7 @@
             checkpoint,
             ticket: candidate.ticket.clone(),
             lease_end_ms,
+            clock_generation,
             epoch: self.epoch,
         }));
         let need = spec.reserved();
--- a/crates/jobs/src/dispatch/started.rs
+++ b/crates/jobs/src/dispatch/started.rs
@@ -14,6 +14,7 @@
 impl Core {
     fn start_answered(&mut self, req: &StartRequest, outcome: StartOutcome, now: Timestamp) {
         let task = req.task;
+        self.record_lease(req, outcome, now);
         let Some(run) = self.runs.matching(task, req.number, req.slot) else {
             return;
         };
@@ -23,12 +24,9 @@
                     run.phase = RunPhase::Running { since: now };
                     run.progress = (0, now);
                 }
-                let executor = self.fleet.get_mut(req.slot);
+                let executor = self.fleet.get(req.slot);
                 if executor_ms.is_some_and(|ms| executor.clock.is_same_incarnation(ms, now)) {
                     run.incarnation = executor.incarnation;
-                } else {
-                    // A later incarnation takes the lease end, a time on the earlier clock, as the longest lease.
-                    executor.clock.assume_granted(self.limits.max_lease, now);
                 }
                 if executor_ms.is_some_and(|ms| executor.clock.has_gone_back(ms)) {
                     self.suspect_restart(req.slot, now);
@@ -41,11 +39,7 @@
                     run.phase = RunPhase::Unconfirmed { since: now };
                 }
                 tracing::warn!(%task, run = %req.number, executor = %req.executor, "dispatch: executor did not answer a start, the run is unconfirmed");
-                let limits = self.limits;
-                let executor = self.fleet.get_mut(req.slot);
-                let (delay, max_lease) = (limits.max_request_delay, limits.max_lease);
-                executor.clock.record_unanswered(delay, max_lease, now);
-                executor.health.mark_suspect(now);
+                self.fleet.get_mut(req.slot).health.mark_suspect(now);
                 return;
             }
             StartOutcome::Refused(reason) => self.start_refused(req, reason, now),
@@ -59,6 +53,30 @@
         }
     }
 
+    /// Records until when the request may have extended the lease of the executor, whatever has become of its run.
+    fn record_lease(&mut self, req: &StartRequest, outcome: StartOutcome, now: Timestamp) {
+        let limits = self.limits;
+        let clock = &mut self.fleet.get_mut(req.slot).clock;
+        match outcome {
+            // These refusals extend the lease, and do not show the incarnation.
+            StartOutcome::Refused(StartRefusal::OldRun | StartRefusal::NoRoom) => {
+                clock.assume_granted(limits.max_lease, now);
+            }
+            StartOutcome::Started { executor_ms } => {
+                let is_known = executor_ms.is_some_and(|ms| clock.is_same_incarnation(ms, now));
+                if !is_known || req.clock_generation != clock.generation() {
+                    // A later incarnation takes the lease end, a time on the earlier clock, as the longest lease.
+                    clock.assume_granted(limits.max_lease, now);
+                }
+            }
+            StartOutcome::Unknown => {
+                let (delay, max_lease) = (limits.max_request_delay, limits.max_lease);
+                clock.record_unanswered(req.clock_generation, delay, max_lease, now);
+            }
+            StartOutcome::Refused(_) | StartOutcome::NotSent | StartOutcome::Withheld => {}
+        }
+    }
+
     fn start_refused(&mut self, req: &StartRequest, reason: StartRefusal, now: Timestamp) {
         match reason {
             StartRefusal::Fenced => self.step_down(),
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -3,7 +3,8 @@
 use lagoon_core::unit::{Resources, Timestamp};
 
 use crate::fleet::{
-    Availability, EndCursor, ExecutorEntry, ExecutorHealth, FreeCapacity, LeaseClock,
+    Availability, ClockGeneration, EndCursor, ExecutorEntry, ExecutorHealth, FreeCapacity,
+    LeaseClock,
 };
 use crate::id::{Incarnation, Label, RunNumber, TaskKey};
 
@@ -18,6 +19,8 @@
     pub incarnation: Option<Incarnation>,
     /// Relates its clock to the owner's and bounds its leases.
     pub clock: LeaseClock,
+    /// Generation of its clock to which the lease end in the hold in flight refers; `None` without a lease end.
+    pub held_generation: Option<ClockGeneration>,
     /// Ended runs that it lists, and how far they are acknowledged.
     pub ends: EndCursor,
     /// Whether it is suspect.
@@ -44,6 +47,7 @@
             entry,
             incarnation: None,
             clock: LeaseClock::default(),
+            held_generation: None,
             ends: EndCursor::default(),
             health: ExecutorHealth::default(),
             tasks: BTreeSet::new(),
--- a/crates/jobs/src/fleet/lease_clock.rs
+++ b/crates/jobs/src/fleet/lease_clock.rs
@@ -1,5 +1,7 @@
 use lagoon_core::unit::{Millis, Timestamp};
 
+use crate::fleet::ClockGeneration;
+
 /// Drift between an executor's clock and the owner's, in percent; the platform's bound of 2%, rounded up.
 const MAX_DRIFT_PERCENT: u64 = 3;
 
@@ -13,6 +15,8 @@
 /// Relates the monotonic clock of an executor to the owner's, and bounds when the leases granted there have expired.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LeaseClock {
+    /// Number of clocks before the one being read.
+    generation: ClockGeneration,
     /// Reading of the executor's clock in milliseconds, and when it arrived.
     reading: Option<(u64, Timestamp)>,
     /// When the latest list of the incarnation being read was requested. The incarnation was alive after that.
@@ -55,17 +59,35 @@
     /// Drops the reading, because the clock of a new incarnation starts at zero. The unanswered requests may take effect in
     /// the new incarnation.
     pub fn reset(&mut self) {
+        self.generation = self.generation.next();
         self.reading = None;
         self.list_requested_at = Timestamp::default();
         self.expires_at = self.expires_at.max(self.unanswered_expire_at);
     }
 
-    /// Records that a request that may have granted a lease was not answered. If the executor had restarted, the request may
-    /// take effect up to `delay` from now and grant `max_lease`, because its lease end is a time on the earlier clock.
-    pub fn record_unanswered(&mut self, delay: Millis, max_lease: Millis, now: Timestamp) {
+    /// Returns the generation of the clock being read, to which granted lease ends refer.
+    pub fn generation(&self) -> ClockGeneration {
+        self.generation
+    }
+
+    /// Records that a request whose lease end refers to `generation` is not answered. If the executor had restarted, the
+    /// request may take effect up to `delay` from now and grant `max_lease`, because its lease end is a time on the earlier
+    /// clock.
+    pub fn record_unanswered(
+        &mut self,
+        generation: ClockGeneration,
+        delay: Millis,
+        max_lease: Millis,
+        now: Timestamp,
+    ) {
         let longest = max_lease.get() + max_lease.get() * MAX_DRIFT_PERCENT / 100;
-        self.unanswered_at = now;
-        self.unanswered_expire_at = now.after(delay).after(Millis::new(longest));
+        let end = now.after(delay).after(Millis::new(longest));
+        if generation == self.generation {
+            self.unanswered_at = now;
+            self.unanswered_expire_at = end;
+        } else {
+            self.expires_at = self.expires_at.max(end);
+        }
     }
 
     /// Records a list of the known incarnation that was requested at `sent_at`. Requests that were given up before reached
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! unknown until then.
 
 mod availability;
+mod clock_generation;
 mod end_cursor;
 mod executor;
 mod executor_entry;
@@ -16,8 +17,8 @@
 mod lease_clock;
 
 pub use self::{
-    availability::Availability, end_cursor::EndCursor, executor::Executor,
-    executor_entry::ExecutorEntry, executor_health::ExecutorHealth,
+    availability::Availability, clock_generation::ClockGeneration, end_cursor::EndCursor,
+    executor::Executor, executor_entry::ExecutorEntry, executor_health::ExecutorHealth,
     executor_record::ExecutorRecord, executor_slot::ExecutorSlot, fleet::Fleet,
     free_capacity::FreeCapacity, lease_clock::LeaseClock,
 };
--- a/crates/jobs/tests/dispatch/harness.rs
+++ b/crates/jobs/tests/dispatch/harness.rs
@@ -301,3 +301,14 @@
     };
     effects.iter().filter_map(request).collect()
 }
+
+/// Returns the number of starts within a time, with ticks and placement passes.
+pub(crate) fn starts_within(harness: &mut Harness, ms: u64) -> usize {
+    let end = harness.now.after(Millis::new(ms));
+    let mut count = 0;
+    while harness.now < end {
+        harness.dispatcher.tick(harness.now);
+        count += starts(&harness.plan()).len();
+    }
+    count
+}
--- a/crates/jobs/tests/dispatch/leases.rs
+++ b/crates/jobs/tests/dispatch/leases.rs
@@ -6,7 +6,7 @@
 use lagoon_jobs::id::{Incarnation, StepKey};
 use lagoon_jobs::run::{RunOutcome, StartOutcome};
 
-use crate::harness::{Harness, MAX_LEASE, entry, job_id, listing, starts, step};
+use crate::harness::{Harness, MAX_LEASE, entry, job_id, listing, starts, starts_within, step};
 
 cases! {
     /// Guards against a second run while the lease of the first may not have expired on a clock that is 2% slow.
@@ -59,6 +59,7 @@
         let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
         harness.submit(1, "urgent", vec![step(1, 4)]);
         let request = harness.start_all().remove(0);
+        let _ = harness.dispatcher.next_hold(request.slot, true, harness.now);
         harness.dispatcher.hold_failed(request.slot, harness.now);
         let failed_at = harness.now;
         let mut restarted = listing(harness.now, &[], vec![]);
@@ -241,14 +242,3 @@
         assert!(req.lease_end_ms.is_some());
     }
 }
-
-/// Returns the number of starts within a time, with ticks and placement passes.
-fn starts_within(harness: &mut Harness, ms: u64) -> usize {
-    let end = harness.now.after(Millis::new(ms));
-    let mut count = 0;
-    while harness.now < end {
-        harness.dispatcher.tick(harness.now);
-        count += starts(&harness.plan()).len();
-    }
-    count
-}
--- a/crates/jobs/tests/dispatch/main.rs
+++ b/crates/jobs/tests/dispatch/main.rs
@@ -7,6 +7,7 @@
 mod ends;
 mod gangs;
 mod harness;
+mod late_requests;
 mod leases;
 mod ownership;
 mod placement;
--- a/crates/jobs/tests/dispatch/random.rs
+++ b/crates/jobs/tests/dispatch/random.rs
@@ -26,6 +26,8 @@
     third_seeds: 41..=60;
     // Two runs at the same time, after an unanswered start to an executor that had restarted.
     an_unanswered_start_in_a_later_incarnation: 1434..=1434;
+    // A start after an end that counts: a late start that was refused had extended the lease.
+    a_late_refused_start_extends_the_lease: 2547..=2547;
 }
 
 /// Runs the seeds in `LAGOON_SEEDS`, such as `1000..2000`, and prints each before it runs.
--- a/crates/jobs/tests/dispatch/sim_executor.rs
+++ b/crates/jobs/tests/dispatch/sim_executor.rs
@@ -114,6 +114,8 @@
             .get(&request.task)
             .is_some_and(|highest_run| request.number <= *highest_run)
         {
+            // By the platform's rules the lease in such a start counts.
+            self.extend(request.lease_end_ms, now);
             return StartOutcome::Refused(StartRefusal::OldRun);
         }
         if request.lease_end_ms <= self.clock(now) {
