--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,4 +1,4 @@
-"""The operator removes a route while accepted jobs of it are under way; their second steps have to run all the same."""
+"""An executor is lost for good and the owner is killed at the same time; the lost lasting task has to run again."""
 
 import asyncio
 import re
@@ -8,39 +8,49 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standin"))
 import world as w
 
-FINISH_S = 14.0
+# The rule counts 3 s without a run from 6 s after the last one, if these 3 s and the 4 s before them are calm.
+AFTER_LAST_RUN_S = 6.0
+CALM_BEFORE_S = 4.0
+NOTHING_RUNS_S = 3.0
+# Length of the loss of the executor and time until the platform restarts the killed process.
+CRASH_S = 4.5
+RESTART_S = 0.5
 
 
 async def case(world, routes, trouble):
-    kept, dropped = routes
-    steps = [
-        {"count": 2, "cpu": 1000, "mem_mb": 256, "estimate_ms": 1500},
-        {"count": 2, "cpu": 1000, "mem_mb": 256, "estimate_ms": 500, "after": [0]},
-    ]
-    jobs = [await world.submit(dropped, steps, [1500, 500]) for _ in range(4)]
-    jobs = [job for job in jobs if job]
-    others = [await world.submit(kept, steps, [1500, 500])]
-    await asyncio.sleep(0.5)
-    await world.configure(w.config(5, [kept] if trouble else routes))
-    # The end of the traffic; jobs are asked for 14 s after it.
-    await asyncio.sleep(FINISH_S)
-    for job in jobs:
-        await world.call("GET", dropped, job, tries=1)
-    for job in others:
-        await world.call("GET", kept, job, tries=1)
+    steps = [{"count": 8, "cpu": 2000, "mem_mb": 512, "estimate_ms": 1000, "spread": 1, "long_running": True}]
+    job = await world.submit(routes[0], steps, [None])
+    await asyncio.sleep(6.0)
+    lost = world.executors[3]
+    tasks = [task for task in lost.running if task.startswith(job)]
+    began = world.record.now()
+    if trouble:
+        owner = world.owner()
+        lost.crash()
+        owner.kill()
+        await asyncio.sleep(RESTART_S)
+        owner.start()
+    calm_from = began + CRASH_S
+    window = max(began + AFTER_LAST_RUN_S, calm_from + CALM_BEFORE_S)
+    await asyncio.sleep(window + NOTHING_RUNS_S - world.record.now())
+    running = {task for executor in world.executors if executor.up for task in executor.running}
     lines = Path(__file__).with_name("record.txt").read_text().splitlines()
-    stuck = [job for job in jobs if not any(re.search(rf" starts {job}\.0\.1\.", line) for line in lines)]
-    ended = [line for line in lines if re.search(rf" ended {stuck[0]}\.0\.0\.\d+ run \d+ done", line)] if stuck else []
-    if not stuck:
-        return None
-    since = world.record.now() - float(ended[-1].split()[0]) if ended else 0.0
-    return (
-        f"LOST: {len(stuck)} of {len(jobs)} accepted jobs have nothing running, the first for {since:.1f} s after its "
-        f"first step was done, with all executors idle: {stuck[0]}"
-    )
+    started = [line for line in lines for task in tasks if f" starts {task} " in line and float(line.split()[0]) > began]
+    # Records how long it takes in the end.
+    end = world.record.now() + 20.0
+    while trouble and world.record.now() < end and not running.issuperset(tasks):
+        await asyncio.sleep(0.2)
+        running = {task for executor in world.executors if executor.up for task in executor.running}
+    if not tasks:
+        raise RuntimeError("no task ran on the executor that is lost")
+    if trouble and not started:
+        away = world.record.now() - began
+        return (
+            f"LOST: {tasks[0]} has nothing running from {AFTER_LAST_RUN_S:.0f} s after its last run until "
+            f"{window + NOTHING_RUNS_S - began:.1f} s after it, calm for the last {CALM_BEFORE_S + NOTHING_RUNS_S:.0f} s; "
+            f"it runs again after {away:.1f} s"
+        )
+    return None
 
 
-w.main(
-    Path(__file__).parent, case, kinds=["a"] * 4, nodes=3,
-    routes=[w.route(), w.route("r-batch", "/pufi791/")],
-)
+w.main(Path(__file__).parent, case, kinds=["a"] * 10, nodes=3, routes=[w.route()])
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -246,7 +246,6 @@
         self.service = service
         self.reaches_store = True
         self.lease = None
-        self.written = None
         self.up = False
         self.http = HttpServer(self._handle)
 
@@ -291,10 +290,10 @@
             "state": "ready", "cold_left_ms": 0, "capacity": {"cpu": self.cpu, "mem_mb": 32768, "gpu": 0},
             "labels": [self.kind, self.rack], "born": self.born,
         }
-        # The entry changes only when more than its sequence does.
-        if entry != self.written or not (self.lease and self.store.renew(self.lease)):
-            self.lease = await self.store.put(f"servers/{self.id}", {**entry, "sequence": 1}, ENTRY_TTL_S, self.lease)
-            self.written = entry
+        # The entry changes only when more than its sequence does, or when another writer has replaced it.
+        key, value = f"servers/{self.id}", {**entry, "sequence": 1}
+        if self.store.value(key) != value or not (self.lease and self.store.renew(self.lease)):
+            self.lease = await self.store.put(key, value, ENTRY_TTL_S, self.lease)
             self.record.write(f"executor {self.id} writes its entry: labels {entry['labels']}, born {self.born}")
 
     async def _watch_lease(self):
@@ -315,9 +314,9 @@
 
     async def _finish(self, task, after_s):
         await asyncio.sleep(after_s)
-        run = self.running[task]
-        run["timer"] = asyncio.get_running_loop().create_future()
-        await self._end(task, "done")
+        if run := self.running.get(task):
+            run["timer"] = asyncio.get_running_loop().create_future()
+            await self._end(task, "done")
 
     async def _handle(self, method, target, headers, body):
         if headers.get("x-lagoonspindle-expected-instance", self.id) != self.id:
