--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -27,10 +28,19 @@
 STOP_S = 0.1
 
 
+# Below the ports that Linux gives to outgoing connections, so that none takes the port of a node while it restarts.
+PORTS = range(12_000, 32_000)
+used_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.choice(PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            if port not in used_ports:
+                used_ports.add(port)
+                return port
 
 
 class Record:
