Run accepted jobs of a removed queue to their end

Cause: the dispatcher looked the queue of a job up in the configuration in force, and the record of a job held the name only. Once the queue was removed, neither the owner nor a later one knew its service, rank or attempts, so Core::ranked_steps left the steps out. The same look-up in check_failures, set_objective, adopt, start and wait_reason had the same fault: the last attempt did not end the job, objectives were wrong and runs could not be preempted.

The record of a job now contains its queue as it was at acceptance, written in the transaction that accepts the job, so that each owner has both or neither. Core::queue_of is the only look-up of a job's queue: the configured one first, so that changes still apply, and the recorded one once it is removed.

--- a/crates/jobs/src/dispatch/adopt.rs
+++ b/crates/jobs/src/dispatch/adopt.rs
@@ -47,13 +47,12 @@
             return false;
         }
         self.jobs.begin_up_to(task.job(), task.step().occurrence());
+        let preemptible_rank = self.preemptible_rank(task.step());
         let Some(job) = self.jobs.get_mut(task.job()) else {
             return false;
         };
-        let queue = self.policy.queue(job.record().queue());
         let spec = job.step_spec(task.step());
         let need = spec.map(StepSpec::reserved).unwrap_or_default();
-        let preemptible_rank = spec.and_then(|spec| Self::preemptible_rank(spec, queue));
         let step = job.step_mut(task.step());
         let Some(step) = step.filter(|step| step.phase(task.index()) == Some(TaskPhase::Pending))
         else {
--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -9,8 +9,8 @@
 use crate::dispatch::{DispatchLimits, Effect, StopRequest};
 use crate::fleet::{ExecutorSlot, Fleet};
 use crate::id::{Epoch, ExecutorId, JobId, RunNumber, TaskKey};
-use crate::job::{JobTable, RunTimes, TaskPhase};
-use crate::policy::CellPolicy;
+use crate::job::{Job, JobTable, RunTimes, TaskPhase};
+use crate::policy::{CellPolicy, Queue};
 use crate::record::{CleanupQueue, WriteQueue};
 use crate::run::{RunPhase, RunTable};
 
@@ -72,6 +72,14 @@
         }
     }
 
+    /// Returns the queue of a job: as configured or, once it is removed from the configuration, as it was when the job was
+    /// accepted.
+    pub(super) fn queue_of<'a>(&'a self, job: &'a Job) -> Option<&'a Arc<Queue>> {
+        let record = job.record();
+        let configured = self.policy.queue(record.queue());
+        configured.or_else(|| record.definition())
+    }
+
     /// Returns true if inherited work may still run, or have an end to list, on an unreported executor. An executor that has
     /// listed only a part has its leases renewed, so its other ends have to be awaited until these leases expire.
     pub(super) fn inherited_work_may_run(&self, now: Timestamp) -> bool {
--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -149,7 +149,7 @@
 
     fn set_objective(&self, job: &mut Job) {
         let record = job.record();
-        let Some(queue) = self.policy.queue(record.queue()) else {
+        let Some(queue) = self.queue_of(job) else {
             return;
         };
         let critical_path = self
--- a/crates/jobs/src/dispatch/ends.rs
+++ b/crates/jobs/src/dispatch/ends.rs
@@ -117,10 +117,7 @@
         let Some(job) = self.jobs.get(task.job()) else {
             return;
         };
-        let (Some(queue), Some(step)) = (
-            self.policy.queue(job.record().queue()),
-            job.step(task.step()),
-        ) else {
+        let (Some(queue), Some(step)) = (self.queue_of(job), job.step(task.step())) else {
             return;
         };
         let failures = step.attempts(task.index()).failures();
--- a/crates/jobs/src/dispatch/inspect.rs
+++ b/crates/jobs/src/dispatch/inspect.rs
@@ -56,7 +56,7 @@
     }
 
     fn wait_reason(&self, job: &Job, key: StepKey, now: Timestamp) -> WaitReason {
-        let Some(queue) = self.policy.queue(job.record().queue()) else {
+        let Some(queue) = self.queue_of(job) else {
             return WaitReason::QueueIsGone;
         };
         if !self.jobs.open_steps().any(|open| open == key) {
--- a/crates/jobs/src/dispatch/plan.rs
+++ b/crates/jobs/src/dispatch/plan.rs
@@ -11,7 +11,7 @@
 use crate::fleet::ExecutorSlot;
 use crate::id::{AdviceTicket, Label, RunNumber, StepKey, TaskKey};
 use crate::job::TaskPhase;
-use crate::policy::{CellPolicy, Queue};
+use crate::policy::Queue;
 use crate::run::{Run, RunPhase};
 use crate::spec::StepSpec;
 
@@ -43,34 +43,33 @@
 
 impl Core {
     fn plan(&mut self, now: Timestamp) {
-        let policy = Arc::clone(&self.policy);
         let reservations = std::mem::take(&mut self.reservations);
         let mut pass = Pass::new(self.fleet.free_capacity(now), reservations, now);
-        for rank in self.ranked_steps(&policy, now) {
+        for rank in self.ranked_steps(now) {
             let key = rank.key();
-            let Some(queue) = self.queue_of(&policy, key) else {
+            let Some(job) = self.jobs.get(key.job()) else {
                 continue;
             };
-            let Some(spec) = self.jobs.get(key.job()).and_then(|job| job.step_spec(key)) else {
+            let (Some(queue), Some(spec)) = (self.queue_of(job), job.step_spec(key)) else {
                 continue;
             };
-            let spec = spec.clone();
+            let (queue, spec) = (Arc::clone(queue), spec.clone());
             pass.begin_step(rank.preemption());
             match spec.gang {
-                true => self.place_gang(key, &spec, queue, &mut pass),
-                false => self.place_tasks(key, &spec, queue, &mut pass),
+                true => self.place_gang(key, &spec, &queue, &mut pass),
+                false => self.place_tasks(key, &spec, &queue, &mut pass),
             }
         }
         self.reservations = pass.into_reservations();
     }
 
-    fn ranked_steps(&self, policy: &CellPolicy, now: Timestamp) -> Vec<Rank> {
+    fn ranked_steps(&self, now: Timestamp) -> Vec<Rank> {
         let inherited_blocked = self.inherited_work_may_run(now);
         let ranked = self.jobs.open_steps().filter_map(|key| {
             let job = self.jobs.get(key.job())?;
             let step = job.step(key)?;
             let waits = step.pending() > 0 && !(inherited_blocked && job.inherited);
-            let queue = policy.queue(job.record().queue())?;
+            let queue = self.queue_of(job)?;
             let record = job.record();
             let remaining = || {
                 self.times
@@ -83,10 +82,6 @@
         ranked
     }
 
-    fn queue_of<'a>(&self, policy: &'a CellPolicy, key: StepKey) -> Option<&'a Queue> {
-        policy.queue(self.jobs.get(key.job())?.record().queue())
-    }
-
     /// Returns the executors on which the step may start tasks now. Those without capacity for one are filtered out first,
     /// because in a busy fleet they are most.
     pub(super) fn candidates(
@@ -167,11 +162,10 @@
         let Some(lease_end_ms) = self.fleet.get_mut(slot).clock.grant(lease, now) else {
             return false;
         };
+        let preemptible_rank = self.preemptible_rank(task.step());
         let Some(job) = self.jobs.get_mut(task.job()) else {
             return false;
         };
-        let queue = self.policy.queue(job.record().queue());
-        let preemptible_rank = Self::preemptible_rank(spec, queue);
         let payload = Arc::clone(job.record().spec().payload());
         let waited = now.since(job.record().accepted());
         let Some(step) = job.step_mut(task.step()) else {
--- a/crates/jobs/src/dispatch/preempt.rs
+++ b/crates/jobs/src/dispatch/preempt.rs
@@ -4,10 +4,9 @@
 use crate::dispatch::pass::Pass;
 use crate::dispatch::preemption::Preemption;
 use crate::fleet::ExecutorSlot;
-use crate::id::TaskKey;
+use crate::id::{StepKey, TaskKey};
 use crate::policy::Queue;
 use crate::run::{Run, RunPhase};
-use crate::spec::StepSpec;
 
 impl Core {
     /// Returns the resources of each executor that become free within the time of a stop: those of the runs that are
@@ -27,9 +26,12 @@
     }
 
     /// Returns the queue rank below which runs of a step may be preempted; `None` if they may not.
-    pub(super) fn preemptible_rank(spec: &StepSpec, queue: Option<&Queue>) -> Option<u32> {
+    pub(super) fn preemptible_rank(&self, key: StepKey) -> Option<u32> {
+        let job = self.jobs.get(key.job())?;
+        let spec = job.step_spec(key)?;
         let is_cheap = spec.saves_progress && !spec.gang && !spec.long_running;
-        queue.filter(|_| is_cheap).map(|queue| queue.rank)
+        let queue = self.queue_of(job).filter(|_| is_cheap)?;
+        Some(queue.rank)
     }
 
     /// Stops less urgent runs on an executor until `total` is free there or becomes free by stops under way.
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -4,12 +4,16 @@
 //! [`JobRecord`], written when the job is accepted, and the [`Progress`], written before an end is acknowledged.
 //!
 //! ```
+//! use std::sync::Arc;
+//!
 //! use lagoon_core::unit::Timestamp;
 //! use lagoon_jobs::job::{Job, JobRecord, JobState};
+//! use lagoon_jobs::policy::Queue;
 //! use lagoon_jobs::spec::{JobSpec, StepSpec};
 //!
 //! let spec = JobSpec::new("lot 7", vec![StepSpec::single()], None).unwrap();
-//! let record = JobRecord::new("reports".parse().unwrap(), Timestamp::from_millis(1), spec);
+//! let queue = Arc::new(Queue::example("reports", "a.example", "/reports/"));
+//! let record = JobRecord::accept(&queue, Timestamp::from_millis(1), spec);
 //! let job = Job::new("5c0e7a21d94b36f8".parse().unwrap(), record);
 //! assert_eq!(job.state(), JobState::Queued);
 //! ```
--- a/crates/jobs/src/policy/advice_cost.rs
+++ b/crates/jobs/src/policy/advice_cost.rs
@@ -1,7 +1,9 @@
 use lagoon_core::unit::Millis;
+use serde::{Deserialize, Serialize};
 
 /// Time that the placement adviser takes to answer one request.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct AdviceCost {
     /// Part that does not depend on the number of executors in the request.
     pub fixed: Millis,
--- a/crates/jobs/src/policy/cell_policy.rs
+++ b/crates/jobs/src/policy/cell_policy.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use crate::id::QueueName;
 use crate::policy::{Queue, Service};
@@ -7,7 +8,7 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct CellPolicy {
     version: u64,
-    queues: Vec<Queue>,
+    queues: Vec<Arc<Queue>>,
     services: Vec<Service>,
     by_name: HashMap<QueueName, usize>,
     by_host: HashMap<String, Vec<usize>>,
@@ -24,7 +25,7 @@
         }
         Self {
             version,
-            queues,
+            queues: queues.into_iter().map(Arc::new).collect(),
             services,
             by_name,
             by_host,
@@ -37,7 +38,7 @@
     }
 
     /// Returns the queues.
-    pub fn queues(&self) -> &[Queue] {
+    pub fn queues(&self) -> &[Arc<Queue>] {
         &self.queues
     }
 
@@ -47,12 +48,12 @@
     }
 
     /// Returns the queue with a name.
-    pub fn queue(&self, name: &QueueName) -> Option<&Queue> {
+    pub fn queue(&self, name: &QueueName) -> Option<&Arc<Queue>> {
         self.by_name.get(name).map(|i| &self.queues[*i])
     }
 
     /// Returns the queue of `host` with the longest prefix of `path`.
-    pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Queue>> {
         let queues = self.by_host.get(host)?.iter().map(|i| &self.queues[*i]);
         queues
             .filter(|queue| path.starts_with(&queue.prefix))
--- a/crates/jobs/src/policy/queue.rs
+++ b/crates/jobs/src/policy/queue.rs
@@ -1,10 +1,12 @@
 use lagoon_core::unit::Millis;
+use serde::{Deserialize, Serialize};
 
 use crate::id::{QueueName, ServiceName};
 use crate::policy::AdviceCost;
 
-/// A queue of jobs, with its priority and its objectives.
-#[derive(Debug, Clone, PartialEq)]
+/// A queue of jobs, with its priority and its objectives. Stored with each job, which runs on after its queue is removed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Queue {
     /// Name of the queue.
     pub name: QueueName,
@@ -23,6 +25,7 @@
     /// Time allowed on top of the stretched run time.
     pub target_latency: Millis,
     /// Cost of the placement adviser; `None` if placement needs no advice.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub advice: Option<AdviceCost>,
 }
 
--- a/crates/jobs/src/report/wait_reason.rs
+++ b/crates/jobs/src/report/wait_reason.rs
@@ -4,7 +4,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum WaitReason {
-    /// The queue of the job is not in the configuration.
+    /// The queue of the job is not in the configuration, and the record of the job does not contain it.
     QueueIsGone,
     /// Steps that it depends on are not done.
     EarlierSteps,
--- a/crates/jobs/tests/dispatch/harness.rs
+++ b/crates/jobs/tests/dispatch/harness.rs
@@ -112,7 +112,9 @@
 
 pub(crate) fn record(queue: &str, steps: Vec<StepSpec>) -> JobRecord {
     let spec = JobSpec::new("payload", steps, None).unwrap();
-    JobRecord::new(queue.parse().unwrap(), Timestamp::from_millis(1_000), spec)
+    let policy = policy();
+    let queue = policy.queue(&queue.parse().unwrap()).unwrap();
+    JobRecord::accept(queue, Timestamp::from_millis(1_000), spec)
 }
 
 pub(crate) fn recovering(epoch: u64, executors: &[(&str, u64)]) -> Dispatcher<Recovering> {
--- a/crates/jobs/tests/dispatch/main.rs
+++ b/crates/jobs/tests/dispatch/main.rs
@@ -12,6 +12,7 @@
 mod ownership;
 mod placement;
 mod random;
+mod removed_queues;
 mod report;
 mod restarts;
 mod sim;
--- a/crates/node/src/api/job_api.rs
+++ b/crates/node/src/api/job_api.rs
@@ -150,13 +150,13 @@
 
     async fn submit(
         &self,
-        queue: &Queue,
+        queue: &Arc<Queue>,
         id: JobId,
         spec: JobSpec,
         _deadline: Millis,
     ) -> SubmitReply {
         let started_at = self.cx.clock.now();
-        let record = JobRecord::new(queue.name.clone(), started_at, spec);
+        let record = JobRecord::accept(queue, started_at, spec);
         let (reply, outcome) = self.store(queue, id, record).await;
         let time = self.cx.clock.now().since(started_at);
         self.cx.metrics.observe("submit", outcome, time);
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -8,4 +8,5 @@
 mod node_thread;
 mod odd_entries;
 mod pauses;
+mod removed_queues;
 mod takeover;
