Start a lost long-running task again when its own lease has expired

Cause: a later owner did not know where tasks run. Evidence: on the later owner logs one unreported executor and inherited_wait_ms 13315, and the only start of the task 13.37 s after its claim.

The owner now stores with a job's progress in which incarnation of which executor a long-running task runs, once that is listed, and starts the task again only once progress without the location is durable. A later owner starts a located task as soon as its executor has listed its runs without it, or 8.2 s after the claim: the renewal window, the lease that owners grant, and 2% of slow clock. The proof of the longer wait is kept. A late request of the earlier owner names a time on the clock of the incarnation that has the run; an unnoticed restart ends the run; no location is stored while a request with a lease end on an earlier clock may take effect. Work without a location waits as before. A refused connection and a vanished entry are not used, because cuts may refuse connections and remove entries while runs go on.

--- a/crates/jobs/src/dispatch/adopt.rs
+++ b/crates/jobs/src/dispatch/adopt.rs
@@ -74,6 +74,7 @@
             incarnation: self.fleet.get(slot).incarnation,
         };
         self.runs.insert(run, &mut self.fleet);
+        self.end_other_location(slot, task);
         true
     }
 
--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -41,15 +41,28 @@
     pub(super) departed: Vec<ExecutorId>,
     /// When the leases of all runs that earlier owners started on unreported executors have expired.
     pub(super) inherited_lease_end: Timestamp,
+    /// The same for runs in a known incarnation, in which a lease ends when its owner intended.
+    pub(super) located_lease_end: Timestamp,
+    /// When the last request of an earlier owner has taken effect and the lease that it may have granted has expired.
+    pub(super) earlier_requests_end: Timestamp,
+    /// Tasks whose location an earlier owner stored, until they are adopted or known to have ended.
+    pub(super) inherited_locations: BTreeSet<TaskKey>,
 }
 
 impl Core {
     pub(super) fn new(epoch: Epoch, limits: DispatchLimits, now: Timestamp) -> Self {
-        // An executor that has restarted takes a lease end on its earlier clock as the longest lease that it grants.
-        let expiry = limits.lease_renewal_window.max(limits.owner_lease);
-        let expiry = expiry.saturating_add(limits.max_lease);
+        let last_grant = now.after(limits.lease_renewal_window.max(limits.owner_lease));
         // An executor's clock may be up to 2% slow; rounded up.
-        let slack = Millis::new(limits.max_lease.get() / 30);
+        let expiry = |lease: Millis| {
+            let slack = Millis::new(lease.get() / 30);
+            last_grant.after(lease).after(slack)
+        };
+        // An executor that has restarted takes a lease end on its earlier clock as the longest lease that it grants.
+        let inherited_lease_end = expiry(limits.max_lease);
+        let earlier_requests_end = match epoch == Epoch::default().next() {
+            true => Timestamp::default(),
+            false => inherited_lease_end.after(limits.max_request_delay),
+        };
         Self {
             epoch,
             ownership: Ownership::default(),
@@ -68,7 +81,10 @@
             lookups: BTreeMap::new(),
             missing_jobs: HashSet::new(),
             departed: Vec::new(),
-            inherited_lease_end: now.after(expiry).after(slack),
+            inherited_lease_end,
+            located_lease_end: expiry(limits.lease),
+            earlier_requests_end,
+            inherited_locations: BTreeSet::new(),
         }
     }
 
@@ -83,12 +99,16 @@
     /// Returns true if inherited work may still run, or have an end to list, on an unreported executor. An executor that has
     /// listed only a part has its leases renewed, so its other ends have to be awaited until these leases expire.
     pub(super) fn inherited_work_may_run(&self, now: Timestamp) -> bool {
-        let has_unlisted_ends = |slot: &ExecutorSlot| {
-            let executor = self.fleet.get(*slot);
-            executor.listed_at.is_some() && !executor.is_fully_listed(now)
-        };
+        let mut unreported = self.unreported.iter();
         !self.unreported.is_empty()
-            && (now <= self.inherited_lease_end || self.unreported.iter().any(has_unlisted_ends))
+            && (now <= self.inherited_lease_end
+                || unreported.any(|slot| self.has_unlisted_ends(*slot, now)))
+    }
+
+    /// Returns true if an executor has listed only a part of its ends, and its leases have not expired since.
+    pub(super) fn has_unlisted_ends(&self, slot: ExecutorSlot, now: Timestamp) -> bool {
+        let executor = self.fleet.get(slot);
+        executor.listed_at.is_some() && !executor.is_fully_listed(now)
     }
 
     /// Stops a run, unless it is already stopping.
@@ -130,5 +150,6 @@
         {
             step.set_phase(task.index(), TaskPhase::Pending);
         }
+        self.end_location(task);
     }
 }
--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -88,6 +88,7 @@
         self.core.set_objective(&mut job);
         self.core.jobs.insert(job);
         self.core.jobs.begin_due(now);
+        self.core.inherit_locations(id);
     }
 
     /// Loads the final state of a job that ended under an earlier owner.
@@ -104,12 +105,14 @@
     pub fn serve(mut self, now: Timestamp) -> Dispatcher<Serving> {
         self.core.jobs.begin_due(now);
         self.core.end_complete_jobs(now);
+        self.core.settle_inherited_locations(now);
         tracing::info!(
             epoch = %self.core.epoch,
             jobs = self.core.jobs.iter().count(),
             runs = self.core.runs.len(),
             unreported = self.core.unreported.len(),
             inherited_wait_ms = self.core.inherited_lease_end.since(now).get(),
+            located_wait_ms = self.core.located_lease_end.since(now).get(),
             "dispatch: recovery is complete, placement begins"
         );
         Dispatcher {
--- a/crates/jobs/src/dispatch/incarnation.rs
+++ b/crates/jobs/src/dispatch/incarnation.rs
@@ -18,13 +18,14 @@
         if incarnation.is_none() || incarnation <= known {
             return;
         }
-        executor.begin_incarnation(incarnation);
+        let (delay, max_lease) = (self.limits.max_request_delay, self.limits.max_lease);
+        executor.begin_incarnation(incarnation, delay, max_lease, now);
         if known.is_none() {
             return;
         }
         // Requests sent before the restart was known name times on the old clock; the new incarnation shortens their leases
         // to the longest that executors grant.
-        executor.clock.assume_granted(self.limits.max_lease, now);
+        executor.clock.assume_granted(max_lease, now);
         executor.listed_at = None;
         let id = executor.entry.id.clone();
         let tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
@@ -46,10 +47,10 @@
     /// Records that an executor may have restarted: the next hold is sent at once, and leases that were granted on the clock
     /// of the earlier incarnation may last longer than intended.
     pub(super) fn suspect_restart(&mut self, slot: ExecutorSlot, now: Timestamp) {
-        let max_lease = self.limits.max_lease;
+        let (delay, max_lease) = (self.limits.max_request_delay, self.limits.max_lease);
         let executor = self.fleet.get_mut(slot);
         tracing::warn!(executor = %executor.entry.id, "dispatch: the clock of an executor went back, it may have restarted; asking for its runs");
-        executor.clock.reset();
+        executor.clock.reset(delay, max_lease, now);
         executor.clock.assume_granted(max_lease, now);
         executor.listed_at = None;
     }
--- a/crates/jobs/src/dispatch/inspect.rs
+++ b/crates/jobs/src/dispatch/inspect.rs
@@ -4,7 +4,7 @@
 use crate::dispatch::{Dispatcher, Serving};
 use crate::fleet::{Availability, Executor};
 use crate::id::{JobId, StepKey};
-use crate::job::Job;
+use crate::job::{Job, LastRun, Step};
 use crate::report::{ExecutorReport, JobReport, RunReport, StepReport, WaitReason};
 use crate::run::{Run, RunPhase};
 
@@ -50,20 +50,25 @@
             step: key,
             tasks: step.count(),
             waiting: step.pending(),
-            waits_for: (step.pending() > 0).then(|| self.wait_reason(job, key, now)),
+            waits_for: (step.pending() > 0).then(|| self.wait_reason(job, step, key, now)),
             runs: runs.map(|run| self.run_report(run, now)).collect(),
         })
     }
 
-    fn wait_reason(&self, job: &Job, key: StepKey, now: Timestamp) -> WaitReason {
+    fn wait_reason(&self, job: &Job, step: &Step, key: StepKey, now: Timestamp) -> WaitReason {
         let Some(queue) = self.queue_of(job) else {
             return WaitReason::QueueIsGone;
         };
         if !self.jobs.open_steps().any(|open| open == key) {
             return WaitReason::EarlierSteps;
         }
-        if job.inherited && self.inherited_work_may_run(now) {
-            return WaitReason::UnheardExecutors;
+        let inherited_blocked = self.inherited_work_may_run(now);
+        let blocked = |index: &u32| !self.may_start_again(job, step, *index, inherited_blocked);
+        if let Some(index) = step.pending_tasks().find(blocked) {
+            return match step.last_run(index) {
+                Some(LastRun::Ended(_)) => WaitReason::EarlierRun,
+                Some(LastRun::At(_)) | None => WaitReason::UnheardExecutors,
+            };
         }
         if self.is_gang(key) && self.runs.of_step(key).next().is_some() {
             return WaitReason::EarlierRun;
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -68,6 +68,7 @@
             self.unreported.remove(&slot);
             self.fleet.get_mut(slot).has_listed_all = true;
             self.drop_missing(slot, &present, sent_at);
+            self.settle_inherited_locations(now);
         } else {
             tracing::info!(
                 executor = %self.fleet.get(slot).entry.id, ends = listing.ended.len(),
@@ -103,6 +104,7 @@
             step.save_checkpoint(active.task.index(), active.checkpoint.clone());
         }
         self.jobs.set_started(active.task.job());
+        self.record_location(slot, active.task, now);
     }
 
     /// Stops runs that are not listed and whose start had timed out before the listing was requested.
--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 mod hold_request;
 mod incarnation;
 mod inspect;
+mod last_runs;
 mod limits;
 mod listing;
 mod ownership;
--- a/crates/jobs/src/dispatch/place_gang.rs
+++ b/crates/jobs/src/dispatch/place_gang.rs
@@ -30,7 +30,9 @@
     ) {
         let step = self.jobs.get(key.job()).and_then(|job| job.step(key));
         // Tasks of an earlier run that may still be running would meet the tasks of the next one.
-        if step.is_none_or(|step| step.pending() < step.count()) {
+        if step.is_none_or(|step| step.pending() < step.count())
+            || (self.startable_tasks(key, pass.now).len() as u32) < spec.count
+        {
             return;
         }
         pass.cache_reclaimable(|preemption| self.reclaimable_resources(preemption));
--- a/crates/jobs/src/dispatch/place_tasks.rs
+++ b/crates/jobs/src/dispatch/place_tasks.rs
@@ -15,12 +15,11 @@
         pass: &mut Pass,
     ) {
         let mut candidates = self.candidates(key, spec, queue, pass);
-        let step = self.jobs.get(key.job()).and_then(|job| job.step(key));
-        let mut remaining = step.map_or(0, |step| step.pending());
-        let idle: Vec<u32> = match candidates.is_empty() {
-            true => Vec::new(),
-            false => step.map_or_else(Vec::new, |step| step.pending_tasks().collect()),
-        };
+        if candidates.is_empty() && queue.advice.is_none() {
+            return;
+        }
+        let idle = self.startable_tasks(key, pass.now);
+        let mut remaining = idle.len() as u32;
         for index in idle {
             let Some(best) = best_fit(&candidates, spec, pass) else {
                 break;
--- a/crates/jobs/src/dispatch/plan.rs
+++ b/crates/jobs/src/dispatch/plan.rs
@@ -68,7 +68,9 @@
         let ranked = self.jobs.open_steps().filter_map(|key| {
             let job = self.jobs.get(key.job())?;
             let step = job.step(key)?;
-            let waits = step.pending() > 0 && !(inherited_blocked && job.inherited);
+            let mut pending = step.pending_tasks();
+            let waits = step.pending() > 0
+                && pending.any(|index| self.may_start_again(job, step, index, inherited_blocked));
             let queue = self.queue_of(job)?;
             let record = job.record();
             let remaining = || {
--- a/crates/jobs/src/dispatch/started.rs
+++ b/crates/jobs/src/dispatch/started.rs
@@ -60,13 +60,13 @@
         match outcome {
             // These refusals extend the lease, and do not show the incarnation.
             StartOutcome::Refused(StartRefusal::OldRun | StartRefusal::NoRoom) => {
-                clock.assume_granted(limits.max_lease, now);
+                clock.assume_granted_on(req.clock_generation, limits.max_lease, now);
             }
             StartOutcome::Started { executor_ms } => {
                 let is_known = executor_ms.is_some_and(|ms| clock.is_same_incarnation(ms, now));
                 if !is_known || req.clock_generation != clock.generation() {
                     // A later incarnation takes the lease end, a time on the earlier clock, as the longest lease.
-                    clock.assume_granted(limits.max_lease, now);
+                    clock.assume_granted_on(req.clock_generation, limits.max_lease, now);
                 }
             }
             StartOutcome::Unknown => {
--- a/crates/jobs/src/dispatch/tick.rs
+++ b/crates/jobs/src/dispatch/tick.rs
@@ -10,6 +10,7 @@
     /// Handles expired leases and unanswered stops. The driver calls this about once a second.
     pub fn tick(&mut self, now: Timestamp) {
         self.drop_expired(now);
+        self.core.settle_inherited_locations(now);
         self.repeat_stops();
     }
 
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use lagoon_core::unit::{Resources, Timestamp};
+use lagoon_core::unit::{Millis, Resources, Timestamp};
 
 use crate::fleet::{
     Availability, ClockGeneration, EndCursor, ExecutorEntry, ExecutorHealth, FreeCapacity,
@@ -67,9 +67,15 @@
     }
 
     /// Drops the state of the previous incarnation.
-    pub(crate) fn begin_incarnation(&mut self, incarnation: Option<Incarnation>) {
+    pub(crate) fn begin_incarnation(
+        &mut self,
+        incarnation: Option<Incarnation>,
+        max_request_delay: Millis,
+        max_lease: Millis,
+        now: Timestamp,
+    ) {
         self.incarnation = incarnation;
-        self.clock.reset();
+        self.clock.reset(max_request_delay, max_lease, now);
         self.ends = EndCursor::default();
         self.health = ExecutorHealth::default();
         self.unexpected_runs.clear();
--- a/crates/jobs/src/fleet/lease_clock.rs
+++ b/crates/jobs/src/fleet/lease_clock.rs
@@ -27,6 +27,8 @@
     unanswered_at: Timestamp,
     /// When all leases that unanswered requests may have granted to a later incarnation have expired.
     unanswered_expire_at: Timestamp,
+    /// When all leases that requests with a lease end on an earlier clock may have granted have expired.
+    earlier_expire_at: Timestamp,
 }
 
 impl LeaseClock {
@@ -56,9 +58,13 @@
         self.reading.is_some_and(|(known, _)| goes_back(known))
     }
 
-    /// Drops the reading, because the clock of a new incarnation starts at zero. The unanswered requests may take effect in
-    /// the new incarnation.
-    pub fn reset(&mut self) {
+    /// Drops the reading, because the clock of a new incarnation starts at zero. Unanswered requests, and those in flight, may
+    /// take effect in the new incarnation up to `delay` from now and grant `max_lease`.
+    pub fn reset(&mut self, delay: Millis, max_lease: Millis, now: Timestamp) {
+        if self.reading.is_some() {
+            let end = now.after(delay).after(longest(max_lease));
+            self.earlier_expire_at = self.earlier_expire_at.max(end);
+        }
         self.generation = self.generation.next();
         self.reading = None;
         self.list_requested_at = Timestamp::default();
@@ -80,13 +86,13 @@
         max_lease: Millis,
         now: Timestamp,
     ) {
-        let longest = max_lease.get() + max_lease.get() * MAX_DRIFT_PERCENT / 100;
-        let end = now.after(delay).after(Millis::new(longest));
+        let end = now.after(delay).after(longest(max_lease));
         if generation == self.generation {
             self.unanswered_at = now;
             self.unanswered_expire_at = end;
         } else {
             self.expires_at = self.expires_at.max(end);
+            self.earlier_expire_at = self.earlier_expire_at.max(end);
         }
     }
 
@@ -113,8 +119,20 @@
 
     /// Records that an earlier owner may have granted a lease of this length just before `now`.
     pub fn assume_granted(&mut self, lease: Millis, now: Timestamp) {
-        let longest = lease.get() + lease.get() * MAX_DRIFT_PERCENT / 100;
-        self.expires_at = self.expires_at.max(now.after(Millis::new(longest)));
+        self.expires_at = self.expires_at.max(now.after(longest(lease)));
+    }
+
+    /// Records that a request whose lease end refers to `generation` may have granted a lease of this length just before `now`.
+    pub fn assume_granted_on(
+        &mut self,
+        generation: ClockGeneration,
+        lease: Millis,
+        now: Timestamp,
+    ) {
+        self.assume_granted(lease, now);
+        if generation != self.generation {
+            self.earlier_expire_at = self.earlier_expire_at.max(now.after(longest(lease)));
+        }
     }
 
     /// Returns true if all leases granted on the executor have expired, so that every run under them has ended.
@@ -128,6 +146,12 @@
         now > self.expires_at.max(self.unanswered_expire_at)
     }
 
+    /// Returns true if every lease of this owner that is in force ends at a time on the clock being read, and no request with
+    /// a lease end on an earlier clock can take effect any more.
+    pub fn has_sole_clock(&self, now: Timestamp) -> bool {
+        self.has_reading() && now > self.earlier_expire_at
+    }
+
     /// Returns true if the reading is so old that leases granted on it would be much too short.
     pub fn is_outdated(&self, now: Timestamp) -> bool {
         self.reading
@@ -139,3 +163,8 @@
         self.reading.is_some()
     }
 }
+
+/// Returns the longest time that a lease lasts on a slow clock.
+fn longest(lease: Millis) -> Millis {
+    Millis::new(lease.get() + lease.get() * MAX_DRIFT_PERCENT / 100)
+}
--- a/crates/jobs/src/job/job.rs
+++ b/crates/jobs/src/job/job.rs
@@ -146,6 +146,16 @@
         self.step_spec(key).is_some_and(|spec| spec.long_running)
     }
 
+    /// Returns the tasks with a location.
+    pub fn located_tasks(&self) -> impl Iterator<Item = TaskKey> {
+        self.occurrences().flat_map(move |(number, occurrence)| {
+            (0..).zip(&occurrence.steps).flat_map(move |(i, step)| {
+                let key = StepKey::new(self.id, number, i);
+                step.located_tasks().map(move |index| key.task(index))
+            })
+        })
+    }
+
     /// Returns true if the job has this task.
     pub fn has_task(&self, task: TaskKey) -> bool {
         let spec = self.step_spec(task.step());
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -25,8 +25,11 @@
 mod job_record;
 mod job_state;
 mod job_table;
+mod last_run;
+mod location_progress;
 mod occurrence;
 mod progress;
+mod run_location;
 mod run_times;
 mod step;
 mod step_progress;
@@ -34,6 +37,8 @@
 
 pub use self::{
     attempt_progress::AttemptProgress, attempts::Attempts, job::Job, job_record::JobRecord,
-    job_state::JobState, job_table::JobTable, occurrence::Occurrence, progress::Progress,
-    run_times::RunTimes, step::Step, step_progress::StepProgress, task_phase::TaskPhase,
+    job_state::JobState, job_table::JobTable, last_run::LastRun,
+    location_progress::LocationProgress, occurrence::Occurrence, progress::Progress,
+    run_location::RunLocation, run_times::RunTimes, step::Step, step_progress::StepProgress,
+    task_phase::TaskPhase,
 };
--- a/crates/jobs/src/job/step.rs
+++ b/crates/jobs/src/job/step.rs
@@ -1,5 +1,10 @@
+use std::collections::BTreeMap;
+
 use crate::id::{Checkpoint, RunNumber};
-use crate::job::{AttemptProgress, Attempts, StepProgress, TaskPhase};
+use crate::job::{
+    AttemptProgress, Attempts, LastRun, LocationProgress, RunLocation, StepProgress, TaskPhase,
+};
+use crate::record::RecordNumber;
 use crate::spec::StepSpec;
 
 /// State of one step of one occurrence.
@@ -7,6 +12,8 @@
 pub struct Step {
     phases: Vec<TaskPhase>,
     attempts: Vec<Attempts>,
+    /// Last runs of long-running tasks, as far as known.
+    last_runs: BTreeMap<u32, LastRun>,
     pending: u32,
     done: u32,
     is_gang: bool,
@@ -19,6 +26,7 @@
         Self {
             phases: vec![TaskPhase::Pending; count],
             attempts: vec![Attempts::default(); attempts],
+            last_runs: BTreeMap::new(),
             pending: spec.count,
             done: 0,
             is_gang: spec.gang,
@@ -68,6 +76,29 @@
         &mut self.attempts[i]
     }
 
+    /// Returns what is known of the last run of a long-running task.
+    pub fn last_run(&self, index: u32) -> Option<&LastRun> {
+        self.last_runs.get(&index)
+    }
+
+    /// Returns the indexes of the tasks with a location.
+    pub fn located_tasks(&self) -> impl Iterator<Item = u32> {
+        self.locations().map(|(index, _)| index)
+    }
+
+    /// Records where a task runs. Returns false if that was known.
+    pub fn set_location(&mut self, index: u32, location: RunLocation) -> bool {
+        let at = LastRun::At(location);
+        let is_new = self.last_run(index) != Some(&at);
+        self.last_runs.insert(index, at);
+        is_new
+    }
+
+    /// Records that the last run of a task has ended, in a record that has to be durable before the next start.
+    pub fn set_ended(&mut self, index: u32, record: RecordNumber) {
+        self.last_runs.insert(index, LastRun::Ended(record));
+    }
+
     /// Returns the indexes of the tasks that wait to be started.
     pub fn pending_tasks(&self) -> impl Iterator<Item = u32> {
         let indexed = (0..).zip(&self.phases);
@@ -113,12 +144,20 @@
             .zip(&self.attempts)
             .filter_map(attempt_progress)
             .collect();
-        let is_empty = done.is_empty() && attempts.is_empty();
+        let locations: Vec<LocationProgress> = self
+            .locations()
+            .map(|(index, location)| LocationProgress {
+                index,
+                location: location.clone(),
+            })
+            .collect();
+        let is_empty = done.is_empty() && attempts.is_empty() && locations.is_empty();
         (!is_empty).then_some(StepProgress {
             occurrence,
             step,
             done,
             attempts,
+            locations,
         })
     }
 
@@ -133,6 +172,18 @@
                 attempts.checkpoint = stored.checkpoint.clone();
             }
         }
+        for stored in &progress.locations {
+            if stored.index < self.count() {
+                self.set_location(stored.index, stored.location.clone());
+            }
+        }
+    }
+
+    fn locations(&self) -> impl Iterator<Item = (u32, &RunLocation)> {
+        self.last_runs.iter().filter_map(|(index, run)| match run {
+            LastRun::At(location) => Some((*index, location)),
+            LastRun::Ended(_) => None,
+        })
     }
 
     fn attempt_index(&self, index: u32) -> usize {
--- a/crates/jobs/src/job/step_progress.rs
+++ b/crates/jobs/src/job/step_progress.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::job::AttemptProgress;
+use crate::job::{AttemptProgress, LocationProgress};
 
 /// Stored progress of a step.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,4 +17,7 @@
     /// Attempts that failed or saved progress.
     #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
     pub attempts: Vec<AttemptProgress>,
+    /// Where long-running tasks run.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub locations: Vec<LocationProgress>,
 }
--- a/crates/jobs/src/report/wait_reason.rs
+++ b/crates/jobs/src/report/wait_reason.rs
@@ -11,7 +11,7 @@
     /// An earlier owner may have started the tasks on an unreported executor, one that has not listed its runs to this
     /// owner yet.
     UnheardExecutors,
-    /// Tasks of an earlier run of the gang have not ended.
+    /// Tasks of an earlier run of the gang have not ended, or the end of a long-running task is not recorded yet.
     EarlierRun,
     /// A request to the adviser is not answered yet.
     Adviser,
--- a/crates/jobs/tests/dispatch/main.rs
+++ b/crates/jobs/tests/dispatch/main.rs
@@ -9,6 +9,7 @@
 mod harness;
 mod late_requests;
 mod leases;
+mod locations;
 mod ownership;
 mod placement;
 mod random;
--- a/crates/jobs/tests/dispatch/random.rs
+++ b/crates/jobs/tests/dispatch/random.rs
@@ -3,7 +3,7 @@
 use crate::sim::Sim;
 
 macro_rules! seeds {
-    ($($name:ident: $seeds:expr;)*) => {
+    ($sim:expr => $($name:ident: $seeds:expr;)*) => {
         $(
             /// Guards against overlapping runs, runs after an end that counts, overcommitted executors and jobs that
             /// never end, under lost and delayed requests, crashes, unresponsive executors, cancellations and
@@ -11,9 +11,7 @@
             #[test]
             fn $name() {
                 for seed in $seeds {
-                    let mut sim = Sim::new(seed);
-                    sim.run_with_faults(30_000);
-                    sim.run_to_completion(90_000);
+                    run($sim(seed));
                 }
             }
         )*
@@ -21,6 +19,7 @@
 }
 
 seeds! {
+    Sim::new =>
     first_seeds: 1..=20;
     second_seeds: 21..=40;
     third_seeds: 41..=60;
@@ -30,6 +29,19 @@
     a_late_refused_start_extends_the_lease: 2547..=2547;
 }
 
+// Adds long-running tasks, which start again after a takeover as soon as the leases of their known incarnation have expired.
+seeds! {
+    Sim::with_long_running =>
+    first_long_running_seeds: 1..=20;
+    second_long_running_seeds: 21..=40;
+    third_long_running_seeds: 41..=60;
+}
+
+fn run(mut sim: Sim) {
+    sim.run_with_faults(30_000);
+    sim.run_to_completion(90_000);
+}
+
 /// Runs the seeds in `LAGOON_SEEDS`, such as `1000..2000`, and prints each before it runs.
 #[test]
 #[ignore = "open-ended; run by hand with LAGOON_SEEDS"]
@@ -39,8 +51,7 @@
     let (first, last): (u64, u64) = (first.parse().unwrap(), last.parse().unwrap());
     for seed in first..last {
         eprintln!("seed {seed}");
-        let mut sim = Sim::new(seed);
-        sim.run_with_faults(30_000);
-        sim.run_to_completion(90_000);
+        run(Sim::new(seed));
+        run(Sim::with_long_running(seed));
     }
 }
--- a/crates/jobs/tests/dispatch/sim/mod.rs
+++ b/crates/jobs/tests/dispatch/sim/mod.rs
@@ -2,6 +2,7 @@
 
 mod delayed_event;
 mod fleet;
+mod long_running;
 mod previous_owner;
 mod record;
 mod requests;
@@ -50,6 +51,8 @@
     /// Tasks whose end was acknowledged as done. One such end counts for all tasks of a gang.
     acknowledged_done: BTreeSet<TaskKey>,
     fault_free: bool,
+    /// Whether some jobs have tasks that run until they are cancelled.
+    has_long_running: bool,
 }
 
 impl Sim {
@@ -82,6 +85,7 @@
             unlisted: BTreeSet::new(),
             acknowledged_done: BTreeSet::new(),
             fault_free: false,
+            has_long_running: false,
         };
         sim.take_over();
         sim
@@ -120,9 +124,7 @@
             if self.rng.random_bool(0.01) {
                 self.list_all();
             }
-            if self.rng.random_bool(0.004) {
-                self.take_over();
-            }
+            self.take_over_at_random();
             self.step();
         }
     }
@@ -132,6 +134,7 @@
         self.fault_free = true;
         self.previous = None;
         self.list_all();
+        self.cancel_long_running(ms);
         for _ in 0..ms / STEP_MS {
             self.step();
             let ended = |id: &JobId| {
@@ -153,7 +156,20 @@
         panic!("seed {}: jobs do not end: {open:?}", self.seed);
     }
 
+    fn take_over_at_random(&mut self) {
+        if self.has_long_running && self.rng.random_bool(0.002) {
+            self.take_over_beside_a_cut();
+        }
+        let probability = if self.has_long_running { 0.001 } else { 0.004 };
+        if self.rng.random_bool(probability) {
+            self.take_over();
+        }
+    }
+
     fn submit(&mut self, number: u64) {
+        if self.has_long_running && self.rng.random_bool(0.3) {
+            return self.submit_long_running(number);
+        }
         let id = job_id(number + 1);
         let count = self.rng.random_range(1..=4);
         let need = self.rng.random_range(1..=3);
--- a/crates/jobs/tests/dispatch/sim/requests.rs
+++ b/crates/jobs/tests/dispatch/sim/requests.rs
@@ -16,7 +16,8 @@
     pub(super) fn send_start(&mut self, request: StartRequest) {
         let mute = self.executors[request.slot.index()].is_mute(self.now);
         let is_lost = mute || !self.fault_free && self.rng.random_bool(0.04);
-        let is_delayed = !self.fault_free && self.rng.random_bool(0.04);
+        let delayed = if self.has_long_running { 0.12 } else { 0.04 };
+        let is_delayed = !self.fault_free && self.rng.random_bool(delayed);
         let unresponsive = self.executors[request.slot.index()].is_unresponsive(self.now);
         if is_lost || is_delayed || unresponsive {
             let wait = Millis::new(800);
@@ -57,10 +58,15 @@
         let record = &self.records[&task.job()];
         let spec = &record.spec().steps()[usize::from(task.step().step())];
         let need = spec.reserved().cpu.get() / 1_000;
+        let (is_gang, long_running) = (spec.gang, spec.long_running);
+        let is_advised = policy().queue(record.queue()).unwrap().advice.is_some();
         let time = draw_run_time(&mut self.rng);
-        let time = (!spec.gang).then_some(time);
+        let time = (!is_gang).then_some(time);
         let fails = !self.fault_free && self.rng.random_bool(0.05);
-        let is_advised = policy().queue(record.queue()).unwrap().advice.is_some();
+        let (time, fails) = match long_running {
+            true => (Some(self.draw_time_to_failure()), true),
+            false => (time, fails),
+        };
         let executor = &mut self.executors[request.slot.index()];
         if is_advised && !sim_adviser::accepts(request, executor.incarnation(), self.now) {
             return StartOutcome::Refused(StartRefusal::Ticket);
--- a/crates/node/tests/node/cell.rs
+++ b/crates/node/tests/node/cell.rs
@@ -28,6 +28,8 @@
     client: SiteClient,
     /// Shortest lease of the store, after which a node without renewals is gone.
     pub(crate) store_lease: Duration,
+    /// Longest lease that executors grant, according to the settings of the nodes.
+    pub(crate) max_lease: Duration,
 }
 
 impl Cell {
@@ -45,6 +47,7 @@
             nodes: Vec::new(),
             client: SiteClient::default(),
             store_lease: Duration::from_secs(1),
+            max_lease: Duration::from_secs(6),
         };
         for _ in 0..nodes {
             cell.add_node().await;
@@ -111,12 +114,13 @@
         strength: f64,
     ) -> (NodeSettings, [SocketAddr; 3]) {
         let lease = self.store_lease.as_secs();
+        let max_lease = self.max_lease.as_secs();
         let [callers, readiness, peers, metrics] = [(); 4].map(|()| free_address().unwrap());
         let adviser = self.site.adviser();
         let settings = format!(
             "member: m{number}\nfailure_domain: d1\nstrength: {strength}\nlisten:\n  callers: {callers}\n  \
              readiness: {readiness}\n  peers: {peers}\n  metrics: {metrics}\nstore: {store}\nadviser: {adviser}\n\
-             limits:\n  max_lease: 6s\n  retention: 120s\n  grace: 1s\n  min_store_lease: {lease}s\n"
+             limits:\n  max_lease: {max_lease}s\n  retention: 120s\n  grace: 1s\n  min_store_lease: {lease}s\n"
         );
         let settings: NodeSettings =
             lagoon_process::settings::parse(Path::new("test.yaml"), &settings).unwrap();
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod cell;
 mod end_to_end;
 mod faults;
+mod locations;
 mod node_thread;
 mod odd_entries;
 mod pauses;
