End unanswered starts on earlier connections with their lease

Cause: an unanswered start may have been received by a later incarnation of the executor, which takes the lease end on the earlier clock as the longest lease. The owner kept the run for the 12 s in which the start may take effect and that lease, whichever connection carried the start.

A connection ends with the process that accepted it. The transport now knows when each connection was established. If that was before the last list of the executor was requested, the start can't have reached a later incarnation: the process answered that list or had ended. Such a run belongs to the known incarnation and is lost with its lease. New connections, and starts whose lease end is on an earlier clock, wait as before.

The new case in leases.rs fails on the code before.

--- a/crates/jobs/src/dispatch/started.rs
+++ b/crates/jobs/src/dispatch/started.rs
@@ -34,7 +34,11 @@
                 self.jobs.set_started(task.job());
                 return;
             }
-            StartOutcome::Unknown => {
+            StartOutcome::Unknown { connection_age } => {
+                let executor = self.fleet.get(req.slot);
+                if executor.clock.predates_list(connection_age, now) {
+                    run.incarnation = executor.incarnation;
+                }
                 if run.phase == RunPhase::Starting {
                     run.phase = RunPhase::Unconfirmed { since: now };
                 }
@@ -69,7 +73,11 @@
                     clock.assume_granted_on(req.clock_generation, limits.max_lease, now);
                 }
             }
-            StartOutcome::Unknown => {
+            // The lease of the known incarnation ends when it was granted to.
+            StartOutcome::Unknown { connection_age }
+                if req.clock_generation == clock.generation()
+                    && clock.predates_list(connection_age, now) => {}
+            StartOutcome::Unknown { .. } => {
                 let (delay, max_lease) = (limits.max_request_delay, limits.max_lease);
                 clock.record_unanswered(req.clock_generation, delay, max_lease, now);
             }
--- a/crates/jobs/src/fleet/lease_clock.rs
+++ b/crates/jobs/src/fleet/lease_clock.rs
@@ -52,6 +52,13 @@
         self.has_reading() && predates_request && !self.has_gone_back(executor_ms)
     }
 
+    /// Returns true if a connection of this age was established before the latest list was requested. Its process answered that
+    /// list or had ended, so that a request sent on it can't have reached a later incarnation.
+    pub fn predates_list(&self, connection_age: Option<Millis>, now: Timestamp) -> bool {
+        let age = connection_age.filter(|_| self.has_reading());
+        age.is_some_and(|age| age > now.since(self.list_requested_at))
+    }
+
     /// Returns true if a reading is from a later incarnation, because it is lower than the last one.
     pub fn has_gone_back(&self, executor_ms: u64) -> bool {
         let goes_back = |known| executor_ms.saturating_add(MAX_REORDERING.get()) < known;
--- a/crates/jobs/src/run/run.rs
+++ b/crates/jobs/src/run/run.rs
@@ -24,7 +24,7 @@
     pub preemptible_rank: Option<u32>,
     /// Progress in percent, and when it last changed.
     pub progress: (u32, Timestamp),
-    /// Incarnation of the executor in which it is known to run or to have run.
+    /// Incarnation of the executor in which it runs or has run, if it was started at all; `None` if it may be a later one.
     pub incarnation: Option<Incarnation>,
 }
 
--- a/crates/jobs/src/run/start_outcome.rs
+++ b/crates/jobs/src/run/start_outcome.rs
@@ -1,3 +1,5 @@
+use lagoon_core::unit::Millis;
+
 use crate::run::StartRefusal;
 
 /// Outcome of a request to start a task.
@@ -15,5 +17,8 @@
     /// The request was not sent, because the owner's lease may have expired.
     Withheld,
     /// No answer arrived. The task may run now or start later.
-    Unknown,
+    Unknown {
+        /// Age of the connection on which the request was sent, when it was given up; `None` if that is not known.
+        connection_age: Option<Millis>,
+    },
 }
--- a/crates/jobs/tests/dispatch/ends.rs
+++ b/crates/jobs/tests/dispatch/ends.rs
@@ -121,7 +121,7 @@
         let mut harness = Harness::with(&[("e1", 8)]);
         harness.submit(1, "urgent", vec![step(2, 1)]);
         let requests = starts(&harness.plan());
-        for (request, outcome) in requests.iter().zip([StartOutcome::Started { executor_ms: None }, StartOutcome::Unknown]) {
+        for (request, outcome) in requests.iter().zip([StartOutcome::Started { executor_ms: None }, StartOutcome::Unknown { connection_age: None }]) {
             harness.dispatcher.started(request, outcome, harness.now);
         }
         harness.submit(2, "urgent", vec![step(1, 9)]);
--- a/crates/jobs/tests/dispatch/late_requests.rs
+++ b/crates/jobs/tests/dispatch/late_requests.rs
@@ -17,7 +17,7 @@
         observe_restart(&mut harness, &request);
         confirm_stops(&mut harness);
         harness.advance(1_000);
-        harness.dispatcher.started(&request, StartOutcome::Unknown, harness.now);
+        harness.dispatcher.started(&request, StartOutcome::Unknown { connection_age: None }, harness.now);
         let given_up_at = harness.now;
         list_restarted(&mut harness, request.slot, 100, &[]);
         run_again(&mut harness, request.slot);
@@ -34,7 +34,7 @@
         list_restarted(&mut harness, request.slot, 100, &[]);
         let again = run_again(&mut harness, request.slot);
         harness.advance(880);
-        harness.dispatcher.started(&request, StartOutcome::Unknown, harness.now);
+        harness.dispatcher.started(&request, StartOutcome::Unknown { connection_age: None }, harness.now);
         let given_up_at = harness.now;
         list_restarted(&mut harness, again.slot, 20, &[&again]);
         assert_runs_until_leases_expire(&mut harness, request.slot, given_up_at);
--- a/crates/jobs/tests/dispatch/leases.rs
+++ b/crates/jobs/tests/dispatch/leases.rs
@@ -6,7 +6,9 @@
 use lagoon_jobs::id::{Incarnation, StepKey};
 use lagoon_jobs::run::{RunOutcome, StartOutcome};
 
-use crate::harness::{Harness, MAX_LEASE, entry, job_id, listing, starts, starts_within, step};
+use crate::harness::{
+    Harness, LEASE, MAX_LEASE, entry, job_id, listing, starts, starts_within, step,
+};
 
 cases! {
     /// Guards against a second run while the lease of the first may not have expired on a clock that is 2% slow.
@@ -34,7 +36,7 @@
         let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
         harness.submit(1, "urgent", vec![step(1, 4)]);
         let request = starts(&harness.plan()).remove(0);
-        harness.dispatcher.started(&request, StartOutcome::Unknown, harness.now);
+        harness.dispatcher.started(&request, StartOutcome::Unknown { connection_age: None }, harness.now);
         harness.dispatcher.hold_failed(request.slot, harness.now);
         let longest = 12_000 + MAX_LEASE.get() * 100 / 98;
         assert_eq!(starts_within(&mut harness, longest), 0);
@@ -54,6 +56,61 @@
         assert_eq!(starts_within(&mut harness, 1_000), 1);
     }
 
+    /// Guards against a lost task that has no run for 22 s, because its executor may have restarted before the request arrived.
+    /// No later incarnation reads what is sent on a connection that was established before the last list was requested.
+    an_unanswered_start_on_an_earlier_connection_ends_with_its_lease {
+        let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
+        harness.advance(20_000);
+        harness.list(0, &[], vec![]);
+        harness.list(1, &[], vec![]);
+        harness.submit(1, "urgent", vec![step(1, 4)]);
+        let request = starts(&harness.plan()).remove(0);
+        let granted_at = harness.now;
+        harness.advance(800);
+        let connection_age = Some(Millis::new(3_000));
+        harness.dispatcher.started(&request, StartOutcome::Unknown { connection_age }, harness.now);
+        harness.dispatcher.hold_failed(request.slot, harness.now);
+        let lease = LEASE.get() * 100 / 98 - harness.now.since(granted_at).get();
+        assert_eq!(starts_within(&mut harness, lease), 0);
+        assert_eq!(starts_within(&mut harness, 300), 1);
+    }
+
+    /// Guards against a second run beside one of an incarnation that began after the last list was requested and before the
+    /// connection was established.
+    an_unanswered_start_on_a_later_connection_may_run_in_a_later_incarnation {
+        let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
+        harness.list(0, &[], vec![]);
+        harness.list(1, &[], vec![]);
+        harness.submit(1, "urgent", vec![step(1, 4)]);
+        let request = starts(&harness.plan()).remove(0);
+        harness.advance(800);
+        let connection_age = Some(Millis::new(801));
+        harness.dispatcher.started(&request, StartOutcome::Unknown { connection_age }, harness.now);
+        harness.dispatcher.hold_failed(request.slot, harness.now);
+        let longest = 12_000 + MAX_LEASE.get() * 100 / 98;
+        assert_eq!(starts_within(&mut harness, longest), 0);
+        assert_eq!(starts_within(&mut harness, 1_000), 1);
+    }
+
+    /// Guards against a second run beside one of a new incarnation that took the lease end on the earlier clock: the connection
+    /// was established before its list, and after its start.
+    a_start_on_an_earlier_clock_may_have_the_longest_lease {
+        let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
+        harness.submit(1, "urgent", vec![step(1, 4)]);
+        let request = starts(&harness.plan()).remove(0);
+        harness.advance(100);
+        let mut restarted = listing(harness.now, &[], vec![]);
+        restarted.incarnation = Some(Incarnation::new(2));
+        harness.dispatcher.listed(request.slot, &restarted, harness.now, harness.now);
+        harness.advance(700);
+        let connection_age = Some(Millis::new(750));
+        harness.dispatcher.started(&request, StartOutcome::Unknown { connection_age }, harness.now);
+        harness.dispatcher.hold_failed(request.slot, harness.now);
+        let longest = 12_000 + MAX_LEASE.get() * 100 / 98;
+        assert_eq!(starts_within(&mut harness, longest), 0);
+        assert_eq!(starts_within(&mut harness, 1_000), 1);
+    }
+
     /// Guards against a second run beside one in a new incarnation, whose lease an unanswered hold may extend late.
     an_unanswered_hold_may_extend_the_lease_of_a_later_incarnation {
         let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
--- a/crates/jobs/tests/dispatch/locations.rs
+++ b/crates/jobs/tests/dispatch/locations.rs
@@ -133,7 +133,7 @@
         let mut harness = Harness::with(&[("e1", 8), ("e2", 8)]);
         harness.submit(1, "urgent", vec![long_running(1)]);
         let request = starts(&harness.plan()).remove(0);
-        harness.dispatcher.started(&request, StartOutcome::Unknown, harness.now);
+        harness.dispatcher.started(&request, StartOutcome::Unknown { connection_age: None }, harness.now);
         let progress = stored_progress(&mut harness);
         assert!(located(&progress).is_empty());
         let (mut next, now) = next_owner(vec![long_running(1)], &progress);
@@ -179,7 +179,7 @@
         harness.submit(1, "urgent", vec![long_running(1)]);
         let request = harness.start_all().remove(0);
         harness.advance(18_000);
-        harness.dispatcher.started(&late, StartOutcome::Unknown, harness.now);
+        harness.dispatcher.started(&late, StartOutcome::Unknown { connection_age: None }, harness.now);
         harness.advance(12_000 + MAX_LEASE.get() * 100 / 98);
         list_run(&mut harness, &request, 2);
         assert!(located(&stored_progress(&mut harness)).is_empty());
--- a/crates/jobs/tests/dispatch/placement.rs
+++ b/crates/jobs/tests/dispatch/placement.rs
@@ -74,7 +74,7 @@
         let mut harness = Harness::with(&[("e1", 8), ("e2", 8)]);
         harness.submit(1, "urgent", vec![step(1, 1)]);
         let request = starts(&harness.plan()).remove(0);
-        harness.dispatcher.started(&request, StartOutcome::Unknown, harness.now);
+        harness.dispatcher.started(&request, StartOutcome::Unknown { connection_age: None }, harness.now);
         harness.advance(1);
         harness.list(request.slot.get(), &[], vec![]);
         let stop = stops(&harness.plan()).remove(0);
--- a/crates/jobs/tests/dispatch/sim/fleet.rs
+++ b/crates/jobs/tests/dispatch/sim/fleet.rs
@@ -41,6 +41,7 @@
         let mut next = Dispatcher::open(Epoch::new(self.epoch), self.limits, now);
         next.set_policy(policy());
         next.set_members(&["m1", "m2", "m3"].map(|id| id.parse().unwrap()));
+        self.connections.clear();
         let mut listings = Vec::new();
         for i in 0..EXECUTORS {
             // In the order of the slots, by which the simulation addresses executors.
@@ -83,6 +84,7 @@
         }
         for (slot, listing) in listings {
             next.listed(slot, &listing, now, now);
+            self.keep_connection(slot.index());
         }
         let last = std::mem::replace(&mut self.dispatcher, next.serve(now));
         self.keep_previous(last);
--- a/crates/jobs/tests/dispatch/sim/mod.rs
+++ b/crates/jobs/tests/dispatch/sim/mod.rs
@@ -6,6 +6,7 @@
 mod previous_owner;
 mod record;
 mod requests;
+mod sim_connection;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,6 +21,7 @@
 
 use self::delayed_event::DelayedEvent;
 use self::previous_owner::PreviousOwner;
+use self::sim_connection::SimConnection;
 use crate::harness::{job_id, limits, step};
 use crate::sim_executor::SimExecutor;
 use crate::sim_gangs::SimGangs;
@@ -53,6 +55,8 @@
     fault_free: bool,
     /// Whether some jobs have tasks that run until they are cancelled.
     has_long_running: bool,
+    /// Connections on which executors have listed their runs to the current owner.
+    connections: BTreeMap<usize, SimConnection>,
 }
 
 impl Sim {
@@ -86,6 +90,7 @@
             acknowledged_done: BTreeSet::new(),
             fault_free: false,
             has_long_running: false,
+            connections: BTreeMap::new(),
         };
         sim.take_over();
         sim
@@ -259,6 +264,7 @@
             } else if let Some(listing) = listing {
                 let sent_at = Timestamp::from_millis(self.now.as_millis() - 1);
                 self.dispatcher.listed(slot, &listing, sent_at, self.now);
+                self.keep_connection(i);
             }
         }
     }
--- a/crates/jobs/tests/dispatch/sim/requests.rs
+++ b/crates/jobs/tests/dispatch/sim/requests.rs
@@ -19,17 +19,21 @@
         let delayed = if self.has_long_running { 0.12 } else { 0.04 };
         let is_delayed = !self.fault_free && self.rng.random_bool(delayed);
         let unresponsive = self.executors[request.slot.index()].is_unresponsive(self.now);
+        let connection = self.draw_connection(request.slot.index());
+        let incarnation = self.executors[request.slot.index()].incarnation();
+        // A later incarnation reads nothing from a connection to an earlier one.
+        let is_stale = connection.is_some_and(|kept| kept.incarnation != incarnation);
+        let unresponsive = unresponsive || is_stale;
         if is_lost || is_delayed || unresponsive {
             let wait = Millis::new(800);
             let epoch = Epoch::new(self.epoch);
             self.delayed.push((
                 self.now.after(wait),
-                DelayedEvent::StartTimeout(epoch, request.clone()),
+                DelayedEvent::StartTimeout(epoch, request.clone(), connection),
             ));
         }
-        if is_delayed {
+        if is_delayed && !is_stale {
             let wait = Millis::new(self.rng.random_range(1_000..12_000));
-            let incarnation = self.executors[request.slot.index()].incarnation();
             self.delayed.push((
                 self.now.after(wait),
                 DelayedEvent::Start(incarnation, request),
@@ -148,9 +152,15 @@
                         let _ = self.start_now(&request);
                     }
                 }
-                DelayedEvent::StartTimeout(epoch, request) if epoch == Epoch::new(self.epoch) => {
-                    self.dispatcher
-                        .started(&request, StartOutcome::Unknown, now);
+                DelayedEvent::StartTimeout(epoch, request, connection)
+                    if epoch == Epoch::new(self.epoch) =>
+                {
+                    let connection_age = self.age(connection);
+                    self.dispatcher.started(
+                        &request,
+                        StartOutcome::Unknown { connection_age },
+                        now,
+                    );
                 }
                 DelayedEvent::Advice(epoch, request, is_lost)
                     if epoch == Epoch::new(self.epoch) =>
--- a/crates/node/src/owner/effects.rs
+++ b/crates/node/src/owner/effects.rs
@@ -73,7 +73,7 @@
         StartOutcome::Refused(_) => "refused",
         StartOutcome::NotSent => "not_sent",
         StartOutcome::Withheld => "withheld",
-        StartOutcome::Unknown => "unknown",
+        StartOutcome::Unknown { .. } => "unknown",
     };
     cx.metrics
         .observe("executor.start", label, cx.clock.now().since(started_at));
--- a/crates/platform/src/error/platform_error.rs
+++ b/crates/platform/src/error/platform_error.rs
@@ -1,5 +1,7 @@
 use std::fmt;
 
+use lagoon_core::unit::Millis;
+
 use crate::error::{CallEffect, ErrorKind};
 
 /// Longest prefix of an error response's body that an error keeps, in characters.
@@ -13,13 +15,29 @@
 struct Inner {
     call: String,
     kind: ErrorKind,
+    connection_age: Option<Millis>,
 }
 
 impl PlatformError {
     /// Returns the error of `call`, which is described as method and URI.
     pub fn new(call: impl Into<String>, kind: ErrorKind) -> Self {
         let call = call.into();
-        Self(Box::new(Inner { call, kind }))
+        Self(Box::new(Inner {
+            call,
+            kind,
+            connection_age: None,
+        }))
+    }
+
+    /// Sets the age of the connection on which the call was sent, when the call was given up.
+    pub(crate) fn on_connection(mut self, age: Option<Millis>) -> Self {
+        self.0.connection_age = age;
+        self
+    }
+
+    /// Returns the age of the connection on which the call was sent, when the call was given up; `None` if that is not known.
+    pub fn connection_age(&self) -> Option<Millis> {
+        self.0.connection_age
     }
 
     /// Returns the error for a response with an error status.
--- a/crates/platform/src/transport/mod.rs
+++ b/crates/platform/src/transport/mod.rs
@@ -4,7 +4,10 @@
 mod call_counter;
 mod client_settings;
 mod endpoint;
+mod established_at;
 mod response;
+mod timed_connector;
+mod timed_stream;
 #[expect(clippy::module_inception, reason = "one type per file")]
 mod transport;
 
--- a/crates/platform/src/transport/transport.rs
+++ b/crates/platform/src/transport/transport.rs
@@ -4,11 +4,16 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::Request;
 use hyper::header::CONTENT_TYPE;
+use hyper::http::Extensions;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use lagoon_core::unit::Millis;
+
 use crate::error::{ErrorKind, PlatformError};
+use crate::transport::established_at::EstablishedAt;
+use crate::transport::timed_connector::TimedConnector;
 use crate::transport::{Call, CallCounter, ClientSettings, PROCESS_HEADER, Response};
 
 /// HTTP client with a connection pool, settings and counters, which clones share.
@@ -17,7 +22,7 @@
 
 #[derive(Debug)]
 struct Inner {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<TimedConnector, Full<Bytes>>,
     settings: ClientSettings,
     counter: CallCounter,
 }
@@ -31,7 +36,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(settings.idle_connections)
-            .build(connector);
+            .build(TimedConnector(connector));
         let counter = CallCounter::default();
         Self(Arc::new(Inner {
             client,
@@ -62,8 +67,15 @@
         counter.record_request(call.uri.len() + call.body.len());
         let limit = settings.request_timeout.saturating_add(call.extra_timeout);
         let name = call.describe();
-        let result = tokio::time::timeout(limit.to_duration(), self.exchange(call)).await;
-        let result = result.unwrap_or(Err(ErrorKind::Timeout { sent: true }));
+        let (result, connection_age) = match self.request(call) {
+            Ok(mut req) => {
+                let connection = capture_connection(&mut req);
+                let result = tokio::time::timeout(limit.to_duration(), self.exchange(req)).await;
+                let result = result.unwrap_or(Err(ErrorKind::Timeout { sent: true }));
+                (result, age(&connection))
+            }
+            Err(kind) => (Err(kind), None),
+        };
         match result {
             Ok((status, body)) => {
                 counter.record_response(body.len());
@@ -72,15 +84,13 @@
             }
             Err(kind) => {
                 counter.record_failure();
-                Err(PlatformError::new(name, kind))
+                Err(PlatformError::new(name, kind).on_connection(connection_age))
             }
         }
     }
 
-    async fn exchange(&self, call: Call) -> Result<(u16, Bytes), ErrorKind> {
-        let Inner {
-            client, settings, ..
-        } = &*self.0;
+    fn request(&self, call: Call) -> Result<Request<Full<Bytes>>, ErrorKind> {
+        let settings = &self.0.settings;
         let mut req = Request::builder().method(call.method).uri(call.uri);
         if let Some(process) = &settings.process {
             req = req.header(PROCESS_HEADER, process.as_str());
@@ -91,9 +101,14 @@
         if !call.body.is_empty() {
             req = req.header(CONTENT_TYPE, "application/json");
         }
-        let req = req
-            .body(Full::new(call.body))
-            .map_err(|e| ErrorKind::Unreachable(e.to_string()))?;
+        req.body(Full::new(call.body))
+            .map_err(|e| ErrorKind::Unreachable(e.to_string()))
+    }
+
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<(u16, Bytes), ErrorKind> {
+        let Inner {
+            client, settings, ..
+        } = &*self.0;
         let response = client
             .request(req)
             .await
@@ -112,6 +127,16 @@
     }
 }
 
+/// Returns the age of the connection that a request was sent on.
+fn age(connection: &CaptureConnection) -> Option<Millis> {
+    let mut extras = Extensions::new();
+    if let Some(connected) = connection.connection_metadata().as_ref() {
+        connected.get_extras(&mut extras);
+    }
+    let EstablishedAt(at) = extras.get()?;
+    Some(Millis::new(at.elapsed().as_millis() as u64))
+}
+
 fn error_chain(error: &dyn std::error::Error) -> String {
     match error.source() {
         Some(source) => format!("{error}: {}", error_chain(source)),
