--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -41,7 +41,7 @@
     pub(super) departed: Vec<ExecutorId>,
     /// When the leases of all runs that earlier owners started on unreported executors have expired.
     pub(super) inherited_lease_end: Timestamp,
-    /// The same for runs in a known incarnation, in which a lease ends when its owner intended.
+    /// The same for runs in a known incarnation, where no lease outlasts what its owner granted.
     pub(super) located_lease_end: Timestamp,
     /// When the last request of an earlier owner has taken effect and the lease that it may have granted has expired.
     pub(super) earlier_requests_end: Timestamp,
@@ -59,6 +59,7 @@
         };
         // An executor that has restarted takes a lease end on its earlier clock as the longest lease that it grants.
         let inherited_lease_end = expiry(limits.max_lease);
+        // The first owner of a cell has no earlier one.
         let earlier_requests_end = match epoch == Epoch::default().next() {
             true => Timestamp::default(),
             false => inherited_lease_end.after(limits.max_request_delay),
--- a/crates/jobs/src/dispatch/started.rs
+++ b/crates/jobs/src/dispatch/started.rs
@@ -73,7 +73,7 @@
                     clock.assume_granted_on(req.clock_generation, limits.max_lease, now);
                 }
             }
-            // The lease of the known incarnation ends when it was granted to.
+            // Only the known incarnation can have received it, whose lease end is recorded with the grant.
             StartOutcome::Unknown { connection_age }
                 if req.clock_generation == clock.generation()
                     && clock.predates_list(connection_age, now) => {}
--- a/crates/jobs/tests/dispatch/leases.rs
+++ b/crates/jobs/tests/dispatch/leases.rs
@@ -1,7 +1,7 @@
 //! Tests of when runs on unresponsive or restarted executors count as lost.
 
 use lagoon_core::unit::Millis;
-use lagoon_jobs::dispatch::HoldAction;
+use lagoon_jobs::dispatch::{HoldAction, StartRequest};
 use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::id::{Incarnation, StepKey};
 use lagoon_jobs::run::{RunOutcome, StartOutcome};
@@ -10,6 +10,20 @@
     Harness, LEASE, MAX_LEASE, entry, job_id, listing, starts, starts_within, step,
 };
 
+/// Gives up a start on a connection of this age, in milliseconds, and the next hold.
+fn give_up_start(harness: &mut Harness, request: &StartRequest, connection_ms: u64) {
+    let outcome = StartOutcome::Unknown {
+        connection_age: Some(Millis::new(connection_ms)),
+    };
+    harness.dispatcher.started(request, outcome, harness.now);
+    harness.dispatcher.hold_failed(request.slot, harness.now);
+}
+
+/// Returns the longest time for which a run of a later incarnation lasts after its start was given up.
+fn longest_wait() -> u64 {
+    12_000 + MAX_LEASE.get() * 100 / 98
+}
+
 cases! {
     /// Guards against a second run while the lease of the first may not have expired on a clock that is 2% slow.
     an_unresponsive_executor_keeps_its_runs_until_the_lease_expires {
@@ -38,8 +52,7 @@
         let request = starts(&harness.plan()).remove(0);
         harness.dispatcher.started(&request, StartOutcome::Unknown { connection_age: None }, harness.now);
         harness.dispatcher.hold_failed(request.slot, harness.now);
-        let longest = 12_000 + MAX_LEASE.get() * 100 / 98;
-        assert_eq!(starts_within(&mut harness, longest), 0);
+        assert_eq!(starts_within(&mut harness, longest_wait()), 0);
         assert_eq!(starts_within(&mut harness, 1_000), 1);
     }
 
@@ -67,9 +80,7 @@
         let request = starts(&harness.plan()).remove(0);
         let granted_at = harness.now;
         harness.advance(800);
-        let connection_age = Some(Millis::new(3_000));
-        harness.dispatcher.started(&request, StartOutcome::Unknown { connection_age }, harness.now);
-        harness.dispatcher.hold_failed(request.slot, harness.now);
+        give_up_start(&mut harness, &request, 3_000);
         let lease = LEASE.get() * 100 / 98 - harness.now.since(granted_at).get();
         assert_eq!(starts_within(&mut harness, lease), 0);
         assert_eq!(starts_within(&mut harness, 300), 1);
@@ -84,11 +95,8 @@
         harness.submit(1, "urgent", vec![step(1, 4)]);
         let request = starts(&harness.plan()).remove(0);
         harness.advance(800);
-        let connection_age = Some(Millis::new(801));
-        harness.dispatcher.started(&request, StartOutcome::Unknown { connection_age }, harness.now);
-        harness.dispatcher.hold_failed(request.slot, harness.now);
-        let longest = 12_000 + MAX_LEASE.get() * 100 / 98;
-        assert_eq!(starts_within(&mut harness, longest), 0);
+        give_up_start(&mut harness, &request, 801);
+        assert_eq!(starts_within(&mut harness, longest_wait()), 0);
         assert_eq!(starts_within(&mut harness, 1_000), 1);
     }
 
@@ -103,11 +111,8 @@
         restarted.incarnation = Some(Incarnation::new(2));
         harness.dispatcher.listed(request.slot, &restarted, harness.now, harness.now);
         harness.advance(700);
-        let connection_age = Some(Millis::new(750));
-        harness.dispatcher.started(&request, StartOutcome::Unknown { connection_age }, harness.now);
-        harness.dispatcher.hold_failed(request.slot, harness.now);
-        let longest = 12_000 + MAX_LEASE.get() * 100 / 98;
-        assert_eq!(starts_within(&mut harness, longest), 0);
+        give_up_start(&mut harness, &request, 750);
+        assert_eq!(starts_within(&mut harness, longest_wait()), 0);
         assert_eq!(starts_within(&mut harness, 1_000), 1);
     }
 
@@ -124,7 +129,7 @@
         harness.dispatcher.listed(request.slot, &restarted, harness.now, harness.now);
         let again = harness.start_all().remove(0);
         assert_eq!(again.slot, request.slot);
-        let longest = 12_000 + MAX_LEASE.get() * 100 / 98 - harness.now.since(failed_at).get();
+        let longest = longest_wait() - harness.now.since(failed_at).get();
         assert_eq!(starts_within(&mut harness, longest), 0);
         assert_eq!(starts_within(&mut harness, 1_000), 1);
     }
