--- a/crates/jobs/tests/dispatch/main.rs
+++ b/crates/jobs/tests/dispatch/main.rs
@@ -21,3 +21,4 @@
 mod sim_executor;
 mod sim_gangs;
 mod takeover;
+mod unanswered_starts;
