--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -285,13 +285,16 @@
 
     async def beats(self):
         while True:
-            self.sequence += 1
-            self.site.store.put(f"servers/{self.id}", {
-                "service": self.site.service, "address": f"{HOST}:{self.port}", "zone": "z1", "version": "v1",
-                "slots": 8, "state": self.state, "sequence": self.sequence, "born": self.born,
-                "capacity": {"cpu": self.cpu, "mem_mb": 65536, "gpu": 0}, "labels": self.labels})
+            self.register()
             await asyncio.sleep(self.beat)
 
+    def register(self):
+        self.sequence += 1
+        self.site.store.put(f"servers/{self.id}", {
+            "service": self.site.service, "address": f"{HOST}:{self.port}", "zone": "z1", "version": "v1",
+            "slots": 8, "state": self.state, "sequence": self.sequence, "born": self.born,
+            "capacity": {"cpu": self.cpu, "mem_mb": 65536, "gpu": 0}, "labels": self.labels})
+
     async def lapse(self):
         while True:
             await asyncio.sleep(0.02)
@@ -386,6 +389,9 @@
     def may_run(self, executor, step):
         return True
 
+    def ticket_of(self, executor):
+        return f"t-{executor.id}"
+
     def ticket_ok(self, executor, task, ticket):
         return True
 
@@ -402,7 +408,7 @@
     async def advise(self, method, path, query, headers, body):
         # One call at a time for each calling machine would be told by its address; all are 127.0.0.1 here.
         await asyncio.sleep((self.advice.get("decide_ms", 5) + self.advice.get("each_ms", 0.1) * len(body["workers"])) / 1000)
-        good = [[x.id, f"t-{x.id}"] for x in self.executors
+        good = [[x.id, self.ticket_of(x)] for x in self.executors
                 if x.id in body["workers"] and self.may_run(x, body["step"])]
         return 200, {"good": good, "valid_ms": self.advice["valid_ms"]}
 
@@ -410,16 +416,16 @@
         self.store.put("op/config", {"version": version, "routes": routes, "services": [{"name": self.service}], "limits": {}})
         self.record(f"operator: version {version} acknowledged, routes {[r['name'] for r in routes]}")
 
-    async def open(self, executors, cpu, routes, nodes=3):
+    async def open(self, executors, cpu, routes, nodes=3, store_ports=None, first=()):
         await self.store.open()
         await self.adviser.open()
         self.configure(1, routes)
         for i in range(executors):
-            x = Executor(self, i, cpu, ["kind-a", f"r{i // 4}"])
+            x = first[i] if i < len(first) else Executor(self, i, cpu, ["kind-a", f"r{i // 4}"])
             self.executors.append(x)
             await x.start()
         for i in range(nodes):
-            self.nodes.append(Node(self, i, self.store.port))
+            self.nodes.append(Node(self, i, store_ports[i] if store_ports else self.store.port))
         for n in self.nodes:
             n.start()
 
