--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import shutil
 import socket
 import subprocess
 import sys
@@ -432,6 +433,7 @@
     def close(self):
         for n in self.nodes:
             n.kill()
+        shutil.rmtree(self.tmp, ignore_errors=True)
 
 
 class Node:
