Record cancellations of jobs that are not stored

Cause: the answer 410 rested on an absent key, and left nothing in the store that could keep the write from taking effect. The owner also dropped the cancellation of a job that it did not know.

The cancellation of a job that is not in the store is now written before the answer, on the condition that the store still holds neither the job nor progress, and each write of a job has the absence of a cancellation as a condition. Whichever the store executes first keeps the other from taking effect. The owner keeps cancellations of unknown jobs, applies them if the job becomes known, and removes their keys 30 s after it has last observed them; a later owner does so too.

--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -9,7 +9,7 @@
 use crate::dispatch::{DispatchLimits, Effect, StopRequest};
 use crate::fleet::{ExecutorSlot, Fleet};
 use crate::id::{Epoch, ExecutorId, JobId, RunNumber, TaskKey};
-use crate::job::{Job, JobTable, RunTimes, TaskPhase};
+use crate::job::{Job, JobTable, PendingCancellations, RunTimes, TaskPhase};
 use crate::policy::{CellPolicy, Queue};
 use crate::record::{CleanupQueue, WriteQueue};
 use crate::run::{RunPhase, RunTable};
@@ -22,6 +22,7 @@
     pub(super) limits: DispatchLimits,
     pub(super) policy: Arc<CellPolicy>,
     pub(super) jobs: JobTable,
+    pub(super) pending_cancellations: PendingCancellations,
     pub(super) fleet: Fleet,
     pub(super) runs: RunTable,
     pub(super) advice: AdviceTable,
@@ -70,6 +71,7 @@
             limits,
             policy: Arc::default(),
             jobs: JobTable::default(),
+            pending_cancellations: PendingCancellations::default(),
             fleet: Fleet::default(),
             runs: RunTable::default(),
             advice: AdviceTable::default(),
--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -137,6 +137,9 @@
             tracing::info!(job = %id, %queue, "dispatch: job queued");
             self.core.jobs.begin_due(now);
             self.core.apply_deferred(id, now);
+            if self.core.pending_cancellations.remove(id) {
+                self.cancel(id, now);
+            }
         }
     }
 }
--- a/crates/jobs/src/dispatch/limits.rs
+++ b/crates/jobs/src/dispatch/limits.rs
@@ -13,6 +13,9 @@
     pub hold_wait: Millis,
     /// Time for which the final state of a job is kept.
     pub retention: Millis,
+    /// Time for which the cancellation of a job that is not stored is kept: longer than a write of the job that was not answered
+    /// may take until it takes effect.
+    pub cancellation_retention: Millis,
     /// Time after the last confirmation of the ownership within which tasks are started: the time to live of the owner's
     /// lease in the store, before whose expiry no other member claims the cell.
     pub owner_lease: Millis,
--- a/crates/jobs/src/dispatch/records.rs
+++ b/crates/jobs/src/dispatch/records.rs
@@ -66,6 +66,28 @@
         expired.map(|(id, _)| id).take(max).collect()
     }
 
+    /// Returns up to `max` jobs of a lane that are not known and whose stored cancellation has been kept long enough.
+    pub fn expired_cancellations(
+        &self,
+        lane: RecordLane,
+        max: usize,
+        now: Timestamp,
+    ) -> Vec<JobId> {
+        let core = &self.core;
+        let kept = core.limits.cancellation_retention;
+        let limit = Timestamp::from_millis(now.as_millis().saturating_sub(kept.get()));
+        let expired = core.pending_cancellations.observed_before(limit);
+        let of_lane = expired.filter(|id| core.write_queue.lane(*id) == lane);
+        of_lane.take(max).collect()
+    }
+
+    /// Forgets cancellations that were removed from the store.
+    pub fn forget_cancellations(&mut self, jobs: &[JobId]) {
+        for id in jobs {
+            self.core.pending_cancellations.remove(*id);
+        }
+    }
+
     /// Removes jobs that were removed from the store.
     pub fn forget(&mut self, jobs: &[JobId]) {
         for id in jobs {
--- a/crates/jobs/src/job/mod.rs
+++ b/crates/jobs/src/job/mod.rs
@@ -28,6 +28,7 @@
 mod last_run;
 mod location_progress;
 mod occurrence;
+mod pending_cancellations;
 mod progress;
 mod run_location;
 mod run_times;
@@ -38,7 +39,7 @@
 pub use self::{
     attempt_progress::AttemptProgress, attempts::Attempts, job::Job, job_record::JobRecord,
     job_state::JobState, job_table::JobTable, last_run::LastRun,
-    location_progress::LocationProgress, occurrence::Occurrence, progress::Progress,
-    run_location::RunLocation, run_times::RunTimes, step::Step, step_progress::StepProgress,
-    task_phase::TaskPhase,
+    location_progress::LocationProgress, occurrence::Occurrence,
+    pending_cancellations::PendingCancellations, progress::Progress, run_location::RunLocation,
+    run_times::RunTimes, step::Step, step_progress::StepProgress, task_phase::TaskPhase,
 };
--- a/crates/jobs/tests/dispatch/harness.rs
+++ b/crates/jobs/tests/dispatch/harness.rs
@@ -31,6 +31,7 @@
         max_request_delay: Millis::new(12_000),
         hold_wait: Millis::new(1_500),
         retention: Millis::new(120_000),
+        cancellation_retention: Millis::new(30_000),
         owner_lease: Millis::new(1_100),
         lease_renewal_window: Millis::new(3_000),
         stall_timeout: Millis::new(4_500),
--- a/crates/jobs/tests/dispatch/main.rs
+++ b/crates/jobs/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod admission;
 mod advice;
+mod cancellations;
 mod ends;
 mod gangs;
 mod harness;
--- a/crates/node/src/api/job_api.rs
+++ b/crates/node/src/api/job_api.rs
@@ -79,6 +79,10 @@
                 tracing::info!(job = %id, queue = %queue.name, "api: job was already accepted");
                 LocalStoreOutcome::Stored("repeated")
             }
+            StoreOutcome::Cancelled => {
+                tracing::info!(job = %id, queue = %queue.name, "api: job refused because it was cancelled before");
+                LocalStoreOutcome::Cancelled
+            }
             StoreOutcome::NotStored(e) => {
                 tracing::warn!(job = %id, effect = ?e.effect(), "api: job not confirmed by the store: {e}");
                 LocalStoreOutcome::NotStored
@@ -105,6 +109,7 @@
         if self.cx.has_store() {
             match self.store_locally(queue, id, record.clone()).await {
                 LocalStoreOutcome::Stored(label) => return (SubmitReply::Accepted, label),
+                LocalStoreOutcome::Cancelled => return (SubmitReply::Cancelled, "cancelled"),
                 LocalStoreOutcome::Unknown => return (SubmitReply::Unknown, "unconfirmed"),
                 LocalStoreOutcome::NotStored => {}
             }
@@ -113,6 +118,7 @@
         let reply = self.peers.store_job(id, &record).await;
         let label = match &reply {
             SubmitReply::Accepted => "accepted_by_peer",
+            SubmitReply::Cancelled => "cancelled",
             SubmitReply::Unknown => "unconfirmed",
             SubmitReply::Unavailable { .. } | SubmitReply::Overloaded { .. } => {
                 tracing::info!(job = %id, "api: job refused because no member reached the store");
@@ -127,6 +133,8 @@
 enum LocalStoreOutcome {
     /// The job is stored. Contains the label of the outcome in the metrics.
     Stored(&'static str),
+    /// The job is not stored and never will be.
+    Cancelled,
     /// The job is not stored.
     NotStored,
     /// The job may be stored.
@@ -186,7 +194,7 @@
                 return reply;
             }
         }
-        match cancel_job(&self.cx.store, id).await {
+        match cancel_job(&self.cx, id).await {
             CancelReply::Unknown => self.peers.cancel_job(id).await,
             reply => reply,
         }
--- a/crates/node/src/api/peer_forwarder.rs
+++ b/crates/node/src/api/peer_forwarder.rs
@@ -41,6 +41,10 @@
                     tracing::info!(job = %id, peer = %address, "api: job stored by another member");
                     return SubmitReply::Accepted;
                 }
+                Ok(Ok(response)) if response.get_ref().cancelled => {
+                    tracing::info!(job = %id, peer = %address, "api: job refused by another member because it was cancelled before");
+                    return SubmitReply::Cancelled;
+                }
                 Ok(Ok(_)) => {
                     tracing::warn!(job = %id, peer = %address, "api: another member could not store the job either");
                 }
--- a/crates/node/src/api/store_job.rs
+++ b/crates/node/src/api/store_job.rs
@@ -12,6 +12,9 @@
 
 /// Stores a job unless its id is in use. An ended job has only its progress in the store, so that key must be absent too.
 ///
+/// The write is also conditional on the absence of a cancellation, so that it has no effect after a caller was told that there is no
+/// such job, however late the store executes it.
+///
 /// The write is conditional on the owner's key, and the record contains the owner's epoch. A job that is stored after a
 /// takeover thus has the later epoch, and an earlier owner does not start it when a member that has not seen the takeover
 /// notifies it.
@@ -26,6 +29,7 @@
         let txn = Transaction::new()
             .expect(Keys::job(id), Revision::default())
             .expect(Keys::progress(id), Revision::default())
+            .expect(Keys::cancelled(id), Revision::default())
             .expect(Keys::OWNER, owner_revision)
             .put(Keys::job(id), value.clone());
         let items = match cx.store.commit(txn).await {
@@ -36,9 +40,13 @@
             Err(e) if e.effect() == CallEffect::None => return StoreOutcome::NotStored(e),
             Err(e) => return StoreOutcome::Unknown(e),
         };
-        if items.iter().any(|item| item.key != Keys::OWNER) {
+        let is_present = |key: &str| items.iter().any(|item| item.key == key);
+        if is_present(&Keys::job(id)) || is_present(&Keys::progress(id)) {
             return StoreOutcome::AlreadyStored;
         }
+        if is_present(&Keys::cancelled(id)) {
+            return StoreOutcome::Cancelled;
+        }
         let owner = items.first();
         owner_revision = owner.map(|item| item.revision).unwrap_or_default();
         epoch = owner.and_then(epoch_of);
--- a/crates/node/src/api/store_outcome.rs
+++ b/crates/node/src/api/store_outcome.rs
@@ -8,6 +8,8 @@
     Stored(Revision, Vec<u8>),
     /// The job had been stored before, and may have ended.
     AlreadyStored,
+    /// The job is not stored and never will be, because its cancellation is.
+    Cancelled,
     /// The job was not stored.
     NotStored(PlatformError),
     /// The job was not stored, because the owner changed during every attempt.
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -8,6 +8,7 @@
 use lagoon_process::{Clock, Metrics};
 use tokio::sync::watch;
 
+use crate::api::CancelLimiter;
 use crate::cell::CellView;
 use crate::peers::PeerClients;
 use crate::policy::PolicyGuard;
@@ -38,6 +39,7 @@
     /// Current configuration; `None` until the first one arrives.
     pub(crate) policy: watch::Sender<Option<Arc<CellPolicy>>>,
     pub(crate) policy_guard: Arc<PolicyGuard>,
+    pub(crate) cancel_limiter: Arc<CancelLimiter>,
     /// Members and owner of the cell.
     pub(crate) cell: watch::Sender<Arc<CellView>>,
     /// Whether the store answered the last lease call of this node.
@@ -61,6 +63,7 @@
             peers: PeerClients::default(),
             policy: watch::Sender::new(None),
             policy_guard: Arc::new(PolicyGuard::new(clock)),
+            cancel_limiter: Arc::new(CancelLimiter::new(clock.now())),
             cell: watch::Sender::new(Arc::default()),
             store_reachable: watch::Sender::new(true),
             limits: watch::Sender::new(settings.limits),
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -60,6 +60,7 @@
                 _ = expiry.tick() => {
                     self.write(&shard, lane).await;
                     self.remove_expired(&shard, lane).await;
+                    self.remove_expired_cancellations(&shard, lane).await;
                 }
             }
         }
@@ -142,6 +143,31 @@
         }
     }
 
+    /// Removes cancellations of jobs that were never stored.
+    async fn remove_expired_cancellations(&self, shard: &Shard, lane: RecordLane) {
+        loop {
+            let mut lane_state = self.writer.lock(lane).await;
+            let (number, mut txn) = self.writer.begin_write(lane, &mut lane_state);
+            let now = self.cx.clock.now();
+            let expired = shard
+                .with(|dispatcher| dispatcher.expired_cancellations(lane, txn.remaining(), now));
+            if expired.is_empty() {
+                return;
+            }
+            for id in &expired {
+                txn = txn.remove(Keys::cancelled(*id));
+            }
+            if !self
+                .commit_without_progress(shard, lane, &mut lane_state, number, txn)
+                .await
+            {
+                return;
+            }
+            tracing::info!(%lane, jobs = expired.len(), "owner: cancellations of jobs that were never stored are removed");
+            shard.with(|dispatcher| dispatcher.forget_cancellations(&expired));
+        }
+    }
+
     /// Records executors before they are used and removes the records of departed ones, until the task is aborted.
     pub(super) async fn run_fleet(self: Arc<Self>, shard: Arc<Shard>) {
         let mut check = tokio::time::interval(FLEET_CHECK_INTERVAL);
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -32,6 +32,9 @@
 /// Time after the last confirmation of its ownership in which an owner renews leases of runs, so that runs survive most
 /// outages of the store. A later owner waits for this time plus the lease.
 const LEASE_RENEWAL_WINDOW: Millis = Millis::new(3_000);
+/// Time for which the cancellation of a job that is not stored is kept. A write that was not answered may take effect seconds later,
+/// and its caller may repeat the submission until its own deadline.
+const CANCELLATION_RETENTION: Millis = Millis::new(30_000);
 /// Time without progress after which a run counts as stalled; above the time for which a gang waits for all its tasks.
 const STALL_TIMEOUT: Millis = Millis::new(4_500);
 /// Executors per lane of records. With a store in another region a lane makes about 13 writes per second with 15 ended jobs
@@ -59,6 +62,7 @@
         max_request_delay: MAX_REQUEST_DELAY,
         hold_wait: HOLD_WAIT,
         retention: current.retention,
+        cancellation_retention: CANCELLATION_RETENTION,
         owner_lease: LEASE_TTL.max(current.min_store_lease),
         lease_renewal_window: LEASE_RENEWAL_WINDOW,
         stall_timeout: STALL_TIMEOUT,
--- a/crates/node/src/peers/service.rs
+++ b/crates/node/src/peers/service.rs
@@ -87,16 +87,21 @@
         let id: JobId = parse(&req.job)?;
         if !self.cx.has_store() {
             tracing::info!(job = %id, "peers: job of another member not stored because the store does not answer this one either");
-            return Ok(Response::new(StoreJobResponse { stored: false }));
+            return Ok(Response::new(StoreJobResponse::default()));
         }
         let record: JobRecord = serde_json::from_slice(&req.record)
             .map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let mut cancelled = false;
         let stored = match store_job(&self.cx, id, record).await {
             StoreOutcome::Stored(_, record) => {
                 self.shard_handle.notify(id, &record, self.cx.clock.now());
                 true
             }
             StoreOutcome::AlreadyStored => true,
+            StoreOutcome::Cancelled => {
+                cancelled = true;
+                false
+            }
             StoreOutcome::NotStored(e) => {
                 tracing::warn!(job = %id, "peers: job of another member not stored: {e}");
                 false
@@ -107,8 +112,8 @@
             }
             StoreOutcome::Unknown(e) => return Err(Status::deadline_exceeded(e.to_string())),
         };
-        tracing::info!(job = %id, stored, "peers: request of another member to store a job handled");
-        Ok(Response::new(StoreJobResponse { stored }))
+        tracing::info!(job = %id, stored, cancelled, "peers: request of another member to store a job handled");
+        Ok(Response::new(StoreJobResponse { stored, cancelled }))
     }
 
     async fn cancel_job(
@@ -116,10 +121,11 @@
         req: Request<CancelJobRequest>,
     ) -> Result<Response<CancelJobResponse>, Status> {
         let id: JobId = parse(&req.into_inner().job)?;
-        let outcome = match cancel_job(&self.cx.store, id).await {
+        let outcome = match cancel_job(&self.cx, id).await {
             CancelReply::Cancelled => Outcome::Cancelled,
             CancelReply::Absent => Outcome::Absent,
-            CancelReply::Unknown => Outcome::Unknown,
+            // Another member may have a smaller load.
+            CancelReply::Overloaded { .. } | CancelReply::Unknown => Outcome::Unknown,
         };
         tracing::info!(job = %id, ?outcome, "peers: request of another member to cancel a job handled");
         Ok(Response::new(CancelJobResponse {
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 #[macro_use]
 mod cases;
+mod cancellations;
 mod cell;
 mod end_to_end;
 mod faults;
--- a/crates/standin/src/site/kv_api.rs
+++ b/crates/standin/src/site/kv_api.rs
@@ -103,9 +103,14 @@
 }
 
 async fn commit(State(shared): State<SharedState>, Json(body): Json<Value>) -> Response {
-    if lock(&shared).fault == StoreFault::DelayWrites {
+    let delay = {
+        let mut state = lock(&shared);
+        let delay = state.take_delay(&body);
+        delay.or((state.fault == StoreFault::DelayWrites).then_some(WRITE_DELAY))
+    };
+    if let Some(delay) = delay {
         tokio::spawn(async move {
-            tokio::time::sleep(WRITE_DELAY).await;
+            tokio::time::sleep(delay).await;
             // A write whose preconditions no longer hold has no effect.
             let _ = lock(&shared).commit(&body);
         });
--- a/crates/standin/src/site/kv_state.rs
+++ b/crates/standin/src/site/kv_state.rs
@@ -33,6 +33,8 @@
     revision: u64,
     pub(super) fault: StoreFault,
     pub(super) calls: u64,
+    /// Keys of which the next write is not answered, each with the delay after which it is executed.
+    delayed_writes: HashMap<String, Duration>,
 }
 
 #[derive(Debug, Clone)]
@@ -59,6 +61,7 @@
             revision: 1,
             fault: StoreFault::None,
             calls: 0,
+            delayed_writes: HashMap::new(),
         }
     }
 
@@ -104,6 +107,17 @@
         self.oldest_watch_revision = self.revision;
     }
 
+    pub(super) fn delay_write(&mut self, key: &str, delay: Duration) {
+        self.delayed_writes.insert(key.to_owned(), delay);
+    }
+
+    /// Takes the delay of a transaction that is to be executed late without a response.
+    pub(super) fn take_delay(&mut self, body: &Value) -> Option<Duration> {
+        let writes = body["writes"].as_array()?;
+        let mut keys = writes.iter().map(|row| str_field(row, "key"));
+        keys.find_map(|key| self.delayed_writes.remove(key))
+    }
+
     /// Commits a transaction. Returns the current items of all preconditions if one is not met.
     pub(super) fn commit(&mut self, body: &Value) -> Result<u64, Vec<Value>> {
         let rows = |field: &str| body[field].as_array().cloned().unwrap_or_default();
--- a/crates/standin/src/site/site_handle.rs
+++ b/crates/standin/src/site/site_handle.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -78,6 +79,11 @@
         kv_api::lock(&self.store).fault = fault;
     }
 
+    /// Leaves the next write of a key without a response, and executes it after a delay if its preconditions still hold.
+    pub fn delay_write(&self, key: &str, delay: Duration) {
+        kv_api::lock(&self.store).delay_write(key, delay);
+    }
+
     /// Discards the store's event history, so that watches from earlier revisions fail.
     pub fn compact_history(&self) {
         kv_api::lock(&self.store).compact_history();
