Send starts only on connections older than the last confirmation

Cause: the fence of a takeover is in the memory of the executor's process, and nothing kept a start of the earlier owner from reaching a process that began after the claim.

An owner now sends a start only on a connection that was established before its last confirmed request for the ownership was sent; the transport for starts holds other connections back. The process at the other end was running before any later claim, so the first hold of a later owner reaches it, and it refuses the start from then on, or reaches a later process, which reads nothing from that connection. This is an order of events on the owner's own clock, so it holds beside slow clocks, pauses, several restarts and several takeovers, and no takeover waits. A held back connection has the ownership confirmed at once.

--- a/crates/jobs/tests/dispatch/sim/previous_owner.rs
+++ b/crates/jobs/tests/dispatch/sim/previous_owner.rs
@@ -3,6 +3,7 @@
 use lagoon_core::unit::{Millis, Timestamp};
 use lagoon_jobs::dispatch::{Dispatcher, Effect, HoldAction, Serving};
 use lagoon_jobs::fleet::ExecutorSlot;
+use lagoon_jobs::run::StartOutcome;
 use rand::Rng;
 
 use super::{EXECUTORS, Sim};
@@ -15,6 +16,9 @@
     ends_at: Timestamp,
     /// Starts that it decided and has not sent.
     unsent: Vec<Effect>,
+    /// Incarnations of the executors when its ownership was last confirmed. Later ones receive no start of it, because a start is
+    /// sent only on a connection that was established before a confirmation.
+    incarnations: [u64; EXECUTORS],
 }
 
 impl Sim {
@@ -29,6 +33,7 @@
             dispatcher,
             ends_at: self.now.after(Millis::new(ms)),
             unsent: Vec::new(),
+            incarnations: std::array::from_fn(|i| self.executors[i].incarnation()),
         });
     }
 
@@ -53,7 +58,11 @@
             if let Effect::Start(req) = effect
                 && previous.dispatcher.may_start(now)
             {
-                let outcome = self.start_now(&req);
+                let i = req.slot.index();
+                let outcome = match self.executors[i].incarnation() == previous.incarnations[i] {
+                    true => self.start_now(&req),
+                    false => StartOutcome::Withheld,
+                };
                 previous.dispatcher.started(&req, outcome, now);
             }
         }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -4,7 +4,7 @@
 use lagoon_core::unit::Millis;
 use lagoon_jobs::id::MemberId;
 use lagoon_jobs::policy::CellPolicy;
-use lagoon_platform::{ClientSettings, Endpoint, Transport};
+use lagoon_platform::{ClientSettings, ConnectionGate, Endpoint, Transport};
 use lagoon_process::{Clock, Metrics};
 use tokio::sync::watch;
 
@@ -34,6 +34,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) store: StoreClient,
     pub(crate) executors: ExecutorClient,
+    /// Holds back connections for starts until the ownership is confirmed by a request sent after they were established.
+    pub(crate) start_gate: ConnectionGate,
     pub(crate) adviser: AdviserClient,
     pub(crate) peers: PeerClients,
     /// Current configuration; `None` until the first one arrives.
@@ -48,17 +50,22 @@
 
 impl Context {
     pub(crate) fn new(settings: NodeSettings, clock: Clock, metrics: Metrics) -> Self {
-        let transport = |request_timeout| {
+        let gated = |request_timeout, gate| {
             Transport::new(ClientSettings {
                 request_timeout,
                 connect_timeout: CONNECT_TIMEOUT,
+                gate,
                 ..ClientSettings::default()
             })
         };
+        let transport = |request_timeout| gated(request_timeout, None);
+        let start_gate = ConnectionGate::closed();
+        let starts = gated(EXECUTOR_TIMEOUT, Some(start_gate.clone()));
         let endpoint = |address: lagoon_process::settings::Address| Endpoint::from(address.get());
         Self {
             store: StoreClient::new(endpoint(settings.store), transport(STORE_TIMEOUT)),
-            executors: ExecutorClient::new(transport(EXECUTOR_TIMEOUT)),
+            executors: ExecutorClient::new(transport(EXECUTOR_TIMEOUT), starts),
+            start_gate,
             adviser: AdviserClient::new(endpoint(settings.adviser), transport(ADVISER_TIMEOUT)),
             peers: PeerClients::default(),
             policy: watch::Sender::new(None),
--- a/crates/node/src/owner/confirm.rs
+++ b/crates/node/src/owner/confirm.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use lagoon_core::unit::{Millis, Timestamp};
 use lagoon_jobs::id::Epoch;
@@ -16,6 +17,10 @@
 /// starts are withheld. Each write of progress also confirms the ownership, so a busy owner seldom sends a request.
 const CONFIRM_INTERVAL: Millis = Millis::new(300);
 
+/// Shortest time between two requests while new connections for starts wait for a confirmation, so that one request serves those
+/// that are established together.
+const MIN_CONFIRM_INTERVAL: Duration = Duration::from_millis(10);
+
 /// State of an ownership according to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Confirmation {
@@ -44,30 +49,43 @@
     })
 }
 
-/// Keeps the ownership confirmed until the task is aborted. An unanswered request does not delay the next one.
+/// Keeps the ownership confirmed until the task is aborted, and confirms it early when a new connection for starts waits for that. An
+/// unanswered request does not delay the next one.
 pub(super) async fn keep_confirmed(cx: Context, shard: Arc<Shard>, step_down: mpsc::Sender<()>) {
     let epoch = shard.with(|dispatcher| dispatcher.epoch());
     let mut requests = JoinSet::new();
     let mut due = Instant::now();
+    let mut next_allowed = due;
+    let mut is_awaited = false;
     loop {
         let response = tokio::select! {
             () = tokio::time::sleep_until(due) => {
                 let confirmed = shard.with(|dispatcher| dispatcher.last_confirmed());
                 let age = cx.clock.now().since(confirmed);
                 let left = CONFIRM_INTERVAL.saturating_sub(age);
-                if left == Millis::ZERO {
+                let now = Instant::now();
+                if is_awaited || left == Millis::ZERO {
                     requests.spawn(try_confirm(cx.clone(), epoch));
-                    due = Instant::now() + CONFIRM_INTERVAL.to_duration();
+                    is_awaited = false;
+                    next_allowed = now + MIN_CONFIRM_INTERVAL;
+                    due = now + CONFIRM_INTERVAL.to_duration();
                 } else {
-                    due = Instant::now() + left.to_duration();
+                    due = now + left.to_duration();
                 }
                 continue;
             }
+            () = cx.start_gate.wait_for_connection() => {
+                is_awaited = true;
+                due = due.min(next_allowed);
+                continue;
+            }
             Some(response) = requests.join_next() => response,
         };
         match response {
             Ok(Some(Confirmation::Owned(sent_at))) => {
-                shard.change(|dispatcher| dispatcher.confirm_ownership(sent_at));
+                shard.confirm_ownership(&cx, sent_at);
+                // Starts may have been withheld.
+                shard.changed.notify_one();
             }
             Ok(Some(Confirmation::Lost)) => {
                 shard.change(|dispatcher| dispatcher.fenced());
--- a/crates/node/src/owner/lane_writer.rs
+++ b/crates/node/src/owner/lane_writer.rs
@@ -124,7 +124,7 @@
         match response {
             Ok(TxnOutcome::Committed(revision)) => {
                 lane_state.advance(revision, number);
-                shard.with(|dispatcher| dispatcher.confirm_ownership(started_at));
+                shard.confirm_ownership(&self.cx, started_at);
                 WriteOutcome::Applied
             }
             Ok(TxnOutcome::Conflict(items)) => {
--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -144,6 +144,7 @@
 ) -> Arc<Shard> {
     let executors = dispatcher.executors();
     let (shard, rx) = Shard::open(dispatcher);
+    shard.admit_connections(cx);
     tasks.spawn(effects::execute(cx.clone(), shard.clone(), rx, step_down));
     tasks.spawn(plan(cx.clone(), shard.clone()));
     tasks.spawn(tick(cx.clone(), shard.clone()));
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -2,6 +2,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use lagoon_core::unit::{Millis, Timestamp};
 use lagoon_jobs::dispatch::{Dispatcher, Effect, Serving};
 use lagoon_jobs::fleet::ExecutorSlot;
 use lagoon_jobs::id::JobId;
@@ -9,12 +10,16 @@
 use lagoon_jobs::record::{RecordLane, RecordNumber};
 use smallvec::SmallVec;
 use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::Instant;
 
+use crate::context::Context;
 use crate::owner::outcome_waiters::OutcomeWaiters;
 
 /// Time for which a request for a job's state waits for the final state. Callers send it when the last task has ended,
 /// before the end is durable, and repeat it only 250 ms later.
 const OUTCOME_WAIT: Duration = Duration::from_millis(400);
+/// Resolution of the clock by which confirmations of the ownership are timed.
+const CLOCK_RESOLUTION: Millis = Millis::new(1);
 
 /// The dispatcher of an owner behind a lock, with the notifications for the tasks that drive it.
 #[derive(Debug)]
@@ -77,6 +82,26 @@
         result
     }
 
+    /// Records that the store has confirmed the ownership in response to a request sent at `sent_at`, and admits the connections for
+    /// starts that were established before.
+    pub(super) fn confirm_ownership(&self, cx: &Context, sent_at: Timestamp) {
+        self.with(|dispatcher| dispatcher.confirm_ownership(sent_at));
+        self.admit_connections(cx);
+    }
+
+    /// Admits the connections for starts that were established before the last confirmation of the ownership was requested. A later
+    /// owner claims the cell after that confirmation, so that it reaches the same process of each executor, which then refuses what
+    /// arrives on these connections, or a later process, which receives nothing from them.
+    pub(super) fn admit_connections(&self, cx: &Context) {
+        let confirmed = self.with(|dispatcher| dispatcher.last_confirmed());
+        // Read first, so that a pause between the two reads can only make the age too long.
+        let now = Instant::now();
+        let age = cx.clock.now().since(confirmed);
+        if let Some(at) = now.checked_sub(age.saturating_add(CLOCK_RESOLUTION).to_duration()) {
+            cx.start_gate.admit_before(at);
+        }
+    }
+
     /// Runs a placement pass under the lock and passes on the effects.
     pub(super) fn plan(&self, f: impl FnOnce(&mut Dispatcher<Serving>)) {
         let effects = {
--- a/crates/node/tests/node/takeover.rs
+++ b/crates/node/tests/node/takeover.rs
@@ -8,6 +8,8 @@
 use crate::cell::Cell;
 
 const JOB: &str = "/plain/00000000000000b1";
+/// A job whose tasks are placed by advice.
+const ADVISED_JOB: &str = "/advised/00000000000000b2";
 
 cases! {
     /// Guards against runs that are lost or repeated when the owner crashes.
@@ -152,6 +154,31 @@
         cell.assert_no_violations();
     }
 
+    /// Guards against a second run beside one that an earlier owner starts on an executor that has restarted after it had listed its runs
+    /// to the later owner, and so has forgotten its fence.
+    an_earlier_owner_starts_nothing_on_an_executor_that_restarted_after_the_takeover {
+        let mut cell = Cell::start(0, 2).await;
+        let store = cell.site.add_store_listener().await.unwrap();
+        cell.add_node_with_store(store.address()).await;
+        assert_eq!(cell.owner().await, 0);
+        cell.add_node().await;
+        cell.site.set_adviser_delay(Duration::from_millis(600));
+        cell.submit_until_accepted(0, ADVISED_JOB, "ms=3000", json!([{"count": 1, "cpu": 1000}])).await;
+        // The earlier owner asks the adviser about the executor, which later loses its connection to the store.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        store.set_silent(true);
+        cell.site.deregister_executor("e1");
+        cell.site.start_executor("e3", 4_000).await.unwrap();
+        cell.site.remove_key("lagoon/cell/owner");
+        cell.eventually("the later owner has fenced the executor", async |cell: &Cell| cell.site.fence("e1") == 2).await;
+        cell.site.restart_executor_behind_a_cut("e1", 4_000).await.unwrap();
+        cell.wait_for_starts(1).await;
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let starts = cell.site.log().starts();
+        assert_eq!(starts.len(), 1, "{starts:?}");
+        cell.assert_no_violations();
+    }
+
     /// Guards against a handover without a real gain; each one interrupts placement for about 0.5 s.
     a_slightly_stronger_member_does_not_take_over {
         let mut cell = Cell::start(0, 1).await;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -24,6 +24,9 @@
     executor::ExecutorClient,
     hosts::HostListClient,
     store::StoreClient,
-    transport::{Call, CallCounter, ClientSettings, Endpoint, PROCESS_HEADER, Response, Transport},
+    transport::{
+        Call, CallCounter, ClientSettings, ConnectionGate, Endpoint, PROCESS_HEADER, Response,
+        Transport,
+    },
     worker::WorkerClient,
 };
--- a/crates/platform/src/transport/client_settings.rs
+++ b/crates/platform/src/transport/client_settings.rs
@@ -1,6 +1,8 @@
 use lagoon_core::id::ProcessId;
 use lagoon_core::unit::{Bytes, Millis};
 
+use crate::transport::ConnectionGate;
+
 /// Header with the id of the calling process.
 pub const PROCESS_HEADER: &str = "x-process";
 
@@ -17,6 +19,8 @@
     pub idle_connections: usize,
     /// Id of the calling process, sent with each call.
     pub process: Option<ProcessId>,
+    /// Gate that new connections have to pass before a call is sent on them, within the request timeout.
+    pub gate: Option<ConnectionGate>,
 }
 
 impl Default for ClientSettings {
@@ -27,6 +31,7 @@
             max_response: Bytes::new(64 << 20),
             idle_connections: 8,
             process: None,
+            gate: None,
         }
     }
 }
--- a/crates/platform/src/transport/mod.rs
+++ b/crates/platform/src/transport/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod call_counter;
 mod client_settings;
+mod connection_gate;
 mod endpoint;
 mod established_at;
 mod response;
@@ -15,6 +16,7 @@
     call::Call,
     call_counter::CallCounter,
     client_settings::{ClientSettings, PROCESS_HEADER},
+    connection_gate::ConnectionGate,
     endpoint::Endpoint,
     response::Response,
     transport::Transport,
--- a/crates/platform/src/transport/transport.rs
+++ b/crates/platform/src/transport/transport.rs
@@ -36,7 +36,11 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(settings.idle_connections)
-            .build(TimedConnector(connector));
+            .build(TimedConnector::new(
+                connector,
+                settings.gate.clone(),
+                settings.request_timeout.to_duration(),
+            ));
         let counter = CallCounter::default();
         Self(Arc::new(Inner {
             client,
@@ -71,8 +75,11 @@
             Ok(mut req) => {
                 let connection = capture_connection(&mut req);
                 let result = tokio::time::timeout(limit.to_duration(), self.exchange(req)).await;
-                let result = result.unwrap_or(Err(ErrorKind::Timeout { sent: true }));
-                (result, age(&connection))
+                let connection_age = age(&connection);
+                // A call is sent only once it has a connection.
+                let sent = connection_age.is_some();
+                let result = result.unwrap_or(Err(ErrorKind::Timeout { sent }));
+                (result, connection_age)
             }
             Err(kind) => (Err(kind), None),
         };
--- a/crates/standin/src/site/executor.rs
+++ b/crates/standin/src/site/executor.rs
@@ -35,6 +35,10 @@
         self.server.address()
     }
 
+    pub(super) fn fence(&self) -> u64 {
+        lock(&self.state).fence()
+    }
+
     /// Returns the entry that the executor registers in the store.
     pub(super) fn entry(&self) -> Value {
         json!({
--- a/crates/standin/src/site/executor_state.rs
+++ b/crates/standin/src/site/executor_state.rs
@@ -54,6 +54,10 @@
         self.started_at.elapsed().as_millis() as u64
     }
 
+    pub(super) fn fence(&self) -> u64 {
+        self.fence
+    }
+
     /// Raises the fence to `token`. Returns false if a higher token was seen, so that the caller is an earlier owner.
     pub(super) fn raise_fence(&mut self, token: u64) -> bool {
         self.fence = self.fence.max(token);
--- a/crates/standin/src/site/site_handle.rs
+++ b/crates/standin/src/site/site_handle.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
 
-use crate::site::adviser;
+use crate::site::adviser::{self, SharedDelay};
 use crate::site::executor::Executor;
 use crate::site::kv_api::{self, SharedState};
 use crate::site::kv_state::{KvState, StoreFault};
@@ -21,6 +22,7 @@
     store: SharedState,
     store_listener: Listener,
     adviser: Listener,
+    adviser_delay: SharedDelay,
     executors: BTreeMap<String, Executor>,
     last_incarnation: u64,
     log: RunLog,
@@ -35,10 +37,12 @@
     pub async fn bind() -> std::io::Result<Self> {
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let store = Arc::new(Mutex::new(KvState::new()));
+        let adviser_delay = SharedDelay::default();
         Ok(Self {
             store_listener: Listener::bind(any, kv_api::router(store.clone())).await?,
             store,
-            adviser: Listener::bind(any, adviser::router()).await?,
+            adviser: Listener::bind(any, adviser::router(adviser_delay.clone())).await?,
+            adviser_delay,
             executors: BTreeMap::new(),
             last_incarnation: 0,
             log: RunLog::default(),
@@ -64,6 +68,11 @@
         self.adviser.address
     }
 
+    /// Sets the delay of the adviser's responses.
+    pub fn set_adviser_delay(&self, delay: Duration) {
+        self.adviser_delay.store(delay.as_millis() as u64, Relaxed);
+    }
+
     /// Returns the log of all runs.
     pub fn log(&self) -> &RunLog {
         &self.log
@@ -131,26 +140,52 @@
         with: &str,
         cpu: u64,
     ) -> std::io::Result<()> {
-        let unknown_executor = || std::io::Error::other(format!("executor {id} is not running"));
-        let address = self
-            .executors
-            .get(id)
-            .ok_or_else(unknown_executor)?
-            .address();
+        let address = self.address(id)?;
         self.crash_executor(id).await;
         self.spawn_executor(with, cpu, address).await
     }
 
+    /// Restarts an executor as a new incarnation at the same address, without a new store entry, like one that is cut off from the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the executor doesn't exist or its address can't be bound.
+    pub async fn restart_executor_behind_a_cut(
+        &mut self,
+        id: &str,
+        cpu: u64,
+    ) -> std::io::Result<()> {
+        let address = self.address(id)?;
+        self.crash_executor(id).await;
+        self.spawn_unregistered_executor(id, cpu, address).await
+    }
+
+    fn address(&self, id: &str) -> std::io::Result<SocketAddr> {
+        let unknown_executor = || std::io::Error::other(format!("executor {id} is not running"));
+        let executor = self.executors.get(id).ok_or_else(unknown_executor)?;
+        Ok(executor.address())
+    }
+
     async fn spawn_executor(
         &mut self,
         id: &str,
         cpu: u64,
         address: SocketAddr,
+    ) -> std::io::Result<()> {
+        self.spawn_unregistered_executor(id, cpu, address).await?;
+        self.put(&format!("servers/{id}"), &self.entry(id));
+        Ok(())
+    }
+
+    async fn spawn_unregistered_executor(
+        &mut self,
+        id: &str,
+        cpu: u64,
+        address: SocketAddr,
     ) -> std::io::Result<()> {
         self.last_incarnation += 1;
         let executor =
             Executor::spawn(id, self.last_incarnation, cpu, self.log.clone(), address).await?;
-        self.put(&format!("servers/{id}"), &executor.entry());
         self.executors.insert(id.to_owned(), executor);
         Ok(())
     }
@@ -167,6 +202,15 @@
         kv_api::lock(&self.store).delete(&format!("servers/{id}"));
     }
 
+    /// Returns the highest fencing token that an executor has seen.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the executor doesn't exist.
+    pub fn fence(&self, id: &str) -> u64 {
+        self.executors[id].fence()
+    }
+
     /// Returns the store entry that an executor writes.
     ///
     /// # Panics
@@ -186,6 +230,11 @@
         kv_api::lock(&self.store).put(&format!("servers/{id}"), text);
     }
 
+    /// Removes a key, as the store does when its lease ends.
+    pub fn remove_key(&self, key: &str) {
+        kv_api::lock(&self.store).delete(key);
+    }
+
     /// Returns the keys under a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let (items, _) = kv_api::lock(&self.store).range(prefix, "", usize::MAX);
