Close executors whose entry is of an earlier incarnation

Cause: the incarnation of an executor was one field, taken from entries and lists alike, and its labels, rack and capacity were read from the entry whichever incarnation that named.

ExecutorIdentity now holds the current incarnation together with the one that the entry describes. If they differ, the executor has no free capacity and no labels, so that no reader of the entry places, reserves or asks for advice there. A start names the incarnation for which it was decided and is not sent once another one is known.

Tests: the three new cases in restarts.rs failed without the checks. Five cases started tasks on an incarnation of which only a list had arrived, which was the fault; they now deliver its entry too and check what they did.

--- a/crates/jobs/src/dispatch/adopt.rs
+++ b/crates/jobs/src/dispatch/adopt.rs
@@ -71,7 +71,7 @@
             requested_at: now,
             preemptible_rank,
             progress: (active.percent, now),
-            incarnation: self.fleet.get(slot).incarnation,
+            incarnation: self.fleet.get(slot).incarnation(),
         };
         self.runs.insert(run, &mut self.fleet);
         self.end_other_location(slot, task);
--- a/crates/jobs/src/dispatch/advice_received.rs
+++ b/crates/jobs/src/dispatch/advice_received.rs
@@ -19,7 +19,7 @@
                 let slot = core.fleet.slot(id)?;
                 Some(Approval {
                     slot,
-                    incarnation: core.fleet.get(slot).incarnation,
+                    incarnation: core.fleet.get(slot).incarnation(),
                     ticket: ticket.clone(),
                     valid_until: now.after(response.valid),
                 })
--- a/crates/jobs/src/dispatch/core.rs
+++ b/crates/jobs/src/dispatch/core.rs
@@ -111,7 +111,7 @@
     /// Returns true if an executor has listed only a part of its ends, and its leases have not expired since.
     pub(super) fn has_unlisted_ends(&self, slot: ExecutorSlot, now: Timestamp) -> bool {
         let executor = self.fleet.get(slot);
-        executor.listed_at.is_some() && !executor.is_fully_listed(now)
+        executor.identity.listed_at().is_some() && !executor.is_fully_listed(now)
     }
 
     /// Stops a run, unless it is already stopping.
--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -42,7 +42,9 @@
         if is_new {
             self.core.unreported.insert(slot);
         }
-        self.core.observe_incarnation(slot, incarnation, now);
+        let identity = &mut self.core.fleet.get_mut(slot).identity;
+        let change = identity.describe(incarnation);
+        self.core.apply_identity_change(slot, change, now);
         (slot, is_new)
     }
 
--- a/crates/jobs/src/dispatch/effect.rs
+++ b/crates/jobs/src/dispatch/effect.rs
@@ -5,7 +5,8 @@
 
 use crate::fleet::{ClockGeneration, ExecutorSlot};
 use crate::id::{
-    AdviceTicket, Checkpoint, Epoch, ExecutorId, JobId, MemberId, RunNumber, StepKey, TaskKey,
+    AdviceTicket, Checkpoint, Epoch, ExecutorId, Incarnation, JobId, MemberId, RunNumber, StepKey,
+    TaskKey,
 };
 
 /// An action that the driver has to carry out.
@@ -30,6 +31,8 @@
     pub slot: ExecutorSlot,
     /// The executor.
     pub executor: ExecutorId,
+    /// Incarnation of the executor for which the start was decided.
+    pub incarnation: Option<Incarnation>,
     /// Address of the executor.
     pub address: SocketAddr,
     /// Task to start.
--- a/crates/jobs/src/dispatch/executor_records.rs
+++ b/crates/jobs/src/dispatch/executor_records.rs
@@ -55,7 +55,7 @@
             // the record a later owner would not ask for ends that are not durable, and would start their tasks again.
             let is_unused = !e.has_runs() && e.ends.is_settled(write_queue);
             let is_settled = is_unused
-                && match e.listed_at {
+                && match e.identity.listed_at() {
                     Some(_) => e.is_fully_listed(now),
                     None => inherited_leases_expired,
                 };
@@ -76,7 +76,7 @@
             let executor = self.core.fleet.get_mut(slot);
             executor.is_recorded = false;
             tracing::info!(
-                executor = %executor.entry.id, heard_ms = executor.listed_at.map(|at| now.since(at).get()),
+                executor = %executor.entry.id, heard_ms = executor.identity.listed_at().map(|at| now.since(at).get()),
                 "dispatch: executor has left, removing its record"
             );
             executor.entry.id.clone()
--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -12,7 +12,7 @@
         let limits = core.limits;
         let executor = core.fleet.get_mut(slot);
         executor.ends.advance(&core.write_queue);
-        let is_first = executor.listed_at.is_none();
+        let is_first = executor.identity.listed_at().is_none();
         let is_empty = !executor.has_runs();
         let is_listed = executor.availability != Availability::Unlisted;
         let has_more =
--- a/crates/jobs/src/dispatch/incarnation.rs
+++ b/crates/jobs/src/dispatch/incarnation.rs
@@ -1,36 +1,34 @@
 use lagoon_core::unit::Timestamp;
 
 use crate::dispatch::core::Core;
-use crate::fleet::ExecutorSlot;
+use crate::fleet::{ExecutorSlot, IdentityChange};
 use crate::id::{Incarnation, TaskKey};
 use crate::run::RunPhase;
 
 impl Core {
-    /// Compares the incarnation that an executor names with the known one. Runs of an earlier incarnation are lost.
-    pub(super) fn observe_incarnation(
+    /// Begins the incarnation that a list or an entry of an executor has named first. Runs of an earlier incarnation are lost.
+    pub(super) fn apply_identity_change(
         &mut self,
         slot: ExecutorSlot,
-        incarnation: Option<Incarnation>,
+        change: IdentityChange,
         now: Timestamp,
     ) {
-        let executor = self.fleet.get_mut(slot);
-        let known = executor.incarnation;
-        if incarnation.is_none() || incarnation <= known {
-            return;
-        }
         let (delay, max_lease) = (self.limits.max_request_delay, self.limits.max_lease);
-        executor.begin_incarnation(incarnation, delay, max_lease, now);
-        if known.is_none() {
-            return;
-        }
+        let executor = self.fleet.get_mut(slot);
+        let earlier = match change {
+            IdentityChange::Unchanged | IdentityChange::Outdated => return,
+            IdentityChange::First => return executor.begin_incarnation(delay, max_lease, now),
+            IdentityChange::Restarted { earlier } => earlier,
+        };
+        executor.begin_incarnation(delay, max_lease, now);
         // Requests sent before the restart was known name times on the old clock; the new incarnation shortens their leases
         // to the longest that executors grant.
         executor.clock.assume_granted(max_lease, now);
-        executor.listed_at = None;
+        let incarnation = executor.incarnation();
         let id = executor.entry.id.clone();
         let tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
         tracing::warn!(
-            executor = %id, earlier = known.map(Incarnation::get), incarnation = incarnation.map(Incarnation::get), runs = tasks.len(),
+            executor = %id, earlier = earlier.get(), incarnation = incarnation.map(Incarnation::get), runs = tasks.len(),
             "dispatch: executor restarted, runs of its earlier incarnation are lost"
         );
         for task in tasks {
@@ -52,7 +50,7 @@
         tracing::warn!(executor = %executor.entry.id, "dispatch: the clock of an executor went back, it may have restarted; asking for its runs");
         executor.clock.reset(delay, max_lease, now);
         executor.clock.assume_granted(max_lease, now);
-        executor.listed_at = None;
+        executor.identity.doubt();
     }
 
     /// Returns true if all runs of an executor are known to belong to its current incarnation.
@@ -62,7 +60,7 @@
             .tasks
             .iter()
             .filter_map(|task| self.runs.get(*task));
-        runs.all(|run| run.incarnation.is_some() && run.incarnation == executor.incarnation)
+        runs.all(|run| run.incarnation.is_some() && run.incarnation == executor.incarnation())
     }
 
     /// Attributes runs to the incarnation that has sent a listing, if their start or stop was confirmed before the listing was
@@ -79,7 +77,7 @@
                 RunPhase::Starting | RunPhase::Unconfirmed { .. } => None,
             };
             if run.incarnation.is_none() && confirmed_at.is_some_and(|at| at < sent_at) {
-                run.incarnation = executor.incarnation;
+                run.incarnation = executor.incarnation();
             }
         }
     }
--- a/crates/jobs/src/dispatch/inspect.rs
+++ b/crates/jobs/src/dispatch/inspect.rs
@@ -112,7 +112,10 @@
         free: entry.capacity.saturating_sub(executor.reserved()),
         runs: executor.tasks.len() as u32,
         rests_for: executor.health.suspect_for(now),
-        heard_ago: executor.listed_at.map(|listed_at| now.since(listed_at)),
+        heard_ago: executor
+            .identity
+            .listed_at()
+            .map(|listed_at| now.since(listed_at)),
         silent: executor.is_unresponsive,
     }
 }
--- a/crates/jobs/src/dispatch/last_runs.rs
+++ b/crates/jobs/src/dispatch/last_runs.rs
@@ -41,8 +41,8 @@
     pub(super) fn record_location(&mut self, slot: ExecutorSlot, task: TaskKey, now: Timestamp) {
         let executor = self.fleet.get(slot);
         let run = self.runs.get(task).filter(|run| run.is_running());
-        let is_listed = run.is_some_and(|run| run.incarnation == executor.incarnation);
-        let Some(incarnation) = executor.incarnation.filter(|_| is_listed) else {
+        let is_listed = run.is_some_and(|run| run.incarnation == executor.incarnation());
+        let Some(incarnation) = executor.incarnation().filter(|_| is_listed) else {
             return;
         };
         let is_certain = now > self.earlier_requests_end && executor.clock.has_sole_clock(now);
@@ -87,7 +87,7 @@
             .and_then(|job| job.step(task.step()));
         if let Some(LastRun::At(location)) = step.and_then(|step| step.last_run(task.index()))
             && (location.executor != executor.entry.id
-                || Some(location.incarnation) != executor.incarnation)
+                || Some(location.incarnation) != executor.incarnation())
         {
             self.end_location(task);
         }
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -4,7 +4,7 @@
 
 use crate::dispatch::Dispatcher;
 use crate::dispatch::core::Core;
-use crate::fleet::ExecutorSlot;
+use crate::fleet::{ExecutorSlot, IdentityChange};
 use crate::id::{RunNumber, TaskKey};
 use crate::run::{ActiveRun, Listing, RunPhase};
 
@@ -17,8 +17,13 @@
         sent_at: Timestamp,
         now: Timestamp,
     ) {
-        self.core
-            .observe_incarnation(slot, listing.incarnation, now);
+        let executor = self.core.fleet.get_mut(slot);
+        let change = executor.identity.list(listing.incarnation);
+        if change == IdentityChange::Outdated {
+            tracing::debug!(executor = %executor.entry.id, "dispatch: ignoring the listing of an earlier incarnation of the executor");
+            return;
+        }
+        self.core.apply_identity_change(slot, change, now);
         self.core.apply_listing(slot, listing, sent_at, now);
     }
 }
@@ -33,16 +38,12 @@
     ) {
         let max_lease = self.limits.max_lease;
         let executor = self.fleet.get_mut(slot);
-        if listing.incarnation < executor.incarnation {
-            tracing::debug!(executor = %executor.entry.id, "dispatch: ignoring the listing of an earlier incarnation of the executor");
-            return;
-        }
         executor
             .clock
             .record_reading(listing.executor_ms, sent_at, now);
         executor.clock.confirm_incarnation(sent_at);
-        let is_first = executor.listed_at.is_none();
-        executor.listed_at = Some(now);
+        let is_first = executor.identity.listed_at().is_none();
+        executor.identity.record_list(now);
         executor.is_unresponsive = false;
         if is_first {
             executor.clock.assume_granted(max_lease, now);
@@ -78,7 +79,7 @@
     }
 
     fn apply_active_run(&mut self, slot: ExecutorSlot, active: &ActiveRun, now: Timestamp) {
-        let incarnation = self.fleet.get(slot).incarnation;
+        let incarnation = self.fleet.get(slot).incarnation();
         let Some(run) = self.runs.matching(active.task, active.number, slot) else {
             self.handle_unexpected_run(slot, active, now);
             return;
--- a/crates/jobs/src/dispatch/ownership.rs
+++ b/crates/jobs/src/dispatch/ownership.rs
@@ -1,6 +1,6 @@
 use lagoon_core::unit::{Millis, Timestamp};
 
-use crate::dispatch::{DispatchLimits, Dispatcher, Effect};
+use crate::dispatch::{DispatchLimits, Dispatcher, Effect, StartRequest};
 
 /// Time within which an owner may act on the last confirmation of its ownership by the store. An owner that is paused or
 /// partitioned can't learn of a later one, so the age of the confirmation bounds what it may start and renew.
@@ -43,9 +43,12 @@
         self.core.step_down();
     }
 
-    /// Returns true if a request to start may be sent now. It may have been decided some time ago.
-    pub fn may_start(&self, now: Timestamp) -> bool {
+    /// Returns true if a request to start may be sent now. It may have been decided some time ago, for an incarnation of the
+    /// executor that has been replaced since.
+    pub fn may_send(&self, req: &StartRequest, now: Timestamp) -> bool {
+        let executor = self.core.fleet.get(req.slot);
         self.core.ownership.may_start(&self.core.limits, now)
+            && executor.incarnation() == req.incarnation
     }
 
     /// Returns when the request that last confirmed the ownership was sent.
--- a/crates/jobs/src/dispatch/place_gang.rs
+++ b/crates/jobs/src/dispatch/place_gang.rs
@@ -164,7 +164,7 @@
         let approvals = self.advice.step(key).map(|advice| &advice.approvals[..]);
         let candidate = |approval: &Approval| {
             let is_valid = approval.valid_until > now.after(STOP_MARGIN)
-                && self.fleet.get(approval.slot).incarnation == approval.incarnation;
+                && self.fleet.get(approval.slot).incarnation() == approval.incarnation;
             let ticket = is_valid.then(|| approval.ticket.clone());
             self.candidate(key, approval.slot, ticket, spec, queue)
         };
--- a/crates/jobs/src/dispatch/plan.rs
+++ b/crates/jobs/src/dispatch/plan.rs
@@ -106,7 +106,7 @@
         let is_valid = |approval: &&Approval| {
             has_room(approval.slot)
                 && pass.now.after(TICKET_MARGIN) < approval.valid_until
-                && self.fleet.get(approval.slot).incarnation == approval.incarnation
+                && self.fleet.get(approval.slot).incarnation() == approval.incarnation
         };
         let valid = approvals.unwrap_or_default().iter().filter(is_valid);
         valid
@@ -177,6 +177,7 @@
         step.raise_run_number(task.index(), number);
         let checkpoint = step.attempts(task.index()).checkpoint.clone();
         let clock_generation = self.fleet.get(slot).clock.generation();
+        let incarnation = self.fleet.get(slot).incarnation();
         let executor = &self.fleet.get(slot).entry;
         tracing::info!(
             %task, run = %number, executor = %executor.id, free = %pass.free_capacity(slot).free,
@@ -185,6 +186,7 @@
         self.effects.push(Effect::Start(StartRequest {
             slot,
             executor: executor.id.clone(),
+            incarnation,
             address: executor.address,
             task,
             number,
--- a/crates/jobs/src/dispatch/replaced.rs
+++ b/crates/jobs/src/dispatch/replaced.rs
@@ -16,7 +16,7 @@
         self.hold_failed(slot, now);
         let core = &mut self.core;
         let executor = core.fleet.get_mut(slot);
-        let is_known = executor.listed_at.is_some() || executor.is_recorded;
+        let is_known = executor.identity.listed_at().is_some() || executor.is_recorded;
         if !is_known || executor.entry.address != address {
             return;
         }
--- a/crates/jobs/src/dispatch/started.rs
+++ b/crates/jobs/src/dispatch/started.rs
@@ -26,7 +26,7 @@
                 }
                 let executor = self.fleet.get(req.slot);
                 if executor_ms.is_some_and(|ms| executor.clock.is_same_incarnation(ms, now)) {
-                    run.incarnation = executor.incarnation;
+                    run.incarnation = executor.incarnation();
                 }
                 if executor_ms.is_some_and(|ms| executor.clock.has_gone_back(ms)) {
                     self.suspect_restart(req.slot, now);
@@ -37,7 +37,7 @@
             StartOutcome::Unknown { connection_age } => {
                 let executor = self.fleet.get(req.slot);
                 if executor.clock.predates_list(connection_age, now) {
-                    run.incarnation = executor.incarnation;
+                    run.incarnation = executor.incarnation();
                 }
                 if run.phase == RunPhase::Starting {
                     run.phase = RunPhase::Unconfirmed { since: now };
--- a/crates/jobs/src/dispatch/tick.rs
+++ b/crates/jobs/src/dispatch/tick.rs
@@ -32,7 +32,7 @@
             let executor = core.fleet.get(slot);
             tracing::warn!(
                 executor = %executor.entry.id, runs = lost.len(),
-                heard_ms = executor.listed_at.map(|at| now.since(at).get()), "dispatch: the lease of an executor expired, its runs are lost"
+                heard_ms = executor.identity.listed_at().map(|at| now.since(at).get()), "dispatch: the lease of an executor expired, its runs are lost"
             );
             core.log_lost_runs(&lost, now);
             core.drop_runs(&lost);
@@ -62,7 +62,7 @@
         let all_expired = executor.clock.has_expired_in_all_incarnations(now);
         let has_ended = |run: &Run| match run.phase {
             RunPhase::Starting => false,
-            _ => all_expired || run.incarnation == executor.incarnation,
+            _ => all_expired || run.incarnation == executor.incarnation(),
         };
         let runs = executor
             .tasks
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -3,8 +3,8 @@
 use lagoon_core::unit::{Millis, Resources, Timestamp};
 
 use crate::fleet::{
-    Availability, ClockGeneration, EndCursor, ExecutorEntry, ExecutorHealth, FreeCapacity,
-    LeaseClock,
+    Availability, ClockGeneration, EndCursor, ExecutorEntry, ExecutorHealth, ExecutorIdentity,
+    FreeCapacity, LeaseClock,
 };
 use crate::id::{Incarnation, Label, RunNumber, TaskKey};
 
@@ -15,8 +15,8 @@
     pub entry: ExecutorEntry,
     /// Whether it accepts new runs.
     pub availability: Availability,
-    /// The latest incarnation that an answer or a registry entry named.
-    pub incarnation: Option<Incarnation>,
+    /// Which incarnation it is, and what shows that.
+    pub identity: ExecutorIdentity,
     /// Relates its clock to the owner's and bounds its leases.
     pub clock: LeaseClock,
     /// Generation of its clock to which the lease end in the hold in flight refers; `None` without a lease end.
@@ -35,8 +35,6 @@
     pub is_unresponsive: bool,
     /// The store holds a record of it, so that a later owner asks it for its runs even if its registry entry is gone.
     pub is_recorded: bool,
-    /// When its last list arrived; `None` if there was none from the current incarnation.
-    pub listed_at: Option<Timestamp>,
     reserved: Resources,
 }
 
@@ -45,7 +43,7 @@
         Self {
             availability: availability(&entry),
             entry,
-            incarnation: None,
+            identity: ExecutorIdentity::default(),
             clock: LeaseClock::default(),
             held_generation: None,
             ends: EndCursor::default(),
@@ -55,7 +53,6 @@
             has_listed_all: false,
             is_unresponsive: false,
             is_recorded: false,
-            listed_at: None,
             reserved: Resources::ZERO,
         }
     }
@@ -69,12 +66,10 @@
     /// Drops the state of the previous incarnation.
     pub(crate) fn begin_incarnation(
         &mut self,
-        incarnation: Option<Incarnation>,
         max_request_delay: Millis,
         max_lease: Millis,
         now: Timestamp,
     ) {
-        self.incarnation = incarnation;
         self.clock.reset(max_request_delay, max_lease, now);
         self.ends = EndCursor::default();
         self.health = ExecutorHealth::default();
@@ -111,9 +106,12 @@
     }
 
     /// Returns the capacity for new runs. A suspect executor has none unless `use_suspects` is set, and an unresponsive one
-    /// has none: a start that it does not answer holds up its task for long.
+    /// has none: a start that it does not answer holds up its task for long. One whose entry describes another incarnation has
+    /// none either, because the incarnations may differ in kind, rack and capacity.
     pub fn free_capacity(&self, now: Timestamp, use_suspects: bool) -> FreeCapacity {
-        let known = self.listed_at.is_some() && self.clock.has_reading();
+        let known = self.identity.listed_at().is_some()
+            && self.identity.is_described()
+            && self.clock.has_reading();
         let usable = use_suspects || !self.health.is_suspect(now);
         FreeCapacity {
             open: known
@@ -126,9 +124,14 @@
         }
     }
 
-    /// Returns true if its registry entry has the label.
+    /// Returns its current incarnation; `None` if none was named yet.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.identity.current()
+    }
+
+    /// Returns true if its current incarnation has the label, by its registry entry.
     pub fn has_label(&self, label: &Label) -> bool {
-        self.entry.labels.contains(label)
+        self.identity.is_described() && self.entry.labels.contains(label)
     }
 }
 
--- /dev/null
+++ b/crates/jobs/src/fleet/executor_identity.rs
@@ -0,0 +1,75 @@
+use lagoon_core::unit::Timestamp;
+
+use crate::fleet::IdentityChange;
+use crate::id::Incarnation;
+
+/// Incarnation of an executor that the owner counts on, with the evidence for it.
+///
+/// A list is answered by the process itself. A registry entry describes the incarnation that it names: it may be the entry of an earlier
+/// one while the executor can't reach the registry, so what it says holds for no other incarnation.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ExecutorIdentity {
+    current: Option<Incarnation>,
+    /// Incarnation that the registry entry describes.
+    described: Option<Incarnation>,
+    /// When the last list of the current incarnation arrived.
+    listed_at: Option<Timestamp>,
+}
+
+impl ExecutorIdentity {
+    /// Returns the current incarnation; `None` if none was named yet.
+    pub fn current(&self) -> Option<Incarnation> {
+        self.current
+    }
+
+    /// Returns when the last list arrived; `None` if there was none from the current incarnation.
+    pub fn listed_at(&self) -> Option<Timestamp> {
+        self.listed_at
+    }
+
+    /// Returns true if the registry entry describes the current incarnation. Otherwise its kind, rack and capacity are not known.
+    pub fn is_described(&self) -> bool {
+        self.described == self.current
+    }
+
+    /// Takes in the incarnation that a registry entry names.
+    pub(crate) fn describe(&mut self, incarnation: Option<Incarnation>) -> IdentityChange {
+        self.described = incarnation;
+        match incarnation.is_none() || incarnation <= self.current {
+            true => IdentityChange::Unchanged,
+            false => self.name(incarnation),
+        }
+    }
+
+    /// Takes in the incarnation that has answered a request for its list.
+    pub(crate) fn list(&mut self, incarnation: Option<Incarnation>) -> IdentityChange {
+        if incarnation < self.current {
+            return IdentityChange::Outdated;
+        }
+        match incarnation == self.current {
+            true => IdentityChange::Unchanged,
+            false => self.name(incarnation),
+        }
+    }
+
+    /// Records the arrival of a list of the current incarnation.
+    pub(crate) fn record_list(&mut self, now: Timestamp) {
+        self.listed_at = Some(now);
+    }
+
+    /// Drops the lists, because the process may have restarted since.
+    pub(crate) fn doubt(&mut self) {
+        self.listed_at = None;
+    }
+
+    fn name(&mut self, incarnation: Option<Incarnation>) -> IdentityChange {
+        let earlier = std::mem::replace(&mut self.current, incarnation);
+        match earlier {
+            None => IdentityChange::First,
+            Some(earlier) => {
+                self.listed_at = None;
+                IdentityChange::Restarted { earlier }
+            }
+        }
+    }
+}
--- a/crates/jobs/tests/dispatch/harness.rs
+++ b/crates/jobs/tests/dispatch/harness.rs
@@ -205,6 +205,15 @@
             .listed(ExecutorSlot::new(slot), &listing, sent_at, self.now);
     }
 
+    /// Delivers the entry that an incarnation of an executor has written.
+    pub(crate) fn register(&mut self, id: &str, capacity: u64, incarnation: u64) {
+        let entry = ExecutorEntry {
+            incarnation: Some(Incarnation::new(incarnation)),
+            ..entry(id, capacity)
+        };
+        self.dispatcher.observe(entry, self.now);
+    }
+
     /// Delivers a list with the next end of an executor.
     pub(crate) fn ended(&mut self, request: &StartRequest, outcome: RunOutcome) {
         let slot = request.slot.index();
--- a/crates/jobs/tests/dispatch/late_requests.rs
+++ b/crates/jobs/tests/dispatch/late_requests.rs
@@ -6,7 +6,7 @@
 use lagoon_jobs::id::Incarnation;
 use lagoon_jobs::run::{Listing, StartOutcome};
 
-use crate::harness::{Harness, MAX_LEASE, entry, listing, starts, starts_within, step};
+use crate::harness::{Harness, MAX_LEASE, listing, starts, starts_within, step};
 
 cases! {
     /// Guards against a second run beside one whose lease the start extends late, although it is refused then.
@@ -30,6 +30,7 @@
         harness.submit(1, "urgent", vec![step(1, 4)]);
         let request = starts(&harness.plan()).remove(0);
         list_restarted(&mut harness, request.slot, 0, &[]);
+        observe_restart(&mut harness, &request);
         confirm_stops(&mut harness);
         list_restarted(&mut harness, request.slot, 100, &[]);
         let again = run_again(&mut harness, request.slot);
@@ -58,9 +59,7 @@
 }
 
 fn observe_restart(harness: &mut Harness, request: &StartRequest) {
-    let mut restarted = entry(request.executor.as_str(), 4);
-    restarted.incarnation = Some(Incarnation::new(2));
-    harness.dispatcher.observe(restarted, harness.now);
+    harness.register(request.executor.as_str(), 4, 2);
 }
 
 fn confirm_stops(harness: &mut Harness) {
--- a/crates/jobs/tests/dispatch/leases.rs
+++ b/crates/jobs/tests/dispatch/leases.rs
@@ -69,6 +69,7 @@
         let mut restarted = listing(harness.now, &[], vec![]);
         restarted.incarnation = Some(Incarnation::new(2));
         harness.dispatcher.listed(request.slot, &restarted, harness.now, harness.now);
+        harness.register(request.executor.as_str(), 4, 2);
         let again = harness.start_all().remove(0);
         assert_eq!(again.slot, request.slot);
         let longest = longest_wait() - harness.now.since(failed_at).get();
@@ -194,6 +195,7 @@
         restarted.incarnation = Some(Incarnation::new(2));
         restarted.executor_ms = 5;
         harness.dispatcher.listed(request.slot, &restarted, harness.now, harness.now);
+        harness.register("e1", 4, 2);
         let again = starts(&harness.plan());
         assert_eq!(again.len(), 1);
         assert!(again[0].number > request.number);
--- a/crates/jobs/tests/dispatch/locations.rs
+++ b/crates/jobs/tests/dispatch/locations.rs
@@ -152,6 +152,7 @@
             ..listing(harness.now, &[], vec![])
         };
         harness.dispatcher.listed(ExecutorSlot::new(0), &restarted, harness.now, harness.now);
+        harness.register("e1", 8, 2);
         let restarted_at = harness.now;
         harness.submit(1, "urgent", vec![long_running(1)]);
         let request = harness.start_all().remove(0);
@@ -176,6 +177,7 @@
             ..listing(harness.now, &[], vec![])
         };
         harness.dispatcher.listed(ExecutorSlot::new(0), &restarted, harness.now, harness.now);
+        harness.register("e1", 8, 2);
         harness.submit(1, "urgent", vec![long_running(1)]);
         let request = harness.start_all().remove(0);
         harness.advance(18_000);
--- a/crates/jobs/tests/dispatch/ownership.rs
+++ b/crates/jobs/tests/dispatch/ownership.rs
@@ -54,9 +54,9 @@
         harness.submit(1, "urgent", vec![step(1, 1)]);
         let request = starts(&harness.plan()).remove(0);
         let end = harness.now.after(limits().owner_lease);
-        assert!(harness.dispatcher.may_start(end));
+        assert!(harness.dispatcher.may_send(&request, end));
         harness.now = end.after(Millis::new(1));
-        assert!(!harness.dispatcher.may_start(harness.now));
+        assert!(!harness.dispatcher.may_send(&request, harness.now));
         harness.dispatcher.started(&request, StartOutcome::Withheld, harness.now);
         harness.dispatcher.confirm_ownership(harness.now);
         let again = starts(&harness.plan());
--- a/crates/jobs/tests/dispatch/restarts.rs
+++ b/crates/jobs/tests/dispatch/restarts.rs
@@ -5,8 +5,9 @@
 use lagoon_jobs::fleet::{ExecutorEntry, ExecutorSlot};
 use lagoon_jobs::id::{Incarnation, TaskKey};
 use lagoon_jobs::run::{EndedRun, Listing, RunOutcome, StartOutcome};
+use lagoon_jobs::spec::StepSpec;
 
-use crate::harness::{Harness, entry, listing, starts, step};
+use crate::harness::{Harness, advice_requests, entry, listing, starts, step};
 
 cases! {
     /// Guards against a second run beside one that the new incarnation confirmed before the registry names that
@@ -15,7 +16,7 @@
         let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
         harness.submit(1, "urgent", vec![step(1, 4)]);
         let request = start(&mut harness, None);
-        harness.dispatcher.observe(restarted_entry(request.executor.as_str()), harness.now);
+        harness.register(request.executor.as_str(), 4, 2);
         assert!(starts(&harness.plan()).is_empty());
         let sent_at = harness.now;
         harness.advance(20);
@@ -41,7 +42,7 @@
         let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
         harness.submit(1, "urgent", vec![step(1, 4)]);
         let request = start(&mut harness, None);
-        harness.dispatcher.observe(restarted_entry(request.executor.as_str()), harness.now);
+        harness.register(request.executor.as_str(), 4, 2);
         harness.advance(1);
         let sent_at = harness.now;
         harness.advance(20);
@@ -58,7 +59,7 @@
         let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
         harness.submit(1, "urgent", vec![step(1, 4)]);
         let request = harness.start_all().remove(0);
-        harness.dispatcher.observe(restarted_entry(request.executor.as_str()), harness.now);
+        harness.register(request.executor.as_str(), 4, 2);
         assert_eq!(starts(&harness.plan()).len(), 1);
     }
 
@@ -91,7 +92,7 @@
         }
         harness.submit(1, "urgent", vec![step(1, 4)]);
         let request = start(&mut harness, Some(380));
-        harness.dispatcher.observe(restarted_entry(request.executor.as_str()), harness.now);
+        harness.register(request.executor.as_str(), 4, 2);
         assert!(starts(&harness.plan()).is_empty());
     }
 
@@ -114,7 +115,7 @@
         let request = harness.start_all().remove(0);
         harness.list(request.slot.get(), &[(request.task, request.number.get())], vec![]);
         harness.dispatcher.cancel(id, harness.now);
-        harness.dispatcher.observe(restarted_entry(request.executor.as_str()), harness.now);
+        harness.register(request.executor.as_str(), 4, 2);
         let list = new_incarnation_listing(harness.now, &[], vec![]);
         harness.dispatcher.listed(request.slot, &list, harness.now, harness.now);
         harness.submit(2, "urgent", vec![step(2, 4)]);
@@ -156,9 +157,72 @@
         harness.submit(1, "urgent", vec![step(1, 4)]);
         let request = harness.start_all().remove(0);
         harness.list(request.slot.get(), &[(request.task, request.number.get())], vec![]);
-        harness.dispatcher.observe(restarted_entry(request.executor.as_str()), harness.now);
+        harness.register(request.executor.as_str(), 4, 2);
         assert_eq!(starts(&harness.plan()).len(), 1);
     }
+
+    /// Guards against a task on an executor without the label that it requires: the executor has restarted as another kind, and its
+    /// entry is still the one of its earlier incarnation.
+    an_executor_whose_entry_is_of_an_earlier_incarnation_gets_no_tasks {
+        let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
+        for slot in 0..2 {
+            let list = new_incarnation_listing(harness.now, &[], vec![]);
+            harness.dispatcher.listed(ExecutorSlot::new(slot), &list, harness.now, harness.now);
+        }
+        harness.submit(1, "urgent", vec![requiring("a"), requiring("b")]);
+        harness.submit(2, "advised", vec![requiring("a")]);
+        let effects = harness.plan();
+        assert!(starts(&effects).is_empty());
+        assert!(advice_requests(&effects).is_empty());
+        harness.dispatcher.observe(of_kind("e1", "a", 2), harness.now);
+        harness.dispatcher.observe(of_kind("e2", "b", 2), harness.now);
+        let started = starts(&harness.plan());
+        let placed: Vec<(u16, u32)> =
+            started.iter().map(|req| (req.task.step().step(), req.slot.get())).collect();
+        assert_eq!(placed, [(0, 0), (1, 1)]);
+    }
+
+    /// Guards against the same for a gang that holds a reservation there.
+    a_gang_waits_for_the_entry_of_a_restarted_executor {
+        let mut harness = Harness::with(&[("e1", 4)]);
+        harness.submit(1, "urgent", vec![step(1, 2)]);
+        harness.start_all();
+        harness.submit(2, "urgent", vec![StepSpec { gang: true, ..step(2, 2) }]);
+        assert!(starts(&harness.plan()).is_empty());
+        let list = new_incarnation_listing(harness.now, &[], vec![]);
+        harness.dispatcher.listed(ExecutorSlot::new(0), &list, harness.now, harness.now);
+        assert!(starts(&harness.plan()).is_empty());
+        harness.register("e1", 4, 2);
+        assert!(!starts(&harness.plan()).is_empty());
+    }
+
+    /// Guards against a task that was placed on an earlier incarnation and is sent to a later one, which may be of another kind.
+    a_start_that_was_not_sent_before_the_restart_is_withheld {
+        let mut harness = Harness::with(&[("e1", 4)]);
+        harness.submit(1, "urgent", vec![requiring("a")]);
+        let request = starts(&harness.plan()).remove(0);
+        assert!(harness.dispatcher.may_send(&request, harness.now));
+        harness.register("e1", 4, 2);
+        assert!(!harness.dispatcher.may_send(&request, harness.now));
+    }
+}
+
+fn requiring(label: &str) -> StepSpec {
+    StepSpec {
+        requires: Some(label.parse().unwrap()),
+        ..step(1, 1)
+    }
+}
+
+fn of_kind(id: &str, kind: &str, incarnation: u64) -> ExecutorEntry {
+    ExecutorEntry {
+        labels: [kind, "r1"]
+            .map(|label| label.parse().unwrap())
+            .into_iter()
+            .collect(),
+        incarnation: Some(Incarnation::new(incarnation)),
+        ..entry(id, 4)
+    }
 }
 
 /// Starts a task. The executor's answer contains this reading of its clock.
@@ -170,13 +234,6 @@
     request
 }
 
-fn restarted_entry(id: &str) -> ExecutorEntry {
-    ExecutorEntry {
-        incarnation: Some(Incarnation::new(2)),
-        ..entry(id, 4)
-    }
-}
-
 fn new_incarnation_listing(
     now: Timestamp,
     running: &[(TaskKey, u64)],
--- a/crates/jobs/tests/dispatch/sim/delayed_event.rs
+++ b/crates/jobs/tests/dispatch/sim/delayed_event.rs
@@ -10,6 +10,8 @@
     Start(u64, StartRequest),
     /// A start request that was sent on a kept connection, or on a new one, times out.
     StartTimeout(Epoch, StartRequest, Option<SimConnection>),
+    /// An executor that has restarted writes its entry.
+    Entry(usize),
     /// The adviser answers, or a request to it times out.
     Advice(Epoch, AdviceRequest, bool),
 }
--- a/crates/jobs/tests/dispatch/sim/fleet.rs
+++ b/crates/jobs/tests/dispatch/sim/fleet.rs
@@ -7,6 +7,7 @@
 
 use rand::Rng;
 
+use super::delayed_event::DelayedEvent;
 use super::{EXECUTORS, Sim};
 use crate::harness::policy;
 
@@ -22,7 +23,24 @@
     /// Restores all removed registry entries.
     pub(super) fn list_all(&mut self) {
         for i in std::mem::take(&mut self.unlisted) {
-            self.dispatcher.observe(self.executors[i].entry(), self.now);
+            self.write_entry(i);
+        }
+    }
+
+    /// Restarts an executor, which writes its new entry later.
+    pub(super) fn restart(&mut self, i: usize) {
+        self.executors[i].restart(self.now);
+        let lag = Millis::new(self.rng.random_range(0..4_000));
+        self.delayed
+            .push((self.now.after(lag), DelayedEvent::Entry(i)));
+    }
+
+    /// Writes the entry of an executor, unless it has none.
+    pub(super) fn write_entry(&mut self, i: usize) {
+        self.registered[i] = self.executors[i].entry();
+        if !self.unlisted.contains(&i) {
+            self.dispatcher
+                .observe(self.registered[i].clone(), self.now);
         }
     }
 
@@ -31,7 +49,7 @@
         let i = self.rng.random_range(0..EXECUTORS);
         let ms = self.rng.random_range(100..4_000);
         self.executors[i].unresponsive_until = self.now.after(Millis::new(ms));
-        self.executors[i].restart(self.now);
+        self.restart(i);
     }
 
     /// Replaces the owner by one that knows only the store and the lists of the executors.
@@ -45,7 +63,7 @@
         let mut listings = Vec::new();
         for i in 0..EXECUTORS {
             // In the order of the slots, by which the simulation addresses executors.
-            let entry = self.executors[i].entry();
+            let entry = self.registered[i].clone();
             let slot = ExecutorSlot::new(i as u32);
             match (
                 self.unlisted.contains(&i),
--- a/crates/jobs/tests/dispatch/sim/long_running.rs
+++ b/crates/jobs/tests/dispatch/sim/long_running.rs
@@ -47,7 +47,7 @@
         let i = self.rng.random_range(0..EXECUTORS);
         let ms = self.rng.random_range(5_000..16_000);
         if self.rng.random_bool(0.2) {
-            self.executors[i].restart(self.now);
+            self.restart(i);
         }
         self.executors[i].unresponsive_until = self.now.after(Millis::new(ms));
         self.take_over();
--- a/crates/jobs/tests/dispatch/sim/mod.rs
+++ b/crates/jobs/tests/dispatch/sim/mod.rs
@@ -12,7 +12,7 @@
 
 use lagoon_core::unit::{Millis, Timestamp};
 use lagoon_jobs::dispatch::{DispatchLimits, Dispatcher, Effect, HoldAction, Serving};
-use lagoon_jobs::fleet::{ExecutorRecord, ExecutorSlot};
+use lagoon_jobs::fleet::{ExecutorEntry, ExecutorRecord, ExecutorSlot};
 use lagoon_jobs::id::{Epoch, ExecutorId, JobId, StepKey, TaskKey};
 use lagoon_jobs::job::{JobRecord, Progress};
 use lagoon_jobs::spec::{JobSpec, StepSpec};
@@ -48,6 +48,8 @@
     gangs: SimGangs,
     /// Stored records of executors.
     executor_records: BTreeMap<ExecutorId, ExecutorRecord>,
+    /// Entries in the registry, which lag behind restarts.
+    registered: Vec<ExecutorEntry>,
     /// Executors that are not in the registry although they are running.
     unlisted: BTreeSet<usize>,
     /// Tasks whose end was acknowledged as done. One such end counts for all tasks of a gang.
@@ -69,6 +71,9 @@
             max_lease,
             ..limits()
         };
+        let executors: Vec<SimExecutor> = (0..EXECUTORS)
+            .map(|i| SimExecutor::new(name(i), CORES, limits.max_lease, now))
+            .collect();
         let mut sim = Self {
             limits,
             rng: SmallRng::seed_from_u64(seed),
@@ -77,9 +82,8 @@
             epoch: 0,
             dispatcher: Dispatcher::open(Epoch::new(0), limits, now).serve(now),
             previous: None,
-            executors: (0..EXECUTORS)
-                .map(|i| SimExecutor::new(name(i), CORES, limits.max_lease, now))
-                .collect(),
+            registered: executors.iter().map(SimExecutor::entry).collect(),
+            executors,
             delayed: Vec::new(),
             records: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -107,7 +111,7 @@
             }
             if self.rng.random_bool(0.004) {
                 let i = self.rng.random_range(0..EXECUTORS);
-                self.executors[i].restart(self.now);
+                self.restart(i);
             }
             if self.rng.random_bool(0.006) {
                 let i = self.rng.random_range(0..EXECUTORS);
--- a/crates/jobs/tests/dispatch/sim/previous_owner.rs
+++ b/crates/jobs/tests/dispatch/sim/previous_owner.rs
@@ -56,7 +56,7 @@
         let now = self.now;
         for effect in std::mem::take(&mut previous.unsent) {
             if let Effect::Start(req) = effect
-                && previous.dispatcher.may_start(now)
+                && previous.dispatcher.may_send(&req, now)
             {
                 let i = req.slot.index();
                 let outcome = match self.executors[i].incarnation() == previous.incarnations[i] {
--- a/crates/jobs/tests/dispatch/sim/requests.rs
+++ b/crates/jobs/tests/dispatch/sim/requests.rs
@@ -175,6 +175,7 @@
                     self.dispatcher
                         .advice_received(&request, answer.as_ref(), now);
                 }
+                DelayedEvent::Entry(i) => self.write_entry(i),
                 DelayedEvent::StartTimeout(..) | DelayedEvent::Advice(..) => {}
             }
         }
--- a/crates/node/src/owner/effects.rs
+++ b/crates/node/src/owner/effects.rs
@@ -64,7 +64,7 @@
 async fn send_start(cx: Context, shard: Arc<Shard>, req: StartRequest, permits: Arc<Semaphore>) {
     let _permit = permits.acquire().await;
     let started_at = cx.clock.now();
-    let outcome = match shard.with(|dispatcher| dispatcher.may_start(started_at)) {
+    let outcome = match shard.with(|dispatcher| dispatcher.may_send(&req, started_at)) {
         true => cx.executors.start(&req).await,
         false => StartOutcome::Withheld,
     };
