Use new connections for starts once the executor has named its incarnation

Cause: the owner did not know to which process a new connection leads.

A new connection for starts is held back until the executor has answered a request that was sent after the connection was established. The process that answers holds the connection, so its incarnation is known.

The sim no longer delivers starts to an incarnation that the owner has not identified, as the product does not; the gate is tested in crates/platform/tests/connection_gate.rs.

--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -43,7 +43,7 @@
             self.core.unreported.insert(slot);
         }
         let identity = &mut self.core.fleet.get_mut(slot).identity;
-        let change = identity.describe(incarnation);
+        let change = identity.describe(incarnation, now);
         self.core.apply_identity_change(slot, change, now);
         (slot, is_new)
     }
--- a/crates/jobs/src/dispatch/listing.rs
+++ b/crates/jobs/src/dispatch/listing.rs
@@ -18,7 +18,7 @@
         now: Timestamp,
     ) {
         let executor = self.core.fleet.get_mut(slot);
-        let change = executor.identity.list(listing.incarnation);
+        let change = executor.identity.answer(listing.incarnation, sent_at, now);
         if change == IdentityChange::Outdated {
             tracing::debug!(executor = %executor.entry.id, "dispatch: ignoring the listing of an earlier incarnation of the executor");
             return;
--- a/crates/jobs/src/dispatch/mod.rs
+++ b/crates/jobs/src/dispatch/mod.rs
@@ -35,6 +35,7 @@
 mod request_gang_advice;
 mod request_task_advice;
 mod stage;
+mod start_connections;
 mod started;
 mod stopped;
 mod stored_job;
@@ -49,6 +50,7 @@
     hold_request::HoldRequest,
     limits::DispatchLimits,
     stage::{Recovering, Serving},
+    start_connections::StartConnections,
     stored_job::StoredJob,
     view::{Backlog, JobView, QueueLoad},
 };
--- a/crates/jobs/src/fleet/executor_identity.rs
+++ b/crates/jobs/src/fleet/executor_identity.rs
@@ -12,6 +12,10 @@
     current: Option<Incarnation>,
     /// Incarnation that the registry entry describes.
     described: Option<Incarnation>,
+    /// When the current incarnation became known.
+    known_since: Timestamp,
+    /// When the last request that the current incarnation has answered with its list was sent. It was running after that.
+    asked_at: Timestamp,
     /// When the last list of the current incarnation arrived.
     listed_at: Option<Timestamp>,
 }
@@ -27,29 +31,51 @@
         self.listed_at
     }
 
+    /// Returns when the current incarnation became known.
+    pub fn known_since(&self) -> Timestamp {
+        self.known_since
+    }
+
+    /// Returns when the last request that the current incarnation has answered was sent. A process to which a connection was
+    /// established before, and still is, is that incarnation: any other has ended.
+    pub fn asked_at(&self) -> Timestamp {
+        self.asked_at
+    }
+
     /// Returns true if the registry entry describes the current incarnation. Otherwise its kind, rack and capacity are not known.
     pub fn is_described(&self) -> bool {
         self.described == self.current
     }
 
     /// Takes in the incarnation that a registry entry names.
-    pub(crate) fn describe(&mut self, incarnation: Option<Incarnation>) -> IdentityChange {
+    pub(crate) fn describe(
+        &mut self,
+        incarnation: Option<Incarnation>,
+        now: Timestamp,
+    ) -> IdentityChange {
         self.described = incarnation;
         match incarnation.is_none() || incarnation <= self.current {
             true => IdentityChange::Unchanged,
-            false => self.name(incarnation),
+            false => self.name(incarnation, now),
         }
     }
 
-    /// Takes in the incarnation that has answered a request for its list.
-    pub(crate) fn list(&mut self, incarnation: Option<Incarnation>) -> IdentityChange {
+    /// Takes in the incarnation that has answered a request that was sent at `sent_at`.
+    pub(crate) fn answer(
+        &mut self,
+        incarnation: Option<Incarnation>,
+        sent_at: Timestamp,
+        now: Timestamp,
+    ) -> IdentityChange {
         if incarnation < self.current {
             return IdentityChange::Outdated;
         }
-        match incarnation == self.current {
+        let change = match incarnation == self.current {
             true => IdentityChange::Unchanged,
-            false => self.name(incarnation),
-        }
+            false => self.name(incarnation, now),
+        };
+        self.asked_at = self.asked_at.max(sent_at);
+        change
     }
 
     /// Records the arrival of a list of the current incarnation.
@@ -62,8 +88,10 @@
         self.listed_at = None;
     }
 
-    fn name(&mut self, incarnation: Option<Incarnation>) -> IdentityChange {
+    fn name(&mut self, incarnation: Option<Incarnation>, now: Timestamp) -> IdentityChange {
         let earlier = std::mem::replace(&mut self.current, incarnation);
+        self.known_since = now;
+        self.asked_at = Timestamp::default();
         match earlier {
             None => IdentityChange::First,
             Some(earlier) => {
--- a/crates/jobs/src/fleet/lease_clock.rs
+++ b/crates/jobs/src/fleet/lease_clock.rs
@@ -42,6 +42,13 @@
         }
     }
 
+    /// Records that the incarnation being read has answered another request that was sent at `sent_at`.
+    pub fn record_answer(&mut self, sent_at: Timestamp) {
+        if self.has_reading() {
+            self.list_requested_at = self.list_requested_at.max(sent_at);
+        }
+    }
+
     /// Returns true if a reading that arrives now is from the same incarnation as the last one.
     ///
     /// A later incarnation started after the last list was requested, and its clock starts at zero, so that it can't
--- a/crates/jobs/tests/dispatch/main.rs
+++ b/crates/jobs/tests/dispatch/main.rs
@@ -21,5 +21,6 @@
 mod sim_adviser;
 mod sim_executor;
 mod sim_gangs;
+mod sim_kind;
 mod takeover;
 mod unanswered_starts;
--- a/crates/jobs/tests/dispatch/sim/fleet.rs
+++ b/crates/jobs/tests/dispatch/sim/fleet.rs
@@ -10,6 +10,7 @@
 use super::delayed_event::DelayedEvent;
 use super::{EXECUTORS, Sim};
 use crate::harness::policy;
+use crate::sim_kind::SimKind;
 
 impl Sim {
     /// Removes an executor from the registry.
@@ -27,14 +28,29 @@
         }
     }
 
-    /// Restarts an executor, which writes its new entry later.
+    /// Restarts an executor, at times as another kind, which writes its new entry later.
     pub(super) fn restart(&mut self, i: usize) {
-        self.executors[i].restart(self.now);
+        let kind = self.executors[i].kind();
+        let kind = match self.rng.random_ratio(1, 3) {
+            true => kind.other(),
+            false => kind,
+        };
+        self.executors[i].restart(kind, self.now);
         let lag = Millis::new(self.rng.random_range(0..4_000));
         self.delayed
             .push((self.now.after(lag), DelayedEvent::Entry(i)));
     }
 
+    /// Restarts the executors of the other kind, so that every step has executors with the label that it requires.
+    pub(super) fn restore_kinds(&mut self) {
+        for i in 0..EXECUTORS {
+            if self.executors[i].kind() != SimKind::A {
+                self.executors[i].restart(SimKind::A, self.now);
+                self.delayed.push((self.now, DelayedEvent::Entry(i)));
+            }
+        }
+    }
+
     /// Writes the entry of an executor, unless it has none.
     pub(super) fn write_entry(&mut self, i: usize) {
         self.registered[i] = self.executors[i].entry();
--- a/crates/jobs/tests/dispatch/sim/mod.rs
+++ b/crates/jobs/tests/dispatch/sim/mod.rs
@@ -25,6 +25,7 @@
 use crate::harness::{job_id, limits, step};
 use crate::sim_executor::SimExecutor;
 use crate::sim_gangs::SimGangs;
+use crate::sim_kind::SimKind;
 
 const EXECUTORS: usize = 5;
 const CORES: u64 = 8;
@@ -142,6 +143,7 @@
     pub(crate) fn run_to_completion(&mut self, ms: u64) {
         self.fault_free = true;
         self.previous = None;
+        self.restore_kinds();
         self.list_all();
         self.cancel_long_running(ms);
         for _ in 0..ms / STEP_MS {
@@ -182,8 +184,11 @@
         let id = job_id(number + 1);
         let count = self.rng.random_range(1..=4);
         let need = self.rng.random_range(1..=3);
+        let gang = self.rng.random_bool(0.25);
+        let requires = !gang && self.rng.random_bool(0.2);
         let first = StepSpec {
-            gang: self.rng.random_bool(0.25),
+            gang,
+            requires: requires.then(|| SimKind::A.label()),
             saves_progress: self.rng.random_bool(0.5),
             ..step(count, need)
         };
--- a/crates/jobs/tests/dispatch/sim/previous_owner.rs
+++ b/crates/jobs/tests/dispatch/sim/previous_owner.rs
@@ -3,6 +3,7 @@
 use lagoon_core::unit::{Millis, Timestamp};
 use lagoon_jobs::dispatch::{Dispatcher, Effect, HoldAction, Serving};
 use lagoon_jobs::fleet::ExecutorSlot;
+use lagoon_jobs::id::Incarnation;
 use lagoon_jobs::run::StartOutcome;
 use rand::Rng;
 
@@ -59,7 +60,10 @@
                 && previous.dispatcher.may_send(&req, now)
             {
                 let i = req.slot.index();
-                let outcome = match self.executors[i].incarnation() == previous.incarnations[i] {
+                let live = self.executors[i].incarnation();
+                let is_reached = live == previous.incarnations[i]
+                    && req.incarnation == Some(Incarnation::new(live));
+                let outcome = match is_reached {
                     true => self.start_now(&req),
                     false => StartOutcome::Withheld,
                 };
--- a/crates/jobs/tests/dispatch/sim/requests.rs
+++ b/crates/jobs/tests/dispatch/sim/requests.rs
@@ -2,7 +2,7 @@
 
 use lagoon_core::unit::{Millis, Timestamp};
 use lagoon_jobs::dispatch::{AdviceRequest, StartRequest, StopRequest};
-use lagoon_jobs::id::{Epoch, TaskKey};
+use lagoon_jobs::id::{Epoch, Incarnation, TaskKey};
 use lagoon_jobs::run::{StartOutcome, StartRefusal};
 use rand::Rng;
 
@@ -21,6 +21,16 @@
         let unresponsive = self.executors[request.slot.index()].is_unresponsive(self.now);
         let connection = self.draw_connection(request.slot.index());
         let incarnation = self.executors[request.slot.index()].incarnation();
+        let live = Some(Incarnation::new(incarnation));
+        if connection.is_none() && request.incarnation != live {
+            // A new connection is used only once the executor has named its incarnation.
+            if !self.executors[request.slot.index()].is_unresponsive(self.now) {
+                self.dispatcher
+                    .identified(request.slot, live, self.now, self.now);
+            }
+            let withheld = StartOutcome::Withheld;
+            return self.dispatcher.started(&request, withheld, self.now);
+        }
         // A later incarnation reads nothing from a connection to an earlier one.
         let is_stale = connection.is_some_and(|kept| kept.incarnation != incarnation);
         let unresponsive = unresponsive || is_stale;
@@ -119,6 +129,14 @@
             "seed {seed}: {task} starts although an executor lists it as done"
         );
         let executor = &self.executors[request.slot.index()];
+        let spec = &self.records[&task.job()].spec().steps()[usize::from(task.step().step())];
+        assert!(
+            spec.requires
+                .as_ref()
+                .is_none_or(|label| *label == executor.kind().label()),
+            "seed {seed}: {task} starts on {}, which lacks the label that it requires",
+            request.executor
+        );
         assert!(
             executor.used() <= CORES,
             "seed {seed}: the runs on {} exceed its capacity",
--- a/crates/jobs/tests/dispatch/sim_executor.rs
+++ b/crates/jobs/tests/dispatch/sim_executor.rs
@@ -9,6 +9,7 @@
 use lagoon_jobs::run::{ActiveRun, EndedRun, Listing, RunOutcome, StartOutcome, StartRefusal};
 
 use crate::harness::entry;
+use crate::sim_kind::SimKind;
 
 #[derive(Debug, Clone, Copy)]
 struct SimRun {
@@ -26,6 +27,7 @@
     cores: u64,
     max_lease: Millis,
     incarnation: u64,
+    kind: SimKind,
     started_at: Timestamp,
     fence: Epoch,
     lease_end_ms: u64,
@@ -47,6 +49,7 @@
             cores,
             max_lease,
             incarnation: 1,
+            kind: SimKind::A,
             started_at: now,
             fence: Epoch::new(0),
             lease_end_ms: 0,
@@ -61,7 +64,9 @@
     }
 
     pub(crate) fn entry(&self) -> ExecutorEntry {
+        let labels = [self.kind.label(), "r1".parse().unwrap()];
         ExecutorEntry {
+            labels: labels.into_iter().collect(),
             incarnation: Some(Incarnation::new(self.incarnation)),
             ..entry(self.id.as_str(), self.cores)
         }
@@ -71,6 +76,10 @@
         self.incarnation
     }
 
+    pub(crate) fn kind(&self) -> SimKind {
+        self.kind
+    }
+
     pub(crate) fn is_unresponsive(&self, now: Timestamp) -> bool {
         now < self.unresponsive_until
     }
@@ -79,11 +88,12 @@
         now < self.mute_until
     }
 
-    /// Drops all state and begins a new incarnation.
-    pub(crate) fn restart(&mut self, now: Timestamp) {
+    /// Drops all state and begins a new incarnation of a kind.
+    pub(crate) fn restart(&mut self, kind: SimKind, now: Timestamp) {
         let fresh = Self::new(self.id.clone(), self.cores, self.max_lease, now);
         *self = Self {
             incarnation: self.incarnation + 1,
+            kind,
             unresponsive_until: self.unresponsive_until,
             mute_until: self.mute_until,
             ..fresh
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -34,7 +34,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) store: StoreClient,
     pub(crate) executors: ExecutorClient,
-    /// Holds back connections for starts until the ownership is confirmed by a request sent after they were established.
+    /// Holds back new connections for starts until it is known where they lead and that this member still owns the cell.
     pub(crate) start_gate: ConnectionGate,
     pub(crate) adviser: AdviserClient,
     pub(crate) peers: PeerClients,
@@ -59,7 +59,7 @@
             })
         };
         let transport = |request_timeout| gated(request_timeout, None);
-        let start_gate = ConnectionGate::closed();
+        let start_gate = ConnectionGate::default();
         let starts = gated(EXECUTOR_TIMEOUT, Some(start_gate.clone()));
         let endpoint = |address: lagoon_process::settings::Address| Endpoint::from(address.get());
         Self {
--- a/crates/node/src/owner/confirm.rs
+++ b/crates/node/src/owner/confirm.rs
@@ -74,7 +74,7 @@
                 }
                 continue;
             }
-            () = cx.start_gate.wait_for_connection() => {
+            () = shard.confirmation_awaited.notified() => {
                 is_awaited = true;
                 due = due.min(next_allowed);
                 continue;
--- a/crates/node/src/owner/drive_executor.rs
+++ b/crates/node/src/owner/drive_executor.rs
@@ -81,6 +81,7 @@
     match response {
         Ok(HoldOutcome::Listed(listing)) => {
             shard.change(|dispatcher| dispatcher.listed(slot, &listing, sent_at, cx.clock.now()));
+            shard.admit_connections(cx);
         }
         Ok(HoldOutcome::OtherExecutor) => {
             shard.change(|dispatcher| dispatcher.replaced(slot, req.address, cx.clock.now()));
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -12,6 +12,7 @@
 mod follow_jobs;
 mod hand_over;
 mod hold_response;
+mod identify_executors;
 mod lane_state;
 mod lane_writer;
 mod look_up_job;
--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -16,7 +16,7 @@
 use crate::owner::recorder::Recorder;
 use crate::owner::{
     Shard, ShardHandle, confirm, drive_executor, effects, follow_cell, follow_executors,
-    follow_jobs, recover,
+    follow_jobs, identify_executors, recover,
 };
 
 /// Delay after a claim that failed.
@@ -144,7 +144,7 @@
 ) -> Arc<Shard> {
     let executors = dispatcher.executors();
     let (shard, rx) = Shard::open(dispatcher);
-    shard.admit_connections(cx);
+    tasks.spawn(identify_executors::run(cx.clone(), shard.clone()));
     tasks.spawn(effects::execute(cx.clone(), shard.clone(), rx, step_down));
     tasks.spawn(plan(cx.clone(), shard.clone()));
     tasks.spawn(tick(cx.clone(), shard.clone()));
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -8,6 +8,7 @@
 use lagoon_jobs::id::JobId;
 use lagoon_jobs::job::JobState;
 use lagoon_jobs::record::{RecordLane, RecordNumber};
+use lagoon_platform::Admission;
 use smallvec::SmallVec;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
@@ -34,6 +35,8 @@
     pub(super) records_ready: [Notify; RecordLane::COUNT],
     /// Number of writes of progress that took effect.
     pub(super) write_count: watch::Sender<u64>,
+    /// Notified of a new connection for starts, which waits for a confirmation of the ownership.
+    pub(super) confirmation_awaited: Notify,
     executor_wakers: Mutex<HashMap<ExecutorSlot, Arc<Notify>>>,
     outcome_waiters: OutcomeWaiters,
 }
@@ -50,6 +53,7 @@
             fleet_changed: Notify::new(),
             records_ready: std::array::from_fn(|_| Notify::new()),
             write_count: watch::Sender::new(0),
+            confirmation_awaited: Notify::new(),
             executor_wakers: Mutex::default(),
             outcome_waiters: OutcomeWaiters::default(),
         };
@@ -82,24 +86,32 @@
         result
     }
 
-    /// Records that the store has confirmed the ownership in response to a request sent at `sent_at`, and admits the connections for
-    /// starts that were established before.
+    /// Records that the store has confirmed the ownership in response to a request sent at `sent_at`.
     pub(super) fn confirm_ownership(&self, cx: &Context, sent_at: Timestamp) {
         self.with(|dispatcher| dispatcher.confirm_ownership(sent_at));
         self.admit_connections(cx);
     }
 
-    /// Admits the connections for starts that were established before the last confirmation of the ownership was requested. A later
-    /// owner claims the cell after that confirmation, so that it reaches the same process of each executor, which then refuses what
-    /// arrives on these connections, or a later process, which receives nothing from them.
+    /// Decides about the new connections for starts that are held back.
     pub(super) fn admit_connections(&self, cx: &Context) {
-        let confirmed = self.with(|dispatcher| dispatcher.last_confirmed());
-        // Read first, so that a pause between the two reads can only make the age too long.
-        let now = Instant::now();
-        let age = cx.clock.now().since(confirmed);
-        if let Some(at) = now.checked_sub(age.saturating_add(CLOCK_RESOLUTION).to_duration()) {
-            cx.start_gate.admit_before(at);
-        }
+        cx.start_gate.admit(|address| {
+            let allowed = self.with(|dispatcher| dispatcher.start_connections(address))?;
+            // A time by the process's clock is converted with a reading of the other clock before and after, and with the
+            // resolution, so that an error can only exclude a connection.
+            let before = Instant::now();
+            let now = cx.clock.now();
+            let after = Instant::now();
+            let longest = now
+                .since(allowed.established_before)
+                .saturating_add(CLOCK_RESOLUTION);
+            let shortest = now
+                .since(allowed.begun_after)
+                .saturating_sub(CLOCK_RESOLUTION);
+            Some(Admission {
+                begun_after: after.checked_sub(shortest.to_duration()).unwrap_or(after),
+                established_before: before.checked_sub(longest.to_duration())?,
+            })
+        });
     }
 
     /// Runs a placement pass under the lock and passes on the effects.
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -11,4 +11,5 @@
 mod odd_entries;
 mod pauses;
 mod removed_queues;
+mod restarts;
 mod takeover;
--- a/crates/node/tests/node/takeover.rs
+++ b/crates/node/tests/node/takeover.rs
@@ -171,7 +171,7 @@
         cell.site.start_executor("e3", 4_000).await.unwrap();
         cell.site.remove_key("lagoon/cell/owner");
         cell.eventually("the later owner has fenced the executor", async |cell: &Cell| cell.site.fence("e1") == 2).await;
-        cell.site.restart_executor_behind_a_cut("e1", 4_000).await.unwrap();
+        cell.site.restart_executor_behind_a_cut("e1", 4_000, "a").await.unwrap();
         cell.wait_for_starts(1).await;
         tokio::time::sleep(Duration::from_secs(2)).await;
         let starts = cell.site.log().starts();
--- a/crates/platform/src/error/error_kind.rs
+++ b/crates/platform/src/error/error_kind.rs
@@ -13,6 +13,10 @@
         Unreachable(reason: String) {
             display("connection failed: {reason}")
         }
+        /// The gate of the transport refused the new connection, so that nothing was sent.
+        NotAdmitted {
+            display("the connection was not admitted")
+        }
         /// The connection broke after the request may have been sent.
         ConnectionLost(reason: String) {
             display("connection lost: {reason}")
--- a/crates/platform/src/error/platform_error.rs
+++ b/crates/platform/src/error/platform_error.rs
@@ -57,7 +57,9 @@
     /// operation.
     pub fn effect(&self) -> CallEffect {
         match self.kind() {
-            ErrorKind::Unreachable(_) | ErrorKind::Timeout { sent: false } => CallEffect::None,
+            ErrorKind::Unreachable(_)
+            | ErrorKind::NotAdmitted
+            | ErrorKind::Timeout { sent: false } => CallEffect::None,
             ErrorKind::Refused {
                 status: 400..=499 | 503 | 507,
                 ..
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -25,8 +25,8 @@
     hosts::HostListClient,
     store::StoreClient,
     transport::{
-        Call, CallCounter, ClientSettings, ConnectionGate, Endpoint, PROCESS_HEADER, Response,
-        Transport,
+        Admission, Call, CallCounter, ClientSettings, ConnectionGate, Endpoint, HeldBack,
+        PROCESS_HEADER, Response, Transport,
     },
     worker::WorkerClient,
 };
--- a/crates/platform/src/transport/connection_gate.rs
+++ b/crates/platform/src/transport/connection_gate.rs
@@ -1,53 +1,79 @@
-use std::sync::Arc;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use tokio::sync::{Notify, watch};
-use tokio::time::Instant;
+use smallvec::SmallVec;
+use tokio::sync::{Notify, oneshot};
 
-/// Holds back the new connections of a transport until they are admitted, so that a request is sent only on connections that were
-/// established before a later event, such as the confirmation of a lease. Clones share their state.
-#[derive(Debug, Clone)]
+use crate::transport::not_admitted::NotAdmitted;
+use crate::transport::{Admission, HeldBack};
+
+/// Holds back the new connections of a transport until the caller decides about them, so that a request reaches only processes about
+/// which enough is known. Clones share their state.
+#[derive(Debug, Clone, Default)]
 pub struct ConnectionGate(Arc<Inner>);
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Inner {
-    admitted_before: watch::Sender<Option<Instant>>,
-    held_back: Notify,
+    held_back: Mutex<Vec<Waiting>>,
+    arrived: Notify,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    connection: HeldBack,
+    decision: oneshot::Sender<Result<(), NotAdmitted>>,
 }
 
 impl ConnectionGate {
-    /// Returns a gate that admits no connection yet.
-    pub fn closed() -> Self {
-        Self(Arc::new(Inner {
-            admitted_before: watch::Sender::new(None),
-            held_back: Notify::new(),
-        }))
+    /// Waits until a connection is held back.
+    pub async fn wait_for_connection(&self) {
+        self.0.arrived.notified().await;
     }
 
-    /// Admits the connections that were established before `at`.
-    pub fn admit_before(&self, at: Instant) {
-        self.0.admitted_before.send_if_modified(|admitted| {
-            let is_later = admitted.is_none_or(|admitted| admitted < at);
-            if is_later {
-                *admitted = Some(at);
+    /// Returns the connections that are held back.
+    pub fn held_back(&self) -> SmallVec<[HeldBack; 8]> {
+        let waiting = self.lock();
+        let open = waiting.iter().filter(|w| !w.decision.is_closed());
+        open.map(|w| w.connection).collect()
+    }
+
+    /// Decides about the connections that are held back. `decide` returns which connections to an address are admitted; without
+    /// that they stay held back.
+    pub fn admit(&self, decide: impl Fn(SocketAddr) -> Option<Admission>) {
+        let waiting = std::mem::take(&mut *self.lock());
+        let mut undecided = Vec::new();
+        for w in waiting {
+            let decision = decide(w.connection.address).and_then(|a| a.decide(&w.connection));
+            match decision {
+                // The call may have been given up.
+                Some(decision) => drop(w.decision.send(decision)),
+                None if w.decision.is_closed() => {}
+                None => undecided.push(w),
             }
-            is_later
-        });
+        }
+        self.lock().append(&mut undecided);
     }
 
-    /// Waits until a connection is held back.
-    pub async fn wait_for_connection(&self) {
-        self.0.held_back.notified().await;
+    /// Waits until a connection is admitted.
+    ///
+    /// # Errors
+    ///
+    /// If it is refused.
+    pub(crate) async fn pass(&self, connection: HeldBack) -> Result<(), NotAdmitted> {
+        let (decision, rx) = oneshot::channel();
+        self.lock().push(Waiting {
+            connection,
+            decision,
+        });
+        self.0.arrived.notify_one();
+        // The sender is dropped only with the gate.
+        rx.await.unwrap_or(Err(NotAdmitted))
     }
 
-    /// Waits until a connection that was established at `established_at` is admitted.
-    pub(crate) async fn pass(&self, established_at: Instant) {
-        let mut admitted = self.0.admitted_before.subscribe();
-        let is_admitted = |before: &Option<Instant>| before.is_some_and(|at| established_at < at);
-        if is_admitted(&admitted.borrow_and_update()) {
-            return;
-        }
-        self.0.held_back.notify_one();
-        // The gate keeps the sender, so this resolves only once the connection is admitted.
-        let _ = admitted.wait_for(is_admitted).await;
+    fn lock(&self) -> MutexGuard<'_, Vec<Waiting>> {
+        self.0
+            .held_back
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/platform/src/transport/mod.rs
+++ b/crates/platform/src/transport/mod.rs
@@ -1,11 +1,14 @@
 //! HTTP/1 calls over pooled connections, with a timeout and counters.
 
+mod admission;
 mod call;
 mod call_counter;
 mod client_settings;
 mod connection_gate;
 mod endpoint;
 mod established_at;
+mod held_back;
+mod not_admitted;
 mod response;
 mod timed_connector;
 mod timed_stream;
@@ -13,11 +16,13 @@
 mod transport;
 
 pub use self::{
+    admission::Admission,
     call::Call,
     call_counter::CallCounter,
     client_settings::{ClientSettings, PROCESS_HEADER},
     connection_gate::ConnectionGate,
     endpoint::Endpoint,
+    held_back::HeldBack,
     response::Response,
     transport::Transport,
 };
--- a/crates/platform/src/transport/timed_connector.rs
+++ b/crates/platform/src/transport/timed_connector.rs
@@ -9,8 +9,9 @@
 use tokio::time::Instant;
 use tower_service::Service;
 
-use crate::transport::ConnectionGate;
+use crate::transport::not_admitted::NotAdmitted;
 use crate::transport::timed_stream::TimedStream;
+use crate::transport::{ConnectionGate, HeldBack};
 
 type ConnectError = Box<dyn Error + Send + Sync>;
 
@@ -49,11 +50,18 @@
     fn call(&mut self, uri: Uri) -> Self::Future {
         let connecting = self.connector.call(uri);
         let (gate, limit) = (self.gate.clone(), self.gate_timeout);
+        let begun_at = Instant::now();
         Box::pin(async move {
             let stream = connecting.await?;
             let established_at = Instant::now();
             if let Some(gate) = gate {
-                tokio::time::timeout(limit, gate.pass(established_at)).await?;
+                let connection = HeldBack {
+                    address: stream.inner().peer_addr()?,
+                    begun_at,
+                    established_at,
+                };
+                let passed = tokio::time::timeout(limit, gate.pass(connection)).await;
+                passed.unwrap_or(Err(NotAdmitted))?;
             }
             Ok(TimedStream::new(stream, established_at))
         })
--- a/crates/platform/src/transport/transport.rs
+++ b/crates/platform/src/transport/transport.rs
@@ -13,6 +13,7 @@
 
 use crate::error::{ErrorKind, PlatformError};
 use crate::transport::established_at::EstablishedAt;
+use crate::transport::not_admitted::NotAdmitted;
 use crate::transport::timed_connector::TimedConnector;
 use crate::transport::{Call, CallCounter, ClientSettings, PROCESS_HEADER, Response};
 
@@ -120,6 +121,7 @@
             .request(req)
             .await
             .map_err(|e| match e.is_connect() {
+                true if NotAdmitted::caused(&e) => ErrorKind::NotAdmitted,
                 true => ErrorKind::Unreachable(error_chain(&e)),
                 false => ErrorKind::ConnectionLost(error_chain(&e)),
             })?;
--- a/crates/platform/tests/connection_gate.rs
+++ b/crates/platform/tests/connection_gate.rs
@@ -9,7 +9,10 @@
 use axum::routing::get;
 use hyper::Method;
 use lagoon_core::unit::Millis;
-use lagoon_platform::{Call, CallEffect, ClientSettings, ConnectionGate, PlatformError, Transport};
+use lagoon_platform::{
+    Admission, Call, CallEffect, ClientSettings, ConnectionGate, ErrorKind, PlatformError,
+    Transport,
+};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
@@ -61,48 +64,80 @@
     };
 }
 
+/// Admits the connections that were begun after `begun_after` and established before `established_before`.
+fn admit(gate: &ConnectionGate, begun_after: Instant, established_before: Instant) {
+    gate.admit(|_| {
+        Some(Admission {
+            begun_after,
+            established_before,
+        })
+    });
+}
+
+/// Calls the server while `decide` runs, which begins when a connection is held back.
+async fn call_and(
+    gate: &ConnectionGate,
+    server: &Server,
+    decide: impl AsyncFnOnce(),
+) -> Result<(), PlatformError> {
+    let transport = transport(gate);
+    let decide = async {
+        gate.wait_for_connection().await;
+        decide().await;
+    };
+    tokio::join!(server.call(&transport), decide).0
+}
+
 cases! {
     /// Guards against a start that reaches a process that started after the ownership was last confirmed, and that is taken for one
     /// that may have had an effect.
     a_call_on_a_connection_that_is_not_admitted_is_not_sent {
-        let (gate, server) = (ConnectionGate::closed(), Server::spawn().await);
-        gate.admit_before(Instant::now());
-        let error = server.call(&transport(&gate)).await.unwrap_err();
-        assert_eq!(error.effect(), CallEffect::None, "{error}");
+        let (gate, server) = (ConnectionGate::default(), Server::spawn().await);
+        let begun = Instant::now();
+        let result = call_and(&gate, &server, async || admit(&gate, begun, begun)).await;
+        assert_eq!(result.unwrap_err().effect(), CallEffect::None);
+        assert_eq!(server.calls(), 0);
+    }
+
+    /// Guards against a start that was decided for an earlier process and waits until its time-out, or reaches the later one.
+    a_call_that_was_begun_before_is_refused {
+        let (gate, server) = (ConnectionGate::default(), Server::spawn().await);
+        let called_at = Instant::now();
+        let later = async || {
+            let now = Instant::now();
+            admit(&gate, now, now);
+        };
+        let error = call_and(&gate, &server, later).await.unwrap_err();
+        assert_eq!(*error.kind(), ErrorKind::NotAdmitted);
+        assert!(called_at.elapsed() < TIMEOUT.to_duration(), "{:?}", called_at.elapsed());
         assert_eq!(server.calls(), 0);
     }
 
     /// Guards against starts that are never sent because no connection is admitted.
     a_call_is_sent_once_its_connection_is_admitted {
-        let (gate, server) = (ConnectionGate::closed(), Server::spawn().await);
-        let transport = transport(&gate);
-        let (result, ()) = tokio::join!(server.call(&transport), async {
-            gate.wait_for_connection().await;
+        let (gate, server) = (ConnectionGate::default(), Server::spawn().await);
+        let begun = Instant::now();
+        let later = async || {
             tokio::time::sleep(Duration::from_millis(2)).await;
-            gate.admit_before(Instant::now());
-        });
-        result.unwrap();
+            admit(&gate, begun, Instant::now());
+        };
+        call_and(&gate, &server, later).await.unwrap();
         assert_eq!(server.calls(), 1);
+        assert!(gate.held_back().is_empty());
     }
 
     /// Guards against a delay of each start: a connection that was admitted once is used again.
     a_kept_connection_is_not_held_back {
-        let (gate, server) = (ConnectionGate::closed(), Server::spawn().await);
+        let (gate, server) = (ConnectionGate::default(), Server::spawn().await);
         let transport = transport(&gate);
-        gate.admit_before(Instant::now() + Duration::from_secs(60));
-        server.call(&transport).await.unwrap();
-        let later = gate.wait_for_connection();
+        let begun = Instant::now();
+        let (first, ()) = tokio::join!(server.call(&transport), async {
+            gate.wait_for_connection().await;
+            tokio::time::sleep(Duration::from_millis(2)).await;
+            admit(&gate, begun, Instant::now());
+        });
+        first.unwrap();
         server.call(&transport).await.unwrap();
         assert_eq!(server.calls(), 2);
-        let held_back = tokio::time::timeout(Duration::from_millis(20), later).await;
-        assert!(held_back.is_err(), "a connection was held back");
-    }
-
-    /// Guards against a gate that closes again when an earlier confirmation arrives after a later one.
-    an_earlier_admission_has_no_effect {
-        let (gate, server) = (ConnectionGate::closed(), Server::spawn().await);
-        gate.admit_before(Instant::now() + Duration::from_secs(60));
-        gate.admit_before(Instant::now());
-        server.call(&transport(&gate)).await.unwrap();
     }
 }
--- a/crates/standin/src/site/executor.rs
+++ b/crates/standin/src/site/executor.rs
@@ -14,6 +14,7 @@
     state: SharedState,
     server: ServerHandle,
     cpu: u64,
+    kind: String,
 }
 
 impl Executor {
@@ -22,13 +23,19 @@
         id: &str,
         incarnation: u64,
         cpu: u64,
+        kind: &str,
         log: RunLog,
         address: SocketAddr,
     ) -> std::io::Result<Self> {
         let state = Arc::new(Mutex::new(ExecutorState::new(id, incarnation, cpu, log)));
         let router = executor_api::router(state.clone());
         let server = ServerHandle::bind(address, router, |_| None).await?;
-        Ok(Self { state, server, cpu })
+        Ok(Self {
+            state,
+            server,
+            cpu,
+            kind: kind.to_owned(),
+        })
     }
 
     pub(super) fn address(&self) -> SocketAddr {
@@ -50,7 +57,7 @@
             "state": "ready",
             "cold_left_ms": 0,
             "capacity": {"cpu": self.cpu, "mem_mb": 65_536, "gpu": 0},
-            "labels": ["a", "r1"],
+            "labels": [self.kind, "r1"],
             "born": lock(&self.state).incarnation,
             "sequence": 1,
         })
--- a/crates/standin/src/site/site_handle.rs
+++ b/crates/standin/src/site/site_handle.rs
@@ -16,6 +16,9 @@
 use crate::site::run_log::RunLog;
 use crate::site::store_listener::StoreListener;
 
+/// Kind of an executor unless another is set, which is the first of its labels.
+const DEFAULT_KIND: &str = "a";
+
 /// A running fake platform. Dropping the handle stops all its servers.
 #[derive(Debug)]
 pub struct SiteHandle {
@@ -145,7 +148,8 @@
         self.spawn_executor(with, cpu, address).await
     }
 
-    /// Restarts an executor as a new incarnation at the same address, without a new store entry, like one that is cut off from the store.
+    /// Restarts an executor as a new incarnation of a kind at the same address, without a new store entry, like one that is cut off from
+    /// the store.
     ///
     /// # Errors
     ///
@@ -154,10 +158,12 @@
         &mut self,
         id: &str,
         cpu: u64,
+        kind: &str,
     ) -> std::io::Result<()> {
         let address = self.address(id)?;
         self.crash_executor(id).await;
-        self.spawn_unregistered_executor(id, cpu, address).await
+        self.spawn_unregistered_executor(id, cpu, kind, address)
+            .await
     }
 
     fn address(&self, id: &str) -> std::io::Result<SocketAddr> {
@@ -172,7 +178,8 @@
         cpu: u64,
         address: SocketAddr,
     ) -> std::io::Result<()> {
-        self.spawn_unregistered_executor(id, cpu, address).await?;
+        self.spawn_unregistered_executor(id, cpu, DEFAULT_KIND, address)
+            .await?;
         self.put(&format!("servers/{id}"), &self.entry(id));
         Ok(())
     }
@@ -181,11 +188,12 @@
         &mut self,
         id: &str,
         cpu: u64,
+        kind: &str,
         address: SocketAddr,
     ) -> std::io::Result<()> {
         self.last_incarnation += 1;
-        let executor =
-            Executor::spawn(id, self.last_incarnation, cpu, self.log.clone(), address).await?;
+        let log = self.log.clone();
+        let executor = Executor::spawn(id, self.last_incarnation, cpu, kind, log, address).await?;
         self.executors.insert(id.to_owned(), executor);
         Ok(())
     }
