Order incarnations by the requests that they answer

Cause: incarnations were ordered by their number, which is a time of day. Evidence: two cases with the dispatcher alone, which failed before: a list with a lower number is ignored for good, and an entry with one causes no hold.

An answer to a request that was sent after the current incarnation was last named shows the later incarnation, whatever its number, and an answer to an earlier request ends no run. An entry with a lower number has the executor asked at once.

Tests: an_incarnation_with_a_lower_number_is_a_later_one and an_entry_with_a_lower_number_causes_a_hold failed before and pass.

--- a/crates/jobs/src/dispatch/hold.rs
+++ b/crates/jobs/src/dispatch/hold.rs
@@ -13,6 +13,7 @@
         let executor = core.fleet.get_mut(slot);
         executor.ends.advance(&core.write_queue);
         let is_first = executor.identity.listed_at().is_none();
+        let is_doubted = executor.identity.is_doubted();
         let is_empty = !executor.has_runs();
         let is_listed = executor.availability != Availability::Unlisted;
         let has_more =
@@ -26,7 +27,7 @@
         // An unresponsive executor gets no starts until it answers.
         let is_probed = executor.is_unresponsive && executor.availability == Availability::Ready;
         let is_due = !is_empty
-            || is_first && may_be_polled
+            || (is_first || is_doubted) && may_be_polled
             || has_more
             || has_unsent
             || is_outdated
@@ -42,10 +43,10 @@
         let may_ack = all_runs_attributed && !executor.is_unresponsive;
         let has_ack = has_unsent && may_ack;
         let is_blocked = awaits_record || executor.ends.is_listing() && !has_ack;
-        if is_blocked && !overdue && !is_first {
+        if is_blocked && !overdue && !is_first && !is_doubted {
             return HoldAction::AwaitRecord;
         }
-        let may_wait = !is_first && !has_more && !is_empty && !awaits_record;
+        let may_wait = !is_first && !is_doubted && !has_more && !is_empty && !awaits_record;
         // A hold that is not answered may take effect late. Granting a lease with each one would postpone the time at
         // which the runs there are known to have ended without limit.
         let lease_end_ms = match executor.is_unresponsive || !core.ownership.may_renew(&limits, now)
--- a/crates/jobs/src/fleet/executor_identity.rs
+++ b/crates/jobs/src/fleet/executor_identity.rs
@@ -5,8 +5,10 @@
 
 /// Incarnation of an executor that the owner counts on, with the evidence for it.
 ///
-/// A list is answered by the process itself. A registry entry describes the incarnation that it names: it may be the entry of an earlier
-/// one while the executor can't reach the registry, so what it says holds for no other incarnation.
+/// An answer comes from the process itself, so that of two answers the one to the later request shows which incarnation runs. Their numbers
+/// do not: they are times of day, and a later incarnation has a lower one if the clock was put back. A registry entry describes the
+/// incarnation that it names: it may be the entry of an earlier one while the executor can't reach the registry, so what it says
+/// holds for no other incarnation.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ExecutorIdentity {
     current: Option<Incarnation>,
@@ -16,8 +18,12 @@
     known_since: Timestamp,
     /// When the last request that the current incarnation has answered with its list was sent. It was running after that.
     asked_at: Timestamp,
+    /// When the current incarnation was last named, by an entry that was read or an answer that arrived.
+    named_at: Timestamp,
     /// When the last list of the current incarnation arrived.
     listed_at: Option<Timestamp>,
+    /// When a new entry named an incarnation that may be a later or an earlier one, unless an answer has come since.
+    doubted_at: Option<Timestamp>,
 }
 
 impl ExecutorIdentity {
@@ -42,6 +48,11 @@
         self.asked_at
     }
 
+    /// Returns true if the executor has to be asked for its list, because its entry suggests that it has restarted.
+    pub fn is_doubted(&self) -> bool {
+        self.doubted_at.is_some()
+    }
+
     /// Returns true if the registry entry describes the current incarnation. Otherwise its kind, rack and capacity are not known.
     pub fn is_described(&self) -> bool {
         self.described == self.current
@@ -53,11 +64,17 @@
         incarnation: Option<Incarnation>,
         now: Timestamp,
     ) -> IdentityChange {
-        self.described = incarnation;
-        match incarnation.is_none() || incarnation <= self.current {
-            true => IdentityChange::Unchanged,
-            false => self.name(incarnation, now),
+        let described = std::mem::replace(&mut self.described, incarnation);
+        // An entry that was read before says nothing new, and may be older than an answer since.
+        let is_new = incarnation.is_some() && incarnation != described;
+        if !is_new || incarnation == self.current {
+            return IdentityChange::Unchanged;
+        }
+        if incarnation < self.current {
+            self.doubted_at = Some(now);
+            return IdentityChange::Unchanged;
         }
+        self.name(incarnation, now)
     }
 
     /// Takes in the incarnation that has answered a request that was sent at `sent_at`.
@@ -67,14 +84,16 @@
         sent_at: Timestamp,
         now: Timestamp,
     ) -> IdentityChange {
-        if incarnation < self.current {
+        let change = if incarnation == self.current {
+            self.named_at = now;
+            IdentityChange::Unchanged
+        } else if incarnation.is_some() && sent_at >= self.named_at {
+            self.name(incarnation, now)
+        } else {
             return IdentityChange::Outdated;
-        }
-        let change = match incarnation == self.current {
-            true => IdentityChange::Unchanged,
-            false => self.name(incarnation, now),
         };
         self.asked_at = self.asked_at.max(sent_at);
+        self.doubted_at = self.doubted_at.filter(|at| sent_at < *at);
         change
     }
 
@@ -91,6 +110,7 @@
     fn name(&mut self, incarnation: Option<Incarnation>, now: Timestamp) -> IdentityChange {
         let earlier = std::mem::replace(&mut self.current, incarnation);
         self.known_since = now;
+        self.named_at = now;
         self.asked_at = Timestamp::default();
         match earlier {
             None => IdentityChange::First,
--- a/crates/jobs/src/run/run.rs
+++ b/crates/jobs/src/run/run.rs
@@ -34,10 +34,10 @@
         matches!(self.phase, RunPhase::Running { .. })
     }
 
-    /// Returns true if it ended with an incarnation before `incarnation`. A run without a known incarnation may be in
+    /// Returns true if it ended with its incarnation, because `current` runs now. A run without a known incarnation may be in
     /// either.
-    pub fn ended_before(&self, incarnation: Option<Incarnation>) -> bool {
-        self.incarnation.is_some() && self.incarnation < incarnation
+    pub fn ended_before(&self, current: Option<Incarnation>) -> bool {
+        self.incarnation.is_some() && self.incarnation != current
     }
 
     /// Returns true if it may be stopped to free resources for work of a queue with `rank`.
--- a/crates/jobs/tests/dispatch/restarts.rs
+++ b/crates/jobs/tests/dispatch/restarts.rs
@@ -4,10 +4,11 @@
 use lagoon_jobs::dispatch::{HoldAction, StartRequest};
 use lagoon_jobs::fleet::{ExecutorEntry, ExecutorSlot};
 use lagoon_jobs::id::{Incarnation, TaskKey};
+use lagoon_jobs::job::JobState;
 use lagoon_jobs::run::{EndedRun, Listing, RunOutcome, StartOutcome};
 use lagoon_jobs::spec::StepSpec;
 
-use crate::harness::{Harness, advice_requests, entry, listing, starts, step};
+use crate::harness::{Harness, advice_requests, end, entry, listing, starts, step};
 
 cases! {
     /// Guards against a second run beside one that the new incarnation confirmed before the registry names that
@@ -205,6 +206,72 @@
         harness.register("e1", 4, 2);
         assert!(!harness.dispatcher.may_send(&request, harness.now));
     }
+
+    /// Guards against an executor whose ends are never taken note of: its clock was put back while it was down, so that its later
+    /// incarnation has a lower number.
+    an_incarnation_with_a_lower_number_is_a_later_one {
+        let mut harness = Harness::with(&[("e1", 4)]);
+        let restart = |harness: &mut Harness, number, running: &[(TaskKey, u64)], ended| {
+            let sent_at = harness.now;
+            harness.advance(10);
+            let list = Listing {
+                incarnation: Some(Incarnation::new(number)),
+                ..listing(harness.now, running, ended)
+            };
+            harness.dispatcher.listed(ExecutorSlot::new(0), &list, sent_at, harness.now);
+            harness.register("e1", 4, number);
+        };
+        restart(&mut harness, 9, &[], vec![]);
+        harness.submit(1, "urgent", vec![step(1, 4)]);
+        let request = harness.start_all().remove(0);
+        harness.advance(10);
+        restart(&mut harness, 9, &[(request.task, request.number.get())], vec![]);
+        restart(&mut harness, 5, &[], vec![]);
+        let again = harness.start_all().remove(0);
+        assert_eq!(again.task, request.task);
+        let done = end(1, again.task, again.number.get(), RunOutcome::Done);
+        restart(&mut harness, 5, &[], vec![done]);
+        harness.record_all();
+        assert_eq!(harness.state(again.task.job()), JobState::Done);
+    }
+
+    /// Guards against an idle executor that stays closed for good after such a restart, because nobody asks it.
+    an_entry_with_a_lower_number_causes_a_hold {
+        let mut harness = Harness::with(&[("e1", 4)]);
+        let slot = ExecutorSlot::new(0);
+        harness.register("e1", 4, 9);
+        let list = Listing { incarnation: Some(Incarnation::new(9)), ..listing(harness.now, &[], vec![]) };
+        harness.dispatcher.listed(slot, &list, harness.now, harness.now);
+        assert!(matches!(harness.dispatcher.next_hold(slot, false, harness.now), HoldAction::Idle));
+        harness.register("e1", 4, 5);
+        let action = harness.dispatcher.next_hold(slot, false, harness.now);
+        assert!(matches!(&action, HoldAction::Hold(req) if req.wait == Millis::ZERO), "{action:?}");
+    }
+
+    /// Guards against runs that are lost because a list of an earlier incarnation arrives late, or its entry is read again.
+    a_late_list_of_an_earlier_incarnation_is_ignored {
+        let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
+        let early = harness.now;
+        harness.advance(10);
+        let list = |number, running: &[(TaskKey, u64)], now| Listing {
+            incarnation: Some(Incarnation::new(number)),
+            ..listing(now, running, vec![])
+        };
+        harness.register("e1", 4, 9);
+        harness.advance(10);
+        harness.dispatcher.listed(ExecutorSlot::new(0), &list(5, &[], harness.now), harness.now, harness.now);
+        harness.register("e1", 4, 5);
+        harness.submit(1, "urgent", vec![step(1, 4)]);
+        let request = harness.start_all().remove(0);
+        harness.advance(10);
+        let running = [(request.task, request.number.get())];
+        harness.dispatcher.listed(request.slot, &list(5, &running, harness.now), harness.now, harness.now);
+        harness.advance(10);
+        harness.dispatcher.listed(request.slot, &list(9, &[], harness.now), early, harness.now);
+        harness.register("e1", 4, 5);
+        assert!(starts(&harness.plan()).is_empty());
+        assert_eq!(harness.state(request.task.job()), JobState::Running);
+    }
 }
 
 fn requiring(label: &str) -> StepSpec {
--- a/crates/jobs/tests/dispatch/sim/fleet.rs
+++ b/crates/jobs/tests/dispatch/sim/fleet.rs
@@ -35,7 +35,8 @@
             true => kind.other(),
             false => kind,
         };
-        self.executors[i].restart(kind, self.now);
+        let is_put_back = self.rng.random_ratio(1, 5);
+        self.executors[i].restart(kind, is_put_back, self.now);
         let lag = Millis::new(self.rng.random_range(0..4_000));
         self.delayed
             .push((self.now.after(lag), DelayedEvent::Entry(i)));
@@ -45,7 +46,7 @@
     pub(super) fn restore_kinds(&mut self) {
         for i in 0..EXECUTORS {
             if self.executors[i].kind() != SimKind::A {
-                self.executors[i].restart(SimKind::A, self.now);
+                self.executors[i].restart(SimKind::A, false, self.now);
                 self.delayed.push((self.now, DelayedEvent::Entry(i)));
             }
         }
--- a/crates/jobs/tests/dispatch/sim_executor.rs
+++ b/crates/jobs/tests/dispatch/sim_executor.rs
@@ -11,6 +11,9 @@
 use crate::harness::entry;
 use crate::sim_kind::SimKind;
 
+/// Number of the first incarnation, which leaves room for lower ones.
+const FIRST_INCARNATION: u64 = 1_000;
+
 #[derive(Debug, Clone, Copy)]
 struct SimRun {
     number: RunNumber,
@@ -27,6 +30,8 @@
     cores: u64,
     max_lease: Millis,
     incarnation: u64,
+    /// Lowest and highest number of an incarnation so far.
+    used_incarnations: (u64, u64),
     kind: SimKind,
     started_at: Timestamp,
     fence: Epoch,
@@ -48,7 +53,8 @@
             id,
             cores,
             max_lease,
-            incarnation: 1,
+            incarnation: FIRST_INCARNATION,
+            used_incarnations: (FIRST_INCARNATION, FIRST_INCARNATION),
             kind: SimKind::A,
             started_at: now,
             fence: Epoch::new(0),
@@ -88,11 +94,15 @@
         now < self.mute_until
     }
 
-    /// Drops all state and begins a new incarnation of a kind.
-    pub(crate) fn restart(&mut self, kind: SimKind, now: Timestamp) {
+    /// Drops all state and begins a new incarnation of a kind, which has a lower number if the clock was put back.
+    pub(crate) fn restart(&mut self, kind: SimKind, is_put_back: bool, now: Timestamp) {
+        let (lowest, highest) = self.used_incarnations;
+        let incarnation = if is_put_back { lowest - 1 } else { highest + 1 };
+        let used_incarnations = (lowest.min(incarnation), highest.max(incarnation));
         let fresh = Self::new(self.id.clone(), self.cores, self.max_lease, now);
         *self = Self {
-            incarnation: self.incarnation + 1,
+            incarnation,
+            used_incarnations,
             kind,
             unresponsive_until: self.unresponsive_until,
             mute_until: self.mute_until,
