Ignore entries of known executors that name a service not configured

Cause: any well-formed entry with a later start time counted as a restart, and the executor's own lists were ignored from then on.

An entry of a known executor that names another service, which is not configured, says nothing about it any more. The executor counts as not listed until its own entry is back, and its runs go on. An executor whose first entry named another service is found under its own one once its own entry is read.

--- a/crates/jobs/src/dispatch/dispatcher.rs
+++ b/crates/jobs/src/dispatch/dispatcher.rs
@@ -36,7 +36,18 @@
     }
 
     /// Adds or updates an executor from its entry in the list of executors. Returns its slot and whether it is new.
+    ///
+    /// An entry of a known executor that names another service, which is not configured, is another writer's. It says nothing about the
+    /// executor, which counts as not listed until it writes its own entry again.
     pub fn observe(&mut self, entry: ExecutorEntry, now: Timestamp) -> (ExecutorSlot, bool) {
+        if let Some(slot) = self.core.fleet.slot(&entry.id)
+            && self.core.fleet.get(slot).entry.service != entry.service
+            && !self.core.policy.has_service(&entry.service)
+        {
+            tracing::warn!(executor = %entry.id, service = %entry.service, "dispatch: entry of an executor names a service that is not configured, the entry is ignored");
+            self.core.fleet.unlist(&entry.id);
+            return (slot, false);
+        }
         let incarnation = entry.incarnation;
         let (slot, is_new) = self.core.fleet.observe(entry);
         if is_new {
--- a/crates/jobs/src/fleet/fleet.rs
+++ b/crates/jobs/src/fleet/fleet.rs
@@ -20,17 +20,28 @@
     /// Adds or updates an executor from its registry entry. Returns its slot and whether the executor is new.
     pub fn observe(&mut self, entry: ExecutorEntry) -> (ExecutorSlot, bool) {
         if let Some(&slot) = self.by_id.get(&entry.id) {
+            let known = &self.executors[slot.index()].entry.service;
+            if *known != entry.service {
+                if let Some(of_service) = self.by_service.get_mut(known) {
+                    of_service.retain(|other| *other != slot);
+                }
+                self.add_to_service(&entry.service, slot);
+            }
             self.executors[slot.index()].update(entry);
             return (slot, false);
         }
         let slot = ExecutorSlot::new(self.executors.len() as u32);
         self.by_id.insert(entry.id.clone(), slot);
-        let of_service = self.by_service.entry(entry.service.clone()).or_default();
-        of_service.push(slot);
+        self.add_to_service(&entry.service, slot);
         self.executors.push(Executor::new(entry));
         (slot, true)
     }
 
+    fn add_to_service(&mut self, service: &ServiceName, slot: ExecutorSlot) {
+        let of_service = self.by_service.entry(service.clone()).or_default();
+        of_service.push(slot);
+    }
+
     /// Marks an executor as no longer in the registry. Returns its slot, or `None` if it is not known.
     pub fn unlist(&mut self, id: &ExecutorId) -> Option<ExecutorSlot> {
         let slot = *self.by_id.get(id)?;
--- a/crates/jobs/src/policy/cell_policy.rs
+++ b/crates/jobs/src/policy/cell_policy.rs
@@ -1,7 +1,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::id::QueueName;
+use crate::id::{QueueName, ServiceName};
 use crate::policy::{Queue, Service};
 
 /// One version of the operators' configuration of a cell.
@@ -47,6 +47,11 @@
         &self.services
     }
 
+    /// Returns true if the configuration names a service.
+    pub fn has_service(&self, name: &ServiceName) -> bool {
+        self.services.iter().any(|service| service.name == *name)
+    }
+
     /// Returns the queue with a name.
     pub fn queue(&self, name: &QueueName) -> Option<&Arc<Queue>> {
         self.by_name.get(name).map(|i| &self.queues[*i])
--- a/crates/jobs/tests/dispatch/restarts.rs
+++ b/crates/jobs/tests/dispatch/restarts.rs
@@ -8,7 +8,7 @@
 use lagoon_jobs::run::{EndedRun, Listing, RunOutcome, StartOutcome};
 use lagoon_jobs::spec::StepSpec;
 
-use crate::harness::{Harness, advice_requests, end, entry, listing, starts, step};
+use crate::harness::{Harness, advice_requests, end, entry, listing, recovering, starts, step};
 
 cases! {
     /// Guards against a second run beside one that the new incarnation confirmed before the registry names that
@@ -272,6 +272,44 @@
         assert!(starts(&harness.plan()).is_empty());
         assert_eq!(harness.state(request.task.job()), JobState::Running);
     }
+
+    /// Guards against a second run beside one that goes on: an entry of another writer with a later number counted as a restart of the
+    /// executor, whose own lists were ignored from then on.
+    an_entry_of_a_service_that_is_not_configured_ends_no_run {
+        let mut harness = Harness::with(&[("e1", 4), ("e2", 4)]);
+        harness.submit(1, "urgent", vec![step(1, 4)]);
+        let request = harness.start_all().remove(0);
+        let running = [(request.task, request.number.get())];
+        harness.list(request.slot.get(), &running, vec![]);
+        let foreign = ExecutorEntry {
+            service: "elsewhere".parse().unwrap(),
+            ..of_kind(request.executor.as_str(), "a", 9)
+        };
+        harness.dispatcher.observe(foreign, harness.now);
+        assert!(starts(&harness.plan()).is_empty());
+        harness.list(request.slot.get(), &running, vec![]);
+        harness.submit(2, "urgent", vec![step(2, 4)]);
+        assert_eq!(harness.start_all().len(), 1);
+        harness.ended(&request, RunOutcome::Done);
+        harness.register(request.executor.as_str(), 4, 1);
+        assert_eq!(harness.start_all().len(), 1);
+    }
+
+    /// Guards against an executor that a new owner never uses, because it has read such an entry first.
+    an_executor_is_used_once_its_own_entry_is_back {
+        let mut dispatcher = recovering(2, &[]);
+        let now = Timestamp::from_millis(1_000);
+        let foreign = ExecutorEntry { service: "elsewhere".parse().unwrap(), ..of_kind("e1", "a", 9) };
+        dispatcher.observe(foreign, now);
+        dispatcher.listed(ExecutorSlot::new(0), &listing(now, &[], vec![]), now, now);
+        let mut harness = Harness::serve(dispatcher);
+        harness.submit(1, "urgent", vec![step(1, 1)]);
+        assert!(starts(&harness.plan()).is_empty());
+        harness.register("e1", 4, 1);
+        harness.record_executors();
+        harness.list(0, &[], vec![]);
+        assert_eq!(starts(&harness.plan()).len(), 1);
+    }
 }
 
 fn requiring(label: &str) -> StepSpec {
