--- a/crates/jobs/tests/dispatch/main.rs
+++ b/crates/jobs/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod ends;
 mod gangs;
 mod harness;
+mod identities;
 mod late_requests;
 mod leases;
 mod locations;
