Decide about held back connections under the lock of the gate

Two decisions at the same time could each miss connections that the other had taken out of the list, so that these waited for the next confirmation, 0.3 s at most. Cancellations of unknown jobs are logged by the owner at debug level, because a client may send many.

--- a/crates/jobs/src/dispatch/cancel.rs
+++ b/crates/jobs/src/dispatch/cancel.rs
@@ -10,7 +10,7 @@
     pub fn cancel(&mut self, id: JobId, now: Timestamp) {
         let core = &mut self.core;
         if !core.jobs.is_known(id) {
-            tracing::info!(job = %id, "dispatch: job to cancel is not known, keeping its cancellation");
+            tracing::debug!(job = %id, "dispatch: job to cancel is not known, keeping its cancellation");
             core.pending_cancellations.insert(id, now);
             return;
         }
--- a/crates/jobs/src/fleet/executor_identity.rs
+++ b/crates/jobs/src/fleet/executor_identity.rs
@@ -22,7 +22,7 @@
     named_at: Timestamp,
     /// When the last list of the current incarnation arrived.
     listed_at: Option<Timestamp>,
-    /// When a new entry named an incarnation that may be a later or an earlier one, unless an answer has come since.
+    /// When a new entry with a lower number was read, unless the executor has answered a later request.
     doubted_at: Option<Timestamp>,
 }
 
--- a/crates/platform/src/transport/connection_gate.rs
+++ b/crates/platform/src/transport/connection_gate.rs
@@ -38,20 +38,18 @@
     }
 
     /// Decides about the connections that are held back. `decide` returns which connections to an address are admitted; without
-    /// that they stay held back.
+    /// that they stay held back. It is called under the lock of the gate.
     pub fn admit(&self, decide: impl Fn(SocketAddr) -> Option<Admission>) {
-        let waiting = std::mem::take(&mut *self.lock());
-        let mut undecided = Vec::new();
-        for w in waiting {
-            let decision = decide(w.connection.address).and_then(|a| a.decide(&w.connection));
-            match decision {
-                // The call may have been given up.
+        let mut waiting = self.lock();
+        for w in std::mem::take(&mut *waiting) {
+            let admission = decide(w.connection.address);
+            match admission.and_then(|admission| admission.decide(&w.connection)) {
+                // Sending fails if the call was given up.
                 Some(decision) => drop(w.decision.send(decision)),
                 None if w.decision.is_closed() => {}
-                None => undecided.push(w),
+                None => waiting.push(w),
             }
         }
-        self.lock().append(&mut undecided);
     }
 
     /// Waits until a connection is admitted.
