Let jobs that fit no executor take no searches for advice

Cause: a placement pass searches for executors to ask the adviser about for at most ten steps, and a step for which there is none took one of the searches in each pass. Evidence: two cases with the dispatcher alone, which failed before: no advice is requested for a job behind twelve that fit no executor.

A step whose tasks need more of a resource than any executor has free takes no search, and one whose search finds no executor is searched again after 50 ms at the earliest.

--- a/crates/jobs/src/advice/advice_table.rs
+++ b/crates/jobs/src/advice/advice_table.rs
@@ -51,6 +51,12 @@
         step.is_none_or(|step| !step.in_flight && now >= step.retry_at)
     }
 
+    /// Postpones the next request for a step.
+    pub fn postpone(&mut self, key: StepKey, until: Timestamp) {
+        let step = self.steps.entry(key).or_default();
+        step.retry_at = step.retry_at.max(until);
+    }
+
     /// Defers a request until it can start more tasks. Returns true once it has been deferred for too long.
     pub fn defer(&mut self, key: StepKey, now: Timestamp) -> bool {
         let step = self.steps.entry(key).or_default();
--- a/crates/jobs/src/advice/step_advice.rs
+++ b/crates/jobs/src/advice/step_advice.rs
@@ -21,7 +21,7 @@
     pub tentative: Vec<(ExecutorSlot, Resources)>,
     /// When the last response arrived.
     pub answered_at: Timestamp,
-    /// Earliest time of the next request, set after a failed one.
+    /// Earliest time of the next request, set after a failed one and after a search that found no executor.
     pub retry_at: Timestamp,
 }
 
--- a/crates/jobs/src/dispatch/pass.rs
+++ b/crates/jobs/src/dispatch/pass.rs
@@ -27,6 +27,8 @@
     reservations_left: usize,
     idle_reservations_left: usize,
     searches_left: u32,
+    /// Largest amount of each resource that is free on an executor at the beginning of the pass.
+    most_free: Resources,
     /// What gangs reserved in the last pass without starting.
     previous: GangReservations,
     reservations: GangReservations,
@@ -44,12 +46,15 @@
         now: Timestamp,
     ) -> Self {
         let reservations = free_capacity.len() / EXECUTORS_PER_RESERVATION;
+        let open = free_capacity.iter().filter(|c| c.open);
+        let most_free = open.fold(Resources::ZERO, |most, c| most.max(c.free));
         Self {
             now,
             free_capacity,
             reservations_left: reservations.max(MIN_RESERVATIONS),
             idle_reservations_left: MAX_IDLE_RESERVATIONS,
             searches_left: MAX_SEARCHES,
+            most_free,
             previous,
             reservations: GangReservations::default(),
             preemption: Preemption::Never,
@@ -132,8 +137,12 @@
         self.reservations_left > 0
     }
 
-    /// Takes one of the searches of this pass. Returns false if none is left.
-    pub(super) fn take_search(&mut self) -> bool {
+    /// Takes one of the searches of this pass, for a step whose tasks need `need`. Returns false if none is left, or if no executor
+    /// has as much free, so that a search would find none.
+    pub(super) fn take_search(&mut self, need: &Resources) -> bool {
+        if !need.fits_in(&self.most_free) {
+            return false;
+        }
         let is_available = self.searches_left > 0;
         self.searches_left = self.searches_left.saturating_sub(1);
         is_available
--- a/crates/jobs/src/dispatch/request_task_advice.rs
+++ b/crates/jobs/src/dispatch/request_task_advice.rs
@@ -1,4 +1,4 @@
-use lagoon_core::unit::Resources;
+use lagoon_core::unit::{Millis, Resources};
 use smallvec::SmallVec;
 
 use crate::dispatch::core::Core;
@@ -15,6 +15,10 @@
 /// tasks, because all endpoints together answer only a few dozen requests a second.
 const MAX_COST_PER_TASK_MS: f64 = 20.0;
 
+/// Delay after a search that found no executor with capacity for the step. Several passes with searches for other steps take place
+/// meanwhile, and urgent work that finds capacity later hardly waits.
+const SEARCH_RETRY: Millis = Millis::new(50);
+
 /// Executors to name, each with the number of tasks that are expected to start there.
 type NamedExecutors = SmallVec<[(ExecutorSlot, f64); 32]>;
 
@@ -31,11 +35,15 @@
         let Some(cost) = queue.advice else {
             return;
         };
-        if !self.may_request(key, queue, pass) || !pass.take_search() {
+        if !self.may_request(key, queue, pass) || !pass.take_search(&spec.reserved()) {
             return;
         }
         let named = self.executors_with_capacity(key, spec, queue, remaining, pass);
         let expected: f64 = named.iter().map(|(_, places)| places).sum();
+        if expected <= 0.0 {
+            // The next passes have searches for other steps.
+            return self.advice.postpone(key, pass.now.after(SEARCH_RETRY));
+        }
         let cost_ms = cost.of(named.len()).get() as f64;
         // A small fleet or a small step may never reach the number of tasks that pays for a request.
         let executors = self.fleet.of_service(&queue.service).len() as f64;
@@ -43,7 +51,7 @@
             f64::from(remaining).min(executors) * self.advice.approval_rate(&queue.name);
         let min_expected = (cost_ms / MAX_COST_PER_TASK_MS).min(max_expected);
         let is_worthwhile = expected >= min_expected || self.advice.defer(key, pass.now);
-        if expected > 0.0 && is_worthwhile {
+        if is_worthwhile {
             let need = spec.reserved();
             let tentative = |places: f64| need.checked_mul(places.ceil() as u32).unwrap_or(need);
             let named: Vec<(ExecutorSlot, Resources)> = named
--- a/crates/jobs/tests/dispatch/advice.rs
+++ b/crates/jobs/tests/dispatch/advice.rs
@@ -1,8 +1,10 @@
 //! Tests of requests to the adviser and of the use of its tickets.
 
+use lagoon_jobs::dispatch::Effect;
+use lagoon_jobs::id::JobId;
 use lagoon_jobs::spec::StepSpec;
 
-use crate::harness::{Harness, advice_requests, starts, step, stops};
+use crate::harness::{Harness, advice_requests, job_id, starts, step, stops};
 
 fn gang(count: u32, need: u64) -> StepSpec {
     StepSpec {
@@ -145,4 +147,34 @@
         harness.advise(&renewal, 1_500);
         assert_eq!(stops(&harness.plan()).len(), 8);
     }
+
+    /// Guards against work that waits for good behind jobs that fit no executor: they are tried first, and each used up one of the
+    /// searches for executors of every placement pass.
+    jobs_that_fit_no_executor_keep_no_others_from_starting {
+        let mut harness = Harness::with(&[("e1", 8), ("e2", 8)]);
+        for job in 1..=12 {
+            harness.submit(job, "advised", vec![step(1, 16)]);
+        }
+        harness.submit(13, "quick", vec![step(1, 1)]);
+        assert_eq!(requested_steps(&mut harness, 1), [job_id(13)]);
+    }
+
+    /// Guards against the same with jobs that require a label that no executor has.
+    jobs_without_a_suitable_executor_keep_no_others_from_starting {
+        let mut harness = Harness::with(&[("e1", 8), ("e2", 8)]);
+        for job in 1..=12 {
+            let requires = Some("absent".parse().unwrap());
+            harness.submit(job, "advised", vec![StepSpec { requires, ..step(1, 1) }]);
+        }
+        harness.submit(13, "quick", vec![step(1, 1)]);
+        assert_eq!(requested_steps(&mut harness, 3), [job_id(13)]);
+    }
+}
+
+/// Returns the jobs for which advice is requested within a number of passes.
+fn requested_steps(harness: &mut Harness, passes: usize) -> Vec<JobId> {
+    let effects = (0..passes).flat_map(|_| harness.plan());
+    let effects: Vec<Effect> = effects.collect();
+    let requests = advice_requests(&effects).into_iter();
+    requests.map(|request| request.step.job()).collect()
 }
