Count on no resources of long-running tasks for a gang

Cause: a gang reserves free resources where it would fit once the executors are empty, and what counted as empty included the resources of long-running tasks, which do not end. Evidence: a case with the dispatcher alone, which failed before.

Executors know how much long-running tasks use, and a gang counts on the capacity without that.

--- a/crates/jobs/src/dispatch/adopt.rs
+++ b/crates/jobs/src/dispatch/adopt.rs
@@ -53,6 +53,7 @@
         };
         let spec = job.step_spec(task.step());
         let need = spec.map(StepSpec::reserved).unwrap_or_default();
+        let is_long_running = job.is_long_running(task.step());
         let step = job.step_mut(task.step());
         let Some(step) = step.filter(|step| step.phase(task.index()) == Some(TaskPhase::Pending))
         else {
@@ -67,6 +68,7 @@
             number: active.number,
             slot,
             need,
+            is_long_running,
             phase: RunPhase::Running { since: now },
             requested_at: now,
             preemptible_rank,
--- a/crates/jobs/src/dispatch/plan.rs
+++ b/crates/jobs/src/dispatch/plan.rs
@@ -168,6 +168,7 @@
         let Some(job) = self.jobs.get_mut(task.job()) else {
             return false;
         };
+        let is_long_running = job.is_long_running(task.step());
         let payload = Arc::clone(job.record().spec().payload());
         let waited = now.since(job.record().accepted());
         let Some(step) = job.step_mut(task.step()) else {
@@ -204,6 +205,7 @@
             number,
             slot,
             need,
+            is_long_running,
             phase: RunPhase::Starting,
             requested_at: now,
             preemptible_rank,
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -7,6 +7,7 @@
     FreeCapacity, LeaseClock,
 };
 use crate::id::{Incarnation, Label, RunNumber, TaskKey};
+use crate::run::Run;
 
 /// State of one executor as known to the owner.
 #[derive(Debug, Clone)]
@@ -36,6 +37,8 @@
     /// The store holds a record of it, so that a later owner asks it for its runs even if its registry entry is gone.
     pub is_recorded: bool,
     reserved: Resources,
+    /// Part of the reserved resources that long-running tasks use.
+    long_running: Resources,
 }
 
 impl Executor {
@@ -54,6 +57,7 @@
             is_unresponsive: false,
             is_recorded: false,
             reserved: Resources::ZERO,
+            long_running: Resources::ZERO,
         }
     }
 
@@ -77,14 +81,21 @@
         self.has_listed_all = false;
     }
 
-    pub(crate) fn reserve(&mut self, task: TaskKey, need: Resources) {
-        self.tasks.insert(task);
-        self.reserved = self.reserved.saturating_add(need);
+    pub(crate) fn reserve(&mut self, run: &Run) {
+        self.tasks.insert(run.task);
+        self.reserved = self.reserved.saturating_add(run.need);
+        if run.is_long_running {
+            self.long_running = self.long_running.saturating_add(run.need);
+        }
     }
 
-    pub(crate) fn release(&mut self, task: TaskKey, need: Resources) {
-        if self.tasks.remove(&task) {
-            self.reserved = self.reserved.saturating_sub(need);
+    pub(crate) fn release(&mut self, run: &Run) {
+        if !self.tasks.remove(&run.task) {
+            return;
+        }
+        self.reserved = self.reserved.saturating_sub(run.need);
+        if run.is_long_running {
+            self.long_running = self.long_running.saturating_sub(run.need);
         }
     }
 
@@ -120,7 +131,7 @@
                 && self.is_recorded
                 && self.availability == Availability::Ready,
             free: self.entry.capacity.saturating_sub(self.reserved()),
-            capacity: self.entry.capacity,
+            when_idle: self.entry.capacity.saturating_sub(self.long_running),
         }
     }
 
--- a/crates/jobs/src/fleet/free_capacity.rs
+++ b/crates/jobs/src/fleet/free_capacity.rs
@@ -7,8 +7,8 @@
     pub open: bool,
     /// Resources that are not reserved by runs or by work that was placed earlier in the pass.
     pub free: Resources,
-    /// Total capacity, reserved or not.
-    pub capacity: Resources,
+    /// Resources that are free once all runs have ended that end by themselves.
+    pub when_idle: Resources,
 }
 
 impl FreeCapacity {
@@ -20,10 +20,10 @@
         }
     }
 
-    /// Returns how many tasks with the demand `need` fit if nothing else runs.
+    /// Returns how many tasks with the demand `need` fit once all runs have ended that end by themselves.
     pub fn fits_empty(&self, need: &Resources) -> u32 {
         match self.open {
-            true => quotient(&self.capacity, need),
+            true => quotient(&self.when_idle, need),
             false => 0,
         }
     }
--- a/crates/jobs/src/run/run.rs
+++ b/crates/jobs/src/run/run.rs
@@ -15,6 +15,8 @@
     pub slot: ExecutorSlot,
     /// Resources reserved for it on the executor.
     pub need: Resources,
+    /// Whether it runs until its job is cancelled.
+    pub is_long_running: bool,
     /// Phase of its life cycle.
     pub phase: RunPhase,
     /// When its start was requested.
--- a/crates/jobs/src/run/run_table.rs
+++ b/crates/jobs/src/run/run_table.rs
@@ -20,14 +20,14 @@
             "task {} already has a run",
             run.task
         );
-        fleet.get_mut(run.slot).reserve(run.task, run.need);
+        fleet.get_mut(run.slot).reserve(&run);
         self.runs.insert(run.task, run);
     }
 
     /// Removes the run of a task and releases its resources.
     pub fn remove(&mut self, task: TaskKey, fleet: &mut Fleet) -> Option<Run> {
         let run = self.runs.remove(&task)?;
-        fleet.get_mut(run.slot).release(task, run.need);
+        fleet.get_mut(run.slot).release(&run);
         Some(run)
     }
 
--- a/crates/jobs/tests/dispatch/gangs.rs
+++ b/crates/jobs/tests/dispatch/gangs.rs
@@ -4,7 +4,7 @@
 use lagoon_jobs::run::{RunOutcome, StartOutcome, StartRefusal};
 use lagoon_jobs::spec::StepSpec;
 
-use crate::harness::{Harness, entry, starts, step, stops};
+use crate::harness::{Harness, entry, job_id, starts, step, stops};
 
 fn gang(count: u32, need: u64) -> StepSpec {
     StepSpec {
@@ -130,4 +130,18 @@
         let single = started.iter().find(|start| start.task.job() == urgent).unwrap();
         assert_eq!(single.slot.get(), 3);
     }
+
+    /// Guards against work that waits for good behind a gang that fits only where nothing else runs: it reserved all free resources beside
+    /// a service, which does not end.
+    a_gang_reserves_nothing_that_long_running_tasks_keep_from_it {
+        let mut harness = Harness::with(&[("e1", 8), ("e2", 8)]);
+        let service = StepSpec { long_running: true, max_per_executor: Some(1), ..step(2, 4) };
+        harness.submit(1, "urgent", vec![service]);
+        assert_eq!(harness.start_all().len(), 2);
+        harness.submit(2, "urgent", vec![StepSpec { gang: true, ..step(2, 6) }]);
+        harness.submit(3, "bulk", vec![step(2, 1)]);
+        let started = harness.start_all();
+        let jobs: Vec<_> = started.iter().map(|req| req.task.job()).collect();
+        assert_eq!(jobs, [job_id(3), job_id(3)]);
+    }
 }
