Take the time of a start's outcome when its call ends

Cause: the age of the connection is taken when the call ends, and was compared with a time that was taken once the lock of the dispatcher was free. A connection that had been identified 3 ms after it was established could then count as established later.

The time is taken when the call ends, and the executor is asked 5 ms after the connection was established. There is no test of its own: the fault needs a busy lock.

--- a/crates/node/src/owner/effects.rs
+++ b/crates/node/src/owner/effects.rs
@@ -68,6 +68,8 @@
         true => cx.executors.start(&req).await,
         false => StartOutcome::Withheld,
     };
+    // The age of the connection in the outcome counts from now, not from when the lock is free.
+    let ended_at = cx.clock.now();
     let label = match outcome {
         StartOutcome::Started { .. } => "started",
         StartOutcome::Refused(_) => "refused",
@@ -76,8 +78,8 @@
         StartOutcome::Unknown { .. } => "unknown",
     };
     cx.metrics
-        .observe("executor.start", label, cx.clock.now().since(started_at));
-    shard.change(|dispatcher| dispatcher.started(&req, outcome, cx.clock.now()));
+        .observe("executor.start", label, ended_at.since(started_at));
+    shard.change(|dispatcher| dispatcher.started(&req, outcome, ended_at));
     // A hold may be waiting to learn which incarnation of the executor has this run.
     shard.waker(req.slot).notify_one();
 }
--- a/crates/node/src/owner/identify_executors.rs
+++ b/crates/node/src/owner/identify_executors.rs
@@ -13,8 +13,8 @@
 use crate::owner::Shard;
 
 /// Delay after which an executor is asked, and the ownership confirmed, for a new connection. A request that is sent within the error
-/// with which the times of both are compared would not count as sent later.
-const REQUEST_DELAY: Duration = Duration::from_millis(3);
+/// with which the times of both are compared, up to 2 ms and the time until a result is handled, would not count as sent later.
+const REQUEST_DELAY: Duration = Duration::from_millis(5);
 
 /// Asks the executors to which new connections for starts lead for their incarnation, until the task is aborted.
 pub(super) async fn run(cx: Context, shard: Arc<Shard>) {
