Restore the check that an earlier confirmation excludes no connection

The decision is the dispatcher's now, so the check is there: it fails if either the confirmation or the answer of an earlier request replaces that of a later one (both tried).

--- a/crates/jobs/tests/dispatch/identities.rs
+++ b/crates/jobs/tests/dispatch/identities.rs
@@ -152,6 +152,21 @@
         harness.list(0, &[], vec![]);
         assert_eq!(starts(&harness.plan()).len(), 1);
     }
+
+    /// Guards against connections for starts that are held back again when an earlier confirmation of the ownership, or an answer to an
+    /// earlier request, arrives after a later one.
+    an_earlier_confirmation_or_answer_excludes_no_connection {
+        let mut harness = Harness::with(&[("e1", 4)]);
+        let address = entry("e1", 4).address;
+        let early = harness.now;
+        harness.advance(100);
+        harness.list(0, &[], vec![]);
+        let allowed = harness.dispatcher.start_connections(address).unwrap();
+        assert!(allowed.established_before > early);
+        harness.dispatcher.confirm_ownership(early);
+        harness.dispatcher.identified(ExecutorSlot::new(0), Some(Incarnation::new(1)), early, harness.now);
+        assert_eq!(harness.dispatcher.start_connections(address), Some(allowed));
+    }
 }
 
 fn requiring(label: &str) -> StepSpec {
