--- a/tests/harness/child.rs
+++ b/tests/harness/child.rs
@@ -54,6 +54,11 @@
         Ok(line)
     }
 
+    /// Returns the process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Sends a signal to this process, not to its group.
     pub(crate) fn signal(&self, signal: Signal) -> Result<(), BoxError> {
         Ok(kill_process(Pid::from_child(&self.process), signal)?)
--- a/tests/harness/daemon.rs
+++ b/tests/harness/daemon.rs
@@ -69,6 +69,11 @@
         Ok(())
     }
 
+    /// Returns the process id, or `None` before the process is started.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns true while the process runs.
     pub(crate) fn is_running(&mut self) -> bool {
         let child = self.child.as_mut();
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -15,6 +15,7 @@
 mod faults;
 mod load;
 mod log_tails;
+mod node;
 mod outcome;
 mod platform;
 mod response;
@@ -34,6 +35,7 @@
     eventually::eventually,
     faults::Faults,
     load::{Load, Outcomes, count_succeeded},
+    node::Node,
     outcome::Outcome,
     platform::{Counts, Platform},
     response::Response,
--- a/tests/soak/node.rs
+++ b/tests/harness/node.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Returns the process id, or `None` before the process is started.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal to the process, if it was started.
     pub(crate) fn signal(&self, signal: Signal) -> Result<(), BoxError> {
         match &self.child {
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -14,6 +14,11 @@
 }
 
 #[path = "../harness/mod.rs"]
+#[expect(
+    dead_code,
+    unused_imports,
+    reason = "the proofs need neither nodes nor process ids"
+)]
 mod harness;
 
 mod domain_faults;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,17 +10,12 @@
 //! `LAGOON_SOAK_SEEDS=1..50 cargo test --release --test soak fresh_seeds -- --ignored --nocapture`.
 
 #[path = "../harness/mod.rs"]
-#[expect(
-    dead_code,
-    unused_imports,
-    reason = "the soak needs only the child processes"
-)]
+#[expect(dead_code, unused_imports, reason = "the soak needs only the nodes")]
 mod harness;
 
 mod caller;
 mod event;
 mod guarantees;
-mod node;
 mod plan;
 mod proxy;
 mod run;
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -8,8 +8,7 @@
 use crate::caller::{Caller, Job};
 use crate::event::Event;
 use crate::guarantees::{check_always, check_finished};
-use crate::harness::BoxError;
-use crate::node::Node;
+use crate::harness::{BoxError, Node};
 use crate::plan::{FAULT_TIME, plan};
 use crate::proxy::Proxy;
 
