Let ordinary requests of the crowd tests take their time

Beside other load (load average 18) a test of this kind failed with status 0. Traced: the client of the stand-in gives up after 1 s, so the tests depended on the speed of the machine. The check is the same, an ordinary request is answered with 200, now within a minute. The test, node_unread_responses, then passed beside the same load.

--- a/crates/standin/src/site/site_client.rs
+++ b/crates/standin/src/site/site_client.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use axum::http::Method;
+use lagoon_core::unit::Millis;
 use lagoon_platform::{Call, ClientSettings, Endpoint, Transport};
 use serde_json::Value;
 
@@ -22,6 +23,17 @@
 }
 
 impl SiteClient {
+    /// Creates a client that waits up to `timeout` for a response.
+    pub fn with_timeout(timeout: Millis) -> Self {
+        let settings = ClientSettings {
+            request_timeout: timeout,
+            ..ClientSettings::default()
+        };
+        Self {
+            transport: Transport::new(settings),
+        }
+    }
+
     /// Sends a request to a node and returns the status and body, or 0 and null without a response.
     pub async fn call(
         &self,
--- a/tests/crowds/listener.rs
+++ b/tests/crowds/listener.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use hyper::Method;
+use lagoon_core::unit::Millis;
 use lagoon_standin::site::{SiteClient, SiteHandle};
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -10,6 +11,8 @@
 use crate::usage::Usage;
 
 const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Far above the time of an ordinary request, so that the tests pass on a busy machine.
+const ANSWER_TIMEOUT: Millis = Millis::new(60_000);
 const NODE_JOB: &str = "/plain/00000000000000a1";
 const CROWD_JOB: &str = "/plain/00000000000000c1";
 const GATEWAY_REQUESTS: &str = "/v1/requests";
@@ -93,7 +96,7 @@
         let address = self.address();
         let status = match self {
             Self::Node { .. } => {
-                let client = SiteClient::default();
+                let client = SiteClient::with_timeout(ANSWER_TIMEOUT);
                 let answer = client.call(address, Method::POST, NODE_JOB, Some(&body));
                 answer.await.0
             }
