Limit the read buffer of a connection to 32 KiB

What callers saw: 500 clients that sent heads without end made a node grow by 67 to 102 MB and a gateway by 86 to 126 MB; a few hundred more end a process on an entry host. Cause: the HTTP library reads up to about 400 KiB for each connection before it refuses a head, and keeps a buffer of that size for bodies too. The limit was never set. Why it works: a head of more than 32 KiB is refused with 431, so no connection buffers more. 16 KiB, which HTTP libraries send at most, are still served (test *_serves_long_head, passed before and after).

--- a/crates/process/src/server/connections.rs
+++ b/crates/process/src/server/connections.rs
@@ -8,6 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::server::Limits;
+use crate::server::limits::MAX_HEAD;
 use crate::shutdown::Signal;
 
 /// Delay after a failed accept, which usually means that the process has run out of file descriptors.
@@ -54,6 +55,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.read_timeout.to_duration())
+            .max_buf_size(MAX_HEAD.get() as usize)
             .serve_connection(TokioIo::new(stream), service);
         let connection = self.graceful.watch(connection);
         tokio::spawn(async move {
--- a/crates/process/src/server/limits.rs
+++ b/crates/process/src/server/limits.rs
@@ -1,5 +1,8 @@
 use lagoon_core::unit::{Bytes, Millis};
 
+/// Largest head of a request, which is also the read buffer of a connection. Longer heads are refused with 431.
+pub(super) const MAX_HEAD: Bytes = Bytes::new(32 << 10);
+
 /// Limits on incoming requests.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
