Limit the memory of request heads and bodies

What callers saw: 500 clients that send bodies of 256 KiB, at once, in pieces or chunked, and stop just short of their end made a node grow by 275 to 298 MB and a gateway by 252 to 291 MB. Cause: the limit of a body applied to each connection alone, nothing bounded the sum. The read buffer took as much again. Why it works: heads over 8 KiB and bodies over 8 KiB reserve their memory from `request_memory` (8 MiB) of the listener. When it is used up, the connection whose incomplete request has held memory longest is closed, and the new request waits until that memory is given back. An ordinary request is complete within a round trip, so it is never the oldest one, and bodies up to 8 KiB reserve nothing. A request that is being processed is never closed; if all memory belongs to such requests, or the new one is the oldest, it is refused with 503 and a time for the retry, and never reaches the handler. Bodies are kept in buffers that are used again, apart from smaller allocations. At most 8 KiB are read at once.

--- a/crates/admin/src/admin.rs
+++ b/crates/admin/src/admin.rs
@@ -45,6 +45,7 @@
         let limits = Limits {
             max_body: settings.max_body,
             read_timeout: settings.read_timeout,
+            ..Limits::default()
         };
         let server = Server::bind(settings.listen, limits)
             .await?
--- a/crates/gateway/src/api/submission.rs
+++ b/crates/gateway/src/api/submission.rs
@@ -12,6 +12,7 @@
 use lagoon_core::work::Outcome;
 use lagoon_core::{Refusal, ResultCode};
 use lagoon_process::answer::ErrorBody;
+use lagoon_process::server::GuardedBody;
 use lagoon_wire::{convert, v1};
 use serde_json::json;
 
@@ -24,7 +25,7 @@
 use crate::api::request_body::RequestBody;
 use crate::api::{Api, ApiError};
 use crate::forward::{Client, RetryPolicy, Target};
-use crate::limit::{PermitBody, TeamPermit};
+use crate::limit::TeamPermit;
 
 /// Submission in state `S`.
 struct Submission<S> {
@@ -224,7 +225,7 @@
             Outcome::Refused(refusal) => ErrorBody::response(&refusal),
             outcome => Json(OutcomeView::from(outcome)).into_response(),
         };
-        PermitBody::attach(response, permit)
+        GuardedBody::attach(response, permit)
     }
 }
 
@@ -239,7 +240,7 @@
         let mut body = json!(view);
         body["repeated"] = json!(response.repeated);
         let response = (StatusCode::OK, Json(body)).into_response();
-        Ok(PermitBody::attach(response, permit))
+        Ok(GuardedBody::attach(response, permit))
     }
 }
 
--- a/crates/gateway/src/limit/limit_layer.rs
+++ b/crates/gateway/src/limit/limit_layer.rs
@@ -5,9 +5,9 @@
 use axum::extract::Request;
 use axum::middleware::{Next, from_fn};
 use lagoon_process::answer::ErrorBody;
-use lagoon_process::server::{Limits, discard_body};
+use lagoon_process::server::{GuardedBody, Limits, discard_body};
 
-use crate::limit::{InFlightLimiter, PermitBody};
+use crate::limit::InFlightLimiter;
 
 /// Paths for operators, which must also be served under overload.
 const EXEMPT_PATHS: [&str; 3] = ["/healthz", "/readyz", "/metrics"];
@@ -25,7 +25,7 @@
                 return next.run(req).await;
             }
             match in_flight.acquire() {
-                Ok(permit) => PermitBody::attach(next.run(req).await, permit),
+                Ok(permit) => GuardedBody::attach(next.run(req).await, permit),
                 Err(refusal) => {
                     discard_body(req.into_body(), limits).await;
                     ErrorBody::response(&refusal)
--- a/crates/gateway/src/limit/mod.rs
+++ b/crates/gateway/src/limit/mod.rs
@@ -6,10 +6,9 @@
 mod in_flight_limiter;
 mod limit_layer;
 mod permit;
-mod permit_body;
 mod team_permit;
 
 pub(crate) use self::{
     in_flight_limiter::InFlightLimiter, limit_layer::limit_requests, permit::Permit,
-    permit_body::PermitBody, team_permit::TeamPermit,
+    team_permit::TeamPermit,
 };
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -3,6 +3,7 @@
 use lagoon_core::unit::{Bytes, Millis};
 use lagoon_process::logging::LogSettings;
 use lagoon_process::metrics::MetricsSettings;
+use lagoon_process::server::Limits;
 use lagoon_process::settings::{Address, Checked, Problems, text};
 use serde::Deserialize;
 
@@ -33,6 +34,9 @@
     /// Largest accepted request body.
     #[serde(default = "default_max_body", deserialize_with = "text")]
     pub max_body: Bytes,
+    /// Memory for the heads and bodies of all requests.
+    #[serde(default = "default_request_memory", deserialize_with = "text")]
+    pub request_memory: Bytes,
     /// Time limit for the header of a request to arrive completely, and again for the body.
     #[serde(default = "default_read_timeout", deserialize_with = "text")]
     pub read_timeout: Millis,
@@ -77,6 +81,11 @@
         for (key, value) in positive {
             problems.require(value > 0, key, "more than zero");
         }
+        problems.require(
+            self.request_memory >= self.max_body,
+            "request_memory",
+            "at least `max_body`",
+        );
         let share_in_range = (Percent::new(1)..=Percent::FULL).contains(&self.team_in_flight_share);
         problems.require(share_in_range, "team_in_flight_share", "from 1% to 100%");
         if let Some(tokens) = &self.tokens {
@@ -102,6 +111,10 @@
     Bytes::new(1 << 20)
 }
 
+fn default_request_memory() -> Bytes {
+    Limits::default().request_memory
+}
+
 fn default_read_timeout() -> Millis {
     Millis::new(10_000)
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,15 +20,15 @@
 use crate::settings::LimitSettings;
 use crate::{NodeSettings, cell, operator, policy};
 
-/// Limits for connections of callers. The platform's largest body is 256 KiB.
-const CALLER_LIMITS: Limits = Limits {
-    max_body: Bytes::new(256 << 10),
-    read_timeout: Millis::new(15_000),
-};
+/// Largest body of a caller that the platform allows.
+pub(crate) const MAX_CALLER_BODY: Bytes = Bytes::new(256 << 10);
+/// Time limit for reading from a client.
+const READ_TIMEOUT: Millis = Millis::new(15_000);
 /// Limits for the readiness and metrics endpoints.
 const SMALL_LIMITS: Limits = Limits {
     max_body: Bytes::new(4 << 10),
-    read_timeout: Millis::new(15_000),
+    read_timeout: READ_TIMEOUT,
+    request_memory: Bytes::new(1 << 20),
 };
 /// Part of the grace period in which the platform still sends new connections; it stops after two failed readiness checks.
 const DRAIN_DELAY: Millis = Millis::new(2_300);
@@ -71,7 +71,12 @@
                 .merge(operator::router(cx.clone(), shard_handle.clone())),
         );
         let job_api = Arc::new(JobApi::new(cx.clone(), shard_handle.clone()));
-        let callers = Server::bind(listen.callers, CALLER_LIMITS)
+        let limits = Limits {
+            max_body: MAX_CALLER_BODY,
+            read_timeout: READ_TIMEOUT,
+            request_memory: cx.settings.request_memory,
+        };
+        let callers = Server::bind(listen.callers, limits)
             .await?
             .with_metrics(cx.metrics.clone())
             .serve(api::router(job_api));
--- a/crates/node/src/settings/node_settings.rs
+++ b/crates/node/src/settings/node_settings.rs
@@ -1,10 +1,11 @@
 use lagoon_core::id::FailureDomain;
-use lagoon_core::unit::Millis;
+use lagoon_core::unit::{Bytes, Millis};
 use lagoon_jobs::id::MemberId;
 use lagoon_process::logging::LogSettings;
 use lagoon_process::settings::{Address, Checked, Problems, text};
 use serde::Deserialize;
 
+use crate::node::MAX_CALLER_BODY;
 use crate::settings::{LimitSettings, ListenSettings};
 
 /// Settings of a node.
@@ -27,6 +28,9 @@
     pub adviser: Address,
     /// Times that the platform prescribes.
     pub(crate) limits: LimitSettings,
+    /// Memory for the heads and bodies of all requests of callers.
+    #[serde(default = "default_request_memory", deserialize_with = "text")]
+    pub(crate) request_memory: Bytes,
     /// Format and level of the log.
     #[serde(default)]
     pub log: LogSettings,
@@ -46,6 +50,15 @@
             "limits.grace",
             "a time above 0",
         );
+        problems.require(
+            self.request_memory >= MAX_CALLER_BODY,
+            "request_memory",
+            "at least 256KiB, the largest body of a caller",
+        );
         problems.check_nested("log", &self.log);
     }
 }
+
+const fn default_request_memory() -> Bytes {
+    Bytes::new(8 << 20)
+}
--- a/crates/process/src/reference/gateway.rs
+++ b/crates/process/src/reference/gateway.rs
@@ -15,6 +15,8 @@
         "Schedulers to contact first, from each failure domain that idempotency keys may name. The others are discovered from their responses.";
     "max_body": "size", "1MiB", "above 0B", "Maximum size of a request body.";
     "read_timeout": "duration", "10s", "above 0ms", "Time allowed to receive the complete header of a request, and then again its complete body.";
+    "request_memory": "size", "8MiB", "at least `max_body`",
+        "Memory for the heads and bodies of all requests, beside 8KiB of each. Beyond it, the connection whose incomplete request has held memory longest is closed, and a request is refused as `overloaded` if there is none.";
     "request_timeout": "duration", "1m", "above 0ms", "Time allowed to answer a request, including retries.";
     "drain_wait": "duration", "5s", "any", "On shutdown, time between reporting not ready and closing the listener.";
     "max_in_flight": "number", "10000", "from 1 on",
--- a/crates/process/src/server/close_log.rs
+++ b/crates/process/src/server/close_log.rs
@@ -35,6 +35,7 @@
     pub(super) fn record(&self, reason: CloseReason) {
         let metrics = &self.metrics;
         match reason {
+            CloseReason::RequestMemory => metrics.count("connections.closed_for_memory", 1),
             CloseReason::EmptyLines => metrics.count("connections.closed_empty_lines", 1),
         }
         if let Some(count) = self.count_to_log(reason) {
--- a/crates/process/src/server/connections.rs
+++ b/crates/process/src/server/connections.rs
@@ -5,12 +5,13 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::server::Limits;
 use crate::server::client_stream::ClientStream;
-use crate::server::close_log::CloseLog;
+use crate::server::connection::Connection;
+use crate::server::connection_service::ConnectionService;
+use crate::server::connection_table::ConnectionTable;
 use crate::server::limits::MAX_HEAD;
 use crate::shutdown::Signal;
 
@@ -21,16 +22,16 @@
 pub(super) struct Connections {
     router: Router,
     limits: Limits,
-    log: Arc<CloseLog>,
+    table: Arc<ConnectionTable>,
     graceful: GracefulShutdown,
 }
 
 impl Connections {
-    pub(super) fn new(router: Router, limits: Limits, log: CloseLog) -> Self {
+    pub(super) fn new(router: Router, limits: Limits, table: ConnectionTable) -> Self {
         Self {
             router,
             limits,
-            log: Arc::new(log),
+            table: Arc::new(table),
             graceful: GracefulShutdown::new(),
         }
     }
@@ -40,7 +41,12 @@
         loop {
             tokio::select! {
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.spawn_connection(stream),
+                    Ok((stream, _)) => {
+                        self.spawn_connection(stream);
+                        // Lets other threads take the connection: the allocator keeps memory for each thread, and one that
+                        // served a whole crowd would keep that of all its connections.
+                        tokio::task::yield_now().await;
+                    }
                     Err(e) => {
                         tracing::warn!("process: accepting a connection failed, retrying in {ACCEPT_RETRY_DELAY:?}: {e}");
                         tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -56,17 +62,23 @@
     fn spawn_connection(&self, stream: TcpStream) {
         // Responses are small and written at once, so Nagle's algorithm only adds latency.
         let _ = stream.set_nodelay(true);
-        let stream = ClientStream::new(stream, self.log.clone());
-        let service = TowerToHyperService::new(self.router.clone());
-        let connection = http1::Builder::new()
+        let read_timeout = self.limits.read_timeout.to_duration();
+        let (connection, closed) = Connection::open(self.table.clone());
+        let service = ConnectionService::new(self.router.clone(), connection.clone());
+        let stream = ClientStream::new(stream, connection);
+        let served = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(self.limits.read_timeout.to_duration())
+            .header_read_timeout(read_timeout)
             .max_buf_size(MAX_HEAD.get() as usize)
             .serve_connection(TokioIo::new(stream), service);
-        let connection = self.graceful.watch(connection);
+        let served = self.graceful.watch(served);
         tokio::spawn(async move {
-            if let Err(e) = connection.await {
-                tracing::debug!("process: connection closed with an error: {e}");
+            // Dropping the connection closes it.
+            tokio::select! {
+                outcome = served => if let Err(e) = outcome {
+                    tracing::debug!("process: connection closed with an error: {e}");
+                },
+                Ok(reason) = closed => tracing::debug!("process: connection closed: {reason}"),
             }
         });
     }
--- a/crates/gateway/src/limit/permit_body.rs
+++ b/crates/process/src/server/guarded_body.rs
@@ -5,26 +5,26 @@
 use axum::response::Response;
 use hyper::body::{Frame, SizeHint};
 
-/// Response body that holds a permit until it is written, because a response to a slow reader still takes memory.
+/// Response body that holds a guard until it is written, because a response to a slow reader still takes memory.
 #[derive(Debug)]
-pub(crate) struct PermitBody<P> {
+pub struct GuardedBody<G> {
     body: Body,
-    _permit: P,
+    _guard: G,
 }
 
-impl<P: Unpin + Send + 'static> PermitBody<P> {
-    /// Attaches `permit` to the body of `response`.
-    pub(crate) fn attach(response: Response, permit: P) -> Response {
+impl<G: Unpin + Send + 'static> GuardedBody<G> {
+    /// Attaches `guard` to the body of `response`.
+    pub fn attach(response: Response, guard: G) -> Response {
         response.map(|body| {
             Body::new(Self {
                 body,
-                _permit: permit,
+                _guard: guard,
             })
         })
     }
 }
 
-impl<P: Unpin> HttpBody for PermitBody<P> {
+impl<G: Unpin> HttpBody for GuardedBody<G> {
     type Data = Bytes;
     type Error = axum::Error;
 
--- a/crates/process/src/server/limits.rs
+++ b/crates/process/src/server/limits.rs
@@ -2,14 +2,19 @@
 
 /// Largest head of a request, which is also the read buffer of a connection. Longer heads are refused with 431.
 pub(super) const MAX_HEAD: Bytes = Bytes::new(32 << 10);
+/// Memory of a request that takes no part of [`Limits::request_memory`], so that ordinary requests are served while that
+/// memory is used up.
+pub(super) const UNRESERVED: Bytes = Bytes::new(8 << 10);
 
-/// Limits on incoming requests.
+/// Limits on the connections and requests of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
     /// Maximum size of a body.
     pub max_body: Bytes,
     /// Time allowed to receive the complete header, and then again the complete body.
     pub read_timeout: Millis,
+    /// Maximum memory for the heads and bodies of all requests, beside a fixed part for each connection.
+    pub request_memory: Bytes,
 }
 
 impl Default for Limits {
@@ -17,6 +22,7 @@
         Self {
             max_body: Bytes::new(1 << 20),
             read_timeout: Millis::new(10_000),
+            request_memory: Bytes::new(8 << 20),
         }
     }
 }
--- a/crates/process/src/server/mod.rs
+++ b/crates/process/src/server/mod.rs
@@ -2,12 +2,26 @@
 //! bound server can start to serve, and a draining one can't serve again; stopping consumes it.
 
 mod body;
+mod body_buffer;
+mod body_pools;
+mod buffer_memory;
+mod buffer_pool;
 mod client_stream;
 mod close_log;
 mod close_reason;
+mod connection;
+mod connection_entry;
+mod connection_id;
+mod connection_service;
+mod connection_shard;
+mod connection_table;
 mod connections;
+mod exchange;
+mod guarded_body;
 mod limits;
+mod reserved_memory;
 mod state;
+mod whole_body;
 
 use std::net::SocketAddr;
 
@@ -17,10 +31,11 @@
 
 pub use self::{
     body::discard as discard_body,
+    guarded_body::GuardedBody,
     limits::Limits,
     state::{Bound, Draining, Serving},
 };
-use self::{close_log::CloseLog, connections::Connections};
+use self::{connection_table::ConnectionTable, connections::Connections};
 use crate::settings::Address;
 use crate::shutdown::Signal;
 use crate::{Metrics, RunError};
@@ -81,7 +96,8 @@
         } = self.state;
         let (stop, stopped) = Signal::manual();
         let router = outer(body::with_body_limits(router, limits));
-        let connections = Connections::new(router, limits, CloseLog::new(metrics));
+        let table = ConnectionTable::new(limits.request_memory, metrics);
+        let connections = Connections::new(router, limits, table);
         let task = tokio::spawn(connections.run(listener, stopped));
         Server {
             address: self.address,
--- a/crates/process/tests/clients.rs
+++ b/crates/process/tests/clients.rs
@@ -1,15 +1,20 @@
-//! Clients outside the limits of a server.
+//! Clients outside the limits of a server: which connection gives way, what is refused, and how much work they cause.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use axum::Router;
 use axum::body::Bytes;
 use axum::routing::post;
+use lagoon_core::unit::{Bytes as Size, Millis};
 use lagoon_process::Metrics;
 use lagoon_process::server::{Limits, Server, Serving};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+const TIMEOUT: Duration = Duration::from_secs(60);
 const HEAD: &str = "POST / HTTP/1.1\r\nhost: x\r\n";
 
 /// Server with a handler that returns the size of the body.
@@ -21,7 +26,10 @@
 impl TestServer {
     async fn start(limits: Limits) -> Self {
         let count = |body: Bytes| async move { body.len().to_string() };
-        let router = Router::new().route("/", post(count));
+        Self::with_router(limits, Router::new().route("/", post(count))).await
+    }
+
+    async fn with_router(limits: Limits, router: Router) -> Self {
         let metrics = Metrics::default();
         let any = "127.0.0.1:0".parse().unwrap();
         let server = Server::bind(any, limits).await.unwrap();
@@ -42,12 +50,38 @@
     fn metric(&self, name: &str) -> u64 {
         self.metrics.snapshot().get(name).copied().unwrap_or(0)
     }
+
+    /// Waits until a metric has reached a value.
+    async fn wait_for(&self, name: &str, value: u64) {
+        let reached = async {
+            while self.metric(name) != value {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let in_time = tokio::time::timeout(TIMEOUT, reached).await.is_ok();
+        let now = self.metric(name);
+        assert!(in_time, "{name} is {now}, expected {value}");
+    }
+}
+
+fn limits() -> Limits {
+    Limits {
+        max_body: Size::new(256 << 10),
+        read_timeout: Millis::new(20_000),
+        request_memory: Size::new(256 << 10),
+    }
 }
 
 fn request(body: &str) -> String {
     format!("{HEAD}content-length: {}\r\n\r\n{body}", body.len())
 }
 
+/// Returns a request of `size` bytes without its last ones.
+fn incomplete(size: usize) -> String {
+    let body = "a".repeat(size - 10);
+    format!("{HEAD}content-length: {size}\r\n\r\n{body}")
+}
+
 /// Reads a response whose body ends with `end`.
 async fn expect_response(stream: &mut TcpStream, status: &str, end: &str) {
     let mut answer = Vec::new();
@@ -72,9 +106,78 @@
 }
 
 cases! {
+    /// Guards against bodies just short of their end that hold all memory for requests.
+    body_replaces_oldest_body {
+        let server = TestServer::start(limits()).await;
+        let mut oldest = server.connect(&incomplete(200 << 10)).await;
+        server.wait_for("connections.request_bytes", 208 << 10).await;
+        let mut caller = server.connect(&request(&"a".repeat(100 << 10))).await;
+        expect_response(&mut caller, "200", "102400").await;
+        assert!(is_closed(&mut oldest).await);
+        assert_eq!(server.metric("connections.closed_for_memory"), 1);
+    }
+
+    /// Guards against an ordinary request that waits for memory, or takes it from others.
+    small_body_needs_no_memory {
+        let server = TestServer::start(limits()).await;
+        let _holder = server.connect(&incomplete(200 << 10)).await;
+        server.wait_for("connections.request_bytes", 208 << 10).await;
+        let mut caller = server.connect(&request(&"a".repeat(8 << 10))).await;
+        expect_response(&mut caller, "200", "8192").await;
+        assert_eq!(server.metric("connections.closed_for_memory"), 0);
+    }
+
+    /// Guards against a request in progress that is cut off, and against a refusal without a time for the retry.
+    processed_requests_keep_memory {
+        let (tx, mut begun) = mpsc::channel(1);
+        let (release, released) = tokio::sync::watch::channel(false);
+        let handler = move |body: Bytes| {
+            let (tx, mut released) = (tx.clone(), released.clone());
+            async move {
+                tx.send(()).await.unwrap();
+                released.wait_for(|released| *released).await.unwrap();
+                body.len().to_string()
+            }
+        };
+        let router = Router::new().route("/", post(handler));
+        let server = TestServer::with_router(limits(), router).await;
+        let mut processed = server.connect(&request(&"a".repeat(200 << 10))).await;
+        begun.recv().await.unwrap();
+        let mut caller = server.connect(&request(&"a".repeat(200 << 10))).await;
+        expect_response(&mut caller, "503", r#""retry_after_ms":1000}"#).await;
+        release.send_replace(true);
+        expect_response(&mut processed, "200", "204800").await;
+        server.wait_for("connections.request_bytes", 0).await;
+    }
+
+    /// Guards against memory that is not given back when a client disconnects, times out or is refused.
+    memory_is_given_back {
+        let limits = Limits { read_timeout: Millis::new(200), ..limits() };
+        let server = TestServer::start(limits).await;
+        drop(server.connect(&incomplete(100 << 10)).await);
+        let mut slow = server.connect(&incomplete(100 << 10)).await;
+        expect_response(&mut slow, "408", "}").await;
+        let mut large = server.connect(&request(&"a".repeat(300 << 10))).await;
+        expect_response(&mut large, "413", "}").await;
+        server.wait_for("connections.request_bytes", 0).await;
+        drop((slow, large));
+        server.wait_for("connections.open", 0).await;
+    }
+
+    /// Guards against heads of earlier requests that are counted on a connection that stays open.
+    kept_connection_reserves_nothing {
+        let server = TestServer::start(limits()).await;
+        let mut caller = server.connect("").await;
+        for _ in 0..300 {
+            caller.write_all(request("four").as_bytes()).await.unwrap();
+            expect_response(&mut caller, "200", "4").await;
+        }
+        assert_eq!(server.metric("connections.request_bytes"), 0);
+    }
+
     /// Guards against empty lines without end, which the HTTP library accepts before a request.
     empty_lines_end_the_connection {
-        let server = TestServer::start(Limits::default()).await;
+        let server = TestServer::start(limits()).await;
         let mut stream = server.connect(&"\r\n".repeat(600)).await;
         assert!(is_closed(&mut stream).await);
         assert_eq!(server.metric("connections.closed_empty_lines"), 1);
