Pace small chunks of bodies

What callers saw: clients that send bodies in chunks of one byte take a processor core: 50 of them cost a node (release build) 9.8 s of processor time in 14 s. Cause: a chunk costs about as much time whatever its size, 0.7 us a chunk here, and nothing bounded the number of chunks. Why it works: chunks under 64 bytes are read at 32,000 a second from all clients of a listener together, in the order in which their readers ask. The number of one largest body is read at once after a calm time, so a single body in chunks of one byte is served as before (tests *_serves_small_chunks), and so is a body with fewer than 256 of them beside a crowd. The test small_chunks_are_paced checks that four bodies of 65,536 chunks take the 6.1 s that the pace allows.

--- a/crates/process/src/server/body.rs
+++ b/crates/process/src/server/body.rs
@@ -14,26 +14,36 @@
 use crate::server::body_pools::BodyPools;
 use crate::server::connection::Connection;
 use crate::server::exchange::{Exchange, Receiving};
+use crate::server::limits::SMALL_CHUNK_RATE;
+use crate::server::small_chunk_pacer::SmallChunkPacer;
 use crate::server::{GuardedBody, Limits};
 
 /// Multiple of the limit up to which an oversized body is read and discarded. Closing a connection with unread data
 /// resets it, and the client would lose the response.
 const DISCARD_LIMIT_FACTOR: u64 = 4;
+/// Size below which a chunk is paced.
+const SMALL_CHUNK: usize = 64;
+/// Number of small chunks that are admitted together. Requests with fewer are not delayed.
+const SMALL_CHUNKS_ADMITTED: u32 = 256;
 /// Delay that a client is told whose body finds no memory. Most requests end within a second.
 const RETRY_AFTER: Millis = Millis::new(1_000);
 
 /// Adds a layer that reads the whole body, within `limits`, before the router handles the request.
 pub(super) fn with_body_limits(router: Router, limits: Limits) -> Router {
+    let pacer = Arc::new(SmallChunkPacer::new(
+        SMALL_CHUNK_RATE,
+        limits.max_body.get(),
+    ));
     let pools = Arc::new(BodyPools::new(limits));
     let read_first = move |mut req: Request, next: Next| {
-        let pools = pools.clone();
+        let (pacer, pools) = (pacer.clone(), pools.clone());
         async move {
             let connection = req.extensions_mut().remove::<Arc<Connection>>();
             let connection = connection.expect("the server adds its connection to each request");
             let mut exchange = Exchange::begin(connection);
             let (parts, body) = req.into_parts();
             let buf = BodyBuffer::new(body.size_hint().exact(), pools);
-            match read_all(body, buf, limits, &mut exchange).await {
+            match read_all(body, buf, limits, &mut exchange, &pacer).await {
                 Ok(bytes) => {
                     let exchange = exchange.complete();
                     let req = Request::from_parts(parts, Body::from(bytes));
@@ -51,6 +61,7 @@
     buf: BodyBuffer,
     limits: Limits,
     exchange: &mut Exchange<Receiving>,
+    pacer: &SmallChunkPacer,
 ) -> Result<Bytes, Refusal> {
     let timed_out = || {
         let message = format!(
@@ -60,7 +71,7 @@
         Refusal::new(ResultCode::ReadTimeout, message)
     };
     let wait = limits.read_timeout.to_duration();
-    timeout(wait, read_whole(body, buf, limits, exchange))
+    timeout(wait, read_whole(body, buf, limits, exchange, pacer))
         .await
         .map_err(|_| timed_out())?
 }
@@ -70,9 +81,11 @@
     mut buf: BodyBuffer,
     limits: Limits,
     exchange: &mut Exchange<Receiving>,
+    pacer: &SmallChunkPacer,
 ) -> Result<Bytes, Refusal> {
     let max = limits.max_body.get();
     let mut size: u64 = 0;
+    let mut small_chunks = 0;
     while let Some(frame) = body.frame().await {
         let truncated = |_| Refusal::new(ResultCode::Malformed, "the request body was truncated");
         let Ok(data) = frame.map_err(truncated)?.into_data() else {
@@ -92,6 +105,13 @@
             return Err(Refusal::new(ResultCode::Overloaded, message).retry_after(RETRY_AFTER));
         }
         buf.push(&data);
+        if data.len() < SMALL_CHUNK {
+            small_chunks += 1;
+            if small_chunks == SMALL_CHUNKS_ADMITTED {
+                small_chunks = 0;
+                pacer.admit(SMALL_CHUNKS_ADMITTED).await;
+            }
+        }
     }
     Ok(buf.into_bytes())
 }
--- a/crates/process/src/server/limits.rs
+++ b/crates/process/src/server/limits.rs
@@ -1,10 +1,13 @@
-use lagoon_core::unit::{Bytes, Millis};
+use lagoon_core::unit::{Bytes, Millis, Rate};
 
 /// Largest head of a request, which is also the read buffer of a connection. Longer heads are refused with 431.
 pub(super) const MAX_HEAD: Bytes = Bytes::new(32 << 10);
 /// Memory of a request that takes no part of [`Limits::request_memory`], so that ordinary requests are served while that
 /// memory is used up.
 pub(super) const UNRESERVED: Bytes = Bytes::new(8 << 10);
+/// Rate at which small chunks are read from all connections together. Each takes as much processor time as a chunk of
+/// ordinary size.
+pub(super) const SMALL_CHUNK_RATE: Rate = Rate::per_second(32_000);
 
 /// Limits on the connections and requests of a server.
 #[derive(Debug, Clone, Copy)]
--- a/crates/process/src/server/mod.rs
+++ b/crates/process/src/server/mod.rs
@@ -20,6 +20,7 @@
 mod guarded_body;
 mod limits;
 mod reserved_memory;
+mod small_chunk_pacer;
 mod state;
 mod whole_body;
 
--- a/crates/process/tests/clients.rs
+++ b/crates/process/tests/clients.rs
@@ -1,7 +1,7 @@
 //! Clients outside the limits of a server: which connection gives way, what is refused, and how much work they cause.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use axum::Router;
 use axum::body::Bytes;
@@ -185,4 +185,25 @@
         let mut caller = server.connect(&text).await;
         expect_response(&mut caller, "200", "4").await;
     }
+
+    /// Guards against chunks of one byte that take as much processor time as their sender likes. One body passes at once,
+    /// three more at 32,000 chunks a second take 6.1 s.
+    small_chunks_are_paced {
+        let limits = Limits { max_body: Size::new(64 << 10), ..limits() };
+        let server = TestServer::start(limits).await;
+        let chunks = "1\r\na\r\n".repeat(64 << 10);
+        let text = format!("{HEAD}transfer-encoding: chunked\r\n\r\n{chunks}0\r\n\r\n");
+        let started = Instant::now();
+        let mut calls = tokio::task::JoinSet::new();
+        for _ in 0..4 {
+            let (address, text) = (server.address(), text.clone());
+            calls.spawn(async move {
+                let mut stream = TcpStream::connect(address).await.unwrap();
+                stream.write_all(text.as_bytes()).await.unwrap();
+                expect_response(&mut stream, "200", "65536").await;
+            });
+        }
+        calls.join_all().await;
+        assert!(started.elapsed() >= Duration::from_secs(6));
+    }
 }
