Limit the open connections of a server

Cause: connections of callers could take all descriptors, and then accept and the calls to the store fail. Why it works: a listener has at most `max_connections` open (1,500 for callers of a node, 10,000 for a gateway), and at most a third of the descriptors of the process: a request may need another one for a call to the store, the rest is for the process itself. At the limit the connection whose client has kept the server waiting longest is closed for a new one, so that a crowd can't keep others out. Connections that have been answered and new ones are told apart and the larger group gives way, so that neither drives the other out. A new connection is refused only if all others are processing requests.

--- a/crates/dev/src/cluster/dev_settings.rs
+++ b/crates/dev/src/cluster/dev_settings.rs
@@ -104,6 +104,7 @@
         schedulers,
         max_body: Bytes::new(1 << 20),
         read_timeout: Millis::new(5_000),
+        max_connections: 1_000,
         request_memory: Bytes::new(8 << 20),
         request_timeout: Millis::new(30_000),
         drain_wait: Millis::new(100),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -42,6 +42,7 @@
         let limits = Limits {
             max_body: settings.max_body,
             read_timeout: settings.read_timeout,
+            max_connections: settings.max_connections,
             request_memory: settings.request_memory,
         };
         let server = Server::bind(settings.listen, limits)
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -34,6 +34,9 @@
     /// Largest accepted request body.
     #[serde(default = "default_max_body", deserialize_with = "text")]
     pub max_body: Bytes,
+    /// Maximum number of open connections.
+    #[serde(default = "default_max_connections")]
+    pub max_connections: u32,
     /// Memory for the heads and bodies of all requests.
     #[serde(default = "default_request_memory", deserialize_with = "text")]
     pub request_memory: Bytes,
@@ -77,6 +80,7 @@
             ("read_timeout", self.read_timeout.get()),
             ("request_timeout", self.request_timeout.get()),
             ("max_in_flight", self.max_in_flight),
+            ("max_connections", self.max_connections.into()),
         ];
         for (key, value) in positive {
             problems.require(value > 0, key, "more than zero");
@@ -111,6 +115,10 @@
     Bytes::new(1 << 20)
 }
 
+fn default_max_connections() -> u32 {
+    Limits::default().max_connections
+}
+
 fn default_request_memory() -> Bytes {
     Limits::default().request_memory
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,6 +28,7 @@
 const SMALL_LIMITS: Limits = Limits {
     max_body: Bytes::new(4 << 10),
     read_timeout: READ_TIMEOUT,
+    max_connections: 100,
     request_memory: Bytes::new(1 << 20),
 };
 /// Part of the grace period in which the platform still sends new connections; it stops after two failed readiness checks.
@@ -74,6 +75,7 @@
         let limits = Limits {
             max_body: MAX_CALLER_BODY,
             read_timeout: READ_TIMEOUT,
+            max_connections: cx.settings.max_connections,
             request_memory: cx.settings.request_memory,
         };
         let callers = Server::bind(listen.callers, limits)
--- a/crates/node/src/settings/node_settings.rs
+++ b/crates/node/src/settings/node_settings.rs
@@ -28,6 +28,9 @@
     pub adviser: Address,
     /// Times that the platform prescribes.
     pub(crate) limits: LimitSettings,
+    /// Maximum number of open connections of callers.
+    #[serde(default = "default_max_connections")]
+    pub(crate) max_connections: u32,
     /// Memory for the heads and bodies of all requests of callers.
     #[serde(default = "default_request_memory", deserialize_with = "text")]
     pub(crate) request_memory: Bytes,
@@ -50,6 +53,11 @@
             "limits.grace",
             "a time above 0",
         );
+        problems.require(
+            self.max_connections > 0,
+            "max_connections",
+            "more than zero",
+        );
         problems.require(
             self.request_memory >= MAX_CALLER_BODY,
             "request_memory",
@@ -59,6 +67,10 @@
     }
 }
 
+const fn default_max_connections() -> u32 {
+    1_500
+}
+
 const fn default_request_memory() -> Bytes {
     Bytes::new(8 << 20)
 }
--- a/crates/process/src/reference/gateway.rs
+++ b/crates/process/src/reference/gateway.rs
@@ -15,6 +15,8 @@
         "Schedulers to contact first, from each failure domain that idempotency keys may name. The others are discovered from their responses.";
     "max_body": "size", "1MiB", "above 0B", "Maximum size of a request body.";
     "read_timeout": "duration", "10s", "above 0ms", "Time allowed to receive the complete header of a request, and then again its complete body.";
+    "max_connections": "number", "10000", "from 1 on",
+        "Maximum number of open connections, and at most a third of the descriptors that the process may open. Beyond it, the connection whose client has kept the gateway waiting longest is closed for a new one.";
     "request_memory": "size", "8MiB", "at least `max_body`",
         "Memory for the heads and bodies of all requests, beside 8KiB of each. Beyond it, the connection whose incomplete request has held memory longest is closed, and a request is refused as `overloaded` if there is none.";
     "request_timeout": "duration", "1m", "above 0ms", "Time allowed to answer a request, including retries.";
--- a/crates/process/src/reference/node.rs
+++ b/crates/process/src/reference/node.rs
@@ -19,6 +19,8 @@
     "limits.retention": "duration", required, "any", "Retention time of the final states of jobs.";
     "limits.grace": "duration", required, "above 0ms", "Time from the shutdown request until the process is killed.";
     "limits.min_store_lease": "duration", required, "any", "Minimum lease that the store grants.";
+    "max_connections": "number", "1500", "from 1 on",
+        "Maximum number of open connections of callers, and at most a third of the descriptors that the process may open. Beyond it, the connection whose client has kept the node waiting longest is closed for a new one.";
     "request_memory": "size", "8MiB", "at least 256KiB",
         "Memory for the heads and bodies of all requests of callers, beside 8KiB of each. Beyond it, the connection whose incomplete request has held memory longest is closed, and a request is refused with 503 if there is none.";
     "log": "mapping", "{}", "any", "Logging to standard output.";
--- a/crates/process/src/server/close_log.rs
+++ b/crates/process/src/server/close_log.rs
@@ -35,6 +35,8 @@
     pub(super) fn record(&self, reason: CloseReason) {
         let metrics = &self.metrics;
         match reason {
+            CloseReason::ConnectionLimit => metrics.count("connections.closed_for_new", 1),
+            CloseReason::AllBusy => metrics.count("connections.refused", 1),
             CloseReason::RequestMemory => metrics.count("connections.closed_for_memory", 1),
             CloseReason::EmptyLines => metrics.count("connections.closed_empty_lines", 1),
         }
--- a/crates/process/src/server/connection.rs
+++ b/crates/process/src/server/connection.rs
@@ -8,6 +8,7 @@
 use crate::server::close_reason::CloseReason;
 use crate::server::connection_id::ConnectionId;
 use crate::server::connection_table::ConnectionTable;
+use crate::server::standing::Standing;
 
 /// Open connection. Dropping the last handle removes it from the table.
 #[derive(Debug)]
@@ -61,11 +62,14 @@
     }
 
     /// Records that the response to a request has been written, or that the request has been abandoned.
-    pub(super) fn end_request(&self) {
+    pub(super) fn end_request(&self, standing: Standing) {
         self.reads_head.store(true, Ordering::Release);
         self.table.update(self.id, |entry| {
             entry.waits_for_client = true;
             entry.since = Instant::now();
+            if standing == Standing::Served {
+                entry.standing = Standing::Served;
+            }
         });
     }
 
--- a/crates/process/src/server/connection_entry.rs
+++ b/crates/process/src/server/connection_entry.rs
@@ -3,10 +3,12 @@
 use tokio::time::Instant;
 
 use crate::server::close_reason::CloseReason;
+use crate::server::standing::Standing;
 
 /// State of an open connection.
 #[derive(Debug)]
 pub(super) struct ConnectionEntry {
+    pub(super) standing: Standing,
     /// Whether the server waits for the client, to send a request or to read a response. Only such connections may be
     /// closed.
     pub(super) waits_for_client: bool,
@@ -21,6 +23,7 @@
 impl ConnectionEntry {
     pub(super) fn new(since: Instant, close: oneshot::Sender<CloseReason>) -> Self {
         Self {
+            standing: Standing::New,
             waits_for_client: true,
             since,
             reserved: Bytes::ZERO,
--- a/crates/process/src/server/connection_shard.rs
+++ b/crates/process/src/server/connection_shard.rs
@@ -5,6 +5,7 @@
 
 use crate::server::connection_entry::ConnectionEntry;
 use crate::server::connection_id::ConnectionId;
+use crate::server::standing::Standing;
 
 /// Connections in the order in which they are closed.
 pub(super) type ClosingOrder = BTreeSet<(Instant, ConnectionId)>;
@@ -13,6 +14,10 @@
 #[derive(Debug, Default)]
 pub(super) struct ConnectionShard {
     entries: HashMap<ConnectionId, ConnectionEntry>,
+    /// Connections without a served request for whose clients the server waits.
+    new: ClosingOrder,
+    /// Connections with a served request for whose clients the server waits.
+    served: ClosingOrder,
     /// Connections with reserved memory for whose clients the server waits.
     holding: ClosingOrder,
 }
@@ -37,18 +42,37 @@
         }
     }
 
+    /// Returns the connections of a standing that may be closed.
+    pub(super) fn waiting(&self, standing: Standing) -> &ClosingOrder {
+        match standing {
+            Standing::New => &self.new,
+            Standing::Served => &self.served,
+        }
+    }
+
     /// Returns the connections that may be closed to free memory.
     pub(super) fn holding(&self) -> &ClosingOrder {
         &self.holding
     }
 
     fn link(&mut self, id: ConnectionId, entry: &ConnectionEntry) {
-        if entry.waits_for_client && entry.reserved > Bytes::ZERO {
+        if !entry.waits_for_client {
+            return;
+        }
+        let order = match entry.standing {
+            Standing::New => &mut self.new,
+            Standing::Served => &mut self.served,
+        };
+        order.insert((entry.since, id));
+        if entry.reserved > Bytes::ZERO {
             self.holding.insert((entry.since, id));
         }
     }
 
     fn unlink(&mut self, id: ConnectionId, entry: &ConnectionEntry) {
-        self.holding.remove(&(entry.since, id));
+        let key = (entry.since, id);
+        self.new.remove(&key);
+        self.served.remove(&key);
+        self.holding.remove(&key);
     }
 }
--- a/crates/process/src/server/connection_table.rs
+++ b/crates/process/src/server/connection_table.rs
@@ -10,7 +10,8 @@
 use crate::server::close_reason::CloseReason;
 use crate::server::connection_entry::ConnectionEntry;
 use crate::server::connection_id::ConnectionId;
-use crate::server::connection_shard::ConnectionShard;
+use crate::server::connection_shard::{ClosingOrder, ConnectionShard};
+use crate::server::standing::Standing;
 
 const SHARDS: usize = 16;
 /// Unit in which memory is reserved.
@@ -18,7 +19,8 @@
 
 /// Open connections of a server and the memory of their requests.
 ///
-/// When the memory reaches its limit, the connection whose client has kept the server waiting longest is closed. An ordinary request is complete within a round trip, so it is never the oldest for long.
+/// When the memory or the number of connections reaches its limit, the connection whose client has kept the server
+/// waiting longest is closed. An ordinary request is complete within a round trip, so it is never the oldest for long.
 #[derive(Debug)]
 pub(super) struct ConnectionTable {
     shards: [Mutex<ConnectionShard>; SHARDS],
@@ -98,6 +100,17 @@
         self.publish_reserved();
     }
 
+    /// Closes the connection that has kept the server waiting longest, within the larger group by standing. Returns
+    /// false if the server waits for no client.
+    pub(super) fn make_room(&self) -> bool {
+        while let Some(id) = self.oldest_of_larger_group() {
+            if self.close(id, CloseReason::ConnectionLimit).is_some() {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Returns the log of closed connections.
     pub(super) fn log(&self) -> &CloseLog {
         &self.log
@@ -108,7 +121,7 @@
     fn close_holders(&self, requester: ConnectionId, amount: Bytes) -> bool {
         let mut freed = Bytes::ZERO;
         while freed < amount {
-            let oldest = self.oldest_holder();
+            let oldest = self.oldest(ConnectionShard::holding).0;
             let Some(id) = oldest.filter(|id| *id != requester) else {
                 return false;
             };
@@ -128,17 +141,33 @@
         Some(entry.reserved)
     }
 
-    /// Returns the connection that has held memory longest.
-    fn oldest_holder(&self) -> Option<ConnectionId> {
+    fn oldest_of_larger_group(&self) -> Option<ConnectionId> {
+        let (new, new_count) = self.oldest(|shard| shard.waiting(Standing::New));
+        let (served, served_count) = self.oldest(|shard| shard.waiting(Standing::Served));
+        if new_count >= served_count {
+            new
+        } else {
+            served
+        }
+    }
+
+    /// Returns the oldest connection of an order over all shards, and the number of connections in it.
+    fn oldest(
+        &self,
+        order: impl Fn(&ConnectionShard) -> &ClosingOrder,
+    ) -> (Option<ConnectionId>, usize) {
         let mut oldest = None;
+        let mut count = 0;
         for shard in &self.shards {
-            let first = lock(shard).holding().first().copied();
-            oldest = match (oldest, first) {
+            let shard = lock(shard);
+            let order = order(&shard);
+            count += order.len();
+            oldest = match (oldest, order.first().copied()) {
                 (Some(a), Some(b)) => Some(std::cmp::min(a, b)),
                 (a, b) => a.or(b),
             };
         }
-        oldest.map(|(_, id)| id)
+        (oldest.map(|(_, id)| id), count)
     }
 
     fn publish_reserved(&self) {
--- a/crates/process/src/server/connections.rs
+++ b/crates/process/src/server/connections.rs
@@ -6,9 +6,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::server::Limits;
 use crate::server::client_stream::ClientStream;
+use crate::server::close_reason::CloseReason;
 use crate::server::connection::Connection;
 use crate::server::connection_service::ConnectionService;
 use crate::server::connection_table::ConnectionTable;
@@ -23,15 +25,19 @@
     router: Router,
     limits: Limits,
     table: Arc<ConnectionTable>,
+    /// One permit for each further connection, held until its descriptor is closed.
+    slots: Arc<Semaphore>,
     graceful: GracefulShutdown,
 }
 
 impl Connections {
     pub(super) fn new(router: Router, limits: Limits, table: ConnectionTable) -> Self {
+        let slots = usize::try_from(limits.max_connections).unwrap_or(Semaphore::MAX_PERMITS);
         Self {
             router,
             limits,
             table: Arc::new(table),
+            slots: Arc::new(Semaphore::new(slots)),
             graceful: GracefulShutdown::new(),
         }
     }
@@ -42,7 +48,7 @@
             tokio::select! {
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => {
-                        self.spawn_connection(stream);
+                        self.admit(stream).await;
                         // Lets other threads take the connection: the allocator keeps memory for each thread, and one that
                         // served a whole crowd would keep that of all its connections.
                         tokio::task::yield_now().await;
@@ -59,7 +65,24 @@
         self.graceful.shutdown().await;
     }
 
-    fn spawn_connection(&self, stream: TcpStream) {
+    /// Serves a new connection, for which another one is closed if the limit is reached. New callers must get in while
+    /// a crowd holds all connections.
+    async fn admit(&self, stream: TcpStream) {
+        let slot = match self.slots.clone().try_acquire_owned() {
+            Ok(slot) => slot,
+            Err(_) if self.table.make_room() => {
+                let freed = self.slots.clone().acquire_owned();
+                freed.await.expect("the semaphore is never closed")
+            }
+            Err(_) => {
+                self.table.log().record(CloseReason::AllBusy);
+                return;
+            }
+        };
+        self.spawn_connection(stream, slot);
+    }
+
+    fn spawn_connection(&self, stream: TcpStream, slot: OwnedSemaphorePermit) {
         // Responses are small and written at once, so Nagle's algorithm only adds latency.
         let _ = stream.set_nodelay(true);
         let read_timeout = self.limits.read_timeout.to_duration();
@@ -80,6 +103,7 @@
                 },
                 Ok(reason) = closed => tracing::debug!("process: connection closed: {reason}"),
             }
+            drop(slot);
         });
     }
 }
--- a/crates/process/src/server/exchange.rs
+++ b/crates/process/src/server/exchange.rs
@@ -4,6 +4,7 @@
 
 use crate::server::connection::Connection;
 use crate::server::reserved_memory::ReservedMemory;
+use crate::server::standing::Standing;
 
 /// A request on a connection in state `S`, from the end of its head until its response is written.
 #[derive(Debug)]
@@ -24,6 +25,7 @@
 #[derive(Debug)]
 struct OpenExchange {
     connection: Arc<Connection>,
+    standing: Standing,
     memory: ReservedMemory,
 }
 
@@ -34,6 +36,7 @@
         let open = OpenExchange {
             memory: ReservedMemory::new(connection.clone()),
             connection,
+            standing: Standing::New,
         };
         let _state = Receiving;
         Self { open, _state }
@@ -46,7 +49,8 @@
 
     /// Ends the body. From now on the server no longer waits for the client.
     pub(super) fn complete(self) -> Exchange<Processing> {
-        let open = self.open;
+        let mut open = self.open;
+        open.standing = Standing::Served;
         open.connection.set_waits_for_client(false);
         let _state = Processing;
         Exchange { open, _state }
@@ -55,6 +59,6 @@
 
 impl Drop for OpenExchange {
     fn drop(&mut self) {
-        self.connection.end_request();
+        self.connection.end_request(self.standing);
     }
 }
--- a/crates/process/src/server/mod.rs
+++ b/crates/process/src/server/mod.rs
@@ -21,6 +21,7 @@
 mod limits;
 mod reserved_memory;
 mod small_chunk_pacer;
+mod standing;
 mod state;
 mod whole_body;
 
@@ -95,6 +96,7 @@
             limits,
             metrics,
         } = self.state;
+        let limits = limits.within_descriptors();
         let (stop, stopped) = Signal::manual();
         let router = outer(body::with_body_limits(router, limits));
         let table = ConnectionTable::new(limits.request_memory, metrics);
--- a/crates/process/tests/clients.rs
+++ b/crates/process/tests/clients.rs
@@ -68,6 +68,7 @@
     Limits {
         max_body: Size::new(256 << 10),
         read_timeout: Millis::new(20_000),
+        max_connections: 4,
         request_memory: Size::new(256 << 10),
     }
 }
@@ -106,6 +107,53 @@
 }
 
 cases! {
+    /// Guards against a crowd of silent connections that keeps new callers out.
+    new_connection_replaces_oldest {
+        let server = TestServer::start(limits()).await;
+        let mut silent = Vec::new();
+        for open in 1..=4 {
+            silent.push(server.connect("").await);
+            server.wait_for("connections.open", open).await;
+        }
+        let mut caller = server.connect(&request("four")).await;
+        expect_response(&mut caller, "200", "4").await;
+        assert!(is_closed(&mut silent[0]).await);
+        assert_eq!(server.metric("connections.closed_for_new"), 1);
+        assert_eq!(server.metric("connections.open"), 4);
+    }
+
+    /// Guards against a crowd of silent connections that drives out idle connections of ordinary callers.
+    served_connection_stays {
+        let server = TestServer::start(limits()).await;
+        let mut caller = server.connect(&request("four")).await;
+        expect_response(&mut caller, "200", "4").await;
+        let mut crowd = Vec::new();
+        for _ in 0..20 {
+            crowd.push(server.connect("").await);
+        }
+        server.wait_for("connections.closed_for_new", 17).await;
+        caller.write_all(request("three").as_bytes()).await.unwrap();
+        expect_response(&mut caller, "200", "5").await;
+    }
+
+    /// Guards against connections that a crowd got by one ordinary request each, and that keep new callers out.
+    served_connections_give_way {
+        let server = TestServer::start(limits()).await;
+        let mut crowd = Vec::new();
+        for _ in 0..4 {
+            let mut stream = server.connect(&request("a")).await;
+            expect_response(&mut stream, "200", "1").await;
+            crowd.push(stream);
+        }
+        let mut caller = server.connect("").await;
+        server.wait_for("connections.closed_for_new", 1).await;
+        let later = server.connect("").await;
+        server.wait_for("connections.closed_for_new", 2).await;
+        caller.write_all(request("four").as_bytes()).await.unwrap();
+        expect_response(&mut caller, "200", "4").await;
+        drop(later);
+    }
+
     /// Guards against bodies just short of their end that hold all memory for requests.
     body_replaces_oldest_body {
         let server = TestServer::start(limits()).await;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -23,6 +23,7 @@
 const HEALTH_LIMITS: Limits = Limits {
     max_body: Bytes::new(4 << 10),
     read_timeout: Millis::new(5_000),
+    max_connections: 100,
     request_memory: Bytes::new(1 << 20),
 };
 /// Calls in flight per connection. A gateway forwards all requests over one connection.
--- a/tests/crowds/kind.rs
+++ b/tests/crowds/kind.rs
@@ -32,6 +32,8 @@
     LargeChunks,
     /// A large body in chunks of one byte.
     SmallChunks,
+    /// Nothing at all.
+    Silent,
 }
 
 impl Kind {
@@ -67,6 +69,7 @@
             Self::BodyInPieces => Traffic::with_end(whole(), rest.to_vec().into()).in_pieces(1_000),
             Self::LargeChunks => Traffic::with_end(chunked(LARGE_CHUNK_BYTES), end_of_chunks(rest)),
             Self::SmallChunks => Traffic::with_end(chunked(1), end_of_chunks(rest)),
+            Self::Silent => Traffic::endless(Bytes::new()),
         }
     }
 }
--- a/tests/crowds/listener.rs
+++ b/tests/crowds/listener.rs
@@ -33,11 +33,21 @@
 impl Listener {
     /// Starts a node with an executor, and waits until it accepts jobs.
     pub(crate) async fn node() -> Result<Self, BoxError> {
+        Self::node_with_descriptors(None).await
+    }
+
+    /// Starts a node that may open `descriptors` at most.
+    pub(crate) async fn node_with_descriptors(descriptors: Option<u32>) -> Result<Self, BoxError> {
         let dir = tempfile::tempdir()?;
         let mut site = SiteHandle::bind().await?;
         site.configure(1, &["plain"]);
         site.start_executor("e0", 8_000).await?;
-        let node = Box::new(Node::spawn(0, dir.path(), site.store(), site.adviser())?);
+        let mut node = Node::spawn(0, dir.path(), site.store(), site.adviser())?;
+        if descriptors.is_some() {
+            node.limit_descriptors(descriptors);
+            node.start()?;
+        }
+        let node = Box::new(node);
         let listener = Self::Node {
             node,
             _site: site,
@@ -50,12 +60,26 @@
 
     /// Starts a gateway with a scheduler, and waits until both are ready.
     pub(crate) async fn gateway() -> Result<Self, BoxError> {
+        Self::gateway_with_descriptors(None).await
+    }
+
+    /// Starts a gateway that may open `descriptors` at most.
+    pub(crate) async fn gateway_with_descriptors(
+        descriptors: Option<u32>,
+    ) -> Result<Self, BoxError> {
         let plan = ClusterPlan {
             schedulers: 1,
             gateways: 1,
             ..ClusterPlan::one_domain()
         };
-        Ok(Self::Gateway(Box::new(Cluster::start(&plan).await?)))
+        let mut cluster = Cluster::start(&plan).await?;
+        if descriptors.is_some() {
+            cluster.gateways[0].limit_descriptors(descriptors);
+            cluster.gateways[0].kill();
+            cluster.gateways[0].start()?;
+            cluster.wait_until_ready().await?;
+        }
+        Ok(Self::Gateway(Box::new(cluster)))
     }
 
     /// Returns the address that callers reach.
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -32,6 +32,8 @@
 /// Descriptors beside those of the crowd that a process may open during a crowd: calls to the store and to executors,
 /// and connections that are being closed while the clients connect again.
 const OTHER_DESCRIPTORS: usize = 200;
+/// Descriptors of a process that a crowd of clients can exhaust.
+const FEW_DESCRIPTORS: u32 = 300;
 
 /// Defines a test for each kind of crowd and listener; the tests run one at a time.
 macro_rules! crowds {
@@ -71,6 +73,24 @@
     SmallChunks => node_small_chunks, gateway_small_chunks;
 }
 
+/// Guards against connections of callers that take all descriptors of the process.
+#[test]
+fn node_silent_connections() {
+    harness::run(async {
+        let listener = Listener::node_with_descriptors(Some(FEW_DESCRIPTORS)).await?;
+        hold_crowds(listener, Kind::Silent, 1).await
+    });
+}
+
+/// Guards against connections of callers that take all descriptors of the process.
+#[test]
+fn gateway_silent_connections() {
+    harness::run(async {
+        let listener = Listener::gateway_with_descriptors(Some(FEW_DESCRIPTORS)).await?;
+        hold_crowds(listener, Kind::Silent, 1).await
+    });
+}
+
 /// Guards against memory that one crowd leaves allocated and the next one adds to.
 #[test]
 fn node_three_crowds() {
--- a/tests/crowds/traffic.rs
+++ b/tests/crowds/traffic.rs
@@ -3,18 +3,18 @@
 /// What one client of a crowd sends on a connection.
 #[derive(Debug, Clone)]
 pub(crate) struct Traffic {
-    /// Bytes that every client sends; they end just short of the end of the request.
+    /// Bytes that every client sends.
     pub(crate) bytes: Bytes,
-    /// Bytes that complete the request; `None` for a request without end.
+    /// Bytes that complete the request, which few clients send; `None` if all clients send the same.
     pub(crate) end: Option<Bytes>,
     /// Largest number of bytes per write.
     pub(crate) piece: usize,
 }
 
 impl Traffic {
-    /// Returns traffic that never becomes a request.
+    /// Returns traffic that all clients send alike.
     pub(crate) fn endless(bytes: Bytes) -> Self {
-        let piece = bytes.len();
+        let piece = bytes.len().max(1);
         Self {
             bytes,
             end: None,
--- a/tests/harness/child.rs
+++ b/tests/harness/child.rs
@@ -103,3 +103,20 @@
         keep_log_tail(self.log_tail());
     }
 }
+
+/// Returns the command that runs `program` with a limit of open descriptors, if one is set.
+pub(crate) fn with_descriptors(
+    limit: Option<u32>,
+    program: &str,
+    args: Vec<String>,
+) -> (String, Vec<String>) {
+    let Some(limit) = limit else {
+        return (program.to_owned(), args);
+    };
+    let script = format!("ulimit -n {limit} && exec \"$0\" \"$@\"");
+    let shell_args = ["-c".to_owned(), script, program.to_owned()];
+    (
+        "sh".to_owned(),
+        shell_args.into_iter().chain(args).collect(),
+    )
+}
--- a/tests/harness/daemon.rs
+++ b/tests/harness/daemon.rs
@@ -9,6 +9,7 @@
 use rustix::process::Signal;
 use tonic::transport::Endpoint;
 
+use crate::harness::child::with_descriptors;
 use crate::harness::{BoxError, Child, Client, DaemonKind, eventually};
 
 const READY_TIMEOUT: Duration = Duration::from_secs(40);
@@ -28,6 +29,8 @@
     kind: DaemonKind,
     settings: PathBuf,
     child: Option<Child>,
+    /// Limit of open descriptors; `None` for that of the test.
+    descriptors: Option<u32>,
 }
 
 impl Daemon {
@@ -47,6 +50,7 @@
             kind,
             settings,
             child: None,
+            descriptors: None,
         }
     }
 
@@ -59,9 +63,10 @@
         let args = ["--settings".to_owned(), self.settings.display().to_string()];
         let log = self.settings.with_extension("log");
         let program = self.kind.program();
+        let (program, args) = with_descriptors(self.descriptors, program, args.into());
         self.child = Some(Child::spawn(
             &self.name,
-            program,
+            &program,
             &args,
             log,
             Stdio::piped(),
@@ -69,6 +74,11 @@
         Ok(())
     }
 
+    /// Limits the descriptors that the process may open, from its next start on.
+    pub(crate) fn limit_descriptors(&mut self, descriptors: Option<u32>) {
+        self.descriptors = descriptors;
+    }
+
     /// Returns the process id, or `None` before the process is started.
     pub(crate) fn id(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
--- a/tests/harness/node.rs
+++ b/tests/harness/node.rs
@@ -7,6 +7,7 @@
 use rustix::process::Signal;
 use tokio::time::Instant;
 
+use crate::harness::child::with_descriptors;
 use crate::harness::{BoxError, Child};
 
 /// Limit for the exit after SIGTERM; above `limits.grace` of the settings.
@@ -21,6 +22,8 @@
     settings: PathBuf,
     pub(crate) callers: SocketAddr,
     child: Option<Child>,
+    /// Limit of open descriptors; `None` for that of the test.
+    descriptors: Option<u32>,
     /// Size of the log before the process was started.
     log_size_at_start: u64,
 }
@@ -48,6 +51,7 @@
             settings,
             callers,
             child: None,
+            descriptors: None,
             log_size_at_start: 0,
         };
         node.start()?;
@@ -61,8 +65,9 @@
         self.log_size_at_start = std::fs::metadata(&log).map_or(0, |log| log.len());
         let args = ["--settings".to_owned(), self.settings.display().to_string()];
         let program = env!("CARGO_BIN_EXE_lagoon-node");
+        let (program, args) = with_descriptors(self.descriptors, program, args.into());
         let out = File::options().create(true).append(true).open(&log)?;
-        self.child = Some(Child::spawn(&self.name, program, &args, log, out.into())?);
+        self.child = Some(Child::spawn(&self.name, &program, &args, log, out.into())?);
         Ok(())
     }
 
@@ -83,6 +88,11 @@
         }
     }
 
+    /// Limits the descriptors that the process may open, from its next start on.
+    pub(crate) fn limit_descriptors(&mut self, descriptors: Option<u32>) {
+        self.descriptors = descriptors;
+    }
+
     /// Returns the process id, or `None` before the process is started.
     pub(crate) fn id(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
