Close connections whose clients do not read their responses

A connection whose response is not read stayed open without limit. Cause: the HTTP library reads and answers pipelined requests while its write buffer has room, and has no time limit for writing. Why it works: nothing is read from a connection while a write to it is blocked, a blocked connection may be closed to make room like one whose request is incomplete, and a write that is blocked for the read timeout ends the connection.

--- a/crates/process/src/server/client_stream.rs
+++ b/crates/process/src/server/client_stream.rs
@@ -1,10 +1,12 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
 
 use crate::server::buffer_memory::BufferMemory;
 use crate::server::close_reason::CloseReason;
@@ -23,6 +25,7 @@
 pub(super) struct ClientStream {
     stream: TcpStream,
     connection: Arc<Connection>,
+    write_timeout: Duration,
     /// Empty bytes that were discarded; `None` once the first request has begun.
     empty_bytes: Option<usize>,
     /// Bytes of the current head.
@@ -31,26 +34,41 @@
     ended_heads: u64,
     /// Reservation for a read buffer above [`UNRESERVED`], which keeps its size until the connection is closed.
     buffer: BufferMemory,
+    /// Time limit of a write for which the client's window has no room.
+    write_limit: Option<Pin<Box<Sleep>>>,
+    /// Reader to wake when the client reads again.
+    blocked_reader: Option<Waker>,
 }
 
 impl ClientStream {
-    pub(super) fn new(stream: TcpStream, connection: Arc<Connection>) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        connection: Arc<Connection>,
+        write_timeout: Duration,
+    ) -> Self {
         Self {
             stream,
             connection,
+            write_timeout,
             empty_bytes: Some(0),
             head_bytes: 0,
             ended_heads: 0,
             buffer: BufferMemory::Unreserved,
+            write_limit: None,
+            blocked_reader: None,
         }
     }
 
-    /// Reads at most [`READ_SIZE`] bytes from the socket.
+    /// Reads at most [`READ_SIZE`] bytes from the socket, and nothing while the client does not read its response.
     fn poll_read_some(
         &mut self,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.write_limit.is_some() {
+            self.blocked_reader = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
         let size = buf.remaining().min(READ_SIZE);
         let mut piece = ReadBuf::new(buf.initialize_unfilled_to(size));
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut piece))?;
@@ -116,6 +134,26 @@
         }
         Poll::Ready(Ok(()))
     }
+
+    /// Ends the time limit of a write, and lets the reader go on.
+    fn end_write_limit(&mut self) {
+        if self.write_limit.take().is_some()
+            && let Some(reader) = self.blocked_reader.take()
+        {
+            reader.wake();
+        }
+    }
+
+    /// Fails if the client has not made room for a write within the time limit.
+    fn poll_write_limit(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
+        let limit = self.write_limit.get_or_insert_with(|| {
+            self.connection.set_waits_for_client(true);
+            Box::pin(sleep(self.write_timeout))
+        });
+        ready!(limit.as_mut().poll(cx));
+        self.connection.record_close(CloseReason::UnreadResponse);
+        Poll::Ready(io::ErrorKind::TimedOut.into())
+    }
 }
 
 impl AsyncRead for ClientStream {
@@ -147,7 +185,13 @@
         cx: &mut Context<'_>,
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, data)
+        match Pin::new(&mut self.stream).poll_write(cx, data) {
+            Poll::Pending => self.poll_write_limit(cx).map(Err),
+            ready => {
+                self.end_write_limit();
+                ready
+            }
+        }
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -163,7 +207,13 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        match Pin::new(&mut self.stream).poll_write_vectored(cx, slices) {
+            Poll::Pending => self.poll_write_limit(cx).map(Err),
+            ready => {
+                self.end_write_limit();
+                ready
+            }
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/process/src/server/close_log.rs
+++ b/crates/process/src/server/close_log.rs
@@ -39,6 +39,7 @@
             CloseReason::AllBusy => metrics.count("connections.refused", 1),
             CloseReason::RequestMemory => metrics.count("connections.closed_for_memory", 1),
             CloseReason::EmptyLines => metrics.count("connections.closed_empty_lines", 1),
+            CloseReason::UnreadResponse => metrics.count("connections.closed_unread", 1),
         }
         if let Some(count) = self.count_to_log(reason) {
             tracing::warn!(count, "process: closed connections of clients: {reason}");
--- a/crates/process/src/server/close_reason.rs
+++ b/crates/process/src/server/close_reason.rs
@@ -11,11 +11,13 @@
     RequestMemory,
     /// The client sent empty lines instead of a request.
     EmptyLines,
+    /// The client did not read its response.
+    UnreadResponse,
 }
 
 impl CloseReason {
     /// Number of reasons.
-    pub(super) const COUNT: usize = 4;
+    pub(super) const COUNT: usize = 5;
 }
 
 impl fmt::Display for CloseReason {
@@ -25,6 +27,7 @@
             Self::AllBusy => "all connections were processing requests",
             Self::RequestMemory => "another request needed the memory of an incomplete one",
             Self::EmptyLines => "empty lines were sent instead of a request",
+            Self::UnreadResponse => "the response was not read",
         })
     }
 }
--- a/crates/process/src/server/connections.rs
+++ b/crates/process/src/server/connections.rs
@@ -88,7 +88,7 @@
         let read_timeout = self.limits.read_timeout.to_duration();
         let (connection, closed) = Connection::open(self.table.clone());
         let service = ConnectionService::new(self.router.clone(), connection.clone());
-        let stream = ClientStream::new(stream, connection);
+        let stream = ClientStream::new(stream, connection, read_timeout);
         let served = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(read_timeout)
--- a/crates/process/src/server/limits.rs
+++ b/crates/process/src/server/limits.rs
@@ -15,7 +15,8 @@
 pub struct Limits {
     /// Maximum size of a body.
     pub max_body: Bytes,
-    /// Time allowed to receive the complete header, and then again the complete body.
+    /// Time allowed to receive the complete header, then again the complete body, and for the client to read a part of
+    /// the response.
     pub read_timeout: Millis,
     /// Maximum number of open connections; at most a third of the descriptors that the process may open.
     pub max_connections: u32,
--- a/crates/process/tests/clients.rs
+++ b/crates/process/tests/clients.rs
@@ -223,6 +223,35 @@
         assert_eq!(server.metric("connections.request_bytes"), 0);
     }
 
+    /// Guards against a connection that stays blocked after its client has read a large response.
+    connection_goes_on_after_a_late_reader {
+        const SIZE: usize = 8 << 20;
+        let large = || async { "a".repeat(SIZE) };
+        let server = TestServer::with_router(limits(), Router::new().route("/", post(large))).await;
+        let mut client = server.connect(&request("")).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for _ in 0..2 {
+            let mut received = 0;
+            while received < SIZE {
+                let count = client.read(&mut [0; 64 << 10]).await.unwrap();
+                assert!(count > 0, "closed after {received} bytes");
+                received += count;
+            }
+            // The rest of the first response is its head.
+            client.write_all(request("").as_bytes()).await.unwrap();
+        }
+    }
+
+    /// Guards against a client that occupies memory and a connection by not reading its response.
+    unread_response_is_abandoned {
+        let limits = Limits { read_timeout: Millis::new(200), ..limits() };
+        let large = || async { "a".repeat(64 << 20) };
+        let server = TestServer::with_router(limits, Router::new().route("/", post(large))).await;
+        let _client = server.connect(&request("")).await;
+        server.wait_for("connections.closed_unread", 1).await;
+        server.wait_for("connections.open", 0).await;
+    }
+
     /// Guards against empty lines without end, which the HTTP library accepts before a request.
     empty_lines_end_the_connection {
         let server = TestServer::start(limits()).await;
--- a/tests/crowds/kind.rs
+++ b/tests/crowds/kind.rs
@@ -9,6 +9,8 @@
 const MISSING_BYTES: usize = 10;
 /// Bytes that a client sends without ever beginning a request, or completing its head.
 const ENDLESS_BYTES: usize = 512 << 10;
+/// Bytes of requests that a client sends without reading responses.
+const PIPELINED_BYTES: usize = 64 << 10;
 /// Size of a header line, so that a head without end has fewer lines than HTTP libraries allow.
 const HEADER_LINE_BYTES: usize = 8_000;
 const LARGE_CHUNK_BYTES: usize = 128 << 10;
@@ -32,6 +34,8 @@
     LargeChunks,
     /// A large body in chunks of one byte.
     SmallChunks,
+    /// Requests whose responses are not read.
+    UnreadResponses,
     /// Nothing at all.
     Silent,
 }
@@ -69,6 +73,11 @@
             Self::BodyInPieces => Traffic::with_end(whole(), rest.to_vec().into()).in_pieces(1_000),
             Self::LargeChunks => Traffic::with_end(chunked(LARGE_CHUNK_BYTES), end_of_chunks(rest)),
             Self::SmallChunks => Traffic::with_end(chunked(1), end_of_chunks(rest)),
+            Self::UnreadResponses => {
+                let path = listener.read_path();
+                let request = format!("GET {path} HTTP/1.1\r\nhost: cell.example\r\n\r\n");
+                Traffic::endless(request.repeat(PIPELINED_BYTES / request.len()).into())
+            }
             Self::Silent => Traffic::endless(Bytes::new()),
         }
     }
--- a/tests/crowds/listener.rs
+++ b/tests/crowds/listener.rs
@@ -13,8 +13,10 @@
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Far above the time of an ordinary request, so that the tests pass on a busy machine.
 const ANSWER_TIMEOUT: Millis = Millis::new(60_000);
+const NODE_QUEUE: &str = "/plain/";
 const NODE_JOB: &str = "/plain/00000000000000a1";
 const CROWD_JOB: &str = "/plain/00000000000000c1";
+const GATEWAY_HEALTH: &str = "/healthz";
 const GATEWAY_REQUESTS: &str = "/v1/requests";
 
 /// Listener for callers of a process that runs beside the stand-ins that it needs.
@@ -99,6 +101,14 @@
         format!("POST {path} HTTP/1.1\r\nhost: cell.example\r\ncontent-type: application/json\r\n")
     }
 
+    /// Returns a path that is read with GET.
+    pub(crate) fn read_path(&self) -> &'static str {
+        match self {
+            Self::Node { .. } => NODE_QUEUE,
+            Self::Gateway(_) => GATEWAY_HEALTH,
+        }
+    }
+
     /// Returns a complete valid request with `headers`, each with its line end.
     pub(crate) fn request(&self, headers: &str) -> String {
         let (head, body) = (self.request_head(), self.ordinary_body().to_string());
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -73,6 +73,18 @@
     SmallChunks => node_small_chunks, gateway_small_chunks;
 }
 
+/// Guards against responses that are all held for clients that do not read them.
+#[test]
+fn node_unread_responses() {
+    harness::run(async { hold_crowds(Listener::node().await?, Kind::UnreadResponses, 1).await });
+}
+
+/// Guards against responses that are all held for clients that do not read them.
+#[test]
+fn gateway_unread_responses() {
+    harness::run(async { hold_crowds(Listener::gateway().await?, Kind::UnreadResponses, 1).await });
+}
+
 /// Guards against connections of callers that take all descriptors of the process.
 #[test]
 fn node_silent_connections() {
