--- a/crates/jobs/src/spec/job_spec.rs
+++ b/crates/jobs/src/spec/job_spec.rs
@@ -7,7 +7,7 @@
 /// Largest payload in bytes, which is the platform's limit for a start request.
 const MAX_PAYLOAD_BYTES: usize = 4_000;
 /// Largest number of steps of a job. It bounds the memory of one job and is far above what callers send.
-const MAX_STEPS: usize = 1_000;
+pub const MAX_STEPS: usize = 1_000;
 /// Largest number of tasks of one step. It bounds the memory of one job and is far above what callers send.
 const MAX_TASKS: u32 = 10_000;
 
--- a/crates/jobs/src/spec/mod.rs
+++ b/crates/jobs/src/spec/mod.rs
@@ -15,4 +15,9 @@
 mod spec_error;
 mod step_spec;
 
-pub use self::{job_spec::JobSpec, schedule::Schedule, spec_error::SpecError, step_spec::StepSpec};
+pub use self::{
+    job_spec::{JobSpec, MAX_STEPS},
+    schedule::Schedule,
+    spec_error::SpecError,
+    step_spec::StepSpec,
+};
--- a/tests/crowds/kind.rs
+++ b/tests/crowds/kind.rs
@@ -34,6 +34,8 @@
     LargeChunks,
     /// A large body in chunks of one byte.
     SmallChunks,
+    /// A complete job of many times the steps that a job may have.
+    ManySteps,
     /// Requests whose responses are not read.
     UnreadResponses,
     /// Nothing at all.
@@ -73,6 +75,12 @@
             Self::BodyInPieces => Traffic::with_end(whole(), rest.to_vec().into()).in_pieces(1_000),
             Self::LargeChunks => Traffic::with_end(chunked(LARGE_CHUNK_BYTES), end_of_chunks(rest)),
             Self::SmallChunks => Traffic::with_end(chunked(1), end_of_chunks(rest)),
+            Self::ManySteps => {
+                let steps = vec![r#"{"count":1}"#; BODY_BYTES / 12 - 2].join(",");
+                let body = format!(r#"{{"steps":[{steps}]}}"#);
+                let length = body.len();
+                Traffic::endless(format!("{head}content-length: {length}\r\n\r\n{body}").into())
+            }
             Self::UnreadResponses => {
                 let path = listener.read_path();
                 let request = format!("GET {path} HTTP/1.1\r\nhost: cell.example\r\n\r\n");
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -73,6 +73,12 @@
     SmallChunks => node_small_chunks, gateway_small_chunks;
 }
 
+/// Guards against the decoding of a job far beyond the limits of a job, which takes many times the memory of its text.
+#[test]
+fn node_many_steps() {
+    harness::run(async { hold_crowds(Listener::node().await?, Kind::ManySteps, 1).await });
+}
+
 /// Guards against responses that are all held for clients that do not read them.
 #[test]
 fn node_unread_responses() {
