--- a/tests/crowds/kind.rs
+++ b/tests/crowds/kind.rs
@@ -40,6 +40,8 @@
     UnreadResponses,
     /// Nothing at all.
     Silent,
+    /// Requests for a queue that does not exist.
+    UnknownPaths,
 }
 
 impl Kind {
@@ -81,16 +83,18 @@
                 let length = body.len();
                 Traffic::endless(format!("{head}content-length: {length}\r\n\r\n{body}").into())
             }
-            Self::UnreadResponses => {
-                let path = listener.read_path();
-                let request = format!("GET {path} HTTP/1.1\r\nhost: cell.example\r\n\r\n");
-                Traffic::endless(request.repeat(PIPELINED_BYTES / request.len()).into())
-            }
+            Self::UnreadResponses => Traffic::endless(pipelined(listener.read_path())),
             Self::Silent => Traffic::endless(Bytes::new()),
+            Self::UnknownPaths => Traffic::endless(pipelined("/")),
         }
     }
 }
 
+fn pipelined(path: &str) -> Bytes {
+    let request = format!("GET {path} HTTP/1.1\r\nhost: cell.example\r\n\r\n");
+    request.repeat(PIPELINED_BYTES / request.len()).into()
+}
+
 fn push_chunk(bytes: &mut Vec<u8>, data: &[u8]) {
     bytes.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
     bytes.extend_from_slice(data);
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -91,6 +91,12 @@
     harness::run(async { hold_crowds(Listener::gateway().await?, Kind::UnreadResponses, 1).await });
 }
 
+/// Guards against requests for unknown queues that keep a node from answering others.
+#[test]
+fn node_unknown_paths() {
+    harness::run(async { hold_crowds(Listener::node().await?, Kind::UnknownPaths, 1).await });
+}
+
 /// Guards against connections of callers that take all descriptors of the process.
 #[test]
 fn node_silent_connections() {
