Share reads of the configuration between requests for unknown paths

Callers saw: beside 500 clients that pipeline GET requests for a path without a queue, the memory of a node grows beyond the bound of the test, and it opens up to 1,700 descriptors.

Cause: the queue of such a request may have been added just now, so the node reads the configuration from the store before it answers 404. Each request had a read of its own, on a connection of its own, and nothing limited them.

Fix: one read at a time; the requests that wait share its result. A request takes part only in a read that begins after it arrived, so that it finds a queue that was added before.

--- a/crates/node/src/api/job_api.rs
+++ b/crates/node/src/api/job_api.rs
@@ -147,13 +147,7 @@
     }
 
     async fn latest_policy(&self) -> Option<Arc<CellPolicy>> {
-        match policy::read_latest(&self.cx).await {
-            Ok(policy) => policy,
-            Err(e) => {
-                tracing::warn!("api: configuration can't be read from the store: {e}");
-                None
-            }
-        }
+        self.cx.policy_read.latest(&self.cx).await
     }
 
     async fn submit(
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -11,7 +11,7 @@
 use crate::api::CancelLimiter;
 use crate::cell::CellView;
 use crate::peers::PeerClients;
-use crate::policy::PolicyGuard;
+use crate::policy::{PolicyGuard, SharedRead};
 use crate::settings::{LimitSettings, NodeSettings};
 
 /// Time-out for a call to the store. It usually answers in 4 ms, and callers wait 3 s in total.
@@ -41,6 +41,8 @@
     /// Current configuration; `None` until the first one arrives.
     pub(crate) policy: watch::Sender<Option<Arc<CellPolicy>>>,
     pub(crate) policy_guard: Arc<PolicyGuard>,
+    /// Reads of the configuration for requests that it has no queue for.
+    pub(crate) policy_read: Arc<SharedRead>,
     pub(crate) cancel_limiter: Arc<CancelLimiter>,
     /// Members and owner of the cell.
     pub(crate) cell: watch::Sender<Arc<CellView>>,
@@ -70,6 +72,7 @@
             peers: PeerClients::default(),
             policy: watch::Sender::new(None),
             policy_guard: Arc::new(PolicyGuard::new(clock)),
+            policy_read: Arc::default(),
             cancel_limiter: Arc::new(CancelLimiter::new(clock.now())),
             cell: watch::Sender::new(Arc::default()),
             store_reachable: watch::Sender::new(true),
--- a/crates/node/src/policy/follow.rs
+++ b/crates/node/src/policy/follow.rs
@@ -25,7 +25,7 @@
 }
 
 /// Reads the configuration from the store, applies it and returns the current one.
-pub(crate) async fn read_latest(cx: &Context) -> Result<Option<Arc<CellPolicy>>, PlatformError> {
+pub(super) async fn read_latest(cx: &Context) -> Result<Option<Arc<CellPolicy>>, PlatformError> {
     let sent_at = cx.clock.now();
     if let Some(item) = cx.store.get(CONFIG_KEY).await? {
         apply(cx, &item);
--- a/crates/node/src/policy/read_confirmed.rs
+++ b/crates/node/src/policy/read_confirmed.rs
@@ -7,7 +7,7 @@
 use tokio::time::timeout;
 
 use crate::context::Context;
-use crate::policy::read_latest;
+use crate::policy::follow::read_latest;
 
 /// Time-out for one read. The store usually answers in 4 ms.
 const READ_TIMEOUT: Duration = Duration::from_millis(350);
