Let requests of one connection take turns with other connections

Callers saw: beside 500 clients that pipeline requests, an ordinary caller's connect fails after 0.5 s. The node had accepted 65, 122 and 171 of 500 connections after 6 s.

Cause: a request that is answered without waiting does not leave its thread, and the HTTP library handles up to 16 requests of a connection in a row. The accept loop and all tasks of the node take turns with connections, so each turn takes 16 times as long as one request.

Evidence: node_unread_responses on, debug build, aarch64: 2 of 3 runs failed with "tcp connect error: deadline has elapsed" and 84 and 140 open descriptors; ss shows the accept queue full (128 of 128). The new test pipelined_requests_take_turns failed before.

Fix: each request but the first of a connection begins in a new turn.

--- a/crates/process/src/server/body.rs
+++ b/crates/process/src/server/body.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use lagoon_core::unit::Millis;
 use lagoon_core::{Refusal, ResultCode};
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use crate::answer::ErrorBody;
@@ -40,6 +41,10 @@
         async move {
             let connection = req.extensions_mut().remove::<Arc<Connection>>();
             let connection = connection.expect("the server adds its connection to each request");
+            if connection.ended_heads() > 0 {
+                // A client that sends many requests at once takes turns with all others.
+                yield_now().await;
+            }
             let mut exchange = Exchange::begin(connection);
             let (parts, body) = req.into_parts();
             let buf = BodyBuffer::new(body.size_hint().exact(), pools);
--- a/crates/process/tests/clients.rs
+++ b/crates/process/tests/clients.rs
@@ -1,6 +1,7 @@
 //! Clients outside the limits of a server: which connection gives way, what is refused, and how much work they cause.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use axum::Router;
@@ -11,7 +12,8 @@
 use lagoon_process::server::{Limits, Server, Serving};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{Barrier, mpsc};
+use tokio::task::JoinSet;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -283,4 +285,35 @@
         calls.join_all().await;
         assert!(started.elapsed() >= Duration::from_secs(6));
     }
+
+    /// Guards against a client whose many requests, sent at once, keep other clients waiting.
+    pipelined_requests_take_turns {
+        let order = Arc::new(Mutex::new(String::new()));
+        let both_arrived = Arc::new(Barrier::new(2));
+        let handled = order.clone();
+        let record = move |body: String| {
+            handled.lock().unwrap().push_str(&body);
+            async {}
+        };
+        let wait = move || {
+            let both_arrived = both_arrived.clone();
+            async move {
+                both_arrived.wait().await;
+            }
+        };
+        let router = Router::new().route("/", post(record)).route("/wait", post(wait));
+        let server = TestServer::with_router(limits(), router).await;
+        let mut clients = JoinSet::new();
+        for body in ["a", "b"] {
+            let first = "POST /wait HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+            let last = format!("POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 1\r\n\r\n{body}");
+            let requests = format!("{first}{}{last}", request(body).repeat(9));
+            let mut stream = server.connect(&requests).await;
+            clients.spawn(async move { stream.read_to_end(&mut Vec::new()).await.unwrap() });
+        }
+        clients.join_all().await;
+        let order = order.lock().unwrap();
+        assert_eq!(order.len(), 20);
+        assert!(!order.contains("aaa") && !order.contains("bbb"), "{order}");
+    }
 }
