Let 1,024 connections wait to be accepted

Callers saw: while many clients connect at the same time, a connect takes a second or more, or fails with the time-out of the caller.

Cause: the queue of a listener holds 128 connections by default. The kernel drops further ones, and a client repeats its request to connect only after a second.

Fix: listeners are opened with a queue of 1,024. Waiting connections take no descriptor of the process.

--- a/crates/process/src/server/mod.rs
+++ b/crates/process/src/server/mod.rs
@@ -30,11 +30,12 @@
 mod state;
 mod whole_body;
 
+use std::io;
 use std::net::SocketAddr;
 
 use axum::Router;
 use lagoon_core::unit::Millis;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 pub use self::{
     body::discard as discard_body,
@@ -47,6 +48,9 @@
 use crate::shutdown::Signal;
 use crate::{Metrics, RunError};
 
+/// Connections that may wait to be accepted. The kernel drops further ones, whose clients try again after a second.
+const ACCEPT_QUEUE: u32 = 1_024;
+
 /// HTTP server in state `S`.
 #[derive(Debug)]
 pub struct Server<S> {
@@ -69,7 +73,7 @@
     /// Returns an error if the address can't be bound.
     pub async fn bind(address: Address, limits: Limits) -> Result<Self, RunError> {
         let failed = |e| RunError::new(format!("process: can't listen on {address}"), e);
-        let listener = TcpListener::bind(address.get()).await.map_err(failed)?;
+        let listener = listen(address.get()).map_err(failed)?;
         let address = listener.local_addr().map_err(failed)?;
         let state = Bound {
             listener,
@@ -114,6 +118,17 @@
     }
 }
 
+/// Opens a listener like [`TcpListener::bind`], whose queue has room for 128 connections only.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
 impl Server<Serving> {
     /// Closes the listener and idle connections; requests in flight continue.
     pub fn drain(self) -> Server<Draining> {
--- a/crates/process/tests/clients.rs
+++ b/crates/process/tests/clients.rs
@@ -316,4 +316,17 @@
         assert_eq!(order.len(), 20);
         assert!(!order.contains("aaa") && !order.contains("bbb"), "{order}");
     }
+
+    /// Guards against new connections that are lost while many others wait to be accepted.
+    many_connections_wait_to_be_accepted {
+        let any = "127.0.0.1:0".parse().unwrap();
+        let server = Server::bind(any, limits()).await.unwrap();
+        let mut open = Vec::new();
+        for number in 0..400 {
+            let connect = TcpStream::connect(server.address());
+            let connected = tokio::time::timeout(TIMEOUT, connect).await;
+            let in_time = connected.unwrap_or_else(|_| panic!("connection {number} was lost"));
+            open.push(in_time.unwrap());
+        }
+    }
 }
