Test a crowd of jobs with as many steps as allowed

500 clients submit a complete job of 1,000 steps. The text of such a job is 12 KB, and what it is decoded to is not counted in request_memory.

--- a/tests/crowds/kind.rs
+++ b/tests/crowds/kind.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use lagoon_jobs::spec::MAX_STEPS;
 
 use crate::listener::Listener;
 use crate::traffic::Traffic;
@@ -36,6 +37,8 @@
     SmallChunks,
     /// A complete job of many times the steps that a job may have.
     ManySteps,
+    /// Complete jobs with as many steps as a job may have.
+    LargestJobs,
     /// Requests whose responses are not read.
     UnreadResponses,
     /// Nothing at all.
@@ -77,12 +80,8 @@
             Self::BodyInPieces => Traffic::with_end(whole(), rest.to_vec().into()).in_pieces(1_000),
             Self::LargeChunks => Traffic::with_end(chunked(LARGE_CHUNK_BYTES), end_of_chunks(rest)),
             Self::SmallChunks => Traffic::with_end(chunked(1), end_of_chunks(rest)),
-            Self::ManySteps => {
-                let steps = vec![r#"{"count":1}"#; BODY_BYTES / 12 - 2].join(",");
-                let body = format!(r#"{{"steps":[{steps}]}}"#);
-                let length = body.len();
-                Traffic::endless(format!("{head}content-length: {length}\r\n\r\n{body}").into())
-            }
+            Self::ManySteps => Traffic::endless(job(&head, BODY_BYTES / 12 - 2)),
+            Self::LargestJobs => Traffic::endless(job(&head, MAX_STEPS)),
             Self::UnreadResponses => Traffic::endless(pipelined(listener.read_path())),
             Self::Silent => Traffic::endless(Bytes::new()),
             Self::UnknownPaths => Traffic::endless(pipelined("/")),
@@ -90,6 +89,14 @@
     }
 }
 
+/// Returns a request for a job of `steps` steps.
+fn job(head: &str, steps: usize) -> Bytes {
+    let steps = vec![r#"{"count":1}"#; steps].join(",");
+    let body = format!(r#"{{"steps":[{steps}]}}"#);
+    let length = body.len();
+    format!("{head}content-length: {length}\r\n\r\n{body}").into()
+}
+
 fn pipelined(path: &str) -> Bytes {
     let request = format!("GET {path} HTTP/1.1\r\nhost: cell.example\r\n\r\n");
     request.repeat(PIPELINED_BYTES / request.len()).into()
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -79,6 +79,12 @@
     harness::run(async { hold_crowds(Listener::node().await?, Kind::ManySteps, 1).await });
 }
 
+/// Guards against jobs that are all decoded and wait for the store at the same time.
+#[test]
+fn node_largest_jobs() {
+    harness::run(async { hold_crowds(Listener::node().await?, Kind::LargestJobs, 1).await });
+}
+
 /// Guards against responses that are all held for clients that do not read them.
 #[test]
 fn node_unread_responses() {
